The whole path, thin: entry daemon, KV and engine stand-ins, apply, demo, e2e test

Change: entry daemon (gin, fx, tally) checks a request against its customer's allow list under the configuration revision in force, picks a version by roll-out weight hashed on the session, prefers back ends in its own failure domain by load, and relays the engine's SSE stream, checking every chunk's id against the request's. lovagectl applies a folder of YAML files merged in name order, validated with all findings, by compare-and-swap, re-reading after a lost answer. Stand-ins: KV (twirp, fault switches, call counts), engine (OpenAI-style SSE, capacity, load).

Nearest kin: the KV port keeps etcd's shape and the stand-in speaks twirp with a long-poll watch.

--- /dev/null
+++ b/command/doc.go
@@ -0,0 +1,3 @@
+// Package command holds one sub-package per lovagectl subcommand. Each
+// registers its flags on a kingpin application and runs on its own.
+package command
--- /dev/null
+++ b/command/status/status.go
@@ -0,0 +1,38 @@
+// Package status is `lovagectl status`: asks each entry, over the peer API,
+// for its instance, failure domain, configuration revision and readiness.
+package status
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lovageweir/lovageweir/rpc/peerpb"
+)
+
+// Register adds the subcommand to app.
+func Register(app *kingpin.Application) {
+	cmd := app.Command("status", "Show each entry's configuration revision and readiness.")
+	entries := cmd.Flag("entry", "Entry base URL (repeat).").Required().Strings()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		failed := 0
+		for _, u := range *entries {
+			st, err := peerpb.NewPeerProtobufClient(u, &http.Client{}).Status(ctx, &peerpb.StatusRequest{})
+			if err != nil {
+				failed++
+				fmt.Printf("%-28s unreachable: %v\n", u, err)
+				continue
+			}
+			fmt.Printf("%-28s instance=%s domain=%s revision=%d ready=%v in_flight=%d\n", u, st.Instance, st.Domain, st.ConfigRevision, st.Ready, st.InFlight)
+		}
+		if failed > 0 {
+			return fmt.Errorf("%d of %d entries unreachable", failed, len(*entries))
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/config/types.go
@@ -0,0 +1,73 @@
+package config
+
+// Version states. A withdrawn version receives no new work; its sessions get
+// a truthful refusal rather than a silent switch.
+const (
+	StateActive    = "active"
+	StateWithdrawn = "withdrawn"
+)
+
+// Back-end kinds.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// AnyVersion in a customer's allow list admits every version of the model.
+const AnyVersion = "*"
+
+// Document is one whole configuration.
+type Document struct {
+	Customers map[string]Customer `yaml:"customers" json:"customers"`
+	Models    map[string]Model    `yaml:"models" json:"models"`
+	Cascades  map[string]Cascade  `yaml:"cascades" json:"cascades"`
+	Backends  map[string]Backend  `yaml:"backends" json:"backends"`
+}
+
+// Customer is one tenant: its API keys and what it may use.
+type Customer struct {
+	APIKeys []string `yaml:"api_keys" json:"api_keys"`
+	// Allow maps a model (or cascade) name to the versions the customer may
+	// use; AnyVersion admits all.
+	Allow map[string][]string `yaml:"allow" json:"allow"`
+	// Priority orders shedding: higher is shed later.
+	Priority int `yaml:"priority" json:"priority"`
+}
+
+// Model is one model with its versions.
+type Model struct {
+	// CostPerMTok is the price of a million generated tokens, in the
+	// deployment's currency.
+	CostPerMTok float64            `yaml:"cost_per_mtok" json:"cost_per_mtok"`
+	Versions    map[string]Version `yaml:"versions" json:"versions"`
+}
+
+// Version is one version of a model and its share of new sessions.
+type Version struct {
+	State  string `yaml:"state" json:"state"`
+	Weight int    `yaml:"weight" json:"weight"`
+}
+
+// Cascade tries models from cheap to costly until an answer is good enough.
+type Cascade struct {
+	Steps []Step `yaml:"steps" json:"steps"`
+}
+
+// Step is one model of a cascade and the rater score its answer must reach
+// for the cascade to stop there.
+type Step struct {
+	Model    string  `yaml:"model" json:"model"`
+	MinScore float64 `yaml:"min_score" json:"min_score"`
+}
+
+// Backend is one engine or plain service.
+type Backend struct {
+	Kind    string `yaml:"kind" json:"kind"`
+	Address string `yaml:"address" json:"address"`
+	Domain  string `yaml:"domain" json:"domain"`
+	Model   string `yaml:"model" json:"model"`
+	Version string `yaml:"version" json:"version"`
+	// Idempotent says whether a call may be repeated. Calls to a
+	// non-idempotent service are never retried after dispatch.
+	Idempotent bool `yaml:"idempotent" json:"idempotent"`
+}
--- /dev/null
+++ b/e2e/harness_test.go
@@ -0,0 +1,99 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// readyWait bounds how long a test waits for a process to answer.
+const readyWait = 10 * time.Second
+
+var (
+	buildOnce sync.Once
+	binDir    string
+	buildErr  error
+)
+
+// binaries builds lovageweir and lovagectl once per test run.
+func binaries(t *testing.T) (entry, ctl string) {
+	t.Helper()
+	buildOnce.Do(func() {
+		binDir, buildErr = os.MkdirTemp("", "lovageweir-e2e-")
+		if buildErr != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", binDir+"/", "../cmd/lovageweir", "../cmd/lovagectl")
+		out, err := cmd.CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("build: %v\n%s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+	return filepath.Join(binDir, "lovageweir"), filepath.Join(binDir, "lovagectl")
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// proc is one child process; it is killed when the test ends.
+type proc struct {
+	cmd *exec.Cmd
+	out *strings.Builder
+}
+
+func start(t *testing.T, name string, args ...string) *proc {
+	t.Helper()
+	p := &proc{cmd: exec.Command(name, args...), out: &strings.Builder{}}
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		if t.Failed() {
+			t.Logf("%s output:\n%s", filepath.Base(name), p.out.String())
+		}
+	})
+	return p
+}
+
+// waitHTTP polls url until it answers 200 or readyWait passes.
+func waitHTTP(t *testing.T, url string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), readyWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	t.Fatalf("%s did not answer 200 within %v", url, readyWait)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/route"
+)
+
+// Tables gives the table in force; configwatch.Watcher implements it.
+type Tables interface {
+	Table() *route.Table
+}
+
+// Timeouts bound a call to a back end. FirstToken catches a connection that
+// went silent for good: without it a caller would wait forever with nothing
+// coming back.
+type Timeouts struct {
+	FirstToken time.Duration
+	Idle       time.Duration
+}
+
+// retryNoConfig is the Retry-After given before the first configuration.
+const retryNoConfig = 1 * time.Second
+
+// Gateway serves the caller API.
+type Gateway struct {
+	domain   string
+	tables   Tables
+	loads    *Loads
+	client   *http.Client
+	timeouts Timeouts
+	log      *slog.Logger
+	scope    tally.Scope
+
+	seq      atomic.Uint64
+	instance string
+	inFlight atomic.Int64
+	draining atomic.Bool
+}
+
+// New returns a gateway for an entry in domain.
+func New(instance, domain string, tables Tables, loads *Loads, to Timeouts, log *slog.Logger, scope tally.Scope) *Gateway {
+	return &Gateway{
+		instance: instance, domain: domain, tables: tables, loads: loads, timeouts: to, log: log, scope: scope,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     30 * time.Second,
+		}},
+	}
+}
+
+// InFlight is the number of requests being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Drain makes the gateway refuse new requests (not run, with Retry-After)
+// while those in flight finish.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Draining reports whether Drain was called.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// Register adds the caller API to r.
+func (g *Gateway) Register(r gin.IRoutes) {
+	r.POST("/v1/chat/completions", g.chat)
+}
+
+func (g *Gateway) refuse(c *gin.Context, status int, outcome, code, msg string, retry time.Duration) {
+	body := openai.ErrorBody{Error: openai.ErrorDetail{Type: outcome, Code: code, Message: msg}}
+	if retry > 0 {
+		secs := int((retry + time.Second - 1) / time.Second)
+		c.Header("Retry-After", strconv.Itoa(secs))
+		body.Error.RetryAfterSeconds = secs
+	}
+	g.scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("refusals").Inc(1)
+	c.AbortWithStatusJSON(status, body)
+}
+
+func apiKey(c *gin.Context) string {
+	return strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
+}
+
+func (g *Gateway) chat(c *gin.Context) {
+	if g.draining.Load() {
+		g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "draining", "this entry is shutting down; any other entry will serve you", time.Second)
+		return
+	}
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	body, err := io.ReadAll(io.LimitReader(c.Request.Body, 4<<20))
+	if err != nil {
+		g.refuse(c, http.StatusBadRequest, openai.OutcomeNotRun, "bad_request", err.Error(), 0)
+		return
+	}
+	var req openai.ChatRequest
+	if err := json.Unmarshal(body, &req); err != nil {
+		g.refuse(c, http.StatusBadRequest, openai.OutcomeNotRun, "bad_request", "body is not a chat completion request: "+err.Error(), 0)
+		return
+	}
+	t := g.tables.Table()
+	if t == nil {
+		g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "no_config", "this entry has no configuration yet", retryNoConfig)
+		return
+	}
+	dec, ref := t.Decide(route.Request{
+		APIKey:      apiKey(c),
+		Model:       req.Model,
+		Session:     c.GetHeader(openai.HeaderSessionID),
+		AffinityKey: affinity(req),
+	}, g.domain, g.loads)
+	if ref != nil {
+		g.refuse(c, ref.Status, openai.OutcomeNotRun, ref.Code, ref.Message, ref.RetryAfter)
+		return
+	}
+	rid := fmt.Sprintf("%s-%d", g.instance, g.seq.Add(1))
+	c.Header(openai.HeaderRequestID, rid)
+	c.Header(openai.HeaderVersion, dec.Version)
+	c.Header(openai.HeaderRevision, strconv.FormatInt(int64(t.Revision), 10))
+	g.dispatch(c, dec, rid, body, req.Stream)
+}
+
+// affinity keys a request by the start of its first message: requests that
+// share a prompt prefix share cache on an engine.
+func affinity(r openai.ChatRequest) string {
+	const prefixBytes = 256
+	if len(r.Messages) == 0 {
+		return ""
+	}
+	s := r.Messages[0].Content
+	if len(s) > prefixBytes {
+		s = s[:prefixBytes]
+	}
+	return s
+}
+
+// dispatch tries candidates in order while the request has provably not
+// run (connection refused, engine refused for capacity); once a back end may
+// have started it, no other is tried.
+func (g *Gateway) dispatch(c *gin.Context, dec *route.Decision, rid string, body []byte, stream bool) {
+	for _, b := range dec.Candidates {
+		resp, notRun, err := g.call(c.Request.Context(), b, rid, body)
+		if err != nil && notRun {
+			g.log.Info("gateway: back end did not take the request; trying the next.", "backend", b.Name, "request", rid, "error", err)
+			continue
+		}
+		if err != nil {
+			g.refuse(c, http.StatusGatewayTimeout, openai.OutcomeUnknown, "backend_failed",
+				fmt.Sprintf("back end %s failed after the request was sent; it may have run", b.Name), 0)
+			return
+		}
+		c.Header(openai.HeaderBackend, b.Name)
+		g.relay(c, resp, rid, stream, b)
+		return
+	}
+	g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "no_capacity",
+		fmt.Sprintf("no back end of %s@%s took the request", dec.Model, dec.Version), 2*time.Second)
+}
+
+// call sends the request. notRun is true only when the back end provably did
+// not start it: the dial failed, or it answered 429/503 before any work.
+func (g *Gateway) call(ctx context.Context, b route.BackendInfo, rid string, body []byte) (*http.Response, bool, error) {
+	done := g.loads.Begin(b.Name)
+	defer done()
+	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, true, err
+	}
+	hreq.Header.Set("Content-Type", "application/json")
+	hreq.Header.Set(openai.HeaderRequestID, rid)
+	resp, err := g.client.Do(hreq)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, true, err
+		}
+		return nil, false, err
+	}
+	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
+		resp.Body.Close()
+		return nil, true, fmt.Errorf("back end refused with %d", resp.StatusCode)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, false, fmt.Errorf("back end answered %d", resp.StatusCode)
+	}
+	return resp, false, nil
+}
+
+func (g *Gateway) relay(c *gin.Context, resp *http.Response, rid string, stream bool, b route.BackendInfo) {
+	defer resp.Body.Close()
+	if !stream {
+		c.Status(http.StatusOK)
+		c.Header("Content-Type", "application/json")
+		_, _ = io.Copy(c.Writer, resp.Body)
+		g.scope.Counter("answers").Inc(1)
+		return
+	}
+	c.Header("Content-Type", "text/event-stream")
+	c.Header("Cache-Control", "no-cache")
+	c.Status(http.StatusOK)
+	sc := bufio.NewScanner(resp.Body)
+	sc.Buffer(make([]byte, 64<<10), 1<<20)
+	for sc.Scan() {
+		line := sc.Bytes()
+		if !bytes.HasPrefix(line, []byte("data: ")) {
+			continue
+		}
+		data := line[len("data: "):]
+		if !bytes.Equal(data, []byte("[DONE]")) {
+			var ch openai.Chunk
+			if err := json.Unmarshal(data, &ch); err != nil || ch.ID != rid {
+				// Another request's chunk must never reach this caller.
+				g.log.Error("gateway: chunk for another request; cutting the stream.", "backend", b.Name, "request", rid, "chunk_id", ch.ID)
+				g.streamError(c, "mismatched_chunk")
+				return
+			}
+		}
+		_, _ = c.Writer.Write([]byte("data: "))
+		_, _ = c.Writer.Write(data)
+		_, _ = c.Writer.Write([]byte("\n\n"))
+		c.Writer.Flush()
+		if bytes.Equal(data, []byte("[DONE]")) {
+			g.scope.Counter("answers").Inc(1)
+			return
+		}
+	}
+	g.streamError(c, "stream_cut")
+}
+
+// streamError ends a stream that broke after it began: the caller is told in
+// band, never left waiting.
+func (g *Gateway) streamError(c *gin.Context, code string) {
+	g.scope.Tagged(map[string]string{"code": code}).Counter("stream_errors").Inc(1)
+	b, _ := json.Marshal(openai.ErrorBody{Error: openai.ErrorDetail{Type: openai.OutcomeUnknown, Code: code,
+		Message: "the answer broke off after it began; the request may have run"}})
+	_, _ = c.Writer.Write([]byte("data: "))
+	_, _ = c.Writer.Write(b)
+	_, _ = c.Writer.Write([]byte("\n\n"))
+	c.Writer.Flush()
+}
--- /dev/null
+++ b/kv/kv.go
@@ -0,0 +1,83 @@
+package kv
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Revision is the store's logical clock: it rises by one with every write
+// and never goes back. Zero means "no revision" (an absent key).
+type Revision int64
+
+// LeaseID names a lease granted by the store. Zero means "no lease".
+type LeaseID int64
+
+// KeyValue is one stored key with the revisions that last touched it.
+type KeyValue struct {
+	Key            string
+	Value          []byte
+	CreateRevision Revision
+	ModRevision    Revision
+	Version        int64
+	Lease          LeaseID
+}
+
+// EventType says whether a watched key was written or removed.
+type EventType int
+
+// Event types, as in the etcd v3 API.
+const (
+	EventPut EventType = iota
+	EventDelete
+)
+
+// Event is one change seen by a watch.
+type Event struct {
+	Type EventType
+	KV   KeyValue
+}
+
+// Errors returned by adapters. ErrUnavailable means the outcome of a write is
+// unknown: the store may have applied it and lost the answer.
+var (
+	ErrUnavailable   = errors.New("kv: service unavailable")
+	ErrLeaseNotFound = errors.New("kv: lease not found or expired")
+)
+
+// KV reads and writes keys.
+type KV interface {
+	// Get returns the key (or, with prefix, every key under it) and the
+	// store's revision at the time of the read.
+	Get(ctx context.Context, key string, prefix bool) (Revision, []KeyValue, error)
+	// Put writes unconditionally and returns the new revision.
+	Put(ctx context.Context, key string, value []byte, lease LeaseID) (Revision, error)
+	// CompareAndPut writes only if the key's ModRevision equals expect (0:
+	// key absent). On a failed compare it returns ok=false and the current
+	// value, if any.
+	CompareAndPut(ctx context.Context, key string, expect Revision, value []byte, lease LeaseID) (ok bool, rev Revision, cur *KeyValue, err error)
+	// Delete removes the key, or every key under it with prefix.
+	Delete(ctx context.Context, key string, prefix bool) (Revision, error)
+}
+
+// Lease grants, renews and revokes leases. Keys written with a lease vanish
+// when it expires.
+type Lease interface {
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
+	Revoke(ctx context.Context, id LeaseID) error
+}
+
+// Watcher waits for changes. WatchOnce returns as soon as events newer than
+// after exist, or with no events once wait has passed; callers loop. One
+// waiting call is one call to the service.
+type Watcher interface {
+	WatchOnce(ctx context.Context, key string, prefix bool, after Revision, wait time.Duration) (Revision, []Event, error)
+}
+
+// Client is everything lovageweir needs from the service.
+type Client interface {
+	KV
+	Lease
+	Watcher
+}
--- /dev/null
+++ b/kv/memkv/store.go
@@ -0,0 +1,291 @@
+package memkv
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// historyLimit bounds the events kept for watches. A watcher further behind
+// than this gets the current state of its keys as synthetic puts instead of
+// the lost history, which is what it needs anyway: the newest value.
+const historyLimit = 4096
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]struct{}
+}
+
+// Store is the in-memory store. The zero value is not usable; call New.
+type Store struct {
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	rev     kv.Revision
+	data    map[string]kv.KeyValue
+	history []kv.Event
+	leases  map[kv.LeaseID]*lease
+	nextID  kv.LeaseID
+	changed chan struct{} // closed and replaced on every write
+}
+
+// New returns an empty store timed by clock.
+func New(clock clockwork.Clock) *Store {
+	return &Store{
+		clock:   clock,
+		data:    map[string]kv.KeyValue{},
+		leases:  map[kv.LeaseID]*lease{},
+		nextID:  1,
+		changed: make(chan struct{}),
+	}
+}
+
+var _ kv.Client = (*Store)(nil)
+
+func match(k, key string, prefix bool) bool {
+	if prefix {
+		return strings.HasPrefix(k, key)
+	}
+	return k == key
+}
+
+// Get implements kv.KV.
+func (s *Store) Get(_ context.Context, key string, prefix bool) (kv.Revision, []kv.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	var out []kv.KeyValue
+	for k, v := range s.data {
+		if match(k, key, prefix) {
+			out = append(out, v)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return s.rev, out, nil
+}
+
+// Put implements kv.KV.
+func (s *Store) Put(_ context.Context, key string, value []byte, id kv.LeaseID) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if err := s.putLocked(key, value, id); err != nil {
+		return 0, err
+	}
+	return s.rev, nil
+}
+
+// CompareAndPut implements kv.KV.
+func (s *Store) CompareAndPut(_ context.Context, key string, expect kv.Revision, value []byte, id kv.LeaseID) (bool, kv.Revision, *kv.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	cur, ok := s.data[key]
+	if cur.ModRevision != expect {
+		if ok {
+			return false, s.rev, &cur, nil
+		}
+		return false, s.rev, nil, nil
+	}
+	if err := s.putLocked(key, value, id); err != nil {
+		return false, 0, nil, err
+	}
+	return true, s.rev, nil, nil
+}
+
+// Delete implements kv.KV.
+func (s *Store) Delete(_ context.Context, key string, prefix bool) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	var keys []string
+	for k := range s.data {
+		if match(k, key, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		s.deleteLocked(k)
+	}
+	return s.rev, nil
+}
+
+func (s *Store) putLocked(key string, value []byte, id kv.LeaseID) error {
+	if id != 0 {
+		l, ok := s.leases[id]
+		if !ok {
+			return kv.ErrLeaseNotFound
+		}
+		l.keys[key] = struct{}{}
+	}
+	s.rev++
+	cur, ok := s.data[key]
+	if !ok {
+		cur = kv.KeyValue{Key: key, CreateRevision: s.rev}
+	}
+	cur.Value = append([]byte(nil), value...)
+	cur.ModRevision = s.rev
+	cur.Version++
+	cur.Lease = id
+	s.data[key] = cur
+	s.recordLocked(kv.Event{Type: kv.EventPut, KV: cur})
+	return nil
+}
+
+func (s *Store) deleteLocked(key string) {
+	cur, ok := s.data[key]
+	if !ok {
+		return
+	}
+	s.rev++
+	delete(s.data, key)
+	cur.ModRevision = s.rev
+	cur.Value = nil
+	s.recordLocked(kv.Event{Type: kv.EventDelete, KV: cur})
+}
+
+func (s *Store) recordLocked(ev kv.Event) {
+	s.history = append(s.history, ev)
+	if len(s.history) > historyLimit {
+		s.history = append([]kv.Event(nil), s.history[len(s.history)-historyLimit:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Grant implements kv.Lease.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := s.nextID
+	s.nextID++
+	s.leases[id] = &lease{ttl: ttl, expires: s.clock.Now().Add(ttl), keys: map[string]struct{}{}}
+	return id, nil
+}
+
+// KeepAlive implements kv.Lease. A lease that has already expired cannot be
+// renewed: its holder must notice ErrLeaseNotFound and stop acting on it.
+func (s *Store) KeepAlive(_ context.Context, id kv.LeaseID) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	l, ok := s.leases[id]
+	if !ok {
+		return 0, kv.ErrLeaseNotFound
+	}
+	l.expires = s.clock.Now().Add(l.ttl)
+	return l.ttl, nil
+}
+
+// Revoke implements kv.Lease.
+func (s *Store) Revoke(_ context.Context, id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		return kv.ErrLeaseNotFound
+	}
+	s.dropLeaseLocked(id, l)
+	return nil
+}
+
+func (s *Store) expireLocked() {
+	now := s.clock.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.dropLeaseLocked(id, l)
+		}
+	}
+}
+
+func (s *Store) dropLeaseLocked(id kv.LeaseID, l *lease) {
+	delete(s.leases, id)
+	keys := make([]string, 0, len(l.keys))
+	for k := range l.keys {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		if cur, ok := s.data[k]; ok && cur.Lease == id {
+			s.deleteLocked(k)
+		}
+	}
+}
+
+// WatchOnce implements kv.Watcher.
+func (s *Store) WatchOnce(ctx context.Context, key string, prefix bool, after kv.Revision, wait time.Duration) (kv.Revision, []kv.Event, error) {
+	timer := s.clock.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		s.expireLocked()
+		evs := s.eventsAfterLocked(key, prefix, after)
+		rev, changed := s.rev, s.changed
+		s.mu.Unlock()
+		if len(evs) > 0 {
+			return rev, evs, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.Chan():
+			return rev, nil, nil
+		case <-ctx.Done():
+			return rev, nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) eventsAfterLocked(key string, prefix bool, after kv.Revision) []kv.Event {
+	if len(s.history) > 0 && s.history[0].KV.ModRevision > after+1 {
+		// History was trimmed past the watcher: hand it the present state.
+		var out []kv.Event
+		for k, v := range s.data {
+			if match(k, key, prefix) && v.ModRevision > after {
+				out = append(out, kv.Event{Type: kv.EventPut, KV: v})
+			}
+		}
+		sort.Slice(out, func(i, j int) bool { return out[i].KV.ModRevision < out[j].KV.ModRevision })
+		return out
+	}
+	var out []kv.Event
+	for _, ev := range s.history {
+		if ev.KV.ModRevision > after && match(ev.KV.Key, key, prefix) {
+			out = append(out, ev)
+		}
+	}
+	return out
+}
+
+// Revision returns the store's current revision.
+func (s *Store) Revision() kv.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
+// Stats is a point-in-time view for state dumps.
+type Stats struct {
+	Revision kv.Revision `json:"revision"`
+	Keys     int         `json:"keys"`
+	Leases   int         `json:"leases"`
+	Bytes    int         `json:"bytes"`
+}
+
+// Stats returns the store's size.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := Stats{Revision: s.rev, Keys: len(s.data), Leases: len(s.leases)}
+	for k, v := range s.data {
+		st.Bytes += len(k) + len(v.Value)
+	}
+	return st
+}
--- /dev/null
+++ b/openai/types.go
@@ -0,0 +1,92 @@
+package openai
+
+// Message is one chat message.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the body of POST /v1/chat/completions.
+type ChatRequest struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+}
+
+// Delta is the new text of one streamed chunk.
+type Delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+// ChunkChoice is one choice inside a chunk.
+type ChunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        Delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Chunk is one SSE event of a streamed answer. ID carries the request id,
+// which the entry checks on every chunk so an answer can never be relayed to
+// the wrong caller.
+type Chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
+}
+
+// Choice is one choice of a whole answer.
+type Choice struct {
+	Index        int     `json:"index"`
+	Message      Message `json:"message"`
+	FinishReason string  `json:"finish_reason"`
+}
+
+// ChatResponse is a whole (not streamed) answer.
+type ChatResponse struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   Usage    `json:"usage"`
+}
+
+// Error outcomes. NotRun is said only when the request provably did not
+// run; OutcomeUnknown when it may have.
+const (
+	OutcomeNotRun  = "not_run"
+	OutcomeUnknown = "outcome_unknown"
+)
+
+// ErrorBody is the JSON body of a refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what happened and whether the request ran.
+type ErrorDetail struct {
+	Type              string `json:"type"`
+	Code              string `json:"code"`
+	Message           string `json:"message"`
+	RetryAfterSeconds int    `json:"retry_after_seconds,omitempty"`
+}
+
+// Headers between caller, entry and engine.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderSessionID      = "X-Session-Id"
+	HeaderSessionToken   = "X-Session-Token"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderVersion        = "X-Lovageweir-Version"
+	HeaderBackend        = "X-Lovageweir-Backend"
+	HeaderRevision       = "X-Lovageweir-Config-Revision"
+)
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# The whole test suite. Tests listed in KNOWN-RED.txt (one line each:
+# "TestName | cause | issue") are skipped and printed, never hidden.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+skip=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "== KNOWN-RED (skipped, still failing for a real fault):"
+  sed 's/^/   /' KNOWN-RED.txt
+  skip=$(grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 | tr -d ' ' | paste -sd'|' -)
+fi
+args=(-count=1 -timeout 15m)
+[ -n "$skip" ] && args+=(-skip "^(${skip})\$")
+go test "${args[@]}" ./...
