Sessions keep their version: signed session tokens, property tests

Cause: a session's version was a hash of the session id over the roll-out weights, so any weight change (every roll-out step) could move a live session to another version: invariant 3 broken whenever an operator moves weights.

Ruled out: a KV write per session (at 3,800 req/s it would take the KV's whole write budget) and sticky routing at the balancer (the platform's balancer picks any entry; entries restart at any time).

Change: the first answer of a session carries an HS256 JWT (golang-jwt) naming customer, session, model and version, signed from a key ring in the entry settings (current key signs, older keys verify; rotation documented in the package). An entry that verifies it keeps the session on that version; a withdrawn or no-longer-allowed pinned version is refused version_withdrawn, never switched silently; a pin naming another customer is ignored. Property tests (rapid) over Decide: the allow list is never escaped, withdrawn versions get no new work, sessions keep their version.

Conclusion: invariant 3 holds without KV traffic; its cost is one HMAC verify per request.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,9 +63,13 @@
 	return &metrics{scope: scope, reporter: r}
 }
 
-func newGateway(s *settings.Entry, w *configwatch.Watcher, l *gateway.Loads, log *slog.Logger, m *metrics) *gateway.Gateway {
-	return gateway.New(s.Instance, s.Domain, w, l, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout},
-		log.With("part", "gateway"), m.scope.SubScope("gateway"))
+func newGateway(s *settings.Entry, w *configwatch.Watcher, l *gateway.Loads, log *slog.Logger, m *metrics) (*gateway.Gateway, error) {
+	keys, err := s.Keyring()
+	if err != nil {
+		return nil, err
+	}
+	return gateway.New(s.Instance, s.Domain, w, l, keys, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout},
+		log.With("part", "gateway"), m.scope.SubScope("gateway")), nil
 }
 
 func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
+	"github.com/lovageweir/lovageweir/session"
 )
 
 // Tables gives the table in force; configwatch.Watcher implements it.
@@ -49,16 +50,19 @@
 	log      *slog.Logger
 	scope    tally.Scope
 
+	keys *session.Keyring // nil: sessions are pinned by hash only
+	now  func() time.Time
+
 	seq      atomic.Uint64
 	instance string
 	inFlight atomic.Int64
 	draining atomic.Bool
 }
 
-// New returns a gateway for an entry in domain.
-func New(instance, domain string, tables Tables, loads *Loads, to Timeouts, log *slog.Logger, scope tally.Scope) *Gateway {
+// New returns a gateway for an entry in domain. keys may be nil.
+func New(instance, domain string, tables Tables, loads *Loads, keys *session.Keyring, to Timeouts, log *slog.Logger, scope tally.Scope) *Gateway {
 	return &Gateway{
-		instance: instance, domain: domain, tables: tables, loads: loads, timeouts: to, log: log, scope: scope,
+		instance: instance, domain: domain, tables: tables, loads: loads, keys: keys, now: time.Now, timeouts: to, log: log, scope: scope,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 64,
@@ -119,16 +123,19 @@
 		g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "no_config", "this entry has no configuration yet", retryNoConfig)
 		return
 	}
-	dec, ref := t.Decide(route.Request{
+	rr := route.Request{
 		APIKey:      apiKey(c),
 		Model:       req.Model,
 		Session:     c.GetHeader(openai.HeaderSessionID),
 		AffinityKey: affinity(req),
-	}, g.domain, g.loads)
+	}
+	g.pin(c, &rr)
+	dec, ref := t.Decide(rr, g.domain, g.loads)
 	if ref != nil {
 		g.refuse(c, ref.Status, openai.OutcomeNotRun, ref.Code, ref.Message, ref.RetryAfter)
 		return
 	}
+	g.issueToken(c, rr, dec)
 	rid := fmt.Sprintf("%s-%d", g.instance, g.seq.Add(1))
 	c.Header(openai.HeaderRequestID, rid)
 	c.Header(openai.HeaderVersion, dec.Version)
@@ -136,6 +143,35 @@
 	g.dispatch(c, dec, rid, body, req.Stream)
 }
 
+// pin reads a session token. A token that does not verify, or names another
+// session or model, is ignored: the session is then decided afresh, which is
+// no worse than a caller who never had a token.
+func (g *Gateway) pin(c *gin.Context, r *route.Request) {
+	tok := c.GetHeader(openai.HeaderSessionToken)
+	if g.keys == nil || tok == "" || r.Session == "" {
+		return
+	}
+	cl, err := g.keys.Verify(tok, g.now())
+	if err != nil || cl.Session != r.Session || cl.Model != r.Model {
+		g.scope.Counter("session_tokens_ignored").Inc(1)
+		return
+	}
+	r.PinnedVersion, r.PinnedCustomer = cl.Version, cl.Customer
+}
+
+// issueToken gives a new session its pin.
+func (g *Gateway) issueToken(c *gin.Context, r route.Request, dec *route.Decision) {
+	if g.keys == nil || r.Session == "" || r.PinnedVersion == dec.Version {
+		return
+	}
+	tok, err := g.keys.Sign(session.Claims{Customer: dec.Customer, Session: r.Session, Model: dec.Model, Version: dec.Version}, g.now())
+	if err != nil {
+		g.log.Error("gateway: could not sign a session token.", "error", err)
+		return
+	}
+	c.Header(openai.HeaderSessionToken, tok)
+}
+
 // affinity keys a request by the start of its first message: requests that
 // share a prompt prefix share cache on an engine.
 func affinity(r openai.ChatRequest) string {
--- a/route/decide.go
+++ b/route/decide.go
@@ -16,9 +16,11 @@
 	Model  string
 	// Session is the caller's session id; empty for a one-off request.
 	Session string
-	// PinnedVersion is the version a verified session token carries; empty
-	// when the session is new.
-	PinnedVersion string
+	// PinnedVersion is the version a verified session token carries, for
+	// PinnedCustomer; empty when the session is new. A pin for another
+	// customer than the API key's is ignored.
+	PinnedVersion  string
+	PinnedCustomer string
 	// AffinityKey groups requests that share a prompt prefix, so they land
 	// where that prefix is likely cached.
 	AffinityKey string
@@ -95,7 +97,7 @@
 // active version by weight, hashed on the session so a session without a
 // token still lands on one version while the weights hold.
 func (t *Table) pickVersion(r Request, cust string, allowed []string) (string, *Refusal) {
-	if r.PinnedVersion != "" {
+	if r.PinnedVersion != "" && r.PinnedCustomer == cust {
 		v, ok := t.doc.Models[r.Model].Versions[r.PinnedVersion]
 		if !ok || v.State != config.StateActive || !versionAllowed(allowed, r.PinnedVersion) {
 			// A silent switch would break the session's promise; say so.
--- /dev/null
+++ b/route/property_test.go
@@ -0,0 +1,120 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/lovageweir/lovageweir/config"
+)
+
+// genDoc draws a document with one customer whose allow list is a random
+// subset of a model's versions, random roll-out weights, and one back end
+// per version.
+func genDoc(t *rapid.T) (*config.Document, []string) {
+	nv := rapid.IntRange(1, 5).Draw(t, "versions")
+	m := config.Model{Versions: map[string]config.Version{}}
+	var all []string
+	doc := &config.Document{Models: map[string]config.Model{}, Backends: map[string]config.Backend{}, Customers: map[string]config.Customer{}}
+	for i := 0; i < nv; i++ {
+		v := fmt.Sprintf("v%d", i)
+		all = append(all, v)
+		m.Versions[v] = config.Version{State: config.StateActive, Weight: rapid.IntRange(0, 100).Draw(t, "w"+v)}
+		doc.Backends["b-"+v] = config.Backend{Kind: config.KindEngine, Address: "127.0.0.1:1" + v[1:], Domain: "fd-1", Model: "m", Version: v}
+	}
+	doc.Models["m"] = m
+	allowed := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 1, nv, rapid.ID[string]).Draw(t, "allowed")
+	doc.Customers["c"] = config.Customer{APIKeys: []string{"k"}, Allow: map[string][]string{"m": allowed}}
+	return doc, allowed
+}
+
+// reweigh draws a roll-out step: new weights, and maybe a withdrawal.
+func reweigh(t *rapid.T, doc *config.Document) *config.Document {
+	next := *doc
+	m := config.Model{Versions: map[string]config.Version{}}
+	for v, ver := range doc.Models["m"].Versions {
+		ver.Weight = rapid.IntRange(0, 100).Draw(t, "w2"+v)
+		if rapid.IntRange(0, 4).Draw(t, "withdraw"+v) == 0 {
+			ver = config.Version{State: config.StateWithdrawn}
+		}
+		m.Versions[v] = ver
+	}
+	next.Models = map[string]config.Model{"m": m}
+	return &next
+}
+
+// TestPropertyDecisionStaysInAllowList: invariant 1. Whatever the weights,
+// sessions and pins (even a pin forged for a version outside the allow
+// list), a decision names only a version the customer may use, and only
+// back ends of that version.
+func TestPropertyDecisionStaysInAllowList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc, allowed := genDoc(t)
+		tab := NewTable(1, doc)
+		r := Request{APIKey: "k", Model: "m", Session: rapid.String().Draw(t, "session"),
+			PinnedVersion: rapid.SampledFrom([]string{"", "v0", "v1", "v2", "v3", "v4"}).Draw(t, "pin"), PinnedCustomer: "c"}
+		dec, ref := tab.Decide(r, "fd-1", nil)
+		if ref != nil {
+			return
+		}
+		if !slices.Contains(allowed, dec.Version) {
+			t.Fatalf("decided version %s outside allow list %v", dec.Version, allowed)
+		}
+		for _, b := range dec.Candidates {
+			if doc.Backends[b.Name].Version != dec.Version {
+				t.Fatalf("candidate %s serves %s, not %s", b.Name, doc.Backends[b.Name].Version, dec.Version)
+			}
+		}
+	})
+}
+
+// TestPropertySessionKeepsItsVersion: invariant 3. Symptom it guards
+// against: a session answered by v1 and then, mid-conversation, by v2.
+// Sequence: a session starts under one set of roll-out weights, the
+// operator moves the weights or withdraws versions, the session's next
+// request arrives. Cause, without a pin: the version is a hash of the
+// session over the weights, so new weights move it. With the pin the
+// version is kept, or the request is refused as version_withdrawn: never a
+// silent switch.
+func TestPropertySessionKeepsItsVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc, _ := genDoc(t)
+		sess := rapid.StringN(1, 12, -1).Draw(t, "session")
+		first, ref := NewTable(1, doc).Decide(Request{APIKey: "k", Model: "m", Session: sess}, "fd-1", nil)
+		if ref != nil {
+			return
+		}
+		next := NewTable(2, reweigh(t, doc))
+		again, ref := next.Decide(Request{APIKey: "k", Model: "m", Session: sess,
+			PinnedVersion: first.Version, PinnedCustomer: first.Customer}, "fd-1", nil)
+		if ref != nil {
+			if ref.Code != CodeVersionWithdrawn && ref.Code != CodeNoBackend {
+				t.Fatalf("refusal %s for a pinned session", ref.Code)
+			}
+			return
+		}
+		if again.Version != first.Version {
+			t.Fatalf("session %q moved from %s to %s", sess, first.Version, again.Version)
+		}
+	})
+}
+
+// TestPropertyWithdrawnVersionGetsNoNewWork: invariant 2 at the decision.
+// No request, pinned or not, is routed to a withdrawn version.
+func TestPropertyWithdrawnVersionGetsNoNewWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc, _ := genDoc(t)
+		doc = reweigh(t, doc)
+		tab := NewTable(1, doc)
+		pin := rapid.SampledFrom([]string{"", "v0", "v1", "v2", "v3", "v4"}).Draw(t, "pin")
+		dec, ref := tab.Decide(Request{APIKey: "k", Model: "m", Session: rapid.String().Draw(t, "s"), PinnedVersion: pin, PinnedCustomer: "c"}, "fd-1", nil)
+		if ref != nil {
+			return
+		}
+		if st := doc.Models["m"].Versions[dec.Version].State; st != config.StateActive {
+			t.Fatalf("routed to %s in state %s", dec.Version, st)
+		}
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"net"
 	"os"
 	"time"
@@ -10,6 +11,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lovageweir/lovageweir/config"
+	"github.com/lovageweir/lovageweir/session"
 )
 
 // Entry is the settings of one entry instance.
@@ -25,6 +27,11 @@
 	FirstTokenTimeout time.Duration `yaml:"first_token_timeout"`
 	IdleTimeout       time.Duration `yaml:"idle_timeout"`
 	DrainTimeout      time.Duration `yaml:"drain_timeout"`
+	// SessionKeys maps key ids to hex secrets (at least 32 bytes) shared by
+	// every entry; SessionKeyCurrent names the one that signs. Without keys
+	// a session stays on its version only while the roll-out weights hold.
+	SessionKeys       map[string]string `yaml:"session_keys"`
+	SessionKeyCurrent string            `yaml:"session_key_current"`
 }
 
 // Defaults for timeouts left out of the file.
@@ -82,6 +89,16 @@
 	if e.KV == "" {
 		add("kv", "the KV service URL is required")
 	}
+	if len(e.SessionKeys) > 0 {
+		if _, ok := e.SessionKeys[e.SessionKeyCurrent]; !ok {
+			add("session_key_current", "must name one of session_keys")
+		}
+		for id, hexKey := range e.SessionKeys {
+			if b, err := hex.DecodeString(hexKey); err != nil || len(b) < 32 {
+				add("session_keys."+id, "must be at least 32 bytes written in hex")
+			}
+		}
+	}
 	for _, d := range []struct {
 		path string
 		v    time.Duration
@@ -92,3 +109,19 @@
 	}
 	return fs
 }
+
+// Keyring builds the session key ring, or nil when no keys are set.
+func (e *Entry) Keyring() (*session.Keyring, error) {
+	if len(e.SessionKeys) == 0 {
+		return nil, nil
+	}
+	keys := map[string][]byte{}
+	for id, h := range e.SessionKeys {
+		b, err := hex.DecodeString(h)
+		if err != nil {
+			return nil, trace.BadParameter("session_keys.%s: %v", id, err)
+		}
+		keys[id] = b
+	}
+	return session.NewKeyring(e.SessionKeyCurrent, keys)
+}
