No silence from a silent back end: first-token and idle watchdog

Cause: the gateway called back ends with no deadline at all. Found while reading dispatch; also found that the back end's in-flight count ended when headers arrived, so load-based choice did not see long streams.

Ruled out: an overall http.Client timeout (it would cut long healthy streams; the right bound is per gap, not per answer).

Change: dispatch moves to gateway/dispatch.go. Each try arms a watchdog on an injected clock (clockwork): first_token_timeout until the first event, then idle_timeout between events; answer_timeout for whole answers. Nothing is written to the caller before the first event, so a silent engine can be given up on cleanly and, within a retry budget of one, tried again elsewhere; a plain service is never sent again unless configured idempotent. Truthful outcomes: outcome_unknown with Retry-After once a back end may have run the request; not_run only for provable refusals. The in-flight count now spans the whole answer.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
@@ -115,8 +116,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return gateway.New(s.Instance, s.Domain, w, l, keys, bill, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout},
-		log.With("part", "gateway"), m.scope.SubScope("gateway")), nil
+	return gateway.New(s.Instance, s.Domain, w, l, keys, bill, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
+		clockwork.NewRealClock(), log.With("part", "gateway"), m.scope.SubScope("gateway")), nil
 }
 
 func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -8,11 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
 )
 
@@ -30,7 +31,8 @@
 // engine's event, check it belongs to this request, write and flush it.
 func BenchmarkRelayPerToken(b *testing.B) {
 	gin.SetMode(gin.ReleaseMode)
-	g := New("bench", "fd-1", nil, NewLoads(), nil, nil, Timeouts{}, slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	g := New("bench", "fd-1", nil, NewLoads(), nil, nil, Timeouts{FirstToken: time.Minute, Idle: time.Minute}, clockwork.NewRealClock(),
+		slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
 	const tokens = 256
 	body := sseBody("rid-1", tokens)
 	b.ReportAllocs()
@@ -39,10 +41,11 @@
 		w := httptest.NewRecorder()
 		c, _ := gin.CreateTestContext(w)
 		resp := &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}
-		g.relay(c, resp, "rid-1", true, route.BackendInfo{Name: "e"})
+		wd := g.watch(func() {}, time.Minute)
+		g.relayStream(c, resp, "rid-1", route.BackendInfo{Name: "e"}, wd)
+		wd.timer.Stop()
 		if !bytes.Contains(w.Body.Bytes(), []byte("[DONE]")) {
 			b.Fatal("stream not relayed whole")
 		}
 	}
-	_ = openai.OutcomeNotRun
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,11 +1,7 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,6 +13,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/ledger"
@@ -37,10 +34,12 @@
 
 // Timeouts bound a call to a back end. FirstToken catches a connection that
 // went silent for good: without it a caller would wait forever with nothing
-// coming back.
+// coming back. Idle bounds the gap between streamed tokens; Whole bounds a
+// call whose answer is not streamed.
 type Timeouts struct {
 	FirstToken time.Duration
 	Idle       time.Duration
+	Whole      time.Duration
 }
 
 // retryNoConfig is the Retry-After given before the first configuration.
@@ -56,9 +55,9 @@
 	log      *slog.Logger
 	scope    tally.Scope
 
-	keys *session.Keyring // nil: sessions are pinned by hash only
-	bill Biller           // nil: nothing is billed (benchmarks)
-	now  func() time.Time
+	keys  *session.Keyring // nil: sessions are pinned by hash only
+	bill  Biller           // nil: nothing is billed (benchmarks)
+	clock clockwork.Clock
 
 	seq      atomic.Uint64
 	instance string
@@ -66,10 +65,11 @@
 	draining atomic.Bool
 }
 
-// New returns a gateway for an entry in domain. keys may be nil.
-func New(instance, domain string, tables Tables, loads *Loads, keys *session.Keyring, bill Biller, to Timeouts, log *slog.Logger, scope tally.Scope) *Gateway {
+// New returns a gateway for an entry in domain. keys and bill may be nil.
+func New(instance, domain string, tables Tables, loads *Loads, keys *session.Keyring, bill Biller, to Timeouts,
+	clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Gateway {
 	return &Gateway{
-		instance: instance, domain: domain, tables: tables, loads: loads, keys: keys, bill: bill, now: time.Now, timeouts: to, log: log, scope: scope,
+		instance: instance, domain: domain, tables: tables, loads: loads, keys: keys, bill: bill, clock: clock, timeouts: to, log: log, scope: scope,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 64,
@@ -158,7 +158,7 @@
 	if g.keys == nil || tok == "" || r.Session == "" {
 		return
 	}
-	cl, err := g.keys.Verify(tok, g.now())
+	cl, err := g.keys.Verify(tok, g.clock.Now())
 	if err != nil || cl.Session != r.Session || cl.Model != r.Model {
 		g.scope.Counter("session_tokens_ignored").Inc(1)
 		return
@@ -171,7 +171,7 @@
 	if g.keys == nil || r.Session == "" || r.PinnedVersion == dec.Version {
 		return
 	}
-	tok, err := g.keys.Sign(session.Claims{Customer: dec.Customer, Session: r.Session, Model: dec.Model, Version: dec.Version}, g.now())
+	tok, err := g.keys.Sign(session.Claims{Customer: dec.Customer, Session: r.Session, Model: dec.Model, Version: dec.Version}, g.clock.Now())
 	if err != nil {
 		g.log.Error("gateway: could not sign a session token.", "error", err)
 		return
@@ -192,140 +192,3 @@
 	}
 	return s
 }
-
-// dispatch tries candidates in order while the request has provably not
-// run (connection refused, engine refused for capacity); once a back end may
-// have started it, no other is tried.
-func (g *Gateway) dispatch(c *gin.Context, dec *route.Decision, rid string, body []byte, stream bool) {
-	for _, b := range dec.Candidates {
-		resp, notRun, err := g.call(c.Request.Context(), b, rid, body)
-		if err != nil && notRun {
-			g.log.Info("gateway: back end did not take the request; trying the next.", "backend", b.Name, "request", rid, "error", err)
-			continue
-		}
-		if err != nil {
-			g.record(dec, rid, 0, openai.OutcomeUnknown)
-			g.refuse(c, http.StatusGatewayTimeout, openai.OutcomeUnknown, "backend_failed",
-				fmt.Sprintf("back end %s failed after the request was sent; it may have run", b.Name), 0)
-			return
-		}
-		c.Header(openai.HeaderBackend, b.Name)
-		tokens, whole := g.relay(c, resp, rid, stream, b)
-		outcome := "ok"
-		if !whole {
-			outcome = openai.OutcomeUnknown
-		}
-		g.record(dec, rid, tokens, outcome)
-		return
-	}
-	g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "no_capacity",
-		fmt.Sprintf("no back end of %s@%s took the request", dec.Model, dec.Version), 2*time.Second)
-}
-
-// call sends the request. notRun is true only when the back end provably did
-// not start it: the dial failed, or it answered 429/503 before any work.
-func (g *Gateway) call(ctx context.Context, b route.BackendInfo, rid string, body []byte) (*http.Response, bool, error) {
-	done := g.loads.Begin(b.Name)
-	defer done()
-	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Address+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return nil, true, err
-	}
-	hreq.Header.Set("Content-Type", "application/json")
-	hreq.Header.Set(openai.HeaderRequestID, rid)
-	resp, err := g.client.Do(hreq)
-	if err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			return nil, true, err
-		}
-		return nil, false, err
-	}
-	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
-		resp.Body.Close()
-		return nil, true, fmt.Errorf("back end refused with %d", resp.StatusCode)
-	}
-	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
-		return nil, false, fmt.Errorf("back end answered %d", resp.StatusCode)
-	}
-	return resp, false, nil
-}
-
-// record bills a request that ran, or may have run, exactly once: the
-// gateway calls it once per request id, on the one path that ends it.
-func (g *Gateway) record(dec *route.Decision, rid string, tokens int, outcome string) {
-	if g.bill == nil {
-		return
-	}
-	g.bill.Add(ledger.Record{RequestID: rid, Customer: dec.Customer, Model: dec.Model, Version: dec.Version, Tokens: tokens, Outcome: outcome})
-}
-
-// relay copies the answer to the caller and returns the tokens relayed and
-// whether the answer arrived whole.
-func (g *Gateway) relay(c *gin.Context, resp *http.Response, rid string, stream bool, b route.BackendInfo) (int, bool) {
-	defer resp.Body.Close()
-	if !stream {
-		return g.relayWhole(c, resp)
-	}
-	c.Header("Content-Type", "text/event-stream")
-	c.Header("Cache-Control", "no-cache")
-	c.Status(http.StatusOK)
-	sc := bufio.NewScanner(resp.Body)
-	sc.Buffer(make([]byte, 64<<10), 1<<20)
-	tokens := 0
-	for sc.Scan() {
-		line := sc.Bytes()
-		if !bytes.HasPrefix(line, []byte("data: ")) {
-			continue
-		}
-		data := line[len("data: "):]
-		if !bytes.Equal(data, []byte("[DONE]")) {
-			var ch openai.Chunk
-			if err := json.Unmarshal(data, &ch); err != nil || ch.ID != rid {
-				// Another request's chunk must never reach this caller.
-				g.log.Error("gateway: chunk for another request; cutting the stream.", "backend", b.Name, "request", rid, "chunk_id", ch.ID)
-				g.streamError(c, "mismatched_chunk")
-				return tokens, false
-			}
-			tokens++
-		}
-		_, _ = c.Writer.Write([]byte("data: "))
-		_, _ = c.Writer.Write(data)
-		_, _ = c.Writer.Write([]byte("\n\n"))
-		c.Writer.Flush()
-		if bytes.Equal(data, []byte("[DONE]")) {
-			g.scope.Counter("answers").Inc(1)
-			return tokens, true
-		}
-	}
-	g.streamError(c, "stream_cut")
-	return tokens, false
-}
-
-func (g *Gateway) relayWhole(c *gin.Context, resp *http.Response) (int, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
-	var ans openai.ChatResponse
-	if err == nil {
-		err = json.Unmarshal(body, &ans)
-	}
-	if err != nil {
-		g.refuse(c, http.StatusBadGateway, openai.OutcomeUnknown, "answer_cut", "the back end's answer broke off; the request may have run", 0)
-		return 0, false
-	}
-	c.Data(http.StatusOK, "application/json", body)
-	g.scope.Counter("answers").Inc(1)
-	return ans.Usage.CompletionTokens, true
-}
-
-// streamError ends a stream that broke after it began: the caller is told in
-// band, never left waiting.
-func (g *Gateway) streamError(c *gin.Context, code string) {
-	g.scope.Tagged(map[string]string{"code": code}).Counter("stream_errors").Inc(1)
-	b, _ := json.Marshal(openai.ErrorBody{Error: openai.ErrorDetail{Type: openai.OutcomeUnknown, Code: code,
-		Message: "the answer broke off after it began; the request may have run"}})
-	_, _ = c.Writer.Write([]byte("data: "))
-	_, _ = c.Writer.Write(b)
-	_, _ = c.Writer.Write([]byte("\n\n"))
-	c.Writer.Flush()
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,8 @@
 	FirstTokenTimeout time.Duration `yaml:"first_token_timeout"`
 	IdleTimeout       time.Duration `yaml:"idle_timeout"`
 	DrainTimeout      time.Duration `yaml:"drain_timeout"`
+	// AnswerTimeout bounds a call whose answer is not streamed.
+	AnswerTimeout time.Duration `yaml:"answer_timeout"`
 	// SessionKeys maps key ids to hex secrets (at least 32 bytes) shared by
 	// every entry; SessionKeyCurrent names the one that signs. Without keys
 	// a session stays on its version only while the roll-out weights hold.
@@ -39,6 +41,7 @@
 	DefaultFirstTokenTimeout = 5 * time.Second
 	DefaultIdleTimeout       = 5 * time.Second
 	DefaultDrainTimeout      = 20 * time.Second
+	DefaultAnswerTimeout     = 120 * time.Second
 )
 
 // Load reads and checks the file at path.
@@ -67,6 +70,9 @@
 	if e.DrainTimeout == 0 {
 		e.DrainTimeout = DefaultDrainTimeout
 	}
+	if e.AnswerTimeout == 0 {
+		e.AnswerTimeout = DefaultAnswerTimeout
+	}
 	if fs := e.Check(); len(fs) > 0 {
 		return nil, fs
 	}
@@ -102,7 +108,7 @@
 	for _, d := range []struct {
 		path string
 		v    time.Duration
-	}{{"first_token_timeout", e.FirstTokenTimeout}, {"idle_timeout", e.IdleTimeout}, {"drain_timeout", e.DrainTimeout}} {
+	}{{"first_token_timeout", e.FirstTokenTimeout}, {"idle_timeout", e.IdleTimeout}, {"drain_timeout", e.DrainTimeout}, {"answer_timeout", e.AnswerTimeout}} {
 		if d.v < 0 {
 			add(d.path, "must not be negative")
 		}
