A planned stop cuts off no stream: drain proved on real processes

Cause: invariant 9 had a mechanism (fx OnStop: unready, refuse new work not_run with Retry-After, wait for in-flight up to drain_timeout, then close) but no proof.

Change: e2e test: a streamed request is in flight (first token read), the entry gets SIGTERM; the stream must end with [DONE] and all 40 tokens, and the entry must exit cleanly. startClusterStep sets the engine's time per token.

--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -21,17 +21,23 @@
 	entryURL string
 	kvURL    string
 	ctl      string
+	entry    *proc
 }
 
 // startCluster runs a KV stand-in, one engine and one entry, and applies a
 // configuration in which customer "allowed" may use model m and customer
 // "narrow" may use nothing but model other.
 func startCluster(t *testing.T) cluster {
+	return startClusterStep(t, "1ms")
+}
+
+// startClusterStep is startCluster with the engine's time per token.
+func startClusterStep(t *testing.T, step string) cluster {
 	t.Helper()
 	entry, ctl := binaries(t)
 	kvAddr, engAddr, entryAddr := freeAddr(t), freeAddr(t), freeAddr(t)
 	start(t, ctl, "standin", "kv", "--listen", kvAddr)
-	start(t, ctl, "standin", "engine", "--listen", engAddr, "--model", "m", "--version", "v1", "--step", "1ms")
+	start(t, ctl, "standin", "engine", "--listen", engAddr, "--model", "m", "--version", "v1", "--step", step)
 	dir := t.TempDir()
 	settings := fmt.Sprintf("instance: e1\ndomain: fd-1\nlisten: %s\nkv: http://%s\n", entryAddr, kvAddr)
 	write(t, filepath.Join(dir, "entry.yaml"), settings)
@@ -40,14 +46,14 @@
 	write(t, filepath.Join(cfg, "20-customers.yaml"), "customers:\n  allowed: {api_keys: [ka], allow: {m: ['*']}}\n  narrow: {api_keys: [kn], allow: {other: ['*']}}\n")
 	write(t, filepath.Join(cfg, "30-backends.yaml"), fmt.Sprintf("backends:\n  e-m: {kind: engine, address: %s, domain: fd-1, model: m, version: v1}\n", engAddr))
 	waitHTTP(t, "http://"+kvAddr+"/debug/state")
-	start(t, entry, "-c", filepath.Join(dir, "entry.yaml"))
+	ep := start(t, entry, "-c", filepath.Join(dir, "entry.yaml"))
 	waitHTTP(t, "http://"+entryAddr+"/healthz")
 	out, err := exec.Command(ctl, "apply", cfg, "--kv", "http://"+kvAddr).CombinedOutput()
 	if err != nil {
 		t.Fatalf("apply: %v\n%s", err, out)
 	}
 	waitHTTP(t, "http://"+entryAddr+"/readyz")
-	return cluster{entryURL: "http://" + entryAddr, kvURL: "http://" + kvAddr, ctl: ctl}
+	return cluster{entryURL: "http://" + entryAddr, kvURL: "http://" + kvAddr, ctl: ctl, entry: ep}
 }
 
 func write(t *testing.T, path, body string) {
