Fuzz the stored-configuration path (go test -fuzz)

Cause: an entry decodes whatever the KV or a peer hands it; a corrupt or hostile value must neither crash it nor put an invalid table in force. Only well-formed values had been exercised.

Change: FuzzOffer in configwatch, seeded with a valid envelope, a negative weight, a back end with no address and a JSON null. Property: a refused value leaves no table; a taken one validates. The seeds run as an ordinary test in make test.

--- /dev/null
+++ b/configwatch/fuzz_test.go
@@ -0,0 +1,40 @@
+package configwatch
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/lovageweir/lovageweir/config"
+	"github.com/lovageweir/lovageweir/internal/synth"
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// FuzzOffer: whatever bytes arrive as a stored configuration (a corrupt
+// KV value, a peer's answer), an entry must not crash, and a table it puts
+// in force must come from a document that validates.
+func FuzzOffer(f *testing.F) {
+	env := config.Envelope{ApplyID: "seed", AppliedAt: time.Unix(0, 0), Document: *synth.Document(synth.Size{Customers: 2, Models: 2, VersionsPerModel: 2, Backends: 3, Domains: 2})}
+	seed, err := env.Marshal()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed)
+	f.Add([]byte(`{"document":{"models":{"m":{"versions":{"v":{"state":"active","weight":-1}}}}}}`))
+	f.Add([]byte(`{"document":{"backends":{"b":{"kind":"engine"}}}}`))
+	f.Add([]byte("null"))
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		w := New(nil, log)
+		if !w.Offer(kv.Revision(1), value) {
+			if w.Table() != nil {
+				t.Fatal("a refused value left a table in force")
+			}
+			return
+		}
+		if fs := config.Validate(w.Table().Document()); len(fs) > 0 {
+			t.Fatalf("an invalid document was put in force: %v", fs)
+		}
+	})
+}
