Routing at scale: index back ends by domain, keep only the best four

Cause: Decide scored every back end of the version in all 13 domains (~200 at target), built a string per back end to hash it, took the load lock twice per back end, sorted them all and copied the lot, while dispatch only uses the first few (retry budget 1 plus provable refusals).

Ruled out: caching decisions (loads change per request); sorting smaller structs (still linear).

Change: the table indexes each version's back ends by failure domain and hashes names once per revision; a decision scans its own domain and the others only when it has fewer than maxCandidates (4); loads are read in one call per back end (Loads.State); a fixed top-4 array replaces the sort. A rapid property checks the picks equal a full sort's first four, leaving back ends excluded.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -17,18 +17,11 @@
 	return &Loads{inFlight: map[string]int{}, reported: map[string]int{}, leaving: map[string]bool{}}
 }
 
-// Load implements route.Loads.
-func (l *Loads) Load(b string) int {
+// State implements route.Loads.
+func (l *Loads) State(b string) (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.inFlight[b] + l.reported[b]
-}
-
-// Leaving implements route.Loads.
-func (l *Loads) Leaving(b string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.leaving[b]
+	return l.inFlight[b] + l.reported[b], l.leaving[b]
 }
 
 // Begin counts one request on b; the returned func ends it.
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -46,8 +46,7 @@
 
 type noLoads struct{}
 
-func (noLoads) Load(string) int     { return 0 }
-func (noLoads) Leaving(string) bool { return false }
+func (noLoads) State(string) (int, bool) { return 0, false }
 
 // BenchmarkDecide is the per-request routing decision on the data path.
 func BenchmarkDecide(b *testing.B) {
--- a/route/decide.go
+++ b/route/decide.go
@@ -58,11 +58,11 @@
 
 func (r *Refusal) Error() string { return r.Code + ": " + r.Message }
 
-// Loads reports the current load of a back end; lower is better. It is read
-// under the gateway's load table lock, never while a Table is being built.
+// Loads reports a back end's current load (lower is better) and whether it
+// is leaving, in one call, so a decision takes the load table's lock once
+// per back end it looks at.
 type Loads interface {
-	Load(backend string) int
-	Leaving(backend string) bool
+	State(backend string) (load int, leaving bool)
 }
 
 // Decide routes one request under table t for the entry in domain.
@@ -128,53 +128,104 @@
 	return pool[len(pool)-1].version, nil
 }
 
-// candidates orders the back ends of one version: own failure domain first
-// (a cut-off domain keeps serving itself), then lowest load, then prefix
-// affinity by rendezvous hashing so a shared prefix tends to one engine.
+// maxCandidates is how many back ends a decision hands to dispatch: enough
+// for the retry budget and a few provable refusals. The least loaded come
+// first, so when they are all full the rest are likely full too, and the
+// caller is told to come back rather than made to wait.
+const maxCandidates = 4
+
+// candidates picks the best back ends of one version: own failure domain
+// first (a cut-off domain keeps serving itself), then lowest load, then
+// prefix affinity by rendezvous hashing so a shared prefix tends to one
+// engine. Other domains are scanned only when the own one has too few.
 func (t *Table) candidates(model, version, domain, affinity string, loads Loads) []BackendInfo {
-	all := t.backends[modelVersion{model, version}]
-	type scored struct {
-		b        BackendInfo
-		local    bool
-		load     int
-		affinity uint64
-	}
-	list := make([]scored, 0, len(all))
-	for _, b := range all {
-		if loads != nil && loads.Leaving(b.Name) {
-			continue
-		}
-		s := scored{b: b, local: b.Domain == domain, affinity: hash64(affinity + "/" + b.Name)}
-		if loads != nil {
-			s.load = loads.Load(b.Name)
-		}
-		list = append(list, s)
+	vb := t.backends[modelVersion{model, version}]
+	if vb == nil {
+		return nil
 	}
-	slices.SortStableFunc(list, func(a, b scored) int {
-		if a.local != b.local {
-			if a.local {
-				return -1
+	var top topK
+	ah := hash64(affinity)
+	top.scan(vb.byDomain[domain], true, ah, loads)
+	if top.n < maxCandidates {
+		for _, d := range vb.domains {
+			if d != domain {
+				top.scan(vb.byDomain[d], false, ah, loads)
 			}
-			return 1
 		}
-		if a.load != b.load {
-			return a.load - b.load
-		}
-		switch {
-		case a.affinity > b.affinity:
-			return -1
-		case a.affinity < b.affinity:
-			return 1
-		}
-		return 0
-	})
-	out := make([]BackendInfo, len(list))
-	for i, s := range list {
-		out[i] = s.b
+	}
+	out := make([]BackendInfo, top.n)
+	for i := range out {
+		out[i] = top.items[i].info
 	}
 	return out
 }
 
+type scored struct {
+	info     BackendInfo
+	local    bool
+	load     int
+	affinity uint64
+}
+
+// better orders candidates: local, then less loaded, then higher affinity.
+func (a *scored) better(b *scored) bool {
+	if a.local != b.local {
+		return a.local
+	}
+	if a.load != b.load {
+		return a.load < b.load
+	}
+	return a.affinity > b.affinity
+}
+
+// topK keeps the best maxCandidates seen, best first, without allocating.
+type topK struct {
+	items [maxCandidates]scored
+	n     int
+}
+
+func (k *topK) scan(list []backendEntry, local bool, affinityHash uint64, loads Loads) {
+	for i := range list {
+		s := scored{info: list[i].info, local: local, affinity: mix(affinityHash ^ list[i].nameHash)}
+		if loads != nil {
+			var leaving bool
+			if s.load, leaving = loads.State(s.info.Name); leaving {
+				continue
+			}
+		}
+		k.insert(s)
+	}
+}
+
+func (k *topK) insert(s scored) {
+	pos := k.n
+	for pos > 0 && s.better(&k.items[pos-1]) {
+		pos--
+	}
+	if pos >= maxCandidates {
+		return
+	}
+	last := k.n
+	if last == maxCandidates {
+		last--
+	} else {
+		k.n++
+	}
+	copy(k.items[pos+1:last+1], k.items[pos:last])
+	k.items[pos] = s
+}
+
+// mix is the splitmix64 finalizer: it spreads an xor of two hashes so
+// rendezvous scores are independent per back end.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
 func hash64(s string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
--- a/route/property_test.go
+++ b/route/property_test.go
@@ -118,3 +118,55 @@
 		}
 	})
 }
+
+type mapLoads map[string]int
+
+func (m mapLoads) State(b string) (int, bool) { l := m[b]; return l, l < 0 }
+
+// TestPropertyCandidatesAreTheBestOfAll: the domain index and top-K
+// selection pick exactly what scoring every back end and sorting would:
+// the own domain first, then least loaded, then affinity; leaving ones
+// (negative load here) never.
+func TestPropertyCandidatesAreTheBestOfAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 30).Draw(t, "backends")
+		doc := &config.Document{Backends: map[string]config.Backend{},
+			Models: map[string]config.Model{"m": {Versions: map[string]config.Version{"v1": {State: config.StateActive, Weight: 1}}}}}
+		loads := mapLoads{}
+		for i := 0; i < n; i++ {
+			name := fmt.Sprintf("b%02d", i)
+			doc.Backends[name] = config.Backend{Kind: config.KindEngine, Address: name, Model: "m", Version: "v1",
+				Domain: rapid.SampledFrom([]string{"fd-1", "fd-2", "fd-3"}).Draw(t, "domain"+name)}
+			loads[name] = rapid.IntRange(-1, 3).Draw(t, "load"+name)
+		}
+		affinity := rapid.String().Draw(t, "affinity")
+		got := NewTable(1, doc).candidates("m", "v1", "fd-1", affinity, loads)
+		var want []scored
+		ah := hash64(affinity)
+		for name, b := range doc.Backends {
+			if loads[name] >= 0 {
+				want = append(want, scored{info: BackendInfo{Name: name}, local: b.Domain == "fd-1", load: loads[name], affinity: mix(ah ^ hash64(name))})
+			}
+		}
+		slices.SortFunc(want, func(a, b scored) int {
+			if a.better(&b) {
+				return -1
+			}
+			if b.better(&a) {
+				return 1
+			}
+			return 0
+		})
+		if len(want) > maxCandidates {
+			want = want[:maxCandidates]
+		}
+		if len(got) != len(want) {
+			t.Fatalf("got %d candidates, want %d", len(got), len(want))
+		}
+		for i := range want {
+			if got[i].Name != want[i].info.Name {
+				t.Fatalf("candidate %d: got %s, want %s", i, got[i].Name, want[i].info.Name)
+			}
+		}
+	})
+}
--- a/route/table.go
+++ b/route/table.go
@@ -11,9 +11,22 @@
 type Table struct {
 	Revision kv.Revision
 	doc      *config.Document
-	byKey    map[string]string              // API key -> customer
-	active   map[string][]weighted          // model -> active versions
-	backends map[modelVersion][]BackendInfo // sorted by name
+	byKey    map[string]string     // API key -> customer
+	active   map[string][]weighted // model -> active versions
+	backends map[modelVersion]*versionBackends
+}
+
+// versionBackends indexes one version's back ends by failure domain, so a
+// decision scans its own domain first (~1/13 of them at target size) and
+// the others only when its own has too few.
+type versionBackends struct {
+	byDomain map[string][]backendEntry // each sorted by name
+	domains  []string                  // sorted
+}
+
+type backendEntry struct {
+	info     BackendInfo
+	nameHash uint64 // for prefix affinity, computed once per revision
 }
 
 type weighted struct {
@@ -39,7 +52,7 @@
 		doc:      doc,
 		byKey:    map[string]string{},
 		active:   map[string][]weighted{},
-		backends: map[modelVersion][]BackendInfo{},
+		backends: map[modelVersion]*versionBackends{},
 	}
 	for name, c := range doc.Customers {
 		for _, k := range c.APIKeys {
@@ -56,11 +69,20 @@
 	}
 	for name, b := range doc.Backends {
 		mv := modelVersion{b.Model, b.Version}
-		t.backends[mv] = append(t.backends[mv], BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent})
+		vb := t.backends[mv]
+		if vb == nil {
+			vb = &versionBackends{byDomain: map[string][]backendEntry{}}
+			t.backends[mv] = vb
+		}
+		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent}
+		vb.byDomain[b.Domain] = append(vb.byDomain[b.Domain], backendEntry{info: info, nameHash: hash64(name)})
 	}
-	for mv := range t.backends {
-		bs := t.backends[mv]
-		sort.Slice(bs, func(i, j int) bool { return bs[i].Name < bs[j].Name })
+	for _, vb := range t.backends {
+		for d, list := range vb.byDomain {
+			sort.Slice(list, func(i, j int) bool { return list[i].info.Name < list[j].info.Name })
+			vb.domains = append(vb.domains, d)
+		}
+		sort.Strings(vb.domains)
 	}
 	return t
 }
