Idempotency keys across entries; the KV port speaks the etcd v3 API

Separately, the KV port spoke a private twirp protocol, so no user could point lovageweir at the platform's service. Change: package idem (claims on a shared hourly lease, re-read after a lost answer, queued compare-and-delete release); kv/etcdv3 speaks the etcd v3 API's JSON mapping, the stand-in serves the same subset, twirpkv and its generated code are gone; watches that time out no longer skip revisions, compacted history is read again. Conclusion: at most once across entries holds under lost answers and outages; the cost is one KV write per keyed non-idempotent request.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,8 +18,9 @@
 
 	"github.com/lovageweir/lovageweir/configwatch"
 	"github.com/lovageweir/lovageweir/gateway"
+	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/kv"
-	"github.com/lovageweir/lovageweir/kv/twirpkv"
+	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
@@ -35,12 +36,13 @@
 		fx.Provide(
 			newLogger,
 			newMetrics,
-			func(s *settings.Entry) kv.Client { return twirpkv.New(s.KV, &http.Client{}) },
+			func(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, &http.Client{}) },
 			func(c kv.Client, log *slog.Logger) *configwatch.Watcher {
 				return configwatch.New(c, log.With("part", "config"))
 			},
 			gateway.NewLoads,
 			newLedger,
+			newClaims,
 			newGateway,
 		),
 		fx.Invoke(runWatcher, serve),
@@ -75,48 +77,67 @@
 func newLedger(lc fx.Lifecycle, s *settings.Entry, c kv.Client, log *slog.Logger) *ledger.Ledger {
 	log = log.With("part", "ledger")
 	l := ledger.New(c, s.Instance, time.Now(), log)
+	flush := func(ctx context.Context) {
+		if err := l.Flush(ctx); err != nil {
+			log.Warn("ledger: flush not confirmed; will write the same batch again.", "error", err, "buffered", l.Buffered())
+		}
+	}
+	every(lc, ledgerFlush, flush, func(ctx context.Context) {
+		for l.Buffered() > 0 && ctx.Err() == nil {
+			if err := l.Flush(ctx); err != nil {
+				log.Error("ledger: records not flushed at stop.", "error", err, "buffered", l.Buffered())
+				return
+			}
+		}
+	})
+	return l
+}
+
+// claimSweep is how often claims of requests that did not run are released.
+const claimSweep = time.Second
+
+// newClaims starts the release loop; the stop hook sweeps once more, so a
+// planned stop leaves no claim that would refuse a caller's repeat.
+func newClaims(lc fx.Lifecycle, c kv.Client) *idem.Claims {
+	claims := idem.New(c, clockwork.NewRealClock())
+	every(lc, claimSweep, claims.Sweep, claims.Sweep)
+	return claims
+}
+
+// every runs tick at each interval from start to stop, then last.
+func every(lc fx.Lifecycle, interval time.Duration, tick, last func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	loop := func() {
+		defer close(done)
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				tick(ctx)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				defer close(done)
-				t := time.NewTicker(ledgerFlush)
-				defer t.Stop()
-				for {
-					select {
-					case <-t.C:
-						if err := l.Flush(ctx); err != nil {
-							log.Warn("ledger: flush not confirmed; will write the same batch again.", "error", err, "buffered", l.Buffered())
-						}
-					case <-ctx.Done():
-						return
-					}
-				}
-			}()
-			return nil
-		},
+		OnStart: func(context.Context) error { go loop(); return nil },
 		OnStop: func(stopCtx context.Context) error {
 			cancel()
 			<-done
-			for l.Buffered() > 0 && stopCtx.Err() == nil {
-				if err := l.Flush(stopCtx); err != nil {
-					log.Error("ledger: records not flushed at stop.", "error", err, "buffered", l.Buffered())
-					return err
-				}
-			}
+			last(stopCtx)
 			return nil
 		},
 	})
-	return l
 }
 
-func newGateway(s *settings.Entry, w *configwatch.Watcher, l *gateway.Loads, bill *ledger.Ledger, log *slog.Logger, m *metrics) (*gateway.Gateway, error) {
+func newGateway(s *settings.Entry, claims *idem.Claims, w *configwatch.Watcher, l *gateway.Loads, bill *ledger.Ledger, log *slog.Logger, m *metrics) (*gateway.Gateway, error) {
 	keys, err := s.Keyring()
 	if err != nil {
 		return nil, err
 	}
-	return gateway.New(s.Instance, s.Domain, w, l, keys, bill, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
+	return gateway.New(s.Instance, s.Domain, w, l, keys, bill, claims, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
 		clockwork.NewRealClock(), log.With("part", "gateway"), m.scope.SubScope("gateway")), nil
 }
 
--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -21,7 +21,7 @@
 
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/kv"
-	"github.com/lovageweir/lovageweir/kv/twirpkv"
+	"github.com/lovageweir/lovageweir/kv/etcdv3"
 )
 
 // maxAttempts bounds re-reads after unknown outcomes.
@@ -56,7 +56,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 		defer cancel()
-		res, err := Apply(ctx, twirpkv.New(*kvURL, nil), doc, kv.Revision(*base), whoami())
+		res, err := Apply(ctx, etcdv3.New(*kvURL, nil), doc, kv.Revision(*base), whoami())
 		if err != nil {
 			return err
 		}
--- a/command/apply/apply_test.go
+++ b/command/apply/apply_test.go
@@ -12,15 +12,15 @@
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/internal/synth"
 	"github.com/lovageweir/lovageweir/kv"
-	"github.com/lovageweir/lovageweir/kv/twirpkv"
+	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/standin/kvserver"
 )
 
-func standin(t *testing.T) (*kvserver.Server, *twirpkv.Client) {
+func standin(t *testing.T) (*kvserver.Server, *etcdv3.Client) {
 	srv := kvserver.New(clockwork.NewFakeClock())
 	hs := httptest.NewServer(srv.Handler())
 	t.Cleanup(hs.Close)
-	return srv, twirpkv.New(hs.URL, nil)
+	return srv, etcdv3.New(hs.URL, nil)
 }
 
 func doc(customers int) *config.Document {
--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,9 @@
 			after, err = w.watchOnce(ctx, after)
 			synced = err == nil
 		}
+		if errors.Is(err, kv.ErrCompacted) {
+			continue // the history is gone: read again at once
+		}
 		if err != nil {
 			w.kvErrors.Add(1)
 			wait := bo.NextBackOff()
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -31,7 +31,7 @@
 // engine's event, check it belongs to this request, write and flush it.
 func BenchmarkRelayPerToken(b *testing.B) {
 	gin.SetMode(gin.ReleaseMode)
-	g := New("bench", "fd-1", nil, NewLoads(), nil, nil, Timeouts{FirstToken: time.Minute, Idle: time.Minute}, clockwork.NewRealClock(),
+	g := New("bench", "fd-1", nil, NewLoads(), nil, nil, nil, Timeouts{FirstToken: time.Minute, Idle: time.Minute}, clockwork.NewRealClock(),
 		slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
 	const tokens = 256
 	body := sseBody("rid-1", tokens)
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -43,8 +43,9 @@
 
 // dispatch tries candidates in order while the request has provably not run,
 // and retries a silent idempotent back end within the retry budget; once an
-// answer has begun reaching the caller no other back end is tried.
-func (g *Gateway) dispatch(c *gin.Context, dec *route.Decision, rid string, body []byte, stream bool) {
+// answer has begun reaching the caller no other back end is tried. It
+// returns whether the request ran or may have run.
+func (g *Gateway) dispatch(c *gin.Context, dec *route.Decision, rid string, body []byte, stream bool) (ran bool) {
 	retries := 0
 	mayHaveRun := false
 	for _, b := range dec.Candidates {
@@ -55,7 +56,7 @@
 			continue
 		case a.started || a.err == nil:
 			g.finish(dec, rid, a)
-			return
+			return true
 		}
 		mayHaveRun = true
 		if a.timeout && mayRepeat(b) && retries < retryBudget {
@@ -67,16 +68,17 @@
 		g.record(dec, rid, 0, openai.OutcomeUnknown)
 		g.refuse(c, http.StatusGatewayTimeout, openai.OutcomeUnknown, "backend_failed",
 			fmt.Sprintf("back end %s failed after the request was sent; it may have run", b.Name), retryUnknown)
-		return
+		return true
 	}
 	if mayHaveRun {
 		g.record(dec, rid, 0, openai.OutcomeUnknown)
 		g.refuse(c, http.StatusGatewayTimeout, openai.OutcomeUnknown, "no_answer",
 			"no back end answered in time; one may have run the request", retryUnknown)
-		return
+		return true
 	}
 	g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "no_capacity",
 		fmt.Sprintf("no back end of %s@%s took the request", dec.Model, dec.Version), noCapacityRetry)
+	return false
 }
 
 // noCapacityRetry is the Retry-After when every back end refused.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,6 +33,14 @@
 	Add(ledger.Record)
 }
 
+// Claimer claims an idempotency key before a non-idempotent call;
+// idem.Claims implements it.
+type Claimer interface {
+	Claim(ctx context.Context, customer, key, rid string) error
+	// Release gives back the claim of a request that did not run.
+	Release(customer, key, rid string)
+}
+
 // Timeouts bound a call to a back end. FirstToken catches a connection that
 // went silent for good: without it a caller would wait forever with nothing
 // coming back. Idle bounds the gap between streamed tokens; Whole bounds a
@@ -57,6 +66,7 @@
 
 	keys  *session.Keyring // nil: sessions are pinned by hash only
 	bill  Biller           // nil: nothing is billed (benchmarks)
+	idem  Claimer          // nil: idempotency keys are not claimed
 	clock clockwork.Clock
 
 	seq      atomic.Uint64
@@ -66,10 +76,10 @@
 }
 
 // New returns a gateway for an entry in domain. keys and bill may be nil.
-func New(instance, domain string, tables Tables, loads *Loads, keys *session.Keyring, bill Biller, to Timeouts,
+func New(instance, domain string, tables Tables, loads *Loads, keys *session.Keyring, bill Biller, claims Claimer, to Timeouts,
 	clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Gateway {
 	return &Gateway{
-		instance: instance, domain: domain, tables: tables, loads: loads, keys: keys, bill: bill, clock: clock, timeouts: to, log: log, scope: scope,
+		instance: instance, domain: domain, tables: tables, loads: loads, keys: keys, bill: bill, idem: claims, clock: clock, timeouts: to, log: log, scope: scope,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 64,
@@ -147,7 +157,13 @@
 	c.Header(openai.HeaderRequestID, rid)
 	c.Header(openai.HeaderVersion, dec.Version)
 	c.Header(openai.HeaderRevision, strconv.FormatInt(int64(t.Revision), 10))
-	g.dispatch(c, dec, rid, body, req.Stream)
+	release, ok := g.claim(c, dec, rid)
+	if !ok {
+		return
+	}
+	if ran := g.dispatch(c, dec, rid, body, req.Stream); !ran {
+		release()
+	}
 }
 
 // pin reads a session token. A token that does not verify, or names another
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -52,7 +52,7 @@
 	if fs := config.Validate(doc); len(fs) > 0 {
 		t.Fatal(fs)
 	}
-	g := New("e1", "fd-1", fixedTables{route.NewTable(1, doc)}, NewLoads(), nil, nil,
+	g := New("e1", "fd-1", fixedTables{route.NewTable(1, doc)}, NewLoads(), nil, nil, nil,
 		Timeouts{FirstToken: testFirstToken, Idle: testFirstToken, Whole: testFirstToken}, fc,
 		slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
 	gin.SetMode(gin.ReleaseMode)
--- /dev/null
+++ b/idem/idem_test.go
@@ -0,0 +1,129 @@
+package idem
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/memkv"
+)
+
+// flaky is a KV whose next calls can fail before or after taking effect.
+type flaky struct {
+	*memkv.Store
+	down    bool // calls fail and do nothing
+	lostAck bool // writes take effect and then fail
+}
+
+func (f *flaky) Get(ctx context.Context, k string, p bool) (kv.Revision, []kv.KeyValue, error) {
+	if f.down {
+		return 0, nil, kv.ErrUnavailable
+	}
+	return f.Store.Get(ctx, k, p)
+}
+
+func (f *flaky) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if f.down {
+		return 0, kv.ErrUnavailable
+	}
+	return f.Store.Grant(ctx, ttl)
+}
+
+func (f *flaky) CompareAndPut(ctx context.Context, k string, e kv.Revision, v []byte, l kv.LeaseID) (bool, kv.Revision, *kv.KeyValue, error) {
+	if f.down {
+		return false, 0, nil, kv.ErrUnavailable
+	}
+	ok, rev, cur, err := f.Store.CompareAndPut(ctx, k, e, v, l)
+	if f.lostAck {
+		return false, 0, nil, kv.ErrUnavailable
+	}
+	return ok, rev, cur, err
+}
+
+func (f *flaky) CompareAndDelete(ctx context.Context, k string, e kv.Revision) (bool, error) {
+	if f.down {
+		return false, kv.ErrUnavailable
+	}
+	ok, err := f.Store.CompareAndDelete(ctx, k, e)
+	if f.lostAck {
+		return false, kv.ErrUnavailable
+	}
+	return ok, err
+}
+
+// TestLostAckThenOutageDoesNotEatTheRequest: invariants 6 and 7. Symptom: a
+// tenant reminder is never sent, yet every repeat is told "duplicate".
+// Sequence: an entry claims the key; the write lands, its answer is lost,
+// and the KV goes down before the claim can be re-read; the request is
+// refused as not run; the caller comes back later with the same key.
+// Cause: nothing releases the claim of a request that never ran.
+func TestLostAckThenOutageDoesNotEatTheRequest(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := &flaky{Store: memkv.New(clockwork.NewFakeClock())}
+	a, b := New(f, clockwork.NewFakeClock()), New(f, clockwork.NewFakeClock())
+	is.NoErr(a.Claim(ctx, "c", "warm-up", "a-0")) // the lease is granted
+	down := &dropThenDown{flaky: f}
+	a.kv = down
+	is.Equal(a.Claim(ctx, "c", "k", "a-1"), ErrUnconfirmed)
+	a.Sweep(ctx) // the KV is still down: the claim stays queued
+	is.Equal(a.Pending(), 1)
+	f.down = false
+	is.Equal(b.Claim(ctx, "c", "k", "b-0"), ErrDuplicate) // the claim did land
+	a.Sweep(ctx)
+	is.Equal(a.Pending(), 0)
+	is.NoErr(b.Claim(ctx, "c", "k", "b-1")) // the repeat now runs
+	a.Sweep(ctx)
+	is.Equal(b.Claim(ctx, "c", "k", "b-2"), ErrDuplicate) // and only once
+}
+
+// dropThenDown loses the answer of the first write and is down afterwards.
+type dropThenDown struct{ *flaky }
+
+func (d *dropThenDown) CompareAndPut(ctx context.Context, k string, e kv.Revision, v []byte, l kv.LeaseID) (bool, kv.Revision, *kv.KeyValue, error) {
+	_, _, _, _ = d.flaky.CompareAndPut(ctx, k, e, v, l)
+	d.flaky.down = true
+	return false, 0, nil, kv.ErrUnavailable
+}
+
+// TestPropertyAKeyRunsAtMostOnce: invariant 7. Symptom: a pallet is posted
+// twice. Sequence: any order of claims by two entries on a few keys, with
+// the KV down or losing answers, and releases of requests that did not run.
+// Cause, without compare-and-delete or the re-read: two requests both
+// believe that they hold the key.
+func TestPropertyAKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ctx := context.Background()
+		fc := clockwork.NewFakeClock()
+		f := &flaky{Store: memkv.New(fc)}
+		entries := []*Claims{New(f, fc), New(f, fc)}
+		ran := map[string]int{}
+		for i, n := 0, rapid.IntRange(1, 40).Draw(rt, "steps"); i < n; i++ {
+			e := entries[rapid.IntRange(0, 1).Draw(rt, "entry")]
+			key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(rt, "key")
+			f.down = rapid.IntRange(0, 4).Draw(rt, "down") == 0
+			f.lostAck = rapid.IntRange(0, 3).Draw(rt, "lost") == 0
+			if rapid.Bool().Draw(rt, "sweep") {
+				e.Sweep(ctx)
+				continue
+			}
+			rid := fmt.Sprintf("r-%d", i)
+			if e.Claim(ctx, "c", key, rid) != nil {
+				continue
+			}
+			if rapid.Bool().Draw(rt, "has no capacity") {
+				e.Release("c", key, rid)
+				continue
+			}
+			if ran[key]++; ran[key] > 1 {
+				rt.Fatalf("key %s ran %d times", key, ran[key])
+			}
+		}
+	})
+}
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -43,6 +43,9 @@
 var (
 	ErrUnavailable   = errors.New("kv: service unavailable")
 	ErrLeaseNotFound = errors.New("kv: lease not found or expired")
+	// ErrCompacted: the history a watch asked for is gone; read, then watch
+	// from the revision read.
+	ErrCompacted = errors.New("kv: watch history is compacted")
 )
 
 // KV reads and writes keys.
@@ -56,6 +59,9 @@
 	// key absent). On a failed compare it returns ok=false and the current
 	// value, if any.
 	CompareAndPut(ctx context.Context, key string, expect Revision, value []byte, lease LeaseID) (ok bool, rev Revision, cur *KeyValue, err error)
+	// CompareAndDelete removes the key only if its ModRevision equals
+	// expect, so a repeated delete can never remove someone else's key.
+	CompareAndDelete(ctx context.Context, key string, expect Revision) (ok bool, err error)
 	// Delete removes the key, or every key under it with prefix.
 	Delete(ctx context.Context, key string, prefix bool) (Revision, error)
 }
@@ -69,8 +75,8 @@
 }
 
 // Watcher waits for changes. WatchOnce returns as soon as events newer than
-// after exist, or with no events once wait has passed; callers loop. One
-// waiting call is one call to the service.
+// after exist, or with no events (and after unchanged) once wait has passed;
+// callers loop. One waiting call is one call to the service.
 type Watcher interface {
 	WatchOnce(ctx context.Context, key string, prefix bool, after Revision, wait time.Duration) (Revision, []Event, error)
 }
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -13,8 +13,7 @@
 )
 
 // historyLimit bounds the events kept for watches. A watcher further behind
-// than this gets the current state of its keys as synthetic puts instead of
-// the lost history, which is what it needs anyway: the newest value.
+// than this gets kv.ErrCompacted and must read before it watches again.
 const historyLimit = 4096
 
 type lease struct {
@@ -31,9 +30,11 @@
 	rev     kv.Revision
 	data    map[string]kv.KeyValue
 	history []kv.Event
-	leases  map[kv.LeaseID]*lease
-	nextID  kv.LeaseID
-	changed chan struct{} // closed and replaced on every write
+	// compacted is the newest revision whose event is forgotten.
+	compacted kv.Revision
+	leases    map[kv.LeaseID]*lease
+	nextID    kv.LeaseID
+	changed   chan struct{} // closed and replaced on every write
 }
 
 // New returns an empty store timed by clock.
@@ -100,6 +101,19 @@
 	return true, s.rev, nil, nil
 }
 
+// CompareAndDelete implements kv.KV.
+func (s *Store) CompareAndDelete(_ context.Context, key string, expect kv.Revision) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	cur, ok := s.data[key]
+	if !ok || cur.ModRevision != expect {
+		return false, nil
+	}
+	s.deleteLocked(key)
+	return true, nil
+}
+
 // Delete implements kv.KV.
 func (s *Store) Delete(_ context.Context, key string, prefix bool) (kv.Revision, error) {
 	s.mu.Lock()
@@ -157,12 +171,28 @@
 	// Trim only at twice the limit, so the copy is paid once per
 	// historyLimit writes rather than on every write.
 	if len(s.history) > 2*historyLimit {
-		s.history = append([]kv.Event(nil), s.history[len(s.history)-historyLimit:]...)
+		s.compactLocked(len(s.history) - historyLimit)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// compactLocked forgets the oldest n events.
+func (s *Store) compactLocked(n int) {
+	if n <= 0 {
+		return
+	}
+	s.compacted = s.history[n-1].KV.ModRevision
+	s.history = append([]kv.Event(nil), s.history[n:]...)
+}
+
+// Compact forgets all history, as the platform's service does after a while.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compactLocked(len(s.history))
+}
+
 // Grant implements kv.Lease.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	s.mu.Lock()
@@ -229,6 +259,10 @@
 	for {
 		s.mu.Lock()
 		s.expireLocked()
+		if s.compacted > after {
+			s.mu.Unlock()
+			return after, nil, kv.ErrCompacted
+		}
 		evs := s.eventsAfterLocked(key, prefix, after)
 		rev, changed := s.rev, s.changed
 		s.mu.Unlock()
@@ -238,25 +272,14 @@
 		select {
 		case <-changed:
 		case <-timer.Chan():
-			return rev, nil, nil
+			return after, nil, nil
 		case <-ctx.Done():
-			return rev, nil, ctx.Err()
+			return after, nil, ctx.Err()
 		}
 	}
 }
 
 func (s *Store) eventsAfterLocked(key string, prefix bool, after kv.Revision) []kv.Event {
-	if len(s.history) > 0 && s.history[0].KV.ModRevision > after+1 {
-		// History was trimmed past the watcher: hand it the present state.
-		var out []kv.Event
-		for k, v := range s.data {
-			if match(k, key, prefix) && v.ModRevision > after {
-				out = append(out, kv.Event{Type: kv.EventPut, KV: v})
-			}
-		}
-		sort.Slice(out, func(i, j int) bool { return out[i].KV.ModRevision < out[j].KV.ModRevision })
-		return out
-	}
 	var out []kv.Event
 	for _, ev := range s.history {
 		if ev.KV.ModRevision > after && match(ev.KV.Key, key, prefix) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -12,7 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
-	"github.com/lovageweir/lovageweir/kv/twirpkv"
+	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/standin/kvserver"
 )
 
@@ -26,7 +26,7 @@
 	srv := kvserver.New(clockwork.NewFakeClock())
 	hs := httptest.NewServer(srv.Handler())
 	defer hs.Close()
-	c := twirpkv.New(hs.URL, nil)
+	c := etcdv3.New(hs.URL, nil)
 	l := New(c, "entry-a", time.Unix(1, 0), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx := context.Background()
 	for i := 0; i < 10; i++ {
@@ -55,7 +55,7 @@
 	srv := kvserver.New(clockwork.NewFakeClock())
 	hs := httptest.NewServer(srv.Handler())
 	defer hs.Close()
-	c := twirpkv.New(hs.URL, nil)
+	c := etcdv3.New(hs.URL, nil)
 	l := New(c, "entry-a", time.Unix(1, 0), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx := context.Background()
 	srv.SetFaults(kvserver.Faults{Down: true})
--- a/proto/gen.sh
+++ b/proto/gen.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PATH="$PATH:$(go env GOPATH)/bin"
-for f in proto/kv.proto proto/peer.proto; do
+for f in proto/*.proto; do
   protoc --proto_path=proto \
     --go_out=. --go_opt=module=github.com/lovageweir/lovageweir \
     --twirp_out=. --twirp_opt=module=github.com/lovageweir/lovageweir \
--- a/standin/kvserver/server.go
+++ b/standin/kvserver/server.go
@@ -3,43 +3,45 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/twitchtv/twirp"
 
 	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/etcdv3/api"
 	"github.com/lovageweir/lovageweir/kv/memkv"
-	"github.com/lovageweir/lovageweir/rpc/kvpb"
 )
 
 // Faults are the switches of the stand-in. The zero value is a healthy
 // service.
 type Faults struct {
-	// Down refuses every call with twirp.Unavailable.
+	// Down refuses every call as unavailable.
 	Down bool `json:"down"`
 	// SlowMillis delays every call by this many milliseconds.
 	SlowMillis int `json:"slow_ms"`
-	// DropAcks applies writes and then answers Unavailable, as when the
+	// DropAcks applies writes and then answers unavailable, as when the
 	// answer is lost on the way back.
 	DropAcks bool `json:"drop_acks"`
-	// StallWatches makes watches wait out their timeout and return nothing,
-	// as a connection that went silent would.
+	// StallWatches accepts watches and delivers nothing, as a connection
+	// that went silent would.
 	StallWatches bool `json:"stall_watches"`
+	// Compact forgets the watch history once, when it is set.
+	Compact bool `json:"compact"`
 }
 
-// Server serves kvpb.KV over a store.
+// Server serves the subset of the etcd v3 API over a store.
 type Server struct {
 	store *memkv.Store
 
 	mu     sync.Mutex
 	faults Faults
 
-	calls atomic.Int64
-	byRPC sync.Map // string -> *atomic.Int64
+	calls  atomic.Int64
+	byCall sync.Map // string -> *atomic.Int64
 }
 
 // New returns a server over an empty store.
@@ -52,6 +54,9 @@
 
 // SetFaults replaces the fault switches.
 func (s *Server) SetFaults(f Faults) {
+	if f.Compact {
+		s.store.Compact()
+	}
 	s.mu.Lock()
 	s.faults = f
 	s.mu.Unlock()
@@ -63,163 +68,198 @@
 	return s.faults
 }
 
-func (s *Server) enter(ctx context.Context, rpc string) (Faults, error) {
+// errUnavailable is the stand-in's answer while it is down.
+var errUnavailable = errors.New("kv stand-in: unavailable")
+
+// enter counts a call and applies the faults that come before it.
+func (s *Server) enter(ctx context.Context, call string) (Faults, error) {
 	s.calls.Add(1)
-	c, _ := s.byRPC.LoadOrStore(rpc, new(atomic.Int64))
+	c, _ := s.byCall.LoadOrStore(call, new(atomic.Int64))
 	c.(*atomic.Int64).Add(1)
 	f := s.currentFaults()
 	if f.SlowMillis > 0 {
 		select {
 		case <-time.After(time.Duration(f.SlowMillis) * time.Millisecond):
 		case <-ctx.Done():
-			return f, twirp.NewError(twirp.DeadlineExceeded, "kv stand-in: slow")
+			return f, errUnavailable
 		}
 	}
 	if f.Down {
-		return f, twirp.NewError(twirp.Unavailable, "kv stand-in: down")
+		return f, errUnavailable
 	}
 	return f, nil
 }
 
-func lostAck(f Faults) error {
-	if f.DropAcks {
-		return twirp.NewError(twirp.Unavailable, "kv stand-in: answer lost")
-	}
-	return nil
+// handle serves one unary call: decode Req, run it, drop the answer of a
+// write when that fault is on, and encode the answer.
+func handle[Req any](s *Server, mux *http.ServeMux, path string, write bool, run func(context.Context, Req) (any, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var req Req
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			fail(w, http.StatusBadRequest, api.CodeInvalidArgument, err)
+			return
+		}
+		f, err := s.enter(r.Context(), path)
+		if err != nil {
+			fail(w, http.StatusServiceUnavailable, api.CodeUnavailable, err)
+			return
+		}
+		out, err := run(r.Context(), req)
+		switch {
+		case errors.Is(err, kv.ErrLeaseNotFound):
+			fail(w, http.StatusNotFound, api.CodeNotFound, err)
+		case err != nil:
+			fail(w, http.StatusBadRequest, api.CodeInvalidArgument, err)
+		case write && f.DropAcks:
+			fail(w, http.StatusServiceUnavailable, api.CodeUnavailable, errors.New("kv stand-in: answer lost"))
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(out)
+		}
+	})
 }
 
-// Range implements kvpb.KV.
-func (s *Server) Range(ctx context.Context, r *kvpb.RangeRequest) (*kvpb.RangeResponse, error) {
-	if _, err := s.enter(ctx, "Range"); err != nil {
-		return nil, err
-	}
-	rev, kvs, _ := s.store.Get(ctx, r.Key, r.Prefix)
-	out := &kvpb.RangeResponse{Revision: int64(rev)}
-	for _, v := range kvs {
-		out.Kvs = append(out.Kvs, toPB(v))
-	}
-	return out, nil
+func fail(w http.ResponseWriter, status, code int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(api.Error{Message: err.Error(), Code: code})
 }
 
-// Put implements kvpb.KV.
-func (s *Server) Put(ctx context.Context, r *kvpb.PutRequest) (*kvpb.PutResponse, error) {
-	f, err := s.enter(ctx, "Put")
+func header(rev kv.Revision) api.Header { return api.Header{Revision: int64(rev)} }
+
+func (s *Server) rangeKeys(ctx context.Context, r api.RangeRequest) (*api.RangeResponse, error) {
+	rev, kvs, err := s.store.Get(ctx, string(r.Key), len(r.RangeEnd) > 0)
 	if err != nil {
 		return nil, err
 	}
-	out := &kvpb.PutResponse{}
-	if r.Compare {
-		ok, rev, cur, err := s.store.CompareAndPut(ctx, r.Key, kv.Revision(r.ExpectModRevision), r.Value, kv.LeaseID(r.Lease))
-		if err != nil {
-			return nil, toTwirp(err)
-		}
-		out.Revision, out.Succeeded = int64(rev), ok
-		if cur != nil {
-			out.Current = toPB(*cur)
-		}
-	} else {
-		rev, err := s.store.Put(ctx, r.Key, r.Value, kv.LeaseID(r.Lease))
-		if err != nil {
-			return nil, toTwirp(err)
-		}
-		out.Revision, out.Succeeded = int64(rev), true
-	}
-	if err := lostAck(f); err != nil {
-		return nil, err
+	out := &api.RangeResponse{Header: header(rev), Count: int64(len(kvs))}
+	for _, v := range kvs {
+		out.Kvs = append(out.Kvs, toAPI(v))
 	}
 	return out, nil
 }
 
-// Delete implements kvpb.KV.
-func (s *Server) Delete(ctx context.Context, r *kvpb.DeleteRequest) (*kvpb.DeleteResponse, error) {
-	f, err := s.enter(ctx, "Delete")
-	if err != nil {
-		return nil, err
-	}
-	rev, _ := s.store.Delete(ctx, r.Key, r.Prefix)
-	if err := lostAck(f); err != nil {
-		return nil, err
-	}
-	return &kvpb.DeleteResponse{Revision: int64(rev)}, nil
+func (s *Server) put(ctx context.Context, r api.PutRequest) (any, error) {
+	rev, err := s.store.Put(ctx, string(r.Key), r.Value, kv.LeaseID(r.Lease))
+	return api.PutResponse{Header: header(rev)}, err
 }
 
-// maxWatchWait caps one long-poll so a stalled client frees its slot.
-const maxWatchWait = 30 * time.Second
+func (s *Server) deleteRange(ctx context.Context, r api.DeleteRangeRequest) (any, error) {
+	rev, err := s.store.Delete(ctx, string(r.Key), len(r.RangeEnd) > 0)
+	return api.DeleteRangeResponse{Header: header(rev)}, err
+}
 
-// Watch implements kvpb.KV.
-func (s *Server) Watch(ctx context.Context, r *kvpb.WatchRequest) (*kvpb.WatchResponse, error) {
-	f, err := s.enter(ctx, "Watch")
-	if err != nil {
-		return nil, err
-	}
-	wait := time.Duration(r.TimeoutMs) * time.Millisecond
-	if wait <= 0 || wait > maxWatchWait {
-		wait = maxWatchWait
+// errTxn names the one shape of transaction the stand-in knows.
+var errTxn = errors.New("kv stand-in: only one MOD EQUAL compare with one put or delete on the same key is served")
+
+func (s *Server) txn(ctx context.Context, r api.TxnRequest) (any, error) {
+	if len(r.Compare) != 1 || len(r.Success) != 1 || r.Compare[0].Target != api.TargetMod || r.Compare[0].Result != api.ResultEqual {
+		return nil, errTxn
 	}
-	if f.StallWatches {
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-		}
-		return &kvpb.WatchResponse{Revision: r.AfterRevision}, nil
+	key, expect := string(r.Compare[0].Key), kv.Revision(r.Compare[0].ModRevision)
+	var ok bool
+	var err error
+	rev := s.store.Revision()
+	switch op := r.Success[0]; {
+	case op.Put != nil && string(op.Put.Key) == key:
+		ok, rev, _, err = s.store.CompareAndPut(ctx, key, expect, op.Put.Value, kv.LeaseID(op.Put.Lease))
+	case op.Delete != nil && string(op.Delete.Key) == key:
+		ok, err = s.store.CompareAndDelete(ctx, key, expect)
+	default:
+		return nil, errTxn
 	}
-	rev, evs, err := s.store.WatchOnce(ctx, r.Key, r.Prefix, kv.Revision(r.AfterRevision), wait)
 	if err != nil {
-		return nil, twirp.NewError(twirp.Canceled, err.Error())
+		return nil, err
 	}
-	out := &kvpb.WatchResponse{Revision: int64(rev)}
-	for _, ev := range evs {
-		out.Events = append(out.Events, &kvpb.Event{Type: kvpb.Event_Type(ev.Type), Kv: toPB(ev.KV)})
+	out := api.TxnResponse{Header: header(rev), Succeeded: ok}
+	if !ok && len(r.Failure) == 1 && r.Failure[0].Range != nil {
+		got, err := s.rangeKeys(ctx, *r.Failure[0].Range)
+		if err != nil {
+			return nil, err
+		}
+		out.Responses = []api.ResponseOp{{Range: got}}
 	}
 	return out, nil
 }
 
-// LeaseGrant implements kvpb.KV.
-func (s *Server) LeaseGrant(ctx context.Context, r *kvpb.LeaseGrantRequest) (*kvpb.LeaseGrantResponse, error) {
-	f, err := s.enter(ctx, "LeaseGrant")
-	if err != nil {
-		return nil, err
-	}
-	id, _ := s.store.Grant(ctx, time.Duration(r.TtlSeconds)*time.Second)
-	if err := lostAck(f); err != nil {
+func (s *Server) grant(ctx context.Context, r api.LeaseGrantRequest) (any, error) {
+	id, err := s.store.Grant(ctx, time.Duration(r.TTL)*time.Second)
+	return api.LeaseGrantResponse{ID: int64(id), TTL: r.TTL}, err
+}
+
+func (s *Server) keepAlive(ctx context.Context, r api.LeaseID) (any, error) {
+	ttl, err := s.store.KeepAlive(ctx, kv.LeaseID(r.ID))
+	if err != nil && !errors.Is(err, kv.ErrLeaseNotFound) {
 		return nil, err
 	}
-	return &kvpb.LeaseGrantResponse{Id: int64(id), TtlSeconds: r.TtlSeconds}, nil
+	// A lease that is gone is answered with TTL 0, as the API has it.
+	return api.KeepAliveMessage{Result: api.KeepAliveResponse{ID: r.ID, TTL: int64(ttl / time.Second)}}, nil
 }
 
-// LeaseKeepAlive implements kvpb.KV.
-func (s *Server) LeaseKeepAlive(ctx context.Context, r *kvpb.LeaseKeepAliveRequest) (*kvpb.LeaseKeepAliveResponse, error) {
-	if _, err := s.enter(ctx, "LeaseKeepAlive"); err != nil {
-		return nil, err
+func (s *Server) revoke(ctx context.Context, r api.LeaseID) (any, error) {
+	return struct{}{}, s.store.Revoke(ctx, kv.LeaseID(r.ID))
+}
+
+// maxWatchWait caps one watch so a stalled client frees its slot.
+const maxWatchWait = 60 * time.Second
+
+// watch streams a created message and then events until the client leaves.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	var req api.WatchRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		fail(w, http.StatusBadRequest, api.CodeInvalidArgument, err)
+		return
 	}
-	ttl, err := s.store.KeepAlive(ctx, kv.LeaseID(r.Id))
+	f, err := s.enter(r.Context(), api.PathWatch)
 	if err != nil {
-		return nil, toTwirp(err)
+		fail(w, http.StatusServiceUnavailable, api.CodeUnavailable, err)
+		return
 	}
-	return &kvpb.LeaseKeepAliveResponse{Id: r.Id, TtlSeconds: int64(ttl / time.Second)}, nil
-}
-
-// LeaseRevoke implements kvpb.KV.
-func (s *Server) LeaseRevoke(ctx context.Context, r *kvpb.LeaseRevokeRequest) (*kvpb.LeaseRevokeResponse, error) {
-	if _, err := s.enter(ctx, "LeaseRevoke"); err != nil {
-		return nil, err
+	send := func(m api.WatchResponse) {
+		_ = json.NewEncoder(w).Encode(api.WatchMessage{Result: m})
+		w.(http.Flusher).Flush()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	send(api.WatchResponse{Header: header(s.store.Revision()), Created: true})
+	if f.StallWatches {
+		<-r.Context().Done()
+		return
 	}
-	if err := s.store.Revoke(ctx, kv.LeaseID(r.Id)); err != nil {
-		return nil, toTwirp(err)
+	after := kv.Revision(req.Create.StartRevision - 1)
+	if req.Create.StartRevision == 0 {
+		after = s.store.Revision()
+	}
+	for r.Context().Err() == nil {
+		rev, evs, err := s.store.WatchOnce(r.Context(), string(req.Create.Key), len(req.Create.RangeEnd) > 0, after, maxWatchWait)
+		if errors.Is(err, kv.ErrCompacted) {
+			send(api.WatchResponse{Header: header(rev), Canceled: true, CompactRevision: int64(after) + 1})
+			return
+		}
+		if err != nil {
+			return
+		}
+		if len(evs) > 0 {
+			send(api.WatchResponse{Header: header(rev), Events: toEvents(evs)})
+		}
+		after = rev
 	}
-	return &kvpb.LeaseRevokeResponse{}, nil
 }
 
-func toTwirp(err error) error {
-	if err == kv.ErrLeaseNotFound {
-		return twirp.NewError(twirp.NotFound, err.Error())
+func toEvents(in []kv.Event) []api.Event {
+	out := make([]api.Event, 0, len(in))
+	for _, ev := range in {
+		e := api.Event{KV: toAPI(ev.KV)}
+		if ev.Type == kv.EventDelete {
+			e.Type = api.EventDelete
+		}
+		out = append(out, e)
 	}
-	return twirp.InternalErrorWith(err)
+	return out
 }
 
-func toPB(v kv.KeyValue) *kvpb.KeyValue {
-	return &kvpb.KeyValue{
-		Key: v.Key, Value: v.Value,
+func toAPI(v kv.KeyValue) api.KeyValue {
+	return api.KeyValue{
+		Key: []byte(v.Key), Value: v.Value,
 		CreateRevision: int64(v.CreateRevision), ModRevision: int64(v.ModRevision),
 		Version: v.Version, Lease: int64(v.Lease),
 	}
@@ -230,25 +270,31 @@
 	Store  memkv.Stats      `json:"store"`
 	Faults Faults           `json:"faults"`
 	Calls  int64            `json:"calls"`
-	ByRPC  map[string]int64 `json:"calls_by_rpc"`
+	ByCall map[string]int64 `json:"calls_by_path"`
 }
 
 // State returns the current dump.
 func (s *Server) State() State {
-	st := State{Store: s.store.Stats(), Faults: s.currentFaults(), Calls: s.calls.Load(), ByRPC: map[string]int64{}}
-	s.byRPC.Range(func(k, v any) bool {
-		st.ByRPC[k.(string)] = v.(*atomic.Int64).Load()
+	st := State{Store: s.store.Stats(), Faults: s.currentFaults(), Calls: s.calls.Load(), ByCall: map[string]int64{}}
+	s.byCall.Range(func(k, v any) bool {
+		st.ByCall[k.(string)] = v.(*atomic.Int64).Load()
 		return true
 	})
 	return st
 }
 
-// Handler serves the twirp API plus /debug/state (GET) and /fault (PUT,
-// a JSON Faults body).
+// Handler serves the API plus /debug/state (GET) and /fault (PUT, a JSON
+// Faults body).
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	tw := kvpb.NewKVServer(s)
-	mux.Handle(tw.PathPrefix(), tw)
+	handle(s, mux, api.PathRange, false, func(ctx context.Context, r api.RangeRequest) (any, error) { return s.rangeKeys(ctx, r) })
+	handle(s, mux, api.PathPut, true, s.put)
+	handle(s, mux, api.PathDeleteRange, true, s.deleteRange)
+	handle(s, mux, api.PathTxn, true, s.txn)
+	handle(s, mux, api.PathLeaseGrant, true, s.grant)
+	handle(s, mux, api.PathKeepAlive, false, s.keepAlive)
+	handle(s, mux, api.PathRevoke, true, s.revoke)
+	mux.HandleFunc("POST "+api.PathWatch, s.watch)
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.State())
