--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,51 +1,69 @@
 package agent
 
 import (
-	"context"
-	"encoding/json"
-	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"time"
 
-	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/gateway"
+	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/ledger"
+	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/rater"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
 )
 
-// drainPoll is how often a stopping entry looks whether requests remain.
-const drainPoll = 50 * time.Millisecond
+// Loop intervals and shares of duties.
+const (
+	// watchHolders is how many entries of a failure domain watch the KV.
+	watchHolders = 2
+	// ledgerHolders is how many write billing records.
+	ledgerHolders = 1
+	// housekeeping is how often halts are persisted, claims released and
+	// dead entries' requests billed.
+	housekeeping = time.Second
+)
+
+// life is this run of the process: later runs have higher ones.
+type life int64
 
-// Module is the entry daemon's fx module.
+// Module is the entry daemon's fx module. fx stops hooks in reverse order,
+// so serve, which drains, comes last: what it needs still runs then.
 func Module(set *settings.Entry) fx.Option {
 	return fx.Options(
 		fx.Supply(set),
 		fx.Provide(
+			func() life { return life(time.Now().UnixNano()) },
+			clockwork.NewRealClock,
 			newLogger,
 			newMetrics,
-			func(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, &http.Client{}) },
-			func(c kv.Client, log *slog.Logger) *configwatch.Watcher {
-				return configwatch.New(c, log.With("part", "config"))
-			},
-			gateway.NewLoads,
+			newKV,
+			newMembers,
+			peers.HTTPDial,
+			newWatcher,
+			newGuard,
+			endpoints.NewTable,
+			newPoller,
+			newGossip,
 			newLedger,
 			newClaims,
+			cascade.NewPlanner,
 			newGateway,
 		),
-		fx.Invoke(runWatcher, serve),
+		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runGossip, runRatings, serve),
 		fx.NopLogger,
 	)
 }
@@ -68,173 +86,57 @@
 	return &metrics{scope: scope, reporter: r}
 }
 
-// ledgerFlush is how often billing records go to the KV: one write per
-// entry per interval, whatever the request rate.
-const ledgerFlush = 2 * time.Second
-
-// newLedger starts the flush loop. Its stop hook runs after the server's
-// (fx stops in reverse order), so records of drained requests are flushed.
-func newLedger(lc fx.Lifecycle, s *settings.Entry, c kv.Client, log *slog.Logger) *ledger.Ledger {
-	log = log.With("part", "ledger")
-	l := ledger.New(c, s.Instance, time.Now(), log)
-	flush := func(ctx context.Context) {
-		if err := l.Flush(ctx); err != nil {
-			log.Warn("ledger: flush not confirmed; will write the same batch again.", "error", err, "buffered", l.Buffered())
-		}
-	}
-	every(lc, ledgerFlush, flush, func(ctx context.Context) {
-		for l.Buffered() > 0 && ctx.Err() == nil {
-			if err := l.Flush(ctx); err != nil {
-				log.Error("ledger: records not flushed at stop.", "error", err, "buffered", l.Buffered())
-				return
-			}
-		}
-	})
-	return l
-}
-
-// claimSweep is how often claims of requests that did not run are released.
-const claimSweep = time.Second
+func newKV(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, &http.Client{}) }
 
-// newClaims starts the release loop; the stop hook sweeps once more, so a
-// planned stop leaves no claim that would refuse a caller's repeat.
-func newClaims(lc fx.Lifecycle, c kv.Client) *idem.Claims {
-	claims := idem.New(c, clockwork.NewRealClock())
-	every(lc, claimSweep, claims.Sweep, claims.Sweep)
-	return claims
+func newMembers(s *settings.Entry, l life, clock clockwork.Clock) *peers.Table {
+	return peers.NewTable(&peerpb.Member{Instance: s.Instance, Domain: s.Domain, Address: s.Advertise, Life: int64(l)}, clock)
 }
 
-// every runs tick at each interval from start to stop, then last.
-func every(lc fx.Lifecycle, interval time.Duration, tick, last func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	loop := func() {
-		defer close(done)
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for {
-			select {
-			case <-t.C:
-				tick(ctx)
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { go loop(); return nil },
-		OnStop: func(stopCtx context.Context) error {
-			cancel()
-			<-done
-			last(stopCtx)
-			return nil
-		},
-	})
+func newWatcher(c kv.Client, members *peers.Table, clock clockwork.Clock, log *slog.Logger) *configwatch.Watcher {
+	return configwatch.New(c, clock, log.With("part", "config"),
+		configwatch.HoldsWhen(func() bool { return members.Holds("config", watchHolders) }))
 }
 
-func newGateway(s *settings.Entry, claims *idem.Claims, w *configwatch.Watcher, l *gateway.Loads, bill *ledger.Ledger, log *slog.Logger, m *metrics) (*gateway.Gateway, error) {
-	keys, err := s.Keyring()
-	if err != nil {
-		return nil, err
-	}
-	return gateway.New(s.Instance, s.Domain, w, l, keys, bill, claims, gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
-		clockwork.NewRealClock(), log.With("part", "gateway"), m.scope.SubScope("gateway")), nil
+func newGuard(s *settings.Entry, l life, w *configwatch.Watcher, log *slog.Logger) *guard.Guard {
+	g := guard.New(s.Instance, int64(l), log.With("part", "guard"))
+	w.OnKey(g.Stored)
+	return g
 }
 
-func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() { defer close(done); w.Run(ctx) }()
-			return nil
-		},
-		OnStop: func(context.Context) error { cancel(); <-done; return nil },
-	})
+func newPoller(s *settings.Entry, l life, t *endpoints.Table, w *configwatch.Watcher, members *peers.Table, log *slog.Logger) *endpoints.Poller {
+	return endpoints.NewPoller(t, w.Table, members, s.Domain, int64(l), s.Instances, log.With("part", "endpoints"))
 }
 
-// dump is the entry's state dump.
-type dump struct {
-	Instance string                    `json:"instance"`
-	Domain   string                    `json:"domain"`
-	Draining bool                      `json:"draining"`
-	InFlight int64                     `json:"in_flight"`
-	Config   configwatch.State         `json:"config"`
-	Loads    map[string]map[string]any `json:"loads"`
+// newGossip puts together what entries tell each other.
+func newGossip(s *settings.Entry, members *peers.Table, dial peers.Dial, w *configwatch.Watcher, gd *guard.Guard, t *endpoints.Table, p *endpoints.Poller, log *slog.Logger) *peers.Gossip {
+	seeds := func() []string { return append(p.Seeds(), s.Peers...) }
+	g := peers.NewGossip(members, seeds, dial, log.With("part", "peers"))
+	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t))
+	w.OnNews(g.Rumour)
+	gd.OnNews(g.Rumour)
+	return g
 }
 
-func serve(lc fx.Lifecycle, s *settings.Entry, g *gateway.Gateway, w *configwatch.Watcher, l *gateway.Loads, m *metrics, log *slog.Logger) {
-	gin.SetMode(gin.ReleaseMode)
-	r := gin.New()
-	r.Use(gin.Recovery())
-	g.Register(r)
-	r.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
-	r.GET("/readyz", func(c *gin.Context) {
-		if g.Draining() || w.Table() == nil {
-			c.String(http.StatusServiceUnavailable, "not ready\n")
-			return
-		}
-		c.String(http.StatusOK, "ready\n")
-	})
-	r.GET("/debug/state", func(c *gin.Context) {
-		c.Header("Content-Type", "application/json")
-		enc := json.NewEncoder(c.Writer)
-		enc.SetIndent("", "  ")
-		_ = enc.Encode(dump{Instance: s.Instance, Domain: s.Domain, Draining: g.Draining(), InFlight: g.InFlight(), Config: w.State(), Loads: l.Snapshot()})
-	})
-	r.GET("/metrics", gin.WrapH(m.reporter.HTTPHandler()))
-	peer := peerpb.NewPeerServer(&peerServer{set: s, watcher: w, gw: g})
-	r.Any(peer.PathPrefix()+"*method", gin.WrapH(peer))
-
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}
-	log = log.With("part", "server")
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			ln, err := net.Listen("tcp", s.Listen)
-			if err != nil {
-				return err
-			}
-			go func() {
-				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-					log.Error("server: stopped serving.", "error", err)
-				}
-			}()
-			log.Info("server: listening.", "address", ln.Addr().String())
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			g.Drain()
-			log.Info("server: draining.", "in_flight", g.InFlight())
-			deadline := time.Now().Add(s.DrainTimeout)
-			for g.InFlight() > 0 && time.Now().Before(deadline) {
-				time.Sleep(drainPoll)
-			}
-			log.Info("server: drained; closing.", "in_flight", g.InFlight())
-			return srv.Shutdown(ctx)
-		},
-	})
+func newLedger(s *settings.Entry, l life, c kv.Client, members *peers.Table, clock clockwork.Clock, log *slog.Logger) *ledger.Ledger {
+	holder := func() bool { return members.Holds("ledger", ledgerHolders) }
+	return ledger.New(c, s.Instance, int64(l), holder, clock, log.With("part", "ledger"))
 }
 
-type peerServer struct {
-	set     *settings.Entry
-	watcher *configwatch.Watcher
-	gw      *gateway.Gateway
-}
+func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
-func (p *peerServer) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigResponse, error) {
-	rev, raw := p.watcher.Raw()
-	out := &peerpb.ConfigResponse{Revision: int64(rev), Domain: p.set.Domain, Instance: p.set.Instance}
-	if int64(rev) > r.Have {
-		out.Document = raw
+func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
+	gd *guard.Guard, planner *cascade.Planner, clock clockwork.Clock, log *slog.Logger, m *metrics) (*gateway.Gateway, error) {
+	keys, err := s.Keyring()
+	if err != nil {
+		return nil, err
 	}
-	return out, nil
-}
-
-func (p *peerServer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
-	t := p.watcher.Table()
-	out := &peerpb.StatusResponse{Instance: p.set.Instance, Domain: p.set.Domain, Ready: t != nil && !p.gw.Draining(), InFlight: p.gw.InFlight()}
-	if t != nil {
-		out.ConfigRevision = int64(t.Revision)
+	d := gateway.Deps{
+		Instance: s.Instance, Life: int64(l), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: bill, Claims: claims,
+		Guard: gd, Planner: planner, Clock: clock, Log: log.With("part", "gateway"), Scope: m.scope.SubScope("gateway"),
+		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
+	}
+	if s.Rater != "" {
+		d.Rater = rater.NewClient(s.Rater)
 	}
-	return out, nil
+	return gateway.New(d), nil
 }
--- /dev/null
+++ b/agent/loops.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/endpoints"
+	"github.com/lovageweir/lovageweir/gateway"
+	"github.com/lovageweir/lovageweir/guard"
+	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/ledger"
+	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/settings"
+)
+
+// background runs run from start until stop, then last.
+func background(lc fx.Lifecycle, run, last func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { defer close(done); run(ctx) }()
+			return nil
+		},
+		OnStop: func(stopCtx context.Context) error {
+			cancel()
+			<-done
+			if last != nil {
+				last(stopCtx)
+			}
+			return nil
+		},
+	})
+}
+
+// every calls tick at each interval.
+func every(interval time.Duration, tick func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) {
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				tick(ctx)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) { background(lc, w.Run, nil) }
+
+func runPoller(lc fx.Lifecycle, p *endpoints.Poller) {
+	background(lc, every(endpoints.PollInterval, p.Poll), nil)
+}
+
+func runGuard(lc fx.Lifecycle, g *guard.Guard, c kv.Client) {
+	persist := func(ctx context.Context) { g.Persist(ctx, c) }
+	background(lc, every(housekeeping, persist), persist)
+}
+
+// runLedger flushes, copies to the holder and bills for dead entries. At a
+// planned stop everything not yet durable is written before the exit.
+func runLedger(lc fx.Lifecycle, l *ledger.Ledger, members *peers.Table, dial peers.Dial, log *slog.Logger) {
+	log = log.With("part", "ledger")
+	flush := func(ctx context.Context) {
+		if err := l.Flush(ctx); err != nil {
+			log.Warn("ledger: flush not confirmed; will write the same batch again.", "error", err, "waiting", l.Waiting())
+		}
+	}
+	background(lc, every(ledger.FlushInterval, flush), func(ctx context.Context) {
+		if err := l.FlushAll(ctx); err != nil {
+			log.Error("ledger: records not written at stop.", "error", err, "waiting", l.Waiting())
+		}
+	})
+	background(lc, every(housekeeping, func(context.Context) { l.TakeOver(members.Alive) }), nil)
+	background(lc, func(ctx context.Context) { l.Replicate(ctx, members.FirstOther("ledger"), dial) }, nil)
+}
+
+// runClaims releases the claims of requests that did not run; the last sweep
+// is at a planned stop, so that none is left to refuse a caller's repeat.
+func runClaims(lc fx.Lifecycle, c *idem.Claims) {
+	background(lc, every(housekeeping, c.Sweep), c.Sweep)
+}
+
+func runGossip(lc fx.Lifecycle, g *peers.Gossip) { background(lc, g.Run, nil) }
+
+func runRatings(lc fx.Lifecycle, s *settings.Entry, g *gateway.Gateway) {
+	if s.Rater != "" {
+		background(lc, g.RunRatings, nil)
+	}
+}
--- /dev/null
+++ b/agent/serve.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+
+	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/endpoints"
+	"github.com/lovageweir/lovageweir/gateway"
+	"github.com/lovageweir/lovageweir/guard"
+	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/ledger"
+	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/rpc/peerpb"
+	"github.com/lovageweir/lovageweir/settings"
+)
+
+// drainPoll is how often a stopping entry looks whether requests remain.
+const drainPoll = 50 * time.Millisecond
+
+// parts are what the server shows and serves.
+type parts struct {
+	fx.In
+	Set       *settings.Entry
+	Gateway   *gateway.Gateway
+	Watcher   *configwatch.Watcher
+	Endpoints *endpoints.Table
+	Members   *peers.Table
+	Gossip    *peers.Gossip
+	Guard     *guard.Guard
+	Ledger    *ledger.Ledger
+	Claims    *idem.Claims
+	Planner   *cascade.Planner
+	Metrics   *metrics
+	Log       *slog.Logger
+}
+
+// Dump is the entry's state dump: GET /debug/state.
+type Dump struct {
+	Instance      string                        `json:"instance"`
+	Domain        string                        `json:"domain"`
+	Draining      bool                          `json:"draining"`
+	InFlight      int64                         `json:"in_flight"`
+	Config        configwatch.State             `json:"config"`
+	Peers         peers.State                   `json:"peers"`
+	Guard         map[string]guard.VersionState `json:"guard"`
+	Ledger        ledger.State                  `json:"ledger"`
+	ClaimsPending int                           `json:"claims_to_release"`
+	Cascades      []cascade.StepState           `json:"cascades"`
+	Endpoints     endpoints.State               `json:"endpoints"`
+}
+
+func (p parts) dump() Dump {
+	return Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Draining: p.Gateway.Draining(), InFlight: p.Gateway.InFlight(),
+		Config: p.Watcher.State(), Peers: p.Members.State(), Guard: p.Guard.State(), Ledger: p.Ledger.State(),
+		ClaimsPending: p.Claims.Pending(), Cascades: p.Planner.State(), Endpoints: p.Endpoints.Snapshot()}
+}
+
+func (p parts) ready() bool { return !p.Gateway.Draining() && p.Watcher.Table() != nil }
+
+func (p parts) handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	r := gin.New()
+	r.Use(gin.Recovery())
+	p.Gateway.Register(r)
+	r.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	r.GET("/readyz", func(c *gin.Context) {
+		if !p.ready() {
+			c.String(http.StatusServiceUnavailable, "not ready\n")
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	r.GET("/debug/state", func(c *gin.Context) {
+		c.Header("Content-Type", "application/json")
+		enc := json.NewEncoder(c.Writer)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(p.dump())
+	})
+	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
+	peer := peerpb.NewPeerServer(&peerServer{p})
+	r.Any(peer.PathPrefix()+"*method", gin.WrapH(peer))
+	return r
+}
+
+// serve listens, and at a planned stop drains: readiness turns false and new
+// requests are refused as not run, those in flight finish, then the server
+// closes.
+func serve(lc fx.Lifecycle, p parts) {
+	srv := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 5 * time.Second}
+	log := p.Log.With("part", "server")
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			ln, err := net.Listen("tcp", p.Set.Listen)
+			if err != nil {
+				return err
+			}
+			go func() {
+				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+					log.Error("server: stopped serving.", "error", err)
+				}
+			}()
+			log.Info("server: listening.", "address", ln.Addr().String())
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			p.Members.Leave()
+			p.Gossip.Rumour()
+			p.Gateway.Drain()
+			log.Info("server: draining.", "in_flight", p.Gateway.InFlight())
+			deadline := time.Now().Add(p.Set.DrainTimeout)
+			for p.Gateway.InFlight() > 0 && time.Now().Before(deadline) {
+				time.Sleep(drainPoll)
+			}
+			log.Info("server: drained; closing.", "in_flight", p.Gateway.InFlight())
+			return srv.Shutdown(ctx)
+		},
+	})
+}
+
+// peerServer serves the peer protocol.
+type peerServer struct{ parts }
+
+func (p *peerServer) Exchange(ctx context.Context, d *peerpb.Digest) (*peerpb.Digest, error) {
+	return p.Gossip.Serve(ctx, d), nil
+}
+
+func (p *peerServer) Shadow(_ context.Context, r *peerpb.ShadowRequest) (*peerpb.ShadowResponse, error) {
+	return p.Ledger.Keep(r), nil
+}
+
+func (p *peerServer) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigResponse, error) {
+	rev, raw := p.Watcher.Raw()
+	out := &peerpb.ConfigResponse{Revision: int64(rev), Domain: p.Set.Domain, Instance: p.Set.Instance}
+	if int64(rev) > r.Have {
+		out.Document = raw
+	}
+	return out, nil
+}
+
+func (p *peerServer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	return &peerpb.StatusResponse{Instance: p.Set.Instance, Domain: p.Set.Domain, ConfigRevision: int64(p.Watcher.Revision()),
+		Ready: p.ready(), InFlight: p.Gateway.InFlight(), LivePeers: int64(len(p.Members.Live())), Watching: p.Watcher.State().Watching}, nil
+}
--- a/config/envelope.go
+++ b/config/envelope.go
@@ -7,10 +7,16 @@
 	"github.com/gravitational/trace"
 )
 
-// Key is where the accepted configuration lives in the platform KV. One key
-// holds the whole document, so a change is one compare-and-swap and its
-// ModRevision is the configuration's revision everywhere.
-const Key = "/lovageweir/config"
+// Where the platform KV holds what entries watch: one prefix, so one watch.
+const (
+	LivePrefix = "/lovageweir/live/"
+	// Key holds the accepted configuration. One key holds the whole
+	// document, so a change is one compare-and-swap and its ModRevision is
+	// the configuration's revision everywhere.
+	Key = LivePrefix + "config"
+	// HaltPrefix holds one key per halted attempt at a version.
+	HaltPrefix = LivePrefix + "halts/"
+)
 
 // Envelope is the stored form: the document plus who applied it. ApplyID is
 // an idempotency key: after a lost acknowledgement the CLI re-reads the key
--- a/config/types.go
+++ b/config/types.go
@@ -46,11 +46,30 @@
 type Version struct {
 	State  string `yaml:"state" json:"state"`
 	Weight int    `yaml:"weight" json:"weight"`
+	// Attempt tells one try at rolling the version out from the next: a
+	// halt holds for one attempt.
+	Attempt int `yaml:"attempt" json:"attempt,omitempty"`
+	// Guard watches the version's answers; nil: it is not watched.
+	Guard *Guard `yaml:"guard" json:"guard,omitempty"`
+}
+
+// Guard halts a version that answers badly: it then gets no new work, and
+// its weight goes to Baseline.
+type Guard struct {
+	// Baseline is the version that takes over.
+	Baseline string `yaml:"baseline" json:"baseline"`
+	// MinScore is the rater's score below which an answer counts as bad.
+	MinScore float64 `yaml:"min_score" json:"min_score"`
 }
 
 // Cascade tries models from cheap to costly until an answer is good enough.
 type Cascade struct {
 	Steps []Step `yaml:"steps" json:"steps"`
+	// SkipBelow is the share of answers of a size that must pass a step for
+	// the step to be worth trying on that size. Zero: the cost ratio of the
+	// step to the next, below which trying costs more than it saves. An
+	// operator who weighs latency above cost sets it higher.
+	SkipBelow float64 `yaml:"skip_below" json:"skip_below,omitempty"`
 }
 
 // Step is one model of a cascade and the rater score its answer must reach
--- a/config/validate.go
+++ b/config/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -85,6 +86,7 @@
 			default:
 				c.addf(vp+".state", "state %q is not one of active, withdrawn", ver.State)
 			}
+			c.guard(vp+".guard", v, ver.Guard, m)
 		}
 		if len(m.Versions) > 0 && total == 0 {
 			c.addf(path+".versions", "no active version has weight above 0: new sessions could go nowhere")
@@ -92,6 +94,24 @@
 	}
 }
 
+func (c *checker) guard(path, version string, g *Guard, m Model) {
+	if g == nil {
+		return
+	}
+	base, ok := m.Versions[g.Baseline]
+	switch {
+	case g.Baseline == version:
+		c.addf(path+".baseline", "a version cannot be its own baseline")
+	case !ok:
+		c.addf(path+".baseline", "unknown version %q", g.Baseline)
+	case base.State != StateActive:
+		c.addf(path+".baseline", "baseline %q is not active: a halt would leave nothing to serve", g.Baseline)
+	}
+	if g.MinScore < 0 || g.MinScore > 1 {
+		c.addf(path+".min_score", "min_score %v is outside 0..1", g.MinScore)
+	}
+}
+
 func (c *checker) cascades(d *Document) {
 	for _, name := range sortedKeys(d.Cascades) {
 		path := "cascades." + name
@@ -102,6 +122,9 @@
 		if len(cs.Steps) == 0 {
 			c.addf(path+".steps", "a cascade needs at least one step")
 		}
+		if cs.SkipBelow < 0 || cs.SkipBelow > 1 {
+			c.addf(path+".skip_below", "skip_below %v is outside 0..1", cs.SkipBelow)
+		}
 		for i, st := range cs.Steps {
 			sp := fmt.Sprintf("%s.steps[%d]", path, i)
 			if _, ok := d.Models[st.Model]; !ok {
@@ -136,6 +159,9 @@
 				c.addf(ap, "unknown model or cascade %q", target)
 				continue
 			}
+			if isCascade && !slices.ContainsFunc(d.Cascades[target].Steps, func(st Step) bool { _, ok := cu.Allow[st.Model]; return ok }) {
+				c.addf(ap, "none of the cascade's models is allowed, so every request would be refused")
+			}
 			for _, v := range cu.Allow[target] {
 				if v == AnyVersion || isCascade {
 					continue
--- a/configwatch/bench_test.go
+++ b/configwatch/bench_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/internal/synth"
 	"github.com/lovageweir/lovageweir/kv"
@@ -30,7 +32,7 @@
 		}
 		b.Run(fmt.Sprintf("backends=%d/customers=%d", s.Backends, s.Customers), func(b *testing.B) {
 			b.ReportAllocs()
-			w := New(nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			w := New(nil, clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 			for i := 0; i < b.N; i++ {
 				if !w.Offer(kv.Revision(i+1), raw) {
 					b.Fatal("offer refused")
--- a/configwatch/fuzz_test.go
+++ b/configwatch/fuzz_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/internal/synth"
 	"github.com/lovageweir/lovageweir/kv"
@@ -26,7 +28,7 @@
 	f.Add([]byte("null"))
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		w := New(nil, log)
+		w := New(nil, clockwork.NewFakeClock(), log)
 		if !w.Offer(kv.Revision(1), value) {
 			if w.Table() != nil {
 				t.Fatal("a refused value left a table in force")
--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -4,55 +4,118 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/route"
 )
 
-// watchWait is how long one long-poll waits. Each waiting watch counts as
-// one KV call, so this sets the idle call rate: 1/watchWait per entry.
-const watchWait = 10 * time.Second
+// Bounds of the watch.
+const (
+	// watchWait is how long one watch waits before the key is read instead.
+	// A watch whose connection went silent looks just like a quiet one, so
+	// without the read an entry could miss a change for good; with it, the
+	// change is late by at most this long.
+	watchWait = 5 * time.Second
+	// readWait bounds one read.
+	readWait = 3 * time.Second
+	// idleCheck is how often an entry that does not watch looks whether it
+	// should (a holder of its domain died).
+	idleCheck = time.Second
+	// FreshFor is how old an entry's knowledge of being current may be
+	// before a request makes it ask again (Refresh): the time within which
+	// the users want a change in force. It covers one watchWait and the
+	// gossip rounds that carry its answer.
+	FreshFor = 11 * time.Second
+	// refreshWait bounds what that asking may cost the request.
+	refreshWait = 300 * time.Millisecond
+	// refreshEvery limits it during an outage to one request in this time.
+	refreshEvery = time.Second
+)
 
 // Watcher owns the table in force.
 type Watcher struct {
-	kv  kv.Client
-	log *slog.Logger
+	kv    kv.Client
+	clock clockwork.Clock
+	log   *slog.Logger
+	holds func() bool      // whether this entry should watch the KV itself
+	news  func()           // called after a new revision came into force
+	other func(key string) // called for other live keys that exist
 
-	current  atomic.Pointer[route.Table]
-	raw      atomic.Pointer[[]byte]
+	current  atomic.Pointer[inForce]
 	rejected atomic.Int64
 	kvErrors atomic.Int64
-	lastOK   atomic.Int64 // unix nanos of the last successful KV answer
+	watching atomic.Bool
+
+	mu          sync.Mutex // guards the two times; never held across a call
+	freshAt     time.Time  // when the table in force was last known current
+	refreshedAt time.Time  // when Refresh last asked
 }
 
-// New returns a watcher with no table in force.
-func New(c kv.Client, log *slog.Logger) *Watcher {
-	return &Watcher{kv: c, log: log}
+// inForce is one configuration revision, compiled and as stored.
+type inForce struct {
+	table *route.Table
+	raw   []byte
 }
 
+// Option changes a new Watcher.
+type Option func(*Watcher)
+
+// HoldsWhen makes the watcher watch the KV only while holds reports true;
+// it then learns from peers (Offer).
+func HoldsWhen(holds func() bool) Option { return func(w *Watcher) { w.holds = holds } }
+
+// New returns a watcher with no table in force, which watches the KV always
+// unless HoldsWhen says otherwise.
+func New(c kv.Client, clock clockwork.Clock, log *slog.Logger, opts ...Option) *Watcher {
+	w := &Watcher{kv: c, clock: clock, log: log, holds: func() bool { return true }, news: func() {}, other: func(string) {}}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
+}
+
+// OnKey sets what takes the other keys under config.LivePrefix, which share
+// the watch; it must be set before Run.
+func (w *Watcher) OnKey(f func(key string)) { w.other = f }
+
+// OnNews sets what to call after a new revision came into force; it must be
+// set before Run.
+func (w *Watcher) OnNews(f func()) { w.news = f }
+
 // Table returns the table in force, or nil before the first configuration.
-func (w *Watcher) Table() *route.Table { return w.current.Load() }
+func (w *Watcher) Table() *route.Table {
+	if c := w.current.Load(); c != nil {
+		return c.table
+	}
+	return nil
+}
 
 // Raw returns the stored bytes of the configuration in force.
 func (w *Watcher) Raw() (kv.Revision, []byte) {
-	t, b := w.current.Load(), w.raw.Load()
-	if t == nil || b == nil {
-		return 0, nil
+	if c := w.current.Load(); c != nil {
+		return c.table.Revision, c.raw
 	}
-	return t.Revision, *b
+	return 0, nil
+}
+
+// Revision is the revision in force, 0 before the first.
+func (w *Watcher) Revision() kv.Revision {
+	rev, _ := w.Raw()
+	return rev
 }
 
 // Offer considers a stored configuration seen at rev, from the KV or from a
 // peer. It is swapped in only when newer than the table in force and valid;
 // it returns whether it was taken.
 func (w *Watcher) Offer(rev kv.Revision, value []byte) bool {
-	cur := w.current.Load()
-	if cur != nil && rev <= cur.Revision {
+	if rev <= w.Revision() {
 		return false
 	}
 	env, err := config.Unmarshal(value)
@@ -66,105 +129,166 @@
 		w.log.Warn("config: stored value fails validation; keeping the one in force.", "revision", rev, "findings", len(fs))
 		return false
 	}
-	t := route.NewTable(rev, &env.Document)
+	next := &inForce{table: route.NewTable(rev, &env.Document), raw: append([]byte(nil), value...)}
 	for {
-		cur = w.current.Load()
-		if cur != nil && rev <= cur.Revision {
-			return false
+		cur := w.current.Load()
+		if cur != nil && rev <= cur.table.Revision {
+			return false // someone offered a newer one meanwhile
 		}
-		if w.current.CompareAndSwap(cur, t) {
-			v := append([]byte(nil), value...)
-			w.raw.Store(&v)
+		if w.current.CompareAndSwap(cur, next) {
 			w.log.Info("config: new revision in force.", "revision", rev, "apply_id", env.ApplyID)
+			w.news()
 			return true
 		}
 	}
 }
 
-// Run reads and watches until ctx ends.
+// Run keeps the table current until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	bo := backoff.NewExponentialBackOff()
 	bo.InitialInterval = 100 * time.Millisecond
 	bo.MaxInterval = 5 * time.Second
-	after := kv.Revision(0)
-	synced := false
+	after, err := w.read(ctx, readWait)
+	synced := true // whether a watch from after on misses nothing
 	for ctx.Err() == nil {
-		var err error
-		if !synced {
-			after, err = w.readOnce(ctx)
-			synced = err == nil
-		} else {
-			after, err = w.watchOnce(ctx, after)
-			synced = err == nil
-		}
-		if errors.Is(err, kv.ErrCompacted) {
-			continue // the history is gone: read again at once
-		}
-		if err != nil {
+		switch {
+		case errors.Is(err, kv.ErrCompacted): // the history is gone: read
+			after, err = w.read(ctx, readWait)
+		case err != nil:
 			w.kvErrors.Add(1)
 			wait := bo.NextBackOff()
 			w.log.Warn("config: KV call failed; keeping the configuration in force.", "error", err, "retry_in", wait)
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-			}
-			continue
+			w.sleep(ctx, wait)
+			after, err = w.read(ctx, readWait)
+		case !w.holds():
+			w.watching.Store(false)
+			synced = false
+			w.sleep(ctx, idleCheck)
+		case !synced: // took over the watch: what was missed comes first
+			after, err = w.read(ctx, readWait)
+			synced = true
+		default:
+			bo.Reset()
+			after, err = w.watchThenRead(ctx, after)
 		}
-		bo.Reset()
-		w.lastOK.Store(time.Now().UnixNano())
 	}
 }
 
-func (w *Watcher) readOnce(ctx context.Context) (kv.Revision, error) {
-	rctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
+	t := w.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-ctx.Done():
+	}
+}
+
+// read offers the stored configuration and returns the store's revision.
+func (w *Watcher) read(ctx context.Context, wait time.Duration) (kv.Revision, error) {
+	asked := w.clock.Now()
+	rctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	rev, kvs, err := w.kv.Get(rctx, config.Key, false)
+	rev, kvs, err := w.kv.Get(rctx, config.LivePrefix, true)
 	if err != nil {
 		return 0, err
 	}
 	for _, v := range kvs {
-		w.Offer(v.ModRevision, v.Value)
+		w.take(v)
 	}
+	w.confirm(asked)
 	return rev, nil
 }
 
-func (w *Watcher) watchOnce(ctx context.Context, after kv.Revision) (kv.Revision, error) {
-	wctx, cancel := context.WithTimeout(ctx, watchWait+5*time.Second)
+// watchThenRead waits for one change; when none comes it reads, since the
+// watch may have gone silent.
+func (w *Watcher) watchThenRead(ctx context.Context, after kv.Revision) (kv.Revision, error) {
+	w.watching.Store(true)
+	asked := w.clock.Now()
+	wctx, cancel := context.WithTimeout(ctx, watchWait+readWait)
 	defer cancel()
-	rev, evs, err := w.kv.WatchOnce(wctx, config.Key, false, after, watchWait)
+	rev, evs, err := w.kv.WatchOnce(wctx, config.LivePrefix, true, after, watchWait)
 	if err != nil {
 		return after, err
 	}
+	if len(evs) == 0 {
+		return w.read(ctx, readWait)
+	}
 	for _, ev := range evs {
 		if ev.Type == kv.EventPut {
-			w.Offer(ev.KV.ModRevision, ev.KV.Value)
-		}
-		if ev.KV.ModRevision > after {
-			after = ev.KV.ModRevision
+			w.take(ev.KV)
 		}
 	}
-	if rev > after {
-		after = rev
+	// Not the time now: the event may have lain in a socket while this
+	// process was paused.
+	w.confirm(asked)
+	return max(rev, after), nil
+}
+
+func (w *Watcher) take(v kv.KeyValue) {
+	if v.Key == config.Key {
+		w.Offer(v.ModRevision, v.Value)
+		return
+	}
+	w.other(v.Key)
+}
+
+// confirm notes that the table in force was current at t.
+func (w *Watcher) confirm(t time.Time) {
+	w.mu.Lock()
+	if t.After(w.freshAt) {
+		w.freshAt = t
+	}
+	w.mu.Unlock()
+}
+
+// Age is how long ago the table in force was last known to be current;
+// ok is false when it never was.
+func (w *Watcher) Age() (age time.Duration, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.freshAt.IsZero() {
+		return 0, false
+	}
+	return w.clock.Now().Sub(w.freshAt), true
+}
+
+// Refresh is called before each decision. An entry that was paused and
+// resumes still holds the table of before, and would send new work to a
+// version withdrawn meanwhile until its watch catches up; so when its
+// knowledge is older than FreshFor it reads first, for refreshWait at most.
+// When the KV does not answer it goes on with what it has: a failure domain
+// that is cut off keeps serving.
+func (w *Watcher) Refresh(ctx context.Context) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	due := now.Sub(w.freshAt) > FreshFor && now.Sub(w.refreshedAt) >= refreshEvery
+	if due {
+		w.refreshedAt = now
+	}
+	w.mu.Unlock()
+	if !due {
+		return
+	}
+	if _, err := w.read(ctx, refreshWait); err != nil {
+		w.kvErrors.Add(1)
 	}
-	return after, nil
 }
 
 // State is the watcher's part of the state dump.
 type State struct {
 	Revision   kv.Revision `json:"revision"`
+	Watching   bool        `json:"watching"`
+	AgeSeconds float64     `json:"age_seconds"`
 	Rejected   int64       `json:"rejected"`
 	KVErrors   int64       `json:"kv_errors"`
-	LastKVOKAt time.Time   `json:"last_kv_ok_at"`
 }
 
-// State returns the current dump.
+// State returns the current dump; AgeSeconds is -1 when the table was never
+// known to be current.
 func (w *Watcher) State() State {
-	st := State{Rejected: w.rejected.Load(), KVErrors: w.kvErrors.Load()}
-	if t := w.current.Load(); t != nil {
-		st.Revision = t.Revision
-	}
-	if n := w.lastOK.Load(); n > 0 {
-		st.LastKVOKAt = time.Unix(0, n).UTC()
+	st := State{Revision: w.Revision(), Watching: w.watching.Load(), Rejected: w.rejected.Load(), KVErrors: w.kvErrors.Load(), AgeSeconds: -1}
+	if age, ok := w.Age(); ok {
+		st.AgeSeconds = age.Seconds()
 	}
 	return st
 }
--- a/configwatch/watcher_test.go
+++ b/configwatch/watcher_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
 	"github.com/lovageweir/lovageweir/config"
@@ -32,7 +33,7 @@
 // revision offered so far.
 func TestPropertyConfigNeverReverts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := New(nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		w := New(nil, clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 		revs := rapid.SliceOfN(rapid.Int64Range(1, 50), 1, 40).Draw(t, "revisions")
 		var highest, last kv.Revision
 		for i, r := range revs {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -12,8 +11,8 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
 
+	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/route"
 )
 
@@ -31,8 +30,7 @@
 // engine's event, check it belongs to this request, write and flush it.
 func BenchmarkRelayPerToken(b *testing.B) {
 	gin.SetMode(gin.ReleaseMode)
-	g := New("bench", "fd-1", nil, NewLoads(), nil, nil, nil, Timeouts{FirstToken: time.Minute, Idle: time.Minute}, clockwork.NewRealClock(),
-		slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	g := New(testDeps(&config.Document{}, clockwork.NewRealClock()))
 	const tokens = 256
 	body := sseBody("rid-1", tokens)
 	b.ReportAllocs()
@@ -40,9 +38,12 @@
 	for i := 0; i < b.N; i += tokens {
 		w := httptest.NewRecorder()
 		c, _ := gin.CreateTestContext(w)
+		q := &request{c: c, rid: "rid-1", stream: true}
+		out := g.newOutput(q, &route.Decision{})
 		resp := &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(body))}
 		wd := g.watch(func() {}, time.Minute)
-		g.relayStream(c, resp, "rid-1", route.BackendInfo{Name: "e"}, wd)
+		g.relayStream(resp, q, route.BackendInfo{Name: "e", Model: "m", Version: "v1"}, wd, out)
+		out.finish()
 		wd.timer.Stop()
 		if !bytes.Contains(w.Body.Bytes(), []byte("[DONE]")) {
 			b.Fatal("stream not relayed whole")
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
@@ -17,29 +15,28 @@
 const claimWait = 2 * time.Second
 
 // claim holds the caller's idempotency key before a non-idempotent call, so
-// a repeat through any entry does not run again. It answers the caller
-// itself and returns ok false when the request must not go on; release gives
-// the key back when the request then turns out not to have run.
+// a repeat through any entry does not run again. It returns a refusal when
+// the request must not go on, and sets q.release for one that turns out not
+// to have run.
 //
 // Without a key there is nothing to hold the caller to: the request still
 // runs at most once, since it is never sent again after dispatch.
-func (g *Gateway) claim(c *gin.Context, dec *route.Decision, rid string) (release func(), ok bool) {
-	key := c.GetHeader(openai.HeaderIdempotencyKey)
-	if g.idem == nil || key == "" || len(dec.Candidates) == 0 || mayRepeat(dec.Candidates[0]) {
-		return func() {}, true
+func (g *Gateway) claim(q *request, dec *route.Decision) *route.Refusal {
+	key := q.c.GetHeader(openai.HeaderIdempotencyKey)
+	if g.Claims == nil || key == "" || len(dec.Candidates) == 0 || mayRepeat(dec.Candidates[0]) {
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), claimWait)
+	ctx, cancel := context.WithTimeout(q.c.Request.Context(), claimWait)
 	defer cancel()
-	err := g.idem.Claim(ctx, dec.Customer, key, rid)
+	err := g.Claims.Claim(ctx, dec.Customer, key, q.rid)
 	switch {
 	case err == nil:
-		return func() { g.idem.Release(dec.Customer, key, rid) }, true
+		q.release = func() { g.Claims.Release(dec.Customer, key, q.rid) }
+		return nil
 	case errors.Is(err, idem.ErrDuplicate):
-		g.refuse(c, http.StatusConflict, openai.OutcomeNotRun, "duplicate_request",
-			"another request holds this Idempotency-Key; this one did not run", 0)
-	default:
-		g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "claim_unconfirmed",
-			"could not make sure this request runs only once; it did not run", retryUnknown)
+		return &route.Refusal{Code: "duplicate_request", Status: http.StatusConflict,
+			Message: "another request holds this Idempotency-Key; this one did not run"}
 	}
-	return nil, false
+	return &route.Refusal{Code: "claim_unconfirmed", Status: http.StatusServiceUnavailable, RetryAfter: retryUnknown,
+		Message: "could not make sure this request runs only once; it did not run"}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,8 +13,11 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/rater"
 	"github.com/lovageweir/lovageweir/route"
 	"github.com/lovageweir/lovageweir/session"
 )
@@ -26,11 +25,18 @@
 // Tables gives the table in force; configwatch.Watcher implements it.
 type Tables interface {
 	Table() *route.Table
+	// Refresh brings the table up to date first when it may be old, as after
+	// a pause; it returns shortly in any case.
+	Refresh(ctx context.Context)
 }
 
-// Biller takes one record per request that ran; ledger.Ledger implements it.
+// Biller bills each request that ran; ledger.Ledger implements it.
 type Biller interface {
-	Add(ledger.Record)
+	// Open notes a request about to be dispatched; Settle bills it, Drop
+	// forgets it because it did not run.
+	Open(ledger.Record)
+	Settle(context.Context, ledger.Record)
+	Drop(requestID string)
 }
 
 // Claimer claims an idempotency key before a non-idempotent call;
@@ -41,6 +47,13 @@
 	Release(customer, key, rid string)
 }
 
+// Guard counts the answers of guarded versions and knows which were halted;
+// guard.Guard implements it.
+type Guard interface {
+	route.Halts
+	Observe(subject string, bad bool)
+}
+
 // Timeouts bound a call to a back end. FirstToken catches a connection that
 // went silent for good: without it a caller would wait forever with nothing
 // coming back. Idle bounds the gap between streamed tokens; Whole bounds a
@@ -51,41 +64,40 @@
 	Whole      time.Duration
 }
 
-// retryNoConfig is the Retry-After given before the first configuration.
-const retryNoConfig = 1 * time.Second
+// Deps is what a gateway is made of. Fields marked optional may be nil.
+type Deps struct {
+	Instance  string
+	Life      int64 // this run of the process; makes request ids unique
+	Domain    string
+	Tables    Tables
+	Endpoints *endpoints.Table
+	Keys      *session.Keyring // optional: sessions are then pinned by hash only
+	Bill      Biller           // optional: nothing is billed
+	Claims    Claimer          // optional: idempotency keys are not claimed
+	Guard     Guard            // optional: no version is guarded
+	Rater     rater.Rater      // optional: answers are not rated
+	Planner   *cascade.Planner // optional: every step of a cascade is tried
+	Timeouts  Timeouts
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Scope     tally.Scope
+}
 
 // Gateway serves the caller API.
 type Gateway struct {
-	domain   string
-	tables   Tables
-	loads    *Loads
-	client   *http.Client
-	timeouts Timeouts
-	log      *slog.Logger
-	scope    tally.Scope
-
-	keys  *session.Keyring // nil: sessions are pinned by hash only
-	bill  Biller           // nil: nothing is billed (benchmarks)
-	idem  Claimer          // nil: idempotency keys are not claimed
-	clock clockwork.Clock
+	Deps
+	lines   *lines
+	budget  *retryBudget
+	ratings chan rating
 
 	seq      atomic.Uint64
-	instance string
 	inFlight atomic.Int64
 	draining atomic.Bool
 }
 
-// New returns a gateway for an entry in domain. keys and bill may be nil.
-func New(instance, domain string, tables Tables, loads *Loads, keys *session.Keyring, bill Biller, claims Claimer, to Timeouts,
-	clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *Gateway {
-	return &Gateway{
-		instance: instance, domain: domain, tables: tables, loads: loads, keys: keys, bill: bill, idem: claims, clock: clock, timeouts: to, log: log, scope: scope,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-		}},
-	}
+// New returns a gateway.
+func New(d Deps) *Gateway {
+	return &Gateway{Deps: d, lines: newLines(), budget: newRetryBudget(), ratings: make(chan rating, ratingQueue)}
 }
 
 // InFlight is the number of requests being served.
@@ -100,9 +112,12 @@
 
 // Register adds the caller API to r.
 func (g *Gateway) Register(r gin.IRoutes) {
-	r.POST("/v1/chat/completions", g.chat)
+	r.POST(chatPath, g.chat)
+	r.POST(ServicePrefix+":name/*path", g.service)
 }
 
+// refuse answers a request that gets no answer. The outcome must be true,
+// and retry, when not zero, tells the caller when to come back.
 func (g *Gateway) refuse(c *gin.Context, status int, outcome, code, msg string, retry time.Duration) {
 	body := openai.ErrorBody{Error: openai.ErrorDetail{Type: outcome, Code: code, Message: msg}}
 	if retry > 0 {
@@ -110,101 +125,27 @@
 		c.Header("Retry-After", strconv.Itoa(secs))
 		body.Error.RetryAfterSeconds = secs
 	}
-	g.scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("refusals").Inc(1)
+	g.Scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("refusals").Inc(1)
 	c.AbortWithStatusJSON(status, body)
 }
 
-func apiKey(c *gin.Context) string {
-	return strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
-}
-
-func (g *Gateway) chat(c *gin.Context) {
-	if g.draining.Load() {
-		g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "draining", "this entry is shutting down; any other entry will serve you", time.Second)
-		return
-	}
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
-	body, err := io.ReadAll(io.LimitReader(c.Request.Body, 4<<20))
-	if err != nil {
-		g.refuse(c, http.StatusBadRequest, openai.OutcomeNotRun, "bad_request", err.Error(), 0)
-		return
-	}
-	var req openai.ChatRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		g.refuse(c, http.StatusBadRequest, openai.OutcomeNotRun, "bad_request", "body is not a chat completion request: "+err.Error(), 0)
-		return
-	}
-	t := g.tables.Table()
-	if t == nil {
-		g.refuse(c, http.StatusServiceUnavailable, openai.OutcomeNotRun, "no_config", "this entry has no configuration yet", retryNoConfig)
-		return
-	}
-	rr := route.Request{
-		APIKey:      apiKey(c),
-		Model:       req.Model,
-		Session:     c.GetHeader(openai.HeaderSessionID),
-		AffinityKey: affinity(req),
-	}
-	g.pin(c, &rr)
-	dec, ref := t.Decide(rr, g.domain, g.loads)
-	if ref != nil {
-		g.refuse(c, ref.Status, openai.OutcomeNotRun, ref.Code, ref.Message, ref.RetryAfter)
-		return
-	}
-	g.issueToken(c, rr, dec)
-	rid := fmt.Sprintf("%s-%d", g.instance, g.seq.Add(1))
-	c.Header(openai.HeaderRequestID, rid)
-	c.Header(openai.HeaderVersion, dec.Version)
-	c.Header(openai.HeaderRevision, strconv.FormatInt(int64(t.Revision), 10))
-	release, ok := g.claim(c, dec, rid)
-	if !ok {
-		return
-	}
-	if ran := g.dispatch(c, dec, rid, body, req.Stream); !ran {
-		release()
-	}
+func (g *Gateway) refuseNotRun(c *gin.Context, r *route.Refusal) {
+	g.refuse(c, r.Status, openai.OutcomeNotRun, r.Code, r.Message, r.RetryAfter)
 }
 
-// pin reads a session token. A token that does not verify, or names another
-// session or model, is ignored: the session is then decided afresh, which is
-// no worse than a caller who never had a token.
-func (g *Gateway) pin(c *gin.Context, r *route.Request) {
-	tok := c.GetHeader(openai.HeaderSessionToken)
-	if g.keys == nil || tok == "" || r.Session == "" {
-		return
-	}
-	cl, err := g.keys.Verify(tok, g.clock.Now())
-	if err != nil || cl.Session != r.Session || cl.Model != r.Model {
-		g.scope.Counter("session_tokens_ignored").Inc(1)
-		return
-	}
-	r.PinnedVersion, r.PinnedCustomer = cl.Version, cl.Customer
-}
+// Refusals made here, before anything is sent to a back end.
+var (
+	errDraining = &route.Refusal{Code: "draining", Status: http.StatusServiceUnavailable,
+		Message: "this entry is shutting down; any other entry will serve you", RetryAfter: time.Second}
+	errNoConfig = &route.Refusal{Code: "no_config", Status: http.StatusServiceUnavailable,
+		Message: "this entry has no configuration yet", RetryAfter: time.Second}
+	errTooLarge = &route.Refusal{Code: "too_large", Status: http.StatusRequestEntityTooLarge, Message: "the body is too large"}
+)
 
-// issueToken gives a new session its pin.
-func (g *Gateway) issueToken(c *gin.Context, r route.Request, dec *route.Decision) {
-	if g.keys == nil || r.Session == "" || r.PinnedVersion == dec.Version {
-		return
-	}
-	tok, err := g.keys.Sign(session.Claims{Customer: dec.Customer, Session: r.Session, Model: dec.Model, Version: dec.Version}, g.clock.Now())
-	if err != nil {
-		g.log.Error("gateway: could not sign a session token.", "error", err)
-		return
-	}
-	c.Header(openai.HeaderSessionToken, tok)
+func badRequest(msg string) *route.Refusal {
+	return &route.Refusal{Code: "bad_request", Status: http.StatusBadRequest, Message: msg}
 }
 
-// affinity keys a request by the start of its first message: requests that
-// share a prompt prefix share cache on an engine.
-func affinity(r openai.ChatRequest) string {
-	const prefixBytes = 256
-	if len(r.Messages) == 0 {
-		return ""
-	}
-	s := r.Messages[0].Content
-	if len(s) > prefixBytes {
-		s = s[:prefixBytes]
-	}
-	return s
+func apiKey(c *gin.Context) string {
+	return strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/config"
+	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
 	"github.com/lovageweir/lovageweir/standin/engine"
@@ -33,7 +34,8 @@
 
 type fixedTables struct{ t *route.Table }
 
-func (f fixedTables) Table() *route.Table { return f.t }
+func (f fixedTables) Table() *route.Table   { return f.t }
+func (fixedTables) Refresh(context.Context) {}
 
 type backendSpec struct {
 	name, domain, kind, addr string
@@ -52,9 +54,18 @@
 	if fs := config.Validate(doc); len(fs) > 0 {
 		t.Fatal(fs)
 	}
-	g := New("e1", "fd-1", fixedTables{route.NewTable(1, doc)}, NewLoads(), nil, nil, nil,
-		Timeouts{FirstToken: testFirstToken, Idle: testFirstToken, Whole: testFirstToken}, fc,
-		slog.New(slog.NewTextHandler(io.Discard, nil)), tally.NoopScope)
+	return serveGateway(t, testDeps(doc, fc))
+}
+
+// testDeps are the parts of a gateway in fd-1 under doc.
+func testDeps(doc *config.Document, fc clockwork.Clock) Deps {
+	return Deps{Instance: "e1", Life: 1, Domain: "fd-1", Tables: fixedTables{route.NewTable(1, doc)}, Endpoints: endpoints.NewTable(fc),
+		Timeouts: Timeouts{FirstToken: testFirstToken, Idle: testFirstToken, Whole: testFirstToken}, Clock: fc,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope}
+}
+
+func serveGateway(t *testing.T, d Deps) *httptest.Server {
+	g := New(d)
 	gin.SetMode(gin.ReleaseMode)
 	r := gin.New()
 	g.Register(r)
@@ -78,39 +89,39 @@
 	return strings.TrimPrefix(srv.URL, "http://")
 }
 
-type answer struct {
+type reply struct {
 	status int
 	header http.Header
 	body   string
 }
 
 // ask sends a request in the background; the fake clock drives it.
-func ask(srv *httptest.Server, stream bool) <-chan answer {
-	out := make(chan answer, 1)
+func ask(srv *httptest.Server, stream bool) <-chan reply {
+	out := make(chan reply, 1)
 	go func() {
 		body := fmt.Sprintf(`{"model":"m","stream":%v,"max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`, stream)
 		req, _ := http.NewRequest(http.MethodPost, srv.URL+"/v1/chat/completions", strings.NewReader(body))
 		req.Header.Set("Authorization", "Bearer k")
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
-			out <- answer{status: -1, body: err.Error()}
+			out <- reply{status: -1, body: err.Error()}
 			return
 		}
 		defer resp.Body.Close()
 		b, _ := io.ReadAll(resp.Body)
-		out <- answer{status: resp.StatusCode, header: resp.Header, body: string(b)}
+		out <- reply{status: resp.StatusCode, header: resp.Header, body: string(b)}
 	}()
 	return out
 }
 
-func await(t *testing.T, ch <-chan answer) answer {
+func await(t *testing.T, ch <-chan reply) reply {
 	t.Helper()
 	select {
 	case a := <-ch:
 		return a
 	case <-time.After(callerGuard):
 		t.Fatal("the caller is still waiting after the first-token timeout passed: silence")
-		return answer{}
+		return reply{}
 	}
 }
 
--- /dev/null
+++ b/gateway/service.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/lovageweir/lovageweir/ledger"
+	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/route"
+)
+
+// ServicePrefix is where plain services are called: POST
+// /v1/services/NAME/PATH reaches a back end of model NAME as POST /PATH.
+const ServicePrefix = "/v1/services/"
+
+// serviceAnswer is the sink for a plain service's answer, given on as it is.
+type serviceAnswer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+func (s *serviceAnswer) streams() bool                    { return false }
+func (s *serviceAnswer) event([]byte, *openai.Chunk) bool { return false }
+func (s *serviceAnswer) reset()                           { *s = serviceAnswer{} }
+
+func (s *serviceAnswer) whole(resp *http.Response, body []byte) (int, error) {
+	if resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
+		return 0, fmt.Errorf("got %d bytes of %d", len(body), resp.ContentLength)
+	}
+	s.status, s.contentType, s.body = resp.StatusCode, resp.Header.Get("Content-Type"), body
+	return 0, nil
+}
+
+// service serves a call to a plain service.
+func (g *Gateway) service(c *gin.Context) {
+	if g.draining.Load() {
+		g.refuseNotRun(c, errDraining)
+		return
+	}
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBody+1))
+	switch {
+	case err != nil:
+		g.refuseNotRun(c, badRequest(err.Error()))
+		return
+	case len(body) > maxBody:
+		g.refuseNotRun(c, errTooLarge)
+		return
+	}
+	q := &request{c: c, release: func() {}, name: c.Param("name"),
+		service: &serviceCall{path: c.Param("path"), body: body, contentType: c.GetHeader("Content-Type")}}
+	ref := g.begin(q)
+	if ref == nil {
+		ref = g.serveService(q)
+	}
+	if ref != nil {
+		g.refuseNotRun(c, ref)
+	}
+}
+
+func (g *Gateway) serveService(q *request) *route.Refusal {
+	dec, ref := g.decide(q, q.name)
+	if ref != nil {
+		return ref
+	}
+	if ref := g.open(q, dec); ref != nil {
+		return ref
+	}
+	ans := &serviceAnswer{}
+	if g.run(q, dec, ans).kind != gotWhole {
+		return g.conclude(q, nil, nil)
+	}
+	g.settle(q, ledger.OutcomeOK)
+	g.Scope.Counter("answers").Inc(1)
+	q.c.Data(ans.status, ans.contentType, ans.body)
+	return nil
+}
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"testing"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -19,11 +16,13 @@
 	for _, batch := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) {
 			store := memkv.New(clockwork.NewFakeClock())
-			l := New(store, "entry-a", time.Unix(1, 0), slog.New(slog.NewTextHandler(io.Discard, nil)))
+			l := newLedger(store, "entry-a", 1, yes, clockwork.NewFakeClock())
 			ctx := context.Background()
 			b.ReportAllocs()
 			for i := 0; i < b.N; i++ {
-				l.Add(Record{RequestID: fmt.Sprintf("entry-a-%d", i), Customer: "customer-00042", Model: "model-03", Version: "v2", Tokens: 260, Outcome: "ok"})
+				r := Record{RequestID: fmt.Sprintf("entry-a-%d", i), Customer: "customer-00042", Uses: []Use{{Model: "model-03", Version: "v2", Tokens: 260}}, Outcome: OutcomeOK}
+				l.Open(r)
+				l.Settle(ctx, r)
 				if (i+1)%batch == 0 {
 					if err := l.Flush(ctx); err != nil {
 						b.Fatal(err)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,130 +10,204 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/lovageweir/lovageweir/kv"
 )
 
-// Prefix is where batches live in the KV.
-const Prefix = "/lovageweir/ledger/"
-
-// Record is one billed request.
-type Record struct {
-	RequestID string `json:"id"`
-	Customer  string `json:"cus"`
-	Model     string `json:"mdl"`
-	Version   string `json:"ver"`
-	Tokens    int    `json:"tok"`
-	// Outcome is "ok", or "outcome_unknown" for a request that may have run
-	// and is billed for the tokens seen.
-	Outcome string `json:"out"`
+// Bounds of the ledger.
+const (
+	// FlushInterval is how often a holder writes a batch.
+	FlushInterval = 2 * time.Second
+	// ownAfter is when an entry writes a record itself that its holder has
+	// not reported durable: several flushes, and the time to notice that the
+	// holder died.
+	ownAfter = 10 * time.Second
+	// batchMax keeps a batch well under the platform's 1 MB a value.
+	batchMax = 4000
+)
+
+// waiting is a record that is not durable yet.
+type waiting struct {
+	rec   Record
+	since time.Time
 }
 
-// Ledger buffers records and flushes them as batches.
+// batch is one write; its outcome may be unknown.
+type batch struct {
+	key   string
+	value []byte
+	recs  []Record
+	owner []string // per record: whose it is; "" this entry's
+}
+
+// foreign is a record that another entry handed over to be written.
+type foreign struct {
+	rec   Record
+	owner string
+}
+
+// Ledger is one entry's billing. It is safe for concurrent use; its lock is
+// never held across a call.
 type Ledger struct {
-	kv    kv.KV
-	log   *slog.Logger
-	owner string // instance + start epoch: unique per process life
+	kv       kv.KV
+	clock    clockwork.Clock
+	log      *slog.Logger
+	instance string
+	life     int64
+	holder   func() bool // whether this entry writes its domain's records
 
-	mu      sync.Mutex // guards buf and seq; never held across a KV call
-	buf     []Record
+	mu      sync.Mutex
+	open    map[string]Record  // dispatched, not ended
+	wait    map[string]waiting // ended, not durable
 	seq     int
-	pending *batch // a batch whose write outcome is not yet known
+	pending *batch // a write whose outcome is not yet known
+
+	shadow shadowState
 }
 
-type batch struct {
-	key   string
-	value []byte
-	n     int
+// New returns the ledger of one life of an instance. holder tells whether
+// this entry writes at once; the others' records are written by theirs.
+func New(c kv.KV, instance string, life int64, holder func() bool, clock clockwork.Clock, log *slog.Logger) *Ledger {
+	return &Ledger{kv: c, clock: clock, log: log, instance: instance, life: life, holder: holder,
+		open: map[string]Record{}, wait: map[string]waiting{}, shadow: newShadowState()}
 }
 
-// New returns a ledger for instance, started at start.
-func New(c kv.KV, instance string, start time.Time, log *slog.Logger) *Ledger {
-	return &Ledger{kv: c, log: log, owner: fmt.Sprintf("%s/%d", instance, start.UnixNano())}
+// Open notes a request that is about to be dispatched.
+func (l *Ledger) Open(r Record) {
+	r.Outcome = OutcomeUnknown
+	l.mu.Lock()
+	l.open[r.RequestID] = r
+	l.shadow.changed(r.RequestID)
+	l.mu.Unlock()
 }
 
-// Add records one billed request.
-func (l *Ledger) Add(r Record) {
+// Drop forgets an opened request that did not run.
+func (l *Ledger) Drop(rid string) {
 	l.mu.Lock()
-	l.buf = append(l.buf, r)
+	delete(l.open, rid)
+	l.shadow.settled = append(l.shadow.settled, rid)
+	l.shadow.changed(rid)
 	l.mu.Unlock()
 }
 
-// Flush writes what is buffered as one batch. A batch whose outcome was
-// unknown last time is written again first, to the same key with the same
-// bytes, so it can land at most once.
-func (l *Ledger) Flush(ctx context.Context) error {
-	b, err := l.next()
+// Settle bills a request that ended. It waits, shortly at most, until a
+// second entry holds the record too, so the caller never has the end of an
+// answer that a crash would leave unbilled.
+func (l *Ledger) Settle(ctx context.Context, r Record) {
+	l.mu.Lock()
+	delete(l.open, r.RequestID)
+	l.wait[r.RequestID] = waiting{rec: r, since: l.clock.Now()}
+	mark := l.shadow.changed(r.RequestID)
+	l.mu.Unlock()
+	l.awaitCopy(ctx, mark)
+}
+
+// Flush writes one batch if there is something to write. A batch whose
+// outcome was unknown is written again first, to the same key with the same
+// bytes.
+func (l *Ledger) Flush(ctx context.Context) error { return l.flush(ctx, false) }
+
+// FlushAll writes everything not yet durable; for a planned stop.
+func (l *Ledger) FlushAll(ctx context.Context) error {
+	for l.Waiting() > 0 {
+		if err := l.flush(ctx, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) flush(ctx context.Context, all bool) error {
+	b, err := l.next(all)
 	if err != nil || b == nil {
 		return err
 	}
 	ok, _, cur, err := l.kv.CompareAndPut(ctx, b.key, 0, b.value, 0)
 	if err != nil {
-		// Outcome unknown: keep the batch, try the same write again later.
 		return trace.Wrap(err, "ledger: batch %s not confirmed", b.key)
 	}
 	if !ok && (cur == nil || !bytes.Equal(cur.Value, b.value)) {
 		l.log.Error("ledger: batch key taken by other bytes; this should not happen.", "key", b.key)
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.pending = nil
-	l.mu.Unlock()
+	for i, r := range b.recs {
+		if b.owner[i] == "" {
+			delete(l.wait, r.RequestID)
+			l.shadow.settled = append(l.shadow.settled, r.RequestID)
+		} else {
+			l.shadow.madeDurable(b.owner[i], r.RequestID)
+		}
+	}
 	return nil
 }
 
-func (l *Ledger) next() (*batch, error) {
+// next picks what to write: what others handed over, and this entry's own
+// records if it is a holder or its holder is late with them.
+func (l *Ledger) next(all bool) (*batch, error) {
+	holder := l.holder()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.pending != nil {
 		return l.pending, nil
 	}
-	if len(l.buf) == 0 {
+	b := &batch{}
+	l.shadow.takeForeign(batchMax, func(f foreign) {
+		b.recs, b.owner = append(b.recs, f.rec), append(b.owner, f.owner)
+	})
+	now := l.clock.Now()
+	for _, w := range l.wait {
+		if len(b.recs) >= batchMax {
+			break
+		}
+		if all || holder || now.Sub(w.since) >= ownAfter {
+			b.recs, b.owner = append(b.recs, w.rec), append(b.owner, "")
+		}
+	}
+	if len(b.recs) == 0 {
 		return nil, nil
 	}
-	v, err := json.Marshal(l.buf)
+	v, err := json.Marshal(b.recs)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	l.seq++
-	l.pending = &batch{key: fmt.Sprintf("%s%s/%08d", Prefix, l.owner, l.seq), value: v, n: len(l.buf)}
-	l.buf = nil
-	return l.pending, nil
+	b.key, b.value = fmt.Sprintf("%s%s/%d/%08d", Prefix, l.instance, l.life, l.seq), v
+	l.pending = b
+	return b, nil
 }
 
-// Buffered returns how many records wait for a flush.
-func (l *Ledger) Buffered() int {
+// Waiting is how many records, this entry's and others', are not durable.
+func (l *Ledger) Waiting() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := len(l.buf)
+	n := len(l.wait) + len(l.shadow.foreign)
 	if l.pending != nil {
-		n += l.pending.n
+		for _, o := range l.pending.owner {
+			if o != "" {
+				n++ // its own records still count in l.wait
+			}
+		}
 	}
 	return n
 }
 
-// Totals sums every batch under Prefix, counting each request id once.
-// It returns tokens per customer and how many repeated ids it dropped.
-func Totals(ctx context.Context, c kv.KV) (map[string]int, int, error) {
-	_, kvs, err := c.Get(ctx, Prefix, true)
-	if err != nil {
-		return nil, 0, err
-	}
-	seen := map[string]bool{}
-	out := map[string]int{}
-	dups := 0
-	for _, v := range kvs {
-		var recs []Record
-		if err := json.Unmarshal(v.Value, &recs); err != nil {
-			return nil, 0, trace.Wrap(err, "ledger: batch %s", v.Key)
-		}
-		for _, r := range recs {
-			if seen[r.RequestID] {
-				dups++
-				continue
-			}
-			seen[r.RequestID] = true
-			out[r.Customer] += r.Tokens
-		}
-	}
-	return out, dups, nil
+// State is the ledger's part of the state dump.
+type State struct {
+	Open    int `json:"open"`
+	Waiting int `json:"waiting"`
+	// Owners is how many other entries' requests it keeps copies of.
+	Owners int `json:"owners"`
+	// Batches is how many batches this life wrote.
+	Batches int `json:"batches"`
+}
+
+// State returns the current dump.
+func (l *Ledger) State() State {
+	n := l.Waiting()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return State{Open: len(l.open), Waiting: n, Owners: len(l.shadow.owners), Batches: l.seq}
 }
--- a/openai/types.go
+++ b/openai/types.go
@@ -89,4 +89,69 @@
 	HeaderVersion        = "X-Lovageweir-Version"
 	HeaderBackend        = "X-Lovageweir-Backend"
 	HeaderRevision       = "X-Lovageweir-Config-Revision"
+	// HeaderDraining is set by a back end that refuses because it leaves.
+	HeaderDraining = "X-Draining"
+	// HeaderQuality is QualityBelow on an answer of a cascade that no step
+	// brought to its target.
+	HeaderQuality = "X-Lovageweir-Quality"
+	QualityBelow  = "below-target"
 )
+
+// Paths of what engines and the instance list report of themselves. They
+// are no part of the OpenAI API; a deployment whose engines report
+// otherwise needs an adapter that answers in this form.
+const (
+	PathLoad      = "/load"
+	PathInstances = "/v1/instances"
+	PathOrders    = "/orders"
+)
+
+// LoadReport is an engine's word on itself. It lags.
+type LoadReport struct {
+	Model    string `json:"model"`
+	Version  string `json:"version"`
+	InFlight int    `json:"in_flight"`
+	Capacity int    `json:"capacity"`
+	Draining bool   `json:"draining"`
+}
+
+// Kinds and states of Instance.
+const (
+	InstanceEntry    = "entry"
+	InstanceEndpoint = "endpoint"
+	InstanceLive     = "live"
+	InstanceLeaving  = "leaving"
+)
+
+// Instance is one row of the platform's instance list.
+type Instance struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	State   string `json:"state"`
+}
+
+// InstanceList is the platform's list of instances. It lags; Revision rises
+// with every change of it.
+type InstanceList struct {
+	Revision  int64      `json:"revision"`
+	Instances []Instance `json:"instances"`
+}
+
+// Actions of Order.
+const (
+	OrderLoad   = "load"
+	OrderDrain  = "drain"
+	OrderResume = "resume"
+)
+
+// Order tells an engine what to serve. Fence is the fencing number of the
+// lease its sender acts under; some engines refuse an old one (409), others
+// obey.
+type Order struct {
+	Fence   int64  `json:"fence"`
+	Action  string `json:"action"`
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+}
--- /dev/null
+++ b/peers/gossip.go
@@ -0,0 +1,200 @@
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lovageweir/lovageweir/rpc/peerpb"
+)
+
+// Bounds of gossip.
+const (
+	// Interval is the time between two rounds an entry starts.
+	Interval = time.Second
+	// foreignEvery makes every n-th round go to another failure domain.
+	foreignEvery = 4
+	// exchangeWait bounds one exchange: a peer behind a cut or a connection
+	// gone silent must not hold up the next round.
+	exchangeWait = 700 * time.Millisecond
+	// seedEvery makes every n-th round go to a seed even when members are
+	// known: after a long cut both sides have forgotten each other, and
+	// without this the two halves would never meet again.
+	seedEvery = 10
+	// rumourFanout is how many peers hear of news at once.
+	rumourFanout = 3
+)
+
+// Received is a peer's digest.
+type Received struct {
+	*peerpb.Digest
+	// Asked is when this entry asked for it, zero when the peer sent it
+	// unasked. An unasked digest may have lain in a socket while this process
+	// was paused, so nothing in it says how things stand now.
+	Asked time.Time
+}
+
+// Topic is one kind of knowledge carried in digests. Fill adds it; local is
+// true when the peer is in the same failure domain. Merge takes the peer's
+// and returns whether it held news worth passing on at once.
+type Topic interface {
+	Fill(d *peerpb.Digest, local bool)
+	Merge(ctx context.Context, d Received) (news bool)
+}
+
+// Dial returns a client for a peer's base URL.
+type Dial func(address string) peerpb.Peer
+
+// HTTPDial returns a Dial over HTTP whose calls share one connection pool.
+func HTTPDial() Dial {
+	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}
+	var clients sync.Map // address -> peerpb.Peer
+	return func(address string) peerpb.Peer {
+		if c, ok := clients.Load(address); ok {
+			return c.(peerpb.Peer)
+		}
+		c := peerpb.NewPeerProtobufClient(address, hc)
+		clients.Store(address, c)
+		return c
+	}
+}
+
+// Gossip runs exchanges over a table.
+type Gossip struct {
+	table *Table
+	seeds func() []string // base URLs to try besides the known members
+	dial  Dial
+	log   *slog.Logger
+
+	topics []Topic
+	round  int
+	rumour chan struct{}
+}
+
+// NewGossip returns gossip over table. seeds gives base URLs that may hold a
+// peer: from the settings and from the platform's instance list.
+func NewGossip(table *Table, seeds func() []string, dial Dial, log *slog.Logger) *Gossip {
+	return &Gossip{table: table, seeds: seeds, dial: dial, log: log, rumour: make(chan struct{}, 1)}
+}
+
+// Add registers topics; it must be called before the first round.
+func (g *Gossip) Add(topics ...Topic) { g.topics = append(g.topics, topics...) }
+
+// Digest is what this entry tells a peer.
+func (g *Gossip) Digest(local bool) *peerpb.Digest {
+	d := &peerpb.Digest{From: g.table.Self(), Members: g.table.Rows()}
+	for _, t := range g.topics {
+		t.Fill(d, local)
+	}
+	return d
+}
+
+// receive merges a peer's digest. News makes a rumour: it is passed on
+// without waiting for the next round.
+func (g *Gossip) receive(ctx context.Context, d Received) {
+	g.table.Merge(append(d.Members, d.From))
+	news := false
+	for _, t := range g.topics {
+		news = t.Merge(ctx, d) || news
+	}
+	if news {
+		g.Rumour()
+	}
+}
+
+// Rumour asks for an extra round at once.
+func (g *Gossip) Rumour() {
+	select {
+	case g.rumour <- struct{}{}:
+	default: // one is already asked for
+	}
+}
+
+// Serve answers a peer's exchange.
+func (g *Gossip) Serve(ctx context.Context, d *peerpb.Digest) *peerpb.Digest {
+	local := d.From != nil && d.From.Domain == g.table.Self().Domain
+	out := g.Digest(local)
+	g.receive(ctx, Received{Digest: d})
+	return out
+}
+
+// Round starts one exchange with a random peer.
+func (g *Gossip) Round(ctx context.Context) {
+	g.table.Beat()
+	g.round++
+	to := g.pick(1, g.round%foreignEvery == 0)
+	if len(to) == 0 || g.round%seedEvery == 0 {
+		g.seedRound(ctx)
+		return
+	}
+	g.exchange(ctx, to[0])
+}
+
+// Spread tells a few peers of news, one of them in another domain.
+func (g *Gossip) Spread(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, to := range append(g.pick(rumourFanout, false), g.pick(1, true)...) {
+		wg.Add(1)
+		go func() { defer wg.Done(); g.exchange(ctx, to) }()
+	}
+	wg.Wait()
+}
+
+// seedRound reaches for a seed: at start, and now and then.
+func (g *Gossip) seedRound(ctx context.Context) {
+	self := g.table.Self().Address
+	seeds := slices.DeleteFunc(g.seeds(), func(a string) bool { return a == self })
+	if len(seeds) > 0 {
+		g.exchange(ctx, &peerpb.Member{Address: seeds[rand.IntN(len(seeds))]})
+	}
+}
+
+// pick returns up to n random live members of this domain, or of others.
+func (g *Gossip) pick(n int, foreign bool) []*peerpb.Member {
+	mine := g.table.Self().Domain
+	var pool []*peerpb.Member
+	for _, m := range g.table.Live() {
+		if (m.Domain != mine) == foreign {
+			pool = append(pool, m)
+		}
+	}
+	if len(pool) == 0 && n == 1 { // alone here, or no other domain known
+		pool = g.table.Live()
+	}
+	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	return pool[:min(n, len(pool))]
+}
+
+func (g *Gossip) exchange(ctx context.Context, to *peerpb.Member) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeWait)
+	defer cancel()
+	local := to.Domain == "" || to.Domain == g.table.Self().Domain
+	asked := g.table.clock.Now()
+	d, err := g.dial(to.Address).Exchange(ctx, g.Digest(local))
+	if err != nil {
+		g.log.Debug("peers: exchange failed.", "peer", to.Address, "error", err)
+		return
+	}
+	g.receive(ctx, Received{Digest: d, Asked: asked})
+}
+
+// Run gossips until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	g.Round(ctx)
+	for {
+		select {
+		case <-t.C:
+			g.Round(ctx)
+		case <-g.rumour:
+			g.Spread(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/rater/rater.go
@@ -0,0 +1,77 @@
+// Package rater is the port to the platform's service that rates answers:
+// a score from 0 (useless) to 1 (good) for one answer. The rater may be slow
+// or away; who asks says what happens then.
+package rater
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Path is where the service takes answers (POST, Answer as JSON).
+const Path = "/v1/rate"
+
+// Wait bounds one rating.
+const Wait = 500 * time.Millisecond
+
+// Answer is what is rated.
+type Answer struct {
+	RequestID string `json:"request_id"`
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	Prompt    string `json:"prompt"`
+	Text      string `json:"text"`
+}
+
+// Score is the service's answer.
+type Score struct {
+	Score float64 `json:"score"`
+}
+
+// Rater rates answers.
+type Rater interface {
+	Rate(ctx context.Context, a Answer) (float64, error)
+}
+
+// Client is a Rater over HTTP.
+type Client struct {
+	base string
+	hc   *http.Client
+}
+
+// NewClient returns a client of the service at baseURL.
+func NewClient(baseURL string) *Client {
+	return &Client{base: strings.TrimSuffix(baseURL, "/"),
+		hc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}}
+}
+
+// Rate implements Rater.
+func (c *Client) Rate(ctx context.Context, a Answer) (float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, Wait)
+	defer cancel()
+	b, err := json.Marshal(a)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+Path, bytes.NewReader(b))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.hc.Do(req)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, trace.ConnectionProblem(nil, "rater: answered %d", resp.StatusCode)
+	}
+	var s Score
+	return s.Score, trace.Wrap(json.NewDecoder(resp.Body).Decode(&s))
+}
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -46,7 +46,7 @@
 
 type noLoads struct{}
 
-func (noLoads) State(string) (int, bool) { return 0, false }
+func (noLoads) State(*BackendInfo) (int, bool) { return 0, true }
 
 // BenchmarkDecide is the per-request routing decision on the data path.
 func BenchmarkDecide(b *testing.B) {
@@ -57,7 +57,7 @@
 			for i := 0; i < b.N; i++ {
 				c := i % s.Customers
 				r := Request{APIKey: synth.APIKey(c), Model: synth.ModelName(c % s.Models), Session: "s", AffinityKey: "prefix"}
-				if _, ref := t.Decide(r, "fd-00", noLoads{}); ref != nil {
+				if _, ref := t.Decide(r, View{Domain: "fd-00", Endpoints: noLoads{}}); ref != nil {
 					b.Fatal(ref)
 				}
 			}
--- a/route/decide.go
+++ b/route/decide.go
@@ -16,10 +16,10 @@
 	Model  string
 	// Session is the caller's session id; empty for a one-off request.
 	Session string
-	// PinnedVersion is the version a verified session token carries, for
-	// PinnedCustomer; empty when the session is new. A pin for another
-	// customer than the API key's is ignored.
-	PinnedVersion  string
+	// Pins are the versions a verified session token carries, by model, for
+	// PinnedCustomer. Pins of another customer than the API key's are
+	// ignored.
+	Pins           map[string]string
 	PinnedCustomer string
 	// AffinityKey groups requests that share a prompt prefix, so they land
 	// where that prefix is likely cached.
@@ -58,15 +58,30 @@
 
 func (r *Refusal) Error() string { return r.Code + ": " + r.Message }
 
-// Loads reports a back end's current load (lower is better) and whether it
-// is leaving, in one call, so a decision takes the load table's lock once
-// per back end it looks at.
-type Loads interface {
-	State(backend string) (load int, leaving bool)
+// Endpoints tells a back end's current load (lower is better) and whether it
+// may be given new work, in one call, so a decision takes the table's lock
+// once per back end it looks at.
+type Endpoints interface {
+	State(b *BackendInfo) (load int, usable bool)
 }
 
-// Decide routes one request under table t for the entry in domain.
-func (t *Table) Decide(r Request, domain string, loads Loads) (*Decision, *Refusal) {
+// Halts tells whether a version was halted for answering badly.
+type Halts interface {
+	Halted(subject string) bool
+}
+
+// View is what a decision knows besides the configuration. Nil fields are
+// left out of account.
+type View struct {
+	Domain    string // the entry's failure domain
+	Endpoints Endpoints
+	Halts     Halts
+}
+
+func (v View) halted(subject string) bool { return v.Halts != nil && v.Halts.Halted(subject) }
+
+// Decide routes one request for one model under table t.
+func (t *Table) Decide(r Request, view View) (*Decision, *Refusal) {
 	cust, ok := t.byKey[r.APIKey]
 	if !ok {
 		return nil, &Refusal{Code: CodeUnknownKey, Status: http.StatusUnauthorized, Message: "the API key is not known"}
@@ -77,11 +92,11 @@
 		return nil, &Refusal{Code: CodeModelNotAllowed, Status: http.StatusForbidden,
 			Message: fmt.Sprintf("customer %s may not use model %s", cust, r.Model)}
 	}
-	version, ref := t.pickVersion(r, cust, allowed)
+	version, ref := t.pickVersion(r, cust, allowed, view)
 	if ref != nil {
 		return nil, ref
 	}
-	cands := t.candidates(r.Model, version, domain, r.AffinityKey, loads)
+	cands := t.candidates(r.Model, version, r.AffinityKey, view)
 	if len(cands) == 0 {
 		return nil, &Refusal{Code: CodeNoBackend, Status: http.StatusServiceUnavailable,
 			Message: fmt.Sprintf("no back end serves %s@%s now", r.Model, version), RetryAfter: noBackendRetry}
@@ -95,21 +110,25 @@
 
 // pickVersion keeps a pinned session on its version, and otherwise picks an
 // active version by weight, hashed on the session so a session without a
-// token still lands on one version while the weights hold.
-func (t *Table) pickVersion(r Request, cust string, allowed []string) (string, *Refusal) {
-	if r.PinnedVersion != "" && r.PinnedCustomer == cust {
-		v, ok := t.doc.Models[r.Model].Versions[r.PinnedVersion]
-		if !ok || v.State != config.StateActive || !versionAllowed(allowed, r.PinnedVersion) {
+// token still lands on one version while the weights hold. A halted
+// version's weight goes to the baseline it is guarded against.
+func (t *Table) pickVersion(r Request, cust string, allowed []string, view View) (string, *Refusal) {
+	if pin := r.Pins[r.Model]; pin != "" && r.PinnedCustomer == cust {
+		v, ok := t.doc.Models[r.Model].Versions[pin]
+		if !ok || v.State != config.StateActive || !versionAllowed(allowed, pin) || view.halted(Subject(r.Model, pin, v)) {
 			// A silent switch would break the session's promise; say so.
 			return "", &Refusal{Code: CodeVersionWithdrawn, Status: http.StatusConflict,
-				Message: fmt.Sprintf("session version %s@%s is no longer offered; start a new session", r.Model, r.PinnedVersion)}
+				Message: fmt.Sprintf("session version %s@%s is no longer offered; start a new session", r.Model, pin)}
 		}
-		return r.PinnedVersion, nil
+		return pin, nil
 	}
 	var pool []weighted
 	total := 0
 	for _, w := range t.active[r.Model] {
-		if versionAllowed(allowed, w.version) {
+		if view.halted(w.subject) {
+			w.version = w.baseline
+		}
+		if w.version != "" && versionAllowed(allowed, w.version) {
 			pool = append(pool, w)
 			total += w.weight
 		}
@@ -138,18 +157,18 @@
 // first (a cut-off domain keeps serving itself), then lowest load, then
 // prefix affinity by rendezvous hashing so a shared prefix tends to one
 // engine. Other domains are scanned only when the own one has too few.
-func (t *Table) candidates(model, version, domain, affinity string, loads Loads) []BackendInfo {
+func (t *Table) candidates(model, version, affinity string, view View) []BackendInfo {
 	vb := t.backends[modelVersion{model, version}]
 	if vb == nil {
 		return nil
 	}
 	var top topK
 	ah := hash64(affinity)
-	top.scan(vb.byDomain[domain], true, ah, loads)
+	top.scan(vb.byDomain[view.Domain], true, ah, view.Endpoints)
 	if top.n < maxCandidates {
 		for _, d := range vb.domains {
-			if d != domain {
-				top.scan(vb.byDomain[d], false, ah, loads)
+			if d != view.Domain {
+				top.scan(vb.byDomain[d], false, ah, view.Endpoints)
 			}
 		}
 	}
@@ -184,12 +203,12 @@
 	n     int
 }
 
-func (k *topK) scan(list []backendEntry, local bool, affinityHash uint64, loads Loads) {
+func (k *topK) scan(list []backendEntry, local bool, affinityHash uint64, eps Endpoints) {
 	for i := range list {
 		s := scored{info: list[i].info, local: local, affinity: mix(affinityHash ^ list[i].nameHash)}
-		if loads != nil {
-			var leaving bool
-			if s.load, leaving = loads.State(s.info.Name); leaving {
+		if eps != nil {
+			var usable bool
+			if s.load, usable = eps.State(&s.info); !usable {
 				continue
 			}
 		}
@@ -226,6 +245,27 @@
 	return x
 }
 
+// Steps returns what a request for name may go through: the cascade's steps
+// that the customer may use, or the one model. It is empty when the customer
+// may not use name at all.
+func (t *Table) Steps(apiKey, name string) []config.Step {
+	c := t.doc.Customers[t.byKey[apiKey]]
+	cascade, ok := t.doc.Cascades[name]
+	if !ok {
+		return []config.Step{{Model: name}}
+	}
+	if _, ok := c.Allow[name]; !ok {
+		return nil
+	}
+	var out []config.Step
+	for _, st := range cascade.Steps {
+		if _, ok := c.Allow[st.Model]; ok {
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
 func hash64(s string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
--- a/route/property_test.go
+++ b/route/property_test.go
@@ -10,6 +10,9 @@
 	"github.com/lovageweir/lovageweir/config"
 )
 
+// view is an entry in fd-1 that knows nothing but the configuration.
+var view = View{Domain: "fd-1"}
+
 // genDoc draws a document with one customer whose allow list is a random
 // subset of a model's versions, random roll-out weights, and one back end
 // per version.
@@ -54,8 +57,8 @@
 		doc, allowed := genDoc(t)
 		tab := NewTable(1, doc)
 		r := Request{APIKey: "k", Model: "m", Session: rapid.String().Draw(t, "session"),
-			PinnedVersion: rapid.SampledFrom([]string{"", "v0", "v1", "v2", "v3", "v4"}).Draw(t, "pin"), PinnedCustomer: "c"}
-		dec, ref := tab.Decide(r, "fd-1", nil)
+			Pins: map[string]string{"m": rapid.SampledFrom([]string{"", "v0", "v1", "v2", "v3", "v4"}).Draw(t, "pin")}, PinnedCustomer: "c"}
+		dec, ref := tab.Decide(r, view)
 		if ref != nil {
 			return
 		}
@@ -82,13 +85,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		doc, _ := genDoc(t)
 		sess := rapid.StringN(1, 12, -1).Draw(t, "session")
-		first, ref := NewTable(1, doc).Decide(Request{APIKey: "k", Model: "m", Session: sess}, "fd-1", nil)
+		first, ref := NewTable(1, doc).Decide(Request{APIKey: "k", Model: "m", Session: sess}, view)
 		if ref != nil {
 			return
 		}
 		next := NewTable(2, reweigh(t, doc))
 		again, ref := next.Decide(Request{APIKey: "k", Model: "m", Session: sess,
-			PinnedVersion: first.Version, PinnedCustomer: first.Customer}, "fd-1", nil)
+			Pins: map[string]string{"m": first.Version}, PinnedCustomer: first.Customer}, view)
 		if ref != nil {
 			if ref.Code != CodeVersionWithdrawn && ref.Code != CodeNoBackend {
 				t.Fatalf("refusal %s for a pinned session", ref.Code)
@@ -109,7 +112,7 @@
 		doc = reweigh(t, doc)
 		tab := NewTable(1, doc)
 		pin := rapid.SampledFrom([]string{"", "v0", "v1", "v2", "v3", "v4"}).Draw(t, "pin")
-		dec, ref := tab.Decide(Request{APIKey: "k", Model: "m", Session: rapid.String().Draw(t, "s"), PinnedVersion: pin, PinnedCustomer: "c"}, "fd-1", nil)
+		dec, ref := tab.Decide(Request{APIKey: "k", Model: "m", Session: rapid.String().Draw(t, "s"), Pins: map[string]string{"m": pin}, PinnedCustomer: "c"}, view)
 		if ref != nil {
 			return
 		}
@@ -121,7 +124,7 @@
 
 type mapLoads map[string]int
 
-func (m mapLoads) State(b string) (int, bool) { l := m[b]; return l, l < 0 }
+func (m mapLoads) State(b *BackendInfo) (int, bool) { l := m[b.Name]; return l, l >= 0 }
 
 // TestPropertyCandidatesAreTheBestOfAll: the domain index and top-K
 // selection pick exactly what scoring every back end and sorting would:
@@ -140,7 +143,7 @@
 			loads[name] = rapid.IntRange(-1, 3).Draw(t, "load"+name)
 		}
 		affinity := rapid.String().Draw(t, "affinity")
-		got := NewTable(1, doc).candidates("m", "v1", "fd-1", affinity, loads)
+		got := NewTable(1, doc).candidates("m", "v1", affinity, View{Domain: "fd-1", Endpoints: loads})
 		var want []scored
 		ah := hash64(affinity)
 		for name, b := range doc.Backends {
@@ -170,3 +173,40 @@
 		}
 	})
 }
+
+type haltSet map[string]bool
+
+func (h haltSet) Halted(subject string) bool { return h[subject] }
+
+// TestPropertyHaltedVersionGetsNoNewWork: invariant 2 for a version halted
+// by its guard. Symptom: customers go on getting drafts of a version that
+// was halted. Sequence: a guarded version is halted while sessions are
+// pinned to it and weights send it new ones. Here no request reaches it; new
+// sessions go to its baseline if the customer may use that, else are
+// refused, and pinned ones are told version_withdrawn.
+func TestPropertyHaltedVersionGetsNoNewWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		doc, allowed := genDoc(t)
+		m := doc.Models["m"]
+		bad, base := "v0", "v1"
+		if _, ok := m.Versions[base]; !ok {
+			return
+		}
+		v := m.Versions[bad]
+		v.Guard = &config.Guard{Baseline: base}
+		m.Versions[bad] = v
+		halted := View{Domain: "fd-1", Halts: haltSet{Subject("m", bad, v): true}}
+		pin := rapid.SampledFrom([]string{"", bad, base}).Draw(t, "pin")
+		dec, ref := NewTable(1, doc).Decide(Request{APIKey: "k", Model: "m", Session: rapid.String().Draw(t, "s"),
+			Pins: map[string]string{"m": pin}, PinnedCustomer: "c"}, halted)
+		if ref != nil {
+			if pin == bad && ref.Code != CodeVersionWithdrawn {
+				t.Fatalf("a session pinned to the halted version was refused %s", ref.Code)
+			}
+			return
+		}
+		if dec.Version == bad || !slices.Contains(allowed, dec.Version) {
+			t.Fatalf("routed to %s (allowed %v)", dec.Version, allowed)
+		}
+	})
+}
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"sort"
 
 	"github.com/lovageweir/lovageweir/config"
@@ -30,8 +31,17 @@
 }
 
 type weighted struct {
-	version string
-	weight  int
+	version  string
+	weight   int
+	subject  string // for Halts
+	baseline string // serves instead when the version is halted; may be ""
+}
+
+// Subject names one attempt at bringing in a version, as Halts knows it.
+// Halts only ever grow, so an operator who wants to try a halted version
+// again raises its attempt.
+func Subject(model, version string, v config.Version) string {
+	return fmt.Sprintf("%s@%s#%d", model, version, v.Attempt)
 }
 
 type modelVersion struct{ model, version string }
@@ -43,8 +53,14 @@
 	Domain     string
 	Kind       string
 	Idempotent bool
+	Model      string
+	Version    string
 }
 
+// Serves is the model@version the back end is configured to serve: the model
+// name it is called with, so that one that serves another refuses.
+func (b *BackendInfo) Serves() string { return b.Model + "@" + b.Version }
+
 // NewTable compiles a validated document.
 func NewTable(rev kv.Revision, doc *config.Document) *Table {
 	t := &Table{
@@ -62,7 +78,7 @@
 	for name, m := range doc.Models {
 		for v, ver := range m.Versions {
 			if ver.State == config.StateActive && ver.Weight > 0 {
-				t.active[name] = append(t.active[name], weighted{v, ver.Weight})
+				t.active[name] = append(t.active[name], weighted{version: v, weight: ver.Weight, subject: Subject(name, v, ver), baseline: baselineOf(m, ver)})
 			}
 		}
 		sort.Slice(t.active[name], func(i, j int) bool { return t.active[name][i].version < t.active[name][j].version })
@@ -74,7 +90,7 @@
 			vb = &versionBackends{byDomain: map[string][]backendEntry{}}
 			t.backends[mv] = vb
 		}
-		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent}
+		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent, Model: b.Model, Version: b.Version}
 		vb.byDomain[b.Domain] = append(vb.byDomain[b.Domain], backendEntry{info: info, nameHash: hash64(name)})
 	}
 	for _, vb := range t.backends {
@@ -87,5 +103,47 @@
 	return t
 }
 
+// baselineOf is the version that takes over from a halted one, if it is
+// still offered.
+func baselineOf(m config.Model, v config.Version) string {
+	if v.Guard == nil || m.Versions[v.Guard.Baseline].State != config.StateActive {
+		return ""
+	}
+	return v.Guard.Baseline
+}
+
+// Engines returns the engines of a failure domain.
+func (t *Table) Engines(domain string) []BackendInfo {
+	var out []BackendInfo
+	for _, vb := range t.backends {
+		for _, e := range vb.byDomain[domain] {
+			if e.info.Kind == config.KindEngine {
+				out = append(out, e.info)
+			}
+		}
+	}
+	return out
+}
+
+// Guarded returns the subject of a version and what its answers must come
+// to, or nil when the version is not guarded.
+func (t *Table) Guarded(model, version string) (string, *config.Guard) {
+	v := t.doc.Models[model].Versions[version]
+	return Subject(model, version, v), v.Guard
+}
+
+// SkipBelow is the share of answers that must pass a cascade's step with
+// model for it to be worth trying before the step with next.
+func (t *Table) SkipBelow(cascade, model, next string) float64 {
+	if s := t.doc.Cascades[cascade].SkipBelow; s > 0 {
+		return s
+	}
+	cost, nextCost := t.doc.Models[model].CostPerMTok, t.doc.Models[next].CostPerMTok
+	if nextCost <= 0 {
+		return 0
+	}
+	return cost / nextCost
+}
+
 // Document returns the document the table was built from.
 func (t *Table) Document() *config.Document { return t.doc }
--- a/rpc/peerpb/peer.twirp.go
+++ b/rpc/peerpb/peer.twirp.go
@@ -32,9 +32,13 @@
 // ==============
 
 type Peer interface {
+	Exchange(context.Context, *Digest) (*Digest, error)
+
 	Config(context.Context, *ConfigRequest) (*ConfigResponse, error)
 
 	Status(context.Context, *StatusRequest) (*StatusResponse, error)
+
+	Shadow(context.Context, *ShadowRequest) (*ShadowResponse, error)
 }
 
 // ====================
@@ -43,7 +47,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -71,9 +75,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "lovageweir.peer.v1", "Peer")
-	urls := [2]string{
+	urls := [4]string{
+		serviceURL + "Exchange",
 		serviceURL + "Config",
 		serviceURL + "Status",
+		serviceURL + "Shadow",
 	}
 
 	return &peerProtobufClient{
@@ -84,6 +90,52 @@
 	}
 }
 
+func (c *peerProtobufClient) Exchange(ctx context.Context, in *Digest) (*Digest, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovageweir.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	caller := c.callExchange
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Digest) (*Digest, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Digest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Digest) when calling interceptor")
+					}
+					return c.callExchange(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Digest)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Digest) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callExchange(ctx context.Context, in *Digest) (*Digest, error) {
+	out := new(Digest)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *peerProtobufClient) Config(ctx context.Context, in *ConfigRequest) (*ConfigResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "lovageweir.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
@@ -115,7 +167,7 @@
 
 func (c *peerProtobufClient) callConfig(ctx context.Context, in *ConfigRequest) (*ConfigResponse, error) {
 	out := new(ConfigResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -161,7 +213,53 @@
 
 func (c *peerProtobufClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusResponse, error) {
 	out := new(StatusResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Shadow(ctx context.Context, in *ShadowRequest) (*ShadowResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovageweir.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Shadow")
+	caller := c.callShadow
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ShadowRequest) (*ShadowResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShadowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShadowRequest) when calling interceptor")
+					}
+					return c.callShadow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShadowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShadowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callShadow(ctx context.Context, in *ShadowRequest) (*ShadowResponse, error) {
+	out := new(ShadowResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -182,7 +280,7 @@
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -210,9 +308,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "lovageweir.peer.v1", "Peer")
-	urls := [2]string{
+	urls := [4]string{
+		serviceURL + "Exchange",
 		serviceURL + "Config",
 		serviceURL + "Status",
+		serviceURL + "Shadow",
 	}
 
 	return &peerJSONClient{
@@ -223,6 +323,52 @@
 	}
 }
 
+func (c *peerJSONClient) Exchange(ctx context.Context, in *Digest) (*Digest, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovageweir.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	caller := c.callExchange
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Digest) (*Digest, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Digest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Digest) when calling interceptor")
+					}
+					return c.callExchange(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Digest)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Digest) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callExchange(ctx context.Context, in *Digest) (*Digest, error) {
+	out := new(Digest)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *peerJSONClient) Config(ctx context.Context, in *ConfigRequest) (*ConfigResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "lovageweir.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
@@ -254,7 +400,7 @@
 
 func (c *peerJSONClient) callConfig(ctx context.Context, in *ConfigRequest) (*ConfigResponse, error) {
 	out := new(ConfigResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -300,7 +446,53 @@
 
 func (c *peerJSONClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusResponse, error) {
 	out := new(StatusResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Shadow(ctx context.Context, in *ShadowRequest) (*ShadowResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lovageweir.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Shadow")
+	caller := c.callShadow
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ShadowRequest) (*ShadowResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShadowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShadowRequest) when calling interceptor")
+					}
+					return c.callShadow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShadowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShadowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callShadow(ctx context.Context, in *ShadowRequest) (*ShadowResponse, error) {
+	out := new(ShadowResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -412,12 +604,18 @@
 	}
 
 	switch method {
+	case "Exchange":
+		s.serveExchange(ctx, resp, req)
+		return
 	case "Config":
 		s.serveConfig(ctx, resp, req)
 		return
 	case "Status":
 		s.serveStatus(ctx, resp, req)
 		return
+	case "Shadow":
+		s.serveShadow(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -425,6 +623,186 @@
 	}
 }
 
+func (s *peerServer) serveExchange(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveExchangeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveExchangeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveExchangeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Digest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Exchange
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Digest) (*Digest, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Digest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Digest) when calling interceptor")
+					}
+					return s.Peer.Exchange(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Digest)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Digest) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Digest
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Digest and nil error while calling Exchange. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveExchangeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Exchange")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Digest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Exchange
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Digest) (*Digest, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Digest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Digest) when calling interceptor")
+					}
+					return s.Peer.Exchange(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Digest)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Digest) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Digest
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Digest and nil error while calling Exchange. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) serveConfig(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -785,6 +1163,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveShadow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveShadowJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveShadowProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveShadowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Shadow")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ShadowRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Shadow
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ShadowRequest) (*ShadowResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShadowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShadowRequest) when calling interceptor")
+					}
+					return s.Peer.Shadow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShadowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShadowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ShadowResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ShadowResponse and nil error while calling Shadow. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveShadowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Shadow")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ShadowRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Shadow
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ShadowRequest) (*ShadowResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShadowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShadowRequest) when calling interceptor")
+					}
+					return s.Peer.Shadow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShadowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShadowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ShadowResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ShadowResponse and nil error while calling Shadow. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1366,25 +1924,53 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 320 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x52, 0x4f, 0x4b, 0x3b, 0x31,
-	0x10, 0x25, 0xfd, 0xb3, 0xb4, 0xc3, 0xaf, 0x2d, 0x84, 0x1f, 0xb2, 0xd4, 0x4b, 0x5d, 0x0f, 0x16,
-	0xc4, 0x2d, 0xea, 0x37, 0x50, 0xf0, 0x5a, 0x59, 0x6f, 0x5e, 0x4a, 0x9a, 0x4e, 0xb7, 0x81, 0x36,
-	0x59, 0x93, 0xec, 0x8a, 0xe0, 0x87, 0xf1, 0xe8, 0xc7, 0x94, 0xcd, 0xa6, 0xdb, 0x2e, 0x16, 0x6f,
-	0x79, 0x33, 0xef, 0xcd, 0xcc, 0x7b, 0x04, 0x20, 0x43, 0xd4, 0x71, 0xa6, 0x95, 0x55, 0x94, 0x6e,
-	0x55, 0xc1, 0x52, 0x7c, 0x47, 0xa1, 0x63, 0x57, 0x2e, 0x6e, 0xa3, 0x4b, 0x18, 0x3c, 0x2a, 0xb9,
-	0x16, 0x69, 0x82, 0x6f, 0x39, 0x1a, 0x4b, 0x29, 0x74, 0x36, 0xac, 0xc0, 0x90, 0x4c, 0xc8, 0xb4,
-	0x9d, 0xb8, 0x77, 0xf4, 0x09, 0xc3, 0x3d, 0xc9, 0x64, 0x4a, 0x1a, 0xa4, 0x63, 0xe8, 0x69, 0x2c,
-	0x84, 0x11, 0x4a, 0x7a, 0x66, 0x8d, 0xcb, 0xde, 0x4a, 0xf1, 0x7c, 0x87, 0xd2, 0x86, 0xad, 0x09,
-	0x99, 0xfe, 0x4b, 0x6a, 0x4c, 0xcf, 0x20, 0x58, 0xa9, 0x1d, 0x13, 0x32, 0x6c, 0x4f, 0xc8, 0xb4,
-	0x9f, 0x78, 0x54, 0x6a, 0x84, 0x34, 0x96, 0x49, 0x8e, 0x61, 0xc7, 0x75, 0x6a, 0x1c, 0x8d, 0x60,
-	0xf0, 0x62, 0x99, 0xcd, 0x8d, 0x3f, 0x31, 0xfa, 0x22, 0x30, 0xdc, 0x57, 0x0e, 0xf7, 0xd4, 0x7a,
-	0xd2, 0xd4, 0x1f, 0xed, 0x6c, 0x35, 0x76, 0x5e, 0xc1, 0x88, 0x3b, 0x57, 0x8b, 0xda, 0x4a, 0xdb,
-	0x59, 0x19, 0x72, 0x6f, 0xd6, 0x1b, 0xfa, 0x0f, 0x5d, 0x8d, 0x6c, 0xf5, 0xe1, 0x2e, 0xeb, 0x25,
-	0x15, 0xa0, 0xe7, 0xd0, 0x17, 0x72, 0xb1, 0xde, 0x8a, 0x74, 0x63, 0xc3, 0x6e, 0x95, 0x81, 0x90,
-	0x4f, 0x0e, 0xdf, 0x7d, 0x13, 0xe8, 0x3c, 0x23, 0x6a, 0x3a, 0x87, 0xa0, 0x8a, 0x8e, 0x5e, 0xc4,
-	0xbf, 0xe3, 0x8f, 0x1b, 0xd9, 0x8f, 0xa3, 0xbf, 0x28, 0xde, 0xe9, 0x1c, 0x82, 0xca, 0xfb, 0xe9,
-	0x81, 0x8d, 0xa4, 0x4e, 0x0f, 0x6c, 0x46, 0xf7, 0x70, 0xf3, 0x7a, 0x9d, 0x0a, 0xbb, 0xc9, 0x97,
-	0x31, 0x57, 0xbb, 0xd9, 0x81, 0x7f, 0xfc, 0xd4, 0x19, 0x9f, 0x95, 0xf2, 0x6c, 0xb9, 0x0c, 0xdc,
-	0x5f, 0xba, 0xff, 0x09, 0x00, 0x00, 0xff, 0xff, 0xd4, 0x12, 0xbf, 0xec, 0x59, 0x02, 0x00, 0x00,
+	// 768 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x55, 0xcd, 0xae, 0xdb, 0x44,
+	0x14, 0x96, 0xe3, 0xc4, 0x71, 0x4e, 0x6f, 0x52, 0x34, 0xaa, 0x2a, 0xeb, 0x02, 0x52, 0x70, 0x17,
+	0x44, 0x20, 0x52, 0x51, 0x58, 0xb0, 0xa5, 0x50, 0x56, 0xad, 0x8a, 0xa6, 0x3b, 0x36, 0xd1, 0xd8,
+	0x3e, 0xd7, 0x1e, 0xb0, 0x3d, 0x66, 0x66, 0xe2, 0x80, 0xc4, 0x02, 0x89, 0x97, 0x40, 0xe2, 0x59,
+	0x78, 0x12, 0xde, 0x84, 0x15, 0x9a, 0xbf, 0xdc, 0x04, 0xd2, 0x8b, 0xee, 0x6e, 0xbe, 0x33, 0xe7,
+	0xe7, 0x9b, 0x73, 0xbe, 0x63, 0x03, 0x0c, 0x88, 0x72, 0x3b, 0x48, 0xa1, 0x05, 0x21, 0xad, 0x18,
+	0x59, 0x8d, 0x07, 0xe4, 0x72, 0x6b, 0xcd, 0xe3, 0xa7, 0xf9, 0xef, 0x11, 0x24, 0xaf, 0xb0, 0x2b,
+	0x50, 0x92, 0x6b, 0x48, 0x79, 0xaf, 0x34, 0xeb, 0x4b, 0xcc, 0xa2, 0x75, 0xb4, 0x59, 0xd0, 0x23,
+	0x26, 0x8f, 0x21, 0xa9, 0x44, 0xc7, 0x78, 0x9f, 0x4d, 0xec, 0x8d, 0x47, 0x24, 0x83, 0x39, 0xab,
+	0x2a, 0x89, 0x4a, 0x65, 0xb1, 0xbd, 0x08, 0x90, 0x10, 0x98, 0xb6, 0xfc, 0x06, 0xb3, 0xe9, 0x3a,
+	0xda, 0xc4, 0xd4, 0x9e, 0x8d, 0xad, 0x40, 0xa6, 0xb3, 0x99, 0xb3, 0x99, 0xb3, 0xc9, 0xd0, 0x22,
+	0x1b, 0x79, 0x5f, 0x67, 0xc9, 0x3a, 0xda, 0xa4, 0x34, 0xc0, 0xfc, 0xd7, 0x08, 0xd2, 0x17, 0x23,
+	0xaf, 0xd0, 0x10, 0xb8, 0x8b, 0x5c, 0x28, 0x35, 0x39, 0x29, 0x95, 0xc1, 0x5c, 0xed, 0x8b, 0xef,
+	0xb1, 0xd4, 0x81, 0x98, 0x87, 0xf6, 0x86, 0x75, 0x43, 0x8b, 0xca, 0x73, 0x0b, 0x90, 0xbc, 0x03,
+	0x71, 0xc1, 0x2a, 0xcf, 0xce, 0x1c, 0xf3, 0xdf, 0x22, 0x98, 0xbe, 0x14, 0xac, 0x32, 0x41, 0x05,
+	0x2b, 0x7f, 0xc0, 0xbe, 0xf2, 0xd5, 0x03, 0xb4, 0xc5, 0x05, 0xab, 0x6c, 0xf1, 0x19, 0xb5, 0x67,
+	0xb2, 0x82, 0x09, 0x73, 0x75, 0x63, 0x3a, 0x61, 0x9a, 0x3c, 0x81, 0xa5, 0xc4, 0x41, 0x48, 0x8d,
+	0x72, 0x77, 0xd2, 0x94, 0xab, 0x60, 0x7c, 0xe9, 0x19, 0x8f, 0x28, 0x15, 0x17, 0xbd, 0x65, 0xb0,
+	0xa0, 0x01, 0xe6, 0x7f, 0x4f, 0x20, 0xf9, 0x9a, 0xd7, 0xa8, 0x34, 0xd9, 0xc2, 0xf4, 0x46, 0x8a,
+	0xce, 0x92, 0x78, 0xf0, 0xec, 0x7a, 0xfb, 0xdf, 0x89, 0x6e, 0xdd, 0x34, 0xa9, 0xf5, 0x23, 0x9f,
+	0xc3, 0xbc, 0xb3, 0x58, 0x65, 0x93, 0x75, 0xfc, 0x3f, 0x21, 0xc1, 0x95, 0x7c, 0x08, 0x0f, 0x4b,
+	0xd1, 0xdf, 0xf0, 0x7a, 0x27, 0x71, 0xe4, 0x96, 0x92, 0x7b, 0xcc, 0xca, 0x99, 0xa9, 0xb7, 0x92,
+	0x47, 0x30, 0x6b, 0x58, 0xab, 0x4d, 0x27, 0xe3, 0xcd, 0x82, 0x3a, 0x40, 0xbe, 0x80, 0x14, 0xfd,
+	0xdc, 0xb2, 0x99, 0xad, 0xfa, 0xde, 0xa5, 0xaa, 0x61, 0xb6, 0xf4, 0xe8, 0x4d, 0xb6, 0x30, 0x33,
+	0x0d, 0x54, 0x59, 0x62, 0xc3, 0xb2, 0x4b, 0x61, 0x66, 0x1e, 0xd4, 0xb9, 0x99, 0xc6, 0xb6, 0x5c,
+	0xe9, 0x5b, 0x9a, 0x73, 0xd7, 0x58, 0x63, 0x3c, 0x92, 0x3c, 0x51, 0x58, 0x6a, 0x69, 0x06, 0x48,
+	0x72, 0x58, 0xfa, 0x77, 0xb2, 0x1a, 0x77, 0x9d, 0xca, 0x16, 0x36, 0xfc, 0x81, 0x33, 0x7e, 0x59,
+	0xe3, 0x2b, 0x95, 0x3f, 0x81, 0xe5, 0x57, 0xfe, 0xd1, 0x3f, 0xee, 0xcd, 0x08, 0x08, 0x4c, 0x1b,
+	0x36, 0x3a, 0x15, 0xc6, 0xd4, 0x9e, 0xf3, 0x5f, 0x60, 0x15, 0x9c, 0xd4, 0x20, 0x7a, 0x65, 0xf5,
+	0x7a, 0x24, 0xe5, 0x3c, 0x8f, 0xd8, 0xdc, 0x55, 0xa2, 0xdc, 0x77, 0xd8, 0x6b, 0x2b, 0x9b, 0x2b,
+	0x7a, 0xc4, 0x27, 0x8b, 0x16, 0x9f, 0x2d, 0xda, 0xa9, 0xfe, 0xa7, 0xe7, 0xfa, 0xcf, 0x1f, 0xc2,
+	0xf2, 0x8d, 0x66, 0x7a, 0xaf, 0x3c, 0xc5, 0xfc, 0xaf, 0x08, 0x56, 0xc1, 0x72, 0xcb, 0xe7, 0xde,
+	0xcb, 0x7d, 0x1f, 0x19, 0x48, 0x64, 0xd5, 0xcf, 0x96, 0x59, 0x4a, 0x1d, 0x20, 0xef, 0xc2, 0x82,
+	0xf7, 0xbb, 0x9b, 0x96, 0xd7, 0x4d, 0x58, 0xf9, 0x94, 0xf7, 0xdf, 0x58, 0x4c, 0xde, 0x07, 0x68,
+	0xf9, 0x88, 0x3b, 0x33, 0x55, 0x65, 0x37, 0x3f, 0xa6, 0x0b, 0x63, 0xf9, 0xd6, 0x18, 0x0c, 0xdd,
+	0x03, 0xd3, 0x65, 0x63, 0x86, 0x36, 0xb7, 0x49, 0x8f, 0x38, 0xff, 0x23, 0x82, 0xe5, 0x9b, 0x86,
+	0x55, 0xe2, 0x10, 0x46, 0xf2, 0x08, 0x66, 0xe2, 0xd0, 0xa3, 0xf4, 0x2f, 0x73, 0xe0, 0xe2, 0x67,
+	0xe1, 0x31, 0x24, 0x62, 0xc0, 0x1e, 0xab, 0x2c, 0x5e, 0xc7, 0x9b, 0x2b, 0xea, 0x91, 0xd1, 0x88,
+	0xc4, 0x52, 0xc8, 0xca, 0x49, 0xf9, 0x8a, 0x06, 0x68, 0x3f, 0x17, 0xa8, 0x75, 0x8b, 0x95, 0xd5,
+	0xb2, 0xf9, 0x90, 0x38, 0x68, 0xaa, 0x1e, 0x1a, 0xd1, 0xa2, 0xff, 0x6e, 0x39, 0x90, 0x7f, 0x04,
+	0xab, 0x40, 0xce, 0xb7, 0x3e, 0x83, 0x79, 0xb5, 0x97, 0xac, 0x68, 0x4d, 0xe7, 0x6d, 0x06, 0x0f,
+	0x9f, 0xfd, 0x39, 0x81, 0xa9, 0x79, 0x2f, 0x79, 0x0e, 0xe9, 0x8b, 0x9f, 0xca, 0x86, 0xf5, 0x35,
+	0x92, 0x8b, 0x1b, 0xea, 0xd6, 0xff, 0xfa, 0x8e, 0x3b, 0xf2, 0x1a, 0x12, 0xa7, 0x41, 0xf2, 0xc1,
+	0x25, 0xaf, 0x33, 0x11, 0x5f, 0xe7, 0x77, 0xb9, 0x78, 0xde, 0xaf, 0x21, 0x71, 0x22, 0xba, 0x9c,
+	0xf0, 0x4c, 0x72, 0x97, 0x13, 0xfe, 0x4b, 0x83, 0x26, 0xa1, 0x6d, 0xcd, 0x5b, 0x12, 0x9e, 0xce,
+	0xf4, 0x2d, 0x09, 0xcf, 0x3a, 0xfb, 0xfc, 0x93, 0xef, 0x3e, 0xae, 0xb9, 0x6e, 0xf6, 0xc5, 0xb6,
+	0x14, 0xdd, 0xd3, 0x5b, 0xff, 0xd3, 0xa3, 0x1c, 0xca, 0xa7, 0x26, 0x7c, 0x28, 0x8a, 0xc4, 0xfe,
+	0x06, 0x3f, 0xfb, 0x27, 0x00, 0x00, 0xff, 0xff, 0xf6, 0xe3, 0x70, 0x41, 0x14, 0x07, 0x00, 0x00,
 }
--- a/session/bench_test.go
+++ b/session/bench_test.go
@@ -19,7 +19,7 @@
 	k, now := benchRing(b), time.Unix(1_800_000_000, 0)
 	b.ReportAllocs()
 	for i := 0; i < b.N; i++ {
-		if _, err := k.Sign(Claims{Customer: "c", Session: "s", Model: "m", Version: "v1"}, now); err != nil {
+		if _, err := k.Sign(Claims{Customer: "c", Session: "s", Versions: map[string]string{"m": "v1"}}, now); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -28,7 +28,7 @@
 // BenchmarkVerify is the CPU to check one session token on a request.
 func BenchmarkVerify(b *testing.B) {
 	k, now := benchRing(b), time.Unix(1_800_000_000, 0)
-	tok, _ := k.Sign(Claims{Customer: "c", Session: "s", Model: "m", Version: "v1"}, now)
+	tok, _ := k.Sign(Claims{Customer: "c", Session: "s", Versions: map[string]string{"m": "v1"}}, now)
 	b.ReportAllocs()
 	for i := 0; i < b.N; i++ {
 		if _, err := k.Verify(tok, now); err != nil {
--- a/session/token.go
+++ b/session/token.go
@@ -14,8 +14,8 @@
 type Claims struct {
 	Customer string `json:"cus"`
 	Session  string `json:"sid"`
-	Model    string `json:"mdl"`
-	Version  string `json:"ver"`
+	// Versions is the session's version of each model it has used.
+	Versions map[string]string `json:"ver"`
 	jwt.RegisteredClaims
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -22,7 +26,15 @@
 	Listen string `yaml:"listen"`
 	// KV is the base URL of the platform KV service.
 	KV string `yaml:"kv"`
-	// Peers are other entries' base URLs.
+	// Advertise is the base URL at which peers reach this entry; left out,
+	// it is http:// and Listen.
+	Advertise string `yaml:"advertise"`
+	// Rater is the base URL of the service that rates answers. Left out,
+	// cascades go to their last step and guards see failures only.
+	Rater string `yaml:"rater"`
+	// Instances is the base URL of the platform's instance list.
+	Instances string `yaml:"instances"`
+	// Peers are other entries' base URLs: where gossip starts.
 	Peers             []string      `yaml:"peers"`
 	FirstTokenTimeout time.Duration `yaml:"first_token_timeout"`
 	IdleTimeout       time.Duration `yaml:"idle_timeout"`
@@ -73,6 +85,9 @@
 	if e.AnswerTimeout == 0 {
 		e.AnswerTimeout = DefaultAnswerTimeout
 	}
+	if e.Advertise == "" {
+		e.Advertise = "http://" + e.Listen
+	}
 	if fs := e.Check(); len(fs) > 0 {
 		return nil, fs
 	}
@@ -95,6 +110,15 @@
 	if e.KV == "" {
 		add("kv", "the KV service URL is required")
 	}
+	urls := map[string]string{"kv": e.KV, "advertise": e.Advertise, "rater": e.Rater, "instances": e.Instances}
+	for i, p := range e.Peers {
+		urls[fmt.Sprintf("peers[%d]", i)] = p
+	}
+	for _, path := range slices.Sorted(maps.Keys(urls)) {
+		if u := urls[path]; u != "" && !strings.HasPrefix(u, "http://") && !strings.HasPrefix(u, "https://") {
+			add(path, "not a URL that starts with http:// or https://")
+		}
+	}
 	if len(e.SessionKeys) > 0 {
 		if _, ok := e.SessionKeys[e.SessionKeyCurrent]; !ok {
 			add("session_key_current", "must name one of session_keys")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lovageweir/lovageweir/openai"
@@ -21,15 +21,34 @@
 	Capacity int           // concurrent requests before refusing
 	// DefaultTokens is the answer length when a request gives no max_tokens.
 	DefaultTokens int
+	// PrefillPerKB is the time to read a kilobyte of prompt that is not in
+	// the prefix cache, which holds CacheBlocks blocks.
+	PrefillPerKB time.Duration
+	CacheBlocks  int
+	// ReportLag is how old a load report is.
+	ReportLag time.Duration
+	// LoadTime is how long loading a version takes; Weights, when set, is the
+	// weight store asked first.
+	LoadTime time.Duration
+	Weights  string
+	// IgnoreFencing makes the engine obey orders with an old fencing number,
+	// as some do.
+	IgnoreFencing bool
 }
 
 // Faults are the run-time switches.
 type Faults struct {
-	// Bad makes the version answer badly: the rater scores it low.
-	Bad bool `json:"bad"`
 	// Silent accepts requests and never answers, as a connection that an
 	// intermediate box forgot would.
 	Silent bool `json:"silent"`
+	// SilentAfter goes silent after this many tokens; CutAfter breaks the
+	// connection after them. Zero: neither.
+	SilentAfter int `json:"silent_after"`
+	CutAfter    int `json:"cut_after"`
+	// FailEvery makes every n-th request fail with a 500.
+	FailEvery int `json:"fail_every"`
+	// WrongVersion answers in the name of another version.
+	WrongVersion bool `json:"wrong_version"`
 }
 
 // Engine is one stand-in engine.
@@ -37,12 +56,23 @@
 	set Settings
 	log *slog.Logger
 
-	inFlight atomic.Int64
-	served   atomic.Int64
-	refused  atomic.Int64
+	mu       sync.Mutex
+	faults   Faults
+	loaded   string // model@version; empty while loading
+	draining bool
+	fence    int64 // the highest fencing number obeyed
+	stale    int64 // orders refused for an old number
+	inFlight int
+	served   int64
+	refused  int64
+	byModel  map[string]int64 // requests run, by model@version
+	cache    *prefixCache
+	history  []past // recent loads, for the lagging report
+}
 
-	mu     sync.Mutex
-	faults Faults
+type past struct {
+	at   time.Time
+	load openai.LoadReport
 }
 
 // New returns an engine.
@@ -53,7 +83,10 @@
 	if set.DefaultTokens <= 0 {
 		set.DefaultTokens = 16
 	}
-	return &Engine{set: set, log: log}
+	if set.CacheBlocks <= 0 {
+		set.CacheBlocks = 1024
+	}
+	return &Engine{set: set, log: log, loaded: set.Model + "@" + set.Version, byModel: map[string]int64{}, cache: newPrefixCache(set.CacheBlocks)}
 }
 
 // Token returns token i of the answer to request id: what the stand-in
@@ -62,95 +95,154 @@
 	return fmt.Sprintf("%s-%d ", requestID, i)
 }
 
-func (e *Engine) currentFaults() Faults {
+// State is the engine's state dump.
+type State struct {
+	openai.LoadReport
+	Loaded  string           `json:"loaded"`
+	Fence   int64            `json:"fence"`
+	Stale   int64            `json:"stale_orders_refused"`
+	Served  int64            `json:"served"`
+	Refused int64            `json:"refused"`
+	Ran     map[string]int64 `json:"ran"`
+	Cache   CacheState       `json:"cache"`
+	Faults  Faults           `json:"faults"`
+}
+
+func (e *Engine) reportLocked() openai.LoadReport {
+	model, version, _ := strings.Cut(e.loaded, "@")
+	return openai.LoadReport{Model: model, Version: version, InFlight: e.inFlight, Capacity: e.set.Capacity, Draining: e.draining}
+}
+
+// State returns the current dump.
+func (e *Engine) State() State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults
+	ran := map[string]int64{}
+	for k, v := range e.byModel {
+		ran[k] = v
+	}
+	return State{LoadReport: e.reportLocked(), Loaded: e.loaded, Fence: e.fence, Stale: e.stale, Served: e.served, Refused: e.refused,
+		Ran: ran, Cache: e.cache.state(), Faults: e.faults}
 }
 
-// Load is the engine's load report.
-type Load struct {
-	Model    string `json:"model"`
-	Version  string `json:"version"`
-	InFlight int64  `json:"in_flight"`
-	Capacity int    `json:"capacity"`
-	Served   int64  `json:"served"`
-	Refused  int64  `json:"refused"`
-	Faults   Faults `json:"faults"`
+// report returns the load as it was ReportLag ago.
+func (e *Engine) report(now time.Time) openai.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.history = append(e.history, past{now, e.reportLocked()})
+	out := e.history[0].load
+	for len(e.history) > 1 && now.Sub(e.history[1].at) >= e.set.ReportLag {
+		e.history = e.history[1:]
+		out = e.history[0].load
+	}
+	return out
 }
 
-// LoadReport returns the current load.
-func (e *Engine) LoadReport() Load {
-	return Load{Model: e.set.Model, Version: e.set.Version, InFlight: e.inFlight.Load(), Capacity: e.set.Capacity,
-		Served: e.served.Load(), Refused: e.refused.Load(), Faults: e.currentFaults()}
+// SetFaults replaces the fault switches.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	e.faults = f
+	e.mu.Unlock()
 }
 
-// Handler serves the chat API, GET /load, GET /debug/state and PUT /fault.
+// Handler serves the chat API, GET /load, POST /orders, GET /debug/state and
+// PUT /fault.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.chat)
-	report := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(e.LoadReport())
-	}
-	mux.HandleFunc("GET /load", report)
-	mux.HandleFunc("GET /debug/state", report)
+	mux.HandleFunc("GET "+openai.PathLoad, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.report(time.Now())) })
+	mux.HandleFunc("POST "+openai.PathOrders, e.order)
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) })
 	mux.HandleFunc("PUT /fault", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		e.mu.Lock()
-		e.faults = f
-		e.mu.Unlock()
+		e.SetFaults(f)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
 }
 
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// admit takes a request in, or says why not. Nothing has run when it refuses.
+func (e *Engine) admit(model string) (n int64, f Faults, status int, why string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.draining:
+		e.refused++
+		return 0, e.faults, http.StatusServiceUnavailable, "engine is draining"
+	case model != e.loaded:
+		e.refused++
+		return 0, e.faults, http.StatusNotFound, "engine has loaded " + e.loaded
+	case e.inFlight >= e.set.Capacity:
+		e.refused++
+		return 0, e.faults, http.StatusTooManyRequests, "engine at capacity"
+	}
+	e.inFlight++
+	e.served++
+	e.byModel[e.loaded]++
+	return e.served, e.faults, 0, ""
+}
+
 func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
 	var req openai.ChatRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if n := e.inFlight.Add(1); n > int64(e.set.Capacity) {
-		e.inFlight.Add(-1)
-		e.refused.Add(1)
-		// Refused before any work: the entry may truthfully say not run.
+	_, _ = io.Copy(io.Discard, r.Body)
+	n, f, status, why := e.admit(req.Model)
+	if status != 0 {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set(openai.HeaderDraining, "true")
+		}
 		w.Header().Set("Retry-After", "1")
-		http.Error(w, "engine at capacity", http.StatusTooManyRequests)
+		http.Error(w, why, status)
 		return
 	}
-	defer e.inFlight.Add(-1)
-	if e.currentFaults().Silent {
+	defer func() {
+		e.mu.Lock()
+		e.inFlight--
+		e.mu.Unlock()
+	}()
+	if f.Silent {
 		<-r.Context().Done()
 		return
 	}
-	id := r.Header.Get(openai.HeaderRequestID)
-	if id == "" {
-		id = "anon"
+	if f.FailEvery > 0 && n%int64(f.FailEvery) == 0 {
+		http.Error(w, "engine failed", http.StatusInternalServerError)
+		return
 	}
-	n := req.MaxTokens
-	if n <= 0 {
-		n = e.set.DefaultTokens
+	if !wait(r, e.prefill(req)) {
+		return
 	}
-	model := e.set.Model + "@" + e.set.Version
-	w.Header().Set(openai.HeaderVersion, e.set.Version)
-	if req.Stream {
-		e.stream(w, r, id, model, n)
-	} else {
-		e.whole(w, r, id, model, n)
+	e.answer(w, r, req, f)
+}
+
+// prefill is the time to read what of the prompt is not cached.
+func (e *Engine) prefill(req openai.ChatRequest) time.Duration {
+	prompt := ""
+	for _, m := range req.Messages {
+		prompt += m.Content
 	}
-	e.served.Add(1)
+	e.mu.Lock()
+	missed := e.cache.read(prompt)
+	e.mu.Unlock()
+	return time.Duration(float64(missed) / 1024 * float64(e.set.PrefillPerKB))
 }
 
-func (e *Engine) step(r *http.Request) bool {
-	if e.set.Step <= 0 {
+func wait(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
 		return r.Context().Err() == nil
 	}
-	t := time.NewTimer(e.set.Step)
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -160,16 +252,43 @@
 	}
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id, model string, n int) {
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, req openai.ChatRequest, f Faults) {
+	id := r.Header.Get(openai.HeaderRequestID)
+	if id == "" {
+		id = "anon"
+	}
+	n := req.MaxTokens
+	if n <= 0 {
+		n = e.set.DefaultTokens
+	}
+	model := req.Model
+	if f.WrongVersion {
+		model += "-other"
+	}
+	if req.Stream {
+		e.stream(w, r, id, model, n, f)
+	} else {
+		e.whole(w, r, id, model, n)
+	}
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id, model string, n int, f Faults) {
 	flusher, _ := w.(http.Flusher)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	w.WriteHeader(http.StatusOK)
 	enc := json.NewEncoder(w)
 	for i := 0; i < n; i++ {
-		if !e.step(r) {
+		if !wait(r, e.set.Step) {
 			return
 		}
+		if f.SilentAfter > 0 && i >= f.SilentAfter {
+			<-r.Context().Done()
+			return
+		}
+		if f.CutAfter > 0 && i >= f.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
 		ch := openai.Chunk{ID: id, Object: "chat.completion.chunk", Model: model,
 			Choices: []openai.ChunkChoice{{Delta: openai.Delta{Content: Token(id, i)}}}}
 		if i == n-1 {
@@ -193,14 +312,12 @@
 func (e *Engine) whole(w http.ResponseWriter, r *http.Request, id, model string, n int) {
 	text := ""
 	for i := 0; i < n; i++ {
-		if !e.step(r) {
+		if !wait(r, e.set.Step) {
 			return
 		}
 		text += Token(id, i)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Tokens", strconv.Itoa(n))
-	_ = json.NewEncoder(w).Encode(openai.ChatResponse{ID: id, Object: "chat.completion", Model: model,
+	writeJSON(w, openai.ChatResponse{ID: id, Object: "chat.completion", Model: model,
 		Choices: []openai.Choice{{Message: openai.Message{Role: "assistant", Content: text}, FinishReason: "stop"}},
 		Usage:   openai.Usage{CompletionTokens: n, TotalTokens: n}})
 }
--- /dev/null
+++ b/standin/weights/weights.go
@@ -0,0 +1,67 @@
+// Package weights is the stand-in for the platform's rate-limited weight
+// store, from which engines fetch a version before they load it.
+package weights
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Store serves at most one fetch per interval, and Burst at once.
+type Store struct {
+	clock    clockwork.Clock
+	interval time.Duration
+	burst    int
+
+	mu      sync.Mutex
+	next    time.Time // when the bucket would be full again
+	served  int64
+	refused int64
+}
+
+// New returns a store.
+func New(clock clockwork.Clock, interval time.Duration, burst int) *Store {
+	return &Store{clock: clock, interval: interval, burst: max(burst, 1)}
+}
+
+// take spends one fetch, or says how long until there is one.
+func (s *Store) take() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if s.next.Before(now) {
+		s.next = now
+	}
+	ahead := s.next.Sub(now)
+	if room := s.interval * time.Duration(s.burst-1); ahead > room {
+		s.refused++
+		return ahead - room
+	}
+	s.next = s.next.Add(s.interval)
+	s.served++
+	return 0
+}
+
+// Handler serves GET /weights/{model}/{version} and GET /debug/state.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}/{version}", func(w http.ResponseWriter, r *http.Request) {
+		if d := s.take(); d > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(int(d/time.Second)+1))
+			http.Error(w, "too many fetches", http.StatusTooManyRequests)
+			return
+		}
+		_, _ = w.Write([]byte(r.PathValue("model") + "@" + r.PathValue("version")))
+	})
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]int64{"served": s.served, "refused": s.refused})
+	})
+	return mux
+}
