--- a/configwatch/watcher_test.go
+++ b/configwatch/watcher_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lovageweir/lovageweir/config"
+	_ "github.com/lovageweir/lovageweir/internal/rapidseed"
 	"github.com/lovageweir/lovageweir/internal/synth"
 	"github.com/lovageweir/lovageweir/kv"
 )
--- a/gateway/output.go
+++ b/gateway/output.go
@@ -53,12 +53,12 @@
 	return false
 }
 
-func (a *answer) whole(_ *http.Response, body []byte) (int, error) {
+func (a *answer) whole(_ *http.Response, body []byte, b route.BackendInfo) (int, error) {
 	var ans openai.ChatResponse
 	if err := json.Unmarshal(body, &ans); err != nil {
 		return 0, err
 	}
-	if ans.ID != "" && ans.ID != a.rid {
+	if ans.ID != "" && ans.ID != a.rid || !rightModel(ans.Model, b) {
 		return 0, errForeign
 	}
 	a.body = body
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -75,7 +75,7 @@
 	}
 	if err == nil {
 		var tokens int
-		if tokens, err = s.whole(resp, body); err == nil {
+		if tokens, err = s.whole(resp, body, b); err == nil {
 			return attempt{whole: true, tokens: tokens}
 		}
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -56,7 +56,7 @@
 	event(data []byte, ch *openai.Chunk) (reached bool)
 	// whole takes an answer that was not streamed; err is why it cannot be
 	// one.
-	whole(resp *http.Response, body []byte) (tokens int, err error)
+	whole(resp *http.Response, body []byte, b route.BackendInfo) (tokens int, err error)
 	reset() // forget a try that broke off before anything reached the caller
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -27,7 +27,7 @@
 func (s *serviceAnswer) event([]byte, *openai.Chunk) bool { return false }
 func (s *serviceAnswer) reset()                           { *s = serviceAnswer{} }
 
-func (s *serviceAnswer) whole(resp *http.Response, body []byte) (int, error) {
+func (s *serviceAnswer) whole(resp *http.Response, body []byte, _ route.BackendInfo) (int, error) {
 	if resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
 		return 0, fmt.Errorf("got %d bytes of %d", len(body), resp.ContentLength)
 	}
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lovageweir/lovageweir/config"
+	_ "github.com/lovageweir/lovageweir/internal/rapidseed"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/peers"
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "github.com/lovageweir/lovageweir/internal/rapidseed"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/kv/memkv"
--- a/route/property_test.go
+++ b/route/property_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lovageweir/lovageweir/config"
+	_ "github.com/lovageweir/lovageweir/internal/rapidseed"
 )
 
 // view is an entry in fd-1 that knows nothing but the configuration.
