--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
@@ -89,7 +90,8 @@
 func newKV(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, &http.Client{}) }
 
 func newMembers(s *settings.Entry, l life, clock clockwork.Clock) *peers.Table {
-	return peers.NewTable(&peerpb.Member{Instance: s.Instance, Domain: s.Domain, Address: s.Advertise, Life: int64(l)}, clock)
+	return peers.NewTable(&peerpb.Member{Instance: s.Instance, Domain: s.Domain, Address: s.Advertise, Life: int64(l)}, clock,
+		rand.NewPCG(uint64(l), rand.Uint64()))
 }
 
 func newWatcher(c kv.Client, members *peers.Table, clock clockwork.Clock, log *slog.Logger) *configwatch.Watcher {
--- a/config/envelope.go
+++ b/config/envelope.go
@@ -1,7 +1,10 @@
 package config
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,15 +31,39 @@
 	Document  Document  `json:"document"`
 }
 
-// Marshal encodes the envelope for the KV.
+// gzipMagic starts a compressed envelope; plain JSON starts with a brace.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// maxEnvelope bounds an envelope when uncompressed, so that a damaged or
+// hostile value cannot fill an entry's memory.
+const maxEnvelope = 32 << 20
+
+// Marshal encodes the envelope for the KV: JSON, compressed, since every
+// entry receives the whole of it with every change and the platform holds
+// values up to 1 MB (docs/CAPACITY.md has the measured sizes).
 func (e Envelope) Marshal() ([]byte, error) {
-	b, err := json.Marshal(e)
-	return b, trace.Wrap(err)
+	var buf bytes.Buffer
+	z := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(z).Encode(e); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return buf.Bytes(), nil
 }
 
-// Unmarshal decodes a stored envelope.
+// Unmarshal decodes a stored envelope, compressed or plain.
 func Unmarshal(b []byte) (Envelope, error) {
+	var r io.Reader = bytes.NewReader(b)
+	if bytes.HasPrefix(b, gzipMagic) {
+		z, err := gzip.NewReader(r)
+		if err != nil {
+			return Envelope{}, trace.Wrap(err)
+		}
+		r = io.LimitReader(z, maxEnvelope)
+	}
 	var e Envelope
-	err := json.Unmarshal(b, &e)
+	err := json.NewDecoder(r).Decode(&e)
 	return e, trace.Wrap(err)
 }
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -77,6 +79,38 @@
 	return p
 }
 
+func (p *proc) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// restart starts the same program again, as the platform does.
+func (p *proc) restart(t *testing.T) {
+	t.Helper()
+	*p = *start(t, p.cmd.Path, p.cmd.Args[1:]...)
+}
+
+func copyAll(w io.Writer, resp *http.Response) (int64, error) { return io.Copy(w, resp.Body) }
+
+// settleWait bounds how long a cluster may take to come to what a test
+// waits for. It is far above what it takes, so that a slow machine gives the
+// same verdict; how fast things are is for the benchmarks.
+const settleWait = 60 * time.Second
+
+// eventually polls until ok.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(settleWait)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("still not true: %s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // waitHTTP polls url until it answers 200 or readyWait passes.
 func waitHTTP(t *testing.T, url string) {
 	t.Helper()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -67,8 +67,9 @@
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope}
 }
 
-func serveGateway(t *testing.T, d Deps) *httptest.Server {
-	g := New(d)
+func serveGateway(t *testing.T, d Deps) *httptest.Server { return serve(t, New(d)) }
+
+func serve(t *testing.T, g *Gateway) *httptest.Server {
 	gin.SetMode(gin.ReleaseMode)
 	r := gin.New()
 	g.Register(r)
@@ -99,10 +100,12 @@
 }
 
 // ask sends a request in the background; the fake clock drives it.
-func ask(srv *httptest.Server, stream bool) <-chan reply {
+func ask(srv *httptest.Server, stream bool) <-chan reply { return askModel(srv, "m", stream) }
+
+func askModel(srv *httptest.Server, model string, stream bool) <-chan reply {
 	out := make(chan reply, 1)
 	go func() {
-		body := fmt.Sprintf(`{"model":"m","stream":%v,"max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`, stream)
+		body := fmt.Sprintf(`{"model":%q,"stream":%v,"max_tokens":4,"messages":[{"role":"user","content":"hi"}]}`, model, stream)
 		req, _ := http.NewRequest(http.MethodPost, srv.URL+"/v1/chat/completions", strings.NewReader(body))
 		req.Header.Set("Authorization", "Bearer k")
 		resp, err := http.DefaultClient.Do(req)
--- a/gateway/matrix_test.go
+++ b/gateway/matrix_test.go
@@ -120,6 +120,12 @@
 	kind string
 }
 
+func (b *faultyBackend) begun() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ran
+}
+
 func (b *faultyBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	buf := make([]byte, 1<<16)
 	for {
@@ -170,10 +176,24 @@
 	mu      sync.Mutex
 	open    map[string]bool
 	settled map[string]int
+	uses    []string // models, in order
 }
 
 func newBooks() *books { return &books{open: map[string]bool{}, settled: map[string]int{}} }
 
+// counts are requests billed and requests still open.
+func (b *books) counts() (settled, open int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.settled), len(b.open)
+}
+
+func (b *books) models() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Join(b.uses, " ")
+}
+
 func (b *books) Open(r ledger.Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -185,6 +205,9 @@
 	defer b.mu.Unlock()
 	delete(b.open, r.RequestID)
 	b.settled[r.RequestID]++
+	for _, u := range r.Uses {
+		b.uses = append(b.uses, u.Model)
+	}
 }
 
 func (b *books) Drop(rid string) {
@@ -223,8 +246,8 @@
 	bill := newBooks()
 	d.Bill = bill
 	a := await(t, ask(serveGateway(t, d), stream))
-	ran := bs[0].ran + bs[1].ran
-	billed := len(bill.settled)
+	ran := bs[0].begun() + bs[1].begun()
+	billed, left := bill.counts()
 
 	notRun, unknown := strings.Contains(a.body, openai.OutcomeNotRun), strings.Contains(a.body, openai.OutcomeUnknown)
 	whole := a.status == http.StatusOK && !unknown
@@ -243,8 +266,8 @@
 		t.Errorf("another's chunk reached the caller: %s", a.body)
 	case kind == config.KindService && ran > 1:
 		t.Errorf("a posting ran %d times", ran)
-	case (ran > 0) != (billed == 1) || len(bill.open) > 0:
-		t.Errorf("ran %d, billed %d, left open %d", ran, billed, len(bill.open))
+	case (ran > 0) != (billed == 1) || left > 0:
+		t.Errorf("ran %d, billed %d, left open %d", ran, billed, left)
 	case (notRun || unknown && a.status != http.StatusOK) && a.header.Get("Retry-After") == "":
 		t.Errorf("refused without a time to come back")
 	case first.whole && !whole:
--- a/internal/synth/synth.go
+++ b/internal/synth/synth.go
@@ -5,6 +5,8 @@
 package synth
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 
 	"github.com/lovageweir/lovageweir/config"
@@ -30,8 +32,14 @@
 // VersionName returns the name of version j.
 func VersionName(j int) string { return fmt.Sprintf("v%d", j+1) }
 
-// APIKey returns customer i's first API key.
-func APIKey(i int) string { return fmt.Sprintf("key-%05d-a", i) }
+// APIKey returns customer i's first API key: random to a compressor, as real
+// keys are, and the same each run.
+func APIKey(i int) string { return apiKey(i, "a") }
+
+func apiKey(i int, which string) string {
+	sum := sha256.Sum256([]byte(fmt.Sprintf("%d-%s", i, which)))
+	return "key-" + hex.EncodeToString(sum[:16])
+}
 
 // Document builds a valid document of size s.
 func Document(s Size) *config.Document {
@@ -54,7 +62,7 @@
 		}}
 	}
 	for i := 0; i < s.Customers; i++ {
-		c := config.Customer{APIKeys: []string{APIKey(i), fmt.Sprintf("key-%05d-b", i)}, Priority: i % 3, Allow: map[string][]string{}}
+		c := config.Customer{APIKeys: []string{APIKey(i), apiKey(i, "b")}, Priority: i % 3, Allow: map[string][]string{}}
 		for k := 0; k < 3 && k < s.Models; k++ {
 			c.Allow[ModelName((i+k)%s.Models)] = []string{config.AnyVersion}
 		}
--- /dev/null
+++ b/peers/bench_test.go
@@ -0,0 +1,73 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lovageweir/lovageweir/rpc/peerpb"
+)
+
+func size(m proto.Message) int { return proto.Size(m) }
+
+// BenchmarkGossipSecond is one second of membership for a whole fleet:
+// processor time, messages and bytes per entry, at several fleet sizes with
+// 13 failure domains as at the target.
+func BenchmarkGossipSecond(b *testing.B) {
+	for _, per := range []int{2, 8, 25} {
+		b.Run(fmt.Sprintf("entries=%d", 13*per), func(b *testing.B) {
+			net := newNetwork(13, per)
+			net.run(30)
+			net.calls, net.bytes = 0, 0
+			b.ResetTimer()
+			for range b.N {
+				net.second()
+			}
+			entries := float64(b.N * len(net.nodes))
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/entries, "us/entry/s")
+			b.ReportMetric(float64(net.calls)/entries, "exchanges/entry/s")
+			// Each exchange costs both sides its bytes.
+			b.ReportMetric(2*float64(net.bytes)/entries, "B/entry/s")
+		})
+	}
+}
+
+// BenchmarkSpread is how many seconds a change takes to every entry.
+func BenchmarkSpread(b *testing.B) {
+	for _, per := range []int{2, 8, 25} {
+		b.Run(fmt.Sprintf("entries=%d", 13*per), func(b *testing.B) {
+			net := newNetwork(13, per)
+			net.run(30)
+			seconds, worst := 0, 0
+			for i := range b.N {
+				rev := int64(i + 1)
+				net.nodes["e-0-0"].rev = rev
+				net.nodes["e-0-0"].Rumour()
+				n := 0
+				for net.behind(rev) > 0 {
+					net.second()
+					n++
+				}
+				seconds, worst = seconds+n, max(worst, n)
+			}
+			b.ReportMetric(float64(seconds)/float64(b.N), "s/change")
+			b.ReportMetric(float64(worst), "worst-s")
+		})
+	}
+}
+
+// BenchmarkHolds is the cost of asking whose duty something is, once per
+// back end and second when load reports are shared out.
+func BenchmarkHolds(b *testing.B) {
+	net := newNetwork(13, 25)
+	net.run(30)
+	t := net.nodes["e-0-0"].table
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		t.Holds(fmt.Sprintf("engine-%05d", i%277), 1)
+	}
+}
+
+var _ peerpb.Peer = link{}
--- a/peers/gossip.go
+++ b/peers/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -134,10 +133,15 @@
 	g.exchange(ctx, to[0])
 }
 
-// Spread tells a few peers of news, one of them in another domain.
+// audience is who hears of news at once, one of them in another domain.
+func (g *Gossip) audience() []*peerpb.Member {
+	return append(g.pick(rumourFanout, false), g.pick(1, true)...)
+}
+
+// Spread tells a few peers of news.
 func (g *Gossip) Spread(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, to := range append(g.pick(rumourFanout, false), g.pick(1, true)...) {
+	for _, to := range g.audience() {
 		wg.Add(1)
 		go func() { defer wg.Done(); g.exchange(ctx, to) }()
 	}
@@ -149,7 +153,8 @@
 	self := g.table.Self().Address
 	seeds := slices.DeleteFunc(g.seeds(), func(a string) bool { return a == self })
 	if len(seeds) > 0 {
-		g.exchange(ctx, &peerpb.Member{Address: seeds[rand.IntN(len(seeds))]})
+		shuffle(g.table, seeds)
+		g.exchange(ctx, &peerpb.Member{Address: seeds[0]})
 	}
 }
 
@@ -165,7 +170,7 @@
 	if len(pool) == 0 && n == 1 { // alone here, or no other domain known
 		pool = g.table.Live()
 	}
-	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	shuffle(g.table, pool)
 	return pool[:min(n, len(pool))]
 }
 
--- a/peers/table.go
+++ b/peers/table.go
@@ -37,13 +37,22 @@
 	clock clockwork.Clock
 
 	mu      sync.Mutex
+	rng     *rand.Rand
 	self    *peerpb.Member
 	members map[string]*member
 }
 
-// NewTable returns a table that knows only self.
-func NewTable(self *peerpb.Member, clock clockwork.Clock) *Table {
-	return &Table{clock: clock, self: self, members: map[string]*member{}}
+// NewTable returns a table that knows only self; src decides whom it gossips
+// with.
+func NewTable(self *peerpb.Member, clock clockwork.Clock, src rand.Source) *Table {
+	return &Table{clock: clock, rng: rand.New(src), self: self, members: map[string]*member{}}
+}
+
+// shuffle puts list in random order.
+func shuffle[T any](t *Table, list []T) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
 // Self returns a copy of this entry's own row.
@@ -138,7 +147,7 @@
 	byDomain := map[string]int{}
 	out := []*peerpb.Member{t.Self()}
 	live := t.Live()
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	shuffle(t, live)
 	for _, m := range live {
 		if m.Domain != out[0].Domain {
 			if byDomain[m.Domain] >= foreignMembers {
@@ -189,16 +198,20 @@
 // domain for subject. It needs no agreement: when views differ, more than n
 // entries hold it, or for at most suspectAfter (a holder died) fewer.
 func (t *Table) Holds(subject string, n int) bool {
-	me := t.Self().Instance
-	for i, m := range t.ranked(subject) {
-		if i >= n {
-			return false
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mine := rank(subject, t.self.Instance)
+	for name, m := range t.members {
+		if m.pb.Domain != t.self.Domain || !t.liveLocked(m) {
+			continue
 		}
-		if m.Instance == me {
-			return true
+		if r := rank(subject, name); r > mine || r == mine && name < t.self.Instance {
+			if n--; n <= 0 {
+				return false
+			}
 		}
 	}
-	return false
+	return true
 }
 
 // FirstOther returns a func that gives the first live member of this
