Control fits a node's budget: compact gossip, deltas between peers

Found by elimination: one entry alone (no gossip) shows 562 B a load report, 277 a second to the domain; the rest was digests, most of them back-end names, then whole member rows; the memory was several peers' rumours making an entry decode the same revision at once. Ruled out: sections with a manifest; slower gossip (it would slow failure detection and spread).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -113,7 +113,7 @@
 func newGossip(s *settings.Entry, members *peers.Table, dial peers.Dial, w *configwatch.Watcher, gd *guard.Guard, t *endpoints.Table, p *endpoints.Poller, log *slog.Logger) *peers.Gossip {
 	seeds := func() []string { return append(p.Seeds(), s.Peers...) }
 	g := peers.NewGossip(members, seeds, dial, log.With("part", "peers"))
-	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t))
+	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t, w.Table, s.Domain))
 	w.OnNews(g.Rumour)
 	gd.OnNews(g.Rumour)
 	return g
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -18,6 +18,7 @@
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
@@ -139,12 +140,8 @@
 }
 
 func (p *peerServer) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigResponse, error) {
-	rev, raw := p.Watcher.Raw()
-	out := &peerpb.ConfigResponse{Revision: int64(rev), Domain: p.Set.Domain, Instance: p.Set.Instance}
-	if int64(rev) > r.Have {
-		out.Document = raw
-	}
-	return out, nil
+	rev, delta, stored := p.Watcher.Since(kv.Revision(r.Have))
+	return &peerpb.ConfigResponse{Revision: int64(rev), Delta: delta, Document: stored, Domain: p.Set.Domain, Instance: p.Set.Instance}, nil
 }
 
 func (p *peerServer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
--- a/config/envelope.go
+++ b/config/envelope.go
@@ -1,10 +1,7 @@
 package config
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
-	"io"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,39 +28,23 @@
 	Document  Document  `json:"document"`
 }
 
-// gzipMagic starts a compressed envelope; plain JSON starts with a brace.
-var gzipMagic = []byte{0x1f, 0x8b}
-
-// maxEnvelope bounds an envelope when uncompressed, so that a damaged or
-// hostile value cannot fill an entry's memory.
-const maxEnvelope = 32 << 20
-
-// Marshal encodes the envelope for the KV: JSON, compressed, since every
-// entry receives the whole of it with every change and the platform holds
-// values up to 1 MB (docs/CAPACITY.md has the measured sizes).
+// Marshal encodes the envelope for the KV: JSON, compressed, since the
+// platform holds values up to 1 MB (docs/CAPACITY.md has measured sizes).
 func (e Envelope) Marshal() ([]byte, error) {
-	var buf bytes.Buffer
-	z := gzip.NewWriter(&buf)
-	if err := json.NewEncoder(z).Encode(e); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if err := z.Close(); err != nil {
+	plain, err := json.Marshal(e)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return buf.Bytes(), nil
+	return Compress(plain)
 }
 
 // Unmarshal decodes a stored envelope, compressed or plain.
 func Unmarshal(b []byte) (Envelope, error) {
-	var r io.Reader = bytes.NewReader(b)
-	if bytes.HasPrefix(b, gzipMagic) {
-		z, err := gzip.NewReader(r)
-		if err != nil {
-			return Envelope{}, trace.Wrap(err)
-		}
-		r = io.LimitReader(z, maxEnvelope)
+	plain, err := Plain(b)
+	if err != nil {
+		return Envelope{}, err
 	}
 	var e Envelope
-	err := json.NewDecoder(r).Decode(&e)
+	err = json.Unmarshal(plain, &e)
 	return e, trace.Wrap(err)
 }
--- a/configwatch/faults_test.go
+++ b/configwatch/faults_test.go
@@ -156,16 +156,18 @@
 // peerOf serves Config from another watcher.
 type peerOf struct {
 	peerpb.Peer
-	w    *Watcher
-	down bool
+	w      *Watcher
+	down   bool
+	deltas int // answers that were a delta
 }
 
-func (p *peerOf) Config(context.Context, *peerpb.ConfigRequest) (*peerpb.ConfigResponse, error) {
+func (p *peerOf) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigResponse, error) {
 	if p.down {
 		return nil, errors.New("cut off")
 	}
-	rev, raw := p.w.Raw()
-	return &peerpb.ConfigResponse{Revision: int64(rev), Document: raw}, nil
+	rev, delta, stored := p.w.Since(kv.Revision(r.Have))
+	p.deltas += min(len(delta), 1)
+	return &peerpb.ConfigResponse{Revision: int64(rev), Delta: delta, Document: stored}, nil
 }
 
 // TestPeersPassOnAChange: invariant 10. Symptom: an entry that is cut off
@@ -199,4 +201,33 @@
 	to.Merge(ctx, peers.Received{Digest: d, Asked: fc.Now()})
 	age, ok := b.Age()
 	is.True(ok && age == 0)
+
+	// The next change comes as a delta; one to an entry too far behind whole.
+	tell := func(to *Topic) {
+		d := &peerpb.Digest{From: &peerpb.Member{Address: "a"}}
+		NewTopic(a, nil).Fill(d, true)
+		to.Merge(ctx, peers.Received{Digest: d})
+	}
+	for range 3 {
+		rev = put(t, s, 4)
+		fc.Advance(FreshFor + time.Second)
+		a.Refresh(ctx)
+		tell(to)
+		is.Equal(b.Revision(), rev)
+	}
+	is.Equal(peer.deltas, 3)
+	late := New(s, fc, quiet)
+	late.Offer(1, mustStored(t, s))
+	tell(NewTopic(late, func(string) peerpb.Peer { return peer }))
+	is.Equal(late.Revision(), rev)
+	is.Equal(peer.deltas, 3)
+}
+
+func mustStored(t *testing.T, c kv.KV) []byte {
+	t.Helper()
+	_, kvs, err := c.Get(context.Background(), config.Key, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return kvs[0].Value
 }
--- a/configwatch/topic.go
+++ b/configwatch/topic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/lovageweir/lovageweir/kv"
@@ -15,8 +16,9 @@
 // Topic spreads the configuration between entries: a digest carries only the
 // revision and its age; who is behind pulls the document.
 type Topic struct {
-	w    *Watcher
-	dial peers.Dial
+	w       *Watcher
+	dial    peers.Dial
+	pulling sync.Mutex // one pull at a time: rumours come from several peers
 }
 
 // NewTopic returns the gossip topic of w.
@@ -49,6 +51,10 @@
 }
 
 func (t *Topic) pull(ctx context.Context, address string, have int64) {
+	if !t.pulling.TryLock() {
+		return
+	}
+	defer t.pulling.Unlock()
 	// The exchange's own deadline is for digests; a document may take longer.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pullWait)
 	defer cancel()
@@ -57,5 +63,8 @@
 		t.w.log.Warn("config: could not pull a newer revision from a peer.", "peer", address, "error", err)
 		return
 	}
+	if len(r.Delta) > 0 && t.w.OfferDelta(kv.Revision(have), kv.Revision(r.Revision), r.Delta) {
+		return
+	}
 	t.w.Offer(kv.Revision(r.Revision), r.Document)
 }
--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,17 +54,34 @@
 	kvErrors atomic.Int64
 	watching atomic.Bool
 
+	// offering lets one revision be decoded at a time: several peers tell of
+	// a change at once, and each decoding costs ten times the stored bytes in
+	// garbage.
+	offering sync.Mutex
+
 	mu          sync.Mutex // guards the two times; never held across a call
 	freshAt     time.Time  // when the table in force was last known current
 	refreshedAt time.Time  // when Refresh last asked
 }
 
-// inForce is one configuration revision, compiled and as stored.
+// inForce is one configuration revision, compiled, as stored and as JSON.
 type inForce struct {
-	table *route.Table
-	raw   []byte
+	table  *route.Table
+	stored []byte
+	plain  []byte
+	before []old // the revisions before it, newest first, for deltas
+}
+
+// old is the JSON of a revision no longer in force.
+type old struct {
+	rev   kv.Revision
+	plain []byte
 }
 
+// keepOld is how many old revisions deltas are made from: peers are rarely
+// further behind, and each costs the size of the JSON.
+const keepOld = 2
+
 // Option changes a new Watcher.
 type Option func(*Watcher)
 
@@ -97,28 +115,61 @@
 	return nil
 }
 
-// Raw returns the stored bytes of the configuration in force.
-func (w *Watcher) Raw() (kv.Revision, []byte) {
+// Revision is the revision in force, 0 before the first.
+func (w *Watcher) Revision() kv.Revision {
 	if c := w.current.Load(); c != nil {
-		return c.table.Revision, c.raw
+		return c.table.Revision
 	}
-	return 0, nil
+	return 0
 }
 
-// Revision is the revision in force, 0 before the first.
-func (w *Watcher) Revision() kv.Revision {
-	rev, _ := w.Raw()
-	return rev
+// Since returns what an entry that has revision have needs to come up to the
+// one in force: a delta if have is among the last few, else the stored
+// bytes. It is empty when nothing newer is in force.
+func (w *Watcher) Since(have kv.Revision) (rev kv.Revision, delta, stored []byte) {
+	c := w.current.Load()
+	if c == nil || have >= c.table.Revision {
+		return have, nil, nil
+	}
+	for _, o := range c.before {
+		if o.rev != have {
+			continue
+		}
+		if d, err := config.Delta(o.plain, c.plain); err == nil && len(d) < len(c.stored) {
+			return c.table.Revision, d, nil
+		}
+	}
+	return c.table.Revision, nil, c.stored
+}
+
+// OfferDelta considers a delta to revision rev made from revision from.
+func (w *Watcher) OfferDelta(from, rev kv.Revision, delta []byte) bool {
+	c := w.current.Load()
+	if c == nil || c.table.Revision != from {
+		return false
+	}
+	plain, err := config.Patch(c.plain, delta)
+	if err != nil {
+		w.log.Warn("config: a peer's delta does not apply.", "from", from, "to", rev, "error", err)
+		return false
+	}
+	return w.Offer(rev, plain)
 }
 
 // Offer considers a stored configuration seen at rev, from the KV or from a
 // peer. It is swapped in only when newer than the table in force and valid;
 // it returns whether it was taken.
 func (w *Watcher) Offer(rev kv.Revision, value []byte) bool {
+	w.offering.Lock()
+	defer w.offering.Unlock()
 	if rev <= w.Revision() {
 		return false
 	}
-	env, err := config.Unmarshal(value)
+	plain, err := config.Plain(value)
+	var env config.Envelope
+	if err == nil {
+		env, err = config.Unmarshal(plain)
+	}
 	if err != nil {
 		w.rejected.Add(1)
 		w.log.Warn("config: stored value does not decode; keeping the one in force.", "revision", rev, "error", err)
@@ -129,18 +180,14 @@
 		w.log.Warn("config: stored value fails validation; keeping the one in force.", "revision", rev, "findings", len(fs))
 		return false
 	}
-	next := &inForce{table: route.NewTable(rev, &env.Document), raw: append([]byte(nil), value...)}
-	for {
-		cur := w.current.Load()
-		if cur != nil && rev <= cur.table.Revision {
-			return false // someone offered a newer one meanwhile
-		}
-		if w.current.CompareAndSwap(cur, next) {
-			w.log.Info("config: new revision in force.", "revision", rev, "apply_id", env.ApplyID)
-			w.news()
-			return true
-		}
+	next := &inForce{table: route.NewTable(rev, &env.Document), stored: slices.Clone(value), plain: slices.Clone(plain)}
+	if c := w.current.Load(); c != nil {
+		next.before = append([]old{{c.table.Revision, c.plain}}, c.before[:min(len(c.before), keepOld-1)]...)
 	}
+	w.current.Store(next)
+	w.log.Info("config: new revision in force.", "revision", rev, "apply_id", env.ApplyID)
+	w.news()
+	return true
 }
 
 // Run keeps the table current until ctx ends.
--- a/endpoints/poll.go
+++ b/endpoints/poll.go
@@ -18,8 +18,10 @@
 
 // Bounds of polling.
 const (
-	// PollInterval is how often load reports and the instance list are read.
-	PollInterval = time.Second
+	// PollInterval is how often load reports and the instance list are read:
+	// at the target size a second of it costs a node 3 KB/s
+	// (docs/CAPACITY.md). Between reports an entry counts its own requests.
+	PollInterval = 2 * time.Second
 	pollWait     = 800 * time.Millisecond
 	// pollWorkers bounds the load requests a poller has open at once.
 	pollWorkers = 8
--- a/peers/gossip.go
+++ b/peers/gossip.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
@@ -24,6 +25,10 @@
 	// known: after a long cut both sides have forgotten each other, and
 	// without this the two halves would never meet again.
 	seedEvery = 10
+	// rowsEvery makes every n-th digest carry whole rows; in the first
+	// youngBeats rounds of an entry's life every digest from and to it does.
+	rowsEvery  = 5
+	youngBeats = 20
 	// rumourFanout is how many peers hear of news at once.
 	rumourFanout = 3
 )
@@ -69,9 +74,10 @@
 	dial  Dial
 	log   *slog.Logger
 
-	topics []Topic
-	round  int
-	rumour chan struct{}
+	topics  []Topic
+	round   int
+	digests atomic.Int64
+	rumour  chan struct{}
 }
 
 // NewGossip returns gossip over table. seeds gives base URLs that may hold a
@@ -83,19 +89,34 @@
 // Add registers topics; it must be called before the first round.
 func (g *Gossip) Add(topics ...Topic) { g.topics = append(g.topics, topics...) }
 
-// Digest is what this entry tells a peer.
-func (g *Gossip) Digest(local bool) *peerpb.Digest {
-	d := &peerpb.Digest{From: g.table.Self(), Members: g.table.Rows()}
+// Digest is what this entry tells a peer. Most digests name members by id
+// and beat only: whole rows would be most of what gossip sends.
+// to may be nil.
+func (g *Gossip) Digest(to *peerpb.Member) *peerpb.Digest {
+	d := &peerpb.Digest{From: g.table.Self()}
+	rows := g.table.Rows()
+	if g.digests.Add(1)%rowsEvery == 1 || young(d.From) || young(to) {
+		d.Members = rows
+	} else {
+		for _, m := range rows {
+			d.Alive, d.Beat = append(d.Alive, lifeID(m)), append(d.Beat, uint32(m.Beat))
+		}
+	}
 	for _, t := range g.topics {
-		t.Fill(d, local)
+		t.Fill(d, to != nil && to.Domain == d.From.Domain)
 	}
 	return d
 }
 
+// young reports whether m's life has just begun: it knows few, and few know
+// it.
+func young(m *peerpb.Member) bool { return m == nil || m.Beat <= youngBeats }
+
 // receive merges a peer's digest. News makes a rumour: it is passed on
 // without waiting for the next round.
 func (g *Gossip) receive(ctx context.Context, d Received) {
 	g.table.Merge(append(d.Members, d.From))
+	g.table.MergeBeats(d.Alive, d.Beat)
 	news := false
 	for _, t := range g.topics {
 		news = t.Merge(ctx, d) || news
@@ -115,8 +136,7 @@
 
 // Serve answers a peer's exchange.
 func (g *Gossip) Serve(ctx context.Context, d *peerpb.Digest) *peerpb.Digest {
-	local := d.From != nil && d.From.Domain == g.table.Self().Domain
-	out := g.Digest(local)
+	out := g.Digest(d.From)
 	g.receive(ctx, Received{Digest: d})
 	return out
 }
@@ -177,9 +197,8 @@
 func (g *Gossip) exchange(ctx context.Context, to *peerpb.Member) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeWait)
 	defer cancel()
-	local := to.Domain == "" || to.Domain == g.table.Self().Domain
 	asked := g.table.clock.Now()
-	d, err := g.dial(to.Address).Exchange(ctx, g.Digest(local))
+	d, err := g.dial(to.Address).Exchange(ctx, g.Digest(to))
 	if err != nil {
 		g.log.Debug("peers: exchange failed.", "peer", to.Address, "error", err)
 		return
--- a/peers/table.go
+++ b/peers/table.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 
 type member struct {
 	pb   *peerpb.Member
+	id   uint32
 	seen time.Time // when the beat last rose, on this entry's steady clock
 }
 
@@ -101,7 +103,7 @@
 		}
 		cur, ok := t.members[r.Instance]
 		if !ok || newer(r, cur.pb) {
-			t.members[r.Instance] = &member{pb: clone(r), seen: now}
+			t.members[r.Instance] = &member{pb: clone(r), id: lifeID(r), seen: now}
 		}
 	}
 	for name, m := range t.members {
@@ -141,15 +143,16 @@
 	return ok && m.pb.Life == life && t.clock.Now().Sub(m.seen) <= suspectAfter
 }
 
-// Rows returns what to tell a peer in domain: every live member of this
-// entry's own domain, and a few of each other domain.
+// Rows returns the rows to tell a peer: every live member of this entry's
+// own domain, and a few of each other domain.
 func (t *Table) Rows() []*peerpb.Member {
+	mine := t.Self().Domain
 	byDomain := map[string]int{}
-	out := []*peerpb.Member{t.Self()}
+	var out []*peerpb.Member
 	live := t.Live()
 	shuffle(t, live)
 	for _, m := range live {
-		if m.Domain != out[0].Domain {
+		if m.Domain != mine {
 			if byDomain[m.Domain] >= foreignMembers {
 				continue
 			}
@@ -160,6 +163,31 @@
 	return out
 }
 
+// lifeID names one life of an instance in few bytes. Two lives that share an
+// id would keep each other alive; among the few hundred a domain sees in a
+// minute that is one chance in about a hundred thousand.
+func lifeID(m *peerpb.Member) uint32 {
+	return uint32(rank(m.Instance, strconv.FormatInt(m.Life, 36)))
+}
+
+// MergeBeats takes the beats of members whose rows this entry already has.
+func (t *Table) MergeBeats(ids []uint32, beats []uint32) {
+	told := make(map[uint32]int64, len(ids))
+	for i, id := range ids {
+		if i < len(beats) {
+			told[id] = int64(beats[i])
+		}
+	}
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		if beat, ok := told[m.id]; ok && beat > m.pb.Beat {
+			m.pb.Beat, m.seen = beat, now
+		}
+	}
+}
+
 // ranked returns the live members of this entry's domain, itself included,
 // in rendezvous order for subject.
 func (t *Table) ranked(subject string) []*peerpb.Member {
--- a/route/table.go
+++ b/route/table.go
@@ -15,6 +15,7 @@
 	byKey    map[string]string     // API key -> customer
 	active   map[string][]weighted // model -> active versions
 	backends map[modelVersion]*versionBackends
+	engines  map[string][]BackendInfo // by failure domain, sorted by name
 }
 
 // versionBackends indexes one version's back ends by failure domain, so a
@@ -69,6 +70,7 @@
 		byKey:    map[string]string{},
 		active:   map[string][]weighted{},
 		backends: map[modelVersion]*versionBackends{},
+		engines:  map[string][]BackendInfo{},
 	}
 	for name, c := range doc.Customers {
 		for _, k := range c.APIKeys {
@@ -92,6 +94,12 @@
 		}
 		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent, Model: b.Model, Version: b.Version}
 		vb.byDomain[b.Domain] = append(vb.byDomain[b.Domain], backendEntry{info: info, nameHash: hash64(name)})
+		if b.Kind == config.KindEngine {
+			t.engines[b.Domain] = append(t.engines[b.Domain], info)
+		}
+	}
+	for _, list := range t.engines {
+		sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	}
 	for _, vb := range t.backends {
 		for d, list := range vb.byDomain {
@@ -112,18 +120,9 @@
 	return v.Guard.Baseline
 }
 
-// Engines returns the engines of a failure domain.
-func (t *Table) Engines(domain string) []BackendInfo {
-	var out []BackendInfo
-	for _, vb := range t.backends {
-		for _, e := range vb.byDomain[domain] {
-			if e.info.Kind == config.KindEngine {
-				out = append(out, e.info)
-			}
-		}
-	}
-	return out
-}
+// Engines returns the engines of a failure domain, sorted by name. The
+// caller must not change the slice.
+func (t *Table) Engines(domain string) []BackendInfo { return t.engines[domain] }
 
 // Guarded returns the subject of a version and what its answers must come
 // to, or nil when the version is not guarded.
