Duties on leases with fencing numbers; engines are kept at their versions

Cause: fencing numbers were designed and nothing issued an order; PROOFS had 'lease lapses while paused' as not proved because no lease was held.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/duty"
 	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
@@ -62,9 +64,10 @@
 			newLedger,
 			newClaims,
 			cascade.NewPlanner,
+			newDuty,
 			newGateway,
 		),
-		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runGossip, runRatings, serve),
+		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runGossip, runRatings, serve),
 		fx.NopLogger,
 	)
 }
@@ -124,6 +127,10 @@
 	return ledger.New(c, s.Instance, int64(l), holder, clock, log.With("part", "ledger"))
 }
 
+func newDuty(s *settings.Entry, l life, c kv.Client, clock clockwork.Clock) *duty.Duty {
+	return duty.New(c, "orders/"+s.Domain, fmt.Sprintf("%s/%d", s.Instance, l), clock)
+}
+
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
 func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -5,15 +5,18 @@
 	"log/slog"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/duty"
 	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
+	"github.com/lovageweir/lovageweir/orders"
 	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/settings"
 )
@@ -89,6 +92,16 @@
 	background(lc, every(housekeeping, c.Sweep), c.Sweep)
 }
 
+// runOrders keeps engines at their versions, where the settings ask for it.
+func runOrders(lc fx.Lifecycle, s *settings.Entry, d *duty.Duty, members *peers.Table, w *configwatch.Watcher, t *endpoints.Table, clock clockwork.Clock, log *slog.Logger) {
+	if !s.ManageEngines {
+		return
+	}
+	mine := func() bool { return members.Holds("orders", 1) }
+	k := orders.New(d, mine, w.Table, t, s.Domain, clock, log.With("part", "orders"))
+	background(lc, every(orders.Interval, k.Round), d.Resign)
+}
+
 func runGossip(lc fx.Lifecycle, g *peers.Gossip) { background(lc, g.Run, nil) }
 
 func runRatings(lc fx.Lifecycle, s *settings.Entry, g *gateway.Gateway) {
--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -9,17 +9,25 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lovageweir/lovageweir/command/apply"
+	"github.com/lovageweir/lovageweir/command/billing"
+	"github.com/lovageweir/lovageweir/command/diff"
+	"github.com/lovageweir/lovageweir/command/dump"
 	"github.com/lovageweir/lovageweir/command/load"
 	"github.com/lovageweir/lovageweir/command/standin"
 	"github.com/lovageweir/lovageweir/command/status"
 	"github.com/lovageweir/lovageweir/command/synth"
+	"github.com/lovageweir/lovageweir/command/validate"
 )
 
 func main() {
 	app := kingpin.New("lovagectl", "Operate and measure lovageweir.")
+	validate.Register(app)
+	diff.Register(app)
 	apply.Register(app)
-	load.Register(app)
 	status.Register(app)
+	dump.Register(app)
+	billing.Register(app)
+	load.Register(app)
 	synth.Register(app)
 	standin.Register(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -19,9 +19,9 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
 
+	"github.com/lovageweir/lovageweir/command"
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/kv"
-	"github.com/lovageweir/lovageweir/kv/etcdv3"
 )
 
 // maxAttempts bounds re-reads after unknown outcomes.
@@ -44,19 +44,16 @@
 func Register(app *kingpin.Application) {
 	cmd := app.Command("apply", "Merge, validate and apply a configuration folder.")
 	dir := cmd.Arg("dir", "Folder of YAML files, merged in name order.").Required().ExistingDir()
-	kvURL := cmd.Flag("kv", "KV service URL.").Default("http://127.0.0.1:2379").String()
+	client := command.KVFlag(cmd)
 	base := cmd.Flag("base-revision", "Revision the change was based on (0: the current one).").Int64()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		doc, err := config.Load(*dir)
+		doc, err := config.LoadValid(*dir)
 		if err != nil {
 			return err
 		}
-		if fs := config.Validate(doc); len(fs) > 0 {
-			return fs
-		}
 		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 		defer cancel()
-		res, err := Apply(ctx, etcdv3.New(*kvURL, nil), doc, kv.Revision(*base), whoami())
+		res, err := Apply(ctx, client(), doc, kv.Revision(*base), whoami())
 		if err != nil {
 			return err
 		}
--- a/config/load.go
+++ b/config/load.go
@@ -43,6 +43,18 @@
 	return decodeStrict(merged)
 }
 
+// LoadValid is Load and Validate; problems of either come back as Findings.
+func LoadValid(dir string) (*Document, error) {
+	doc, err := Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	if fs := Validate(doc); len(fs) > 0 {
+		return nil, fs
+	}
+	return doc, nil
+}
+
 // mergeInto overlays src on dst: maps merge key by key, anything else
 // (scalars, lists) is replaced whole by the later file.
 func mergeInto(dst, src map[string]any) {
--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -89,7 +89,7 @@
 		addrs[i] = freeAddr(t)
 	}
 	for i, addr := range addrs {
-		settings := fmt.Sprintf("instance: e%d\ndomain: fd-1\nlisten: %s\nkv: http://%s\ninstances: http://%s\npeers: [http://%s]\n%s%s",
+		settings := fmt.Sprintf("instance: e%d\ndomain: fd-1\nlisten: %s\nkv: http://%s\ninstances: http://%s\npeers: [http://%s]\nmanage_engines: true\n%s%s",
 			i, addr, c.kv, c.instances, strings.Join(addrs, ", http://"), rater, sessionKeys)
 		path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
 		write(t, path, settings)
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -218,6 +218,27 @@
 	eventually(t, "the halt is in the KV", func() bool { return c.dump(t, 0).Guard["m@v2#0"].Stored })
 }
 
+// TestEngineIsBroughtToItsVersion: invariants 1 and 2. Symptom: an engine
+// goes on answering with a version that it should no longer serve. Sequence:
+// the configuration gives an engine another version, while requests come.
+// No request is answered by the version it had: the engine refuses a name it
+// has not loaded, and an entry orders it to load the new one.
+func TestEngineIsBroughtToItsVersion(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, plan{entries: 2})
+	c.apply(t, "models: {m: {versions: {v1: {state: withdrawn, weight: 0}, v2: {weight: 1}}}}\nbackends: {e-v1: {version: v2}}")
+	eventually(t, "the engine has loaded v2", func() bool {
+		for i := range c.entries {
+			if a := c.chat(t, i, request{key: "ka", model: "m", tokens: 1}); a.header.Get(openai.HeaderVersion) == "v2" {
+				is.True(a.status != http.StatusOK || strings.Contains(string(a.body), "m@v2"))
+			}
+		}
+		var st engine.State
+		getJSON(t, "http://"+c.engines["v1"]+"/debug/state", &st)
+		return st.Loaded == "m@v2"
+	})
+}
+
 // TestSilentWatchesAreRepaired: invariant 10. Symptom: entries serve an old
 // configuration for good. Sequence: every watch at the KV goes silent, then
 // the configuration changes.
--- a/endpoints/table.go
+++ b/endpoints/table.go
@@ -148,6 +148,19 @@
 	t.reports[b] = r
 }
 
+// Loaded returns the model@version that b last reported, "" when it has not
+// reported lately.
+func (t *Table) Loaded(b string) string {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.reports[b]
+	if !ok || now.Sub(r.at) > reportTTL {
+		return ""
+	}
+	return r.Version
+}
+
 // Listed takes the instance list of revision rev; it returns whether it is
 // newer than the one held. Only newer lists count, so a late answer cannot
 // bring a leaving back end back.
--- a/scripts/bench-latency.sh
+++ b/scripts/bench-latency.sh
@@ -7,6 +7,6 @@
 rate=${1:-50}; secs=${2:-10}
 start_stack 2ms >/dev/null
 echo "== straight at the engine (127.0.0.1:19101)"
-bin/lovagectl load --entry http://127.0.0.1:19101 --rate "$rate" --duration "${secs}s" --tokens 16 --mix key-suwon:draft-small:1
+bin/lovagectl load --entry http://127.0.0.1:19101 --rate "$rate" --duration "${secs}s" --tokens 16 --mix key-suwon:draft-small@v1:1
 echo "== through entry-a"
 bin/lovagectl load --entry $ENTRY_A --rate "$rate" --duration "${secs}s" --tokens 16 --mix key-suwon:draft-small:1
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,10 @@
 	Rater string `yaml:"rater"`
 	// Instances is the base URL of the platform's instance list.
 	Instances string `yaml:"instances"`
+	// ManageEngines makes the entries of this failure domain order its engines
+	// to load the versions that the configuration gives them. Leave it off
+	// where something else does.
+	ManageEngines bool `yaml:"manage_engines"`
 	// Peers are other entries' base URLs: where gossip starts.
 	Peers             []string      `yaml:"peers"`
 	FirstTokenTimeout time.Duration `yaml:"first_token_timeout"`
