--- a/agent/agent.go
+++ b/agent/agent.go
@@ -102,8 +102,8 @@
 		configwatch.HoldsWhen(func() bool { return members.Holds("config", watchHolders) }))
 }
 
-func newGuard(s *settings.Entry, l life, w *configwatch.Watcher, log *slog.Logger) *guard.Guard {
-	g := guard.New(s.Instance, int64(l), log.With("part", "guard"))
+func newGuard(s *settings.Entry, l life, w *configwatch.Watcher, clock clockwork.Clock, log *slog.Logger) *guard.Guard {
+	g := guard.New(s.Instance, int64(l), clock, log.With("part", "guard"))
 	w.OnKey(g.Stored)
 	return g
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/gravitational/trace"
 	"go.uber.org/fx"
 
 	"github.com/lovageweir/lovageweir/cascade"
@@ -68,10 +69,8 @@
 
 func (p parts) ready() bool { return !p.Gateway.Draining() && p.Watcher.Table() != nil }
 
-func (p parts) handler() http.Handler {
-	gin.SetMode(gin.ReleaseMode)
-	r := gin.New()
-	r.Use(gin.Recovery())
+// callerRoutes are what callers and the platform's balancer need.
+func (p parts) callerRoutes(r *gin.Engine) {
 	p.Gateway.Register(r)
 	r.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	r.GET("/readyz", func(c *gin.Context) {
@@ -81,6 +80,10 @@
 		}
 		c.String(http.StatusOK, "ready\n")
 	})
+}
+
+// internalRoutes are for peers and operators.
+func (p parts) internalRoutes(r *gin.Engine) {
 	r.GET("/debug/state", func(c *gin.Context) {
 		c.Header("Content-Type", "application/json")
 		enc := json.NewEncoder(c.Writer)
@@ -90,27 +93,59 @@
 	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
 	peer := peerpb.NewPeerServer(&peerServer{p})
 	r.Any(peer.PathPrefix()+"*method", gin.WrapH(peer))
-	return r
+}
+
+// listener is one address and what is served there.
+type listener struct {
+	address string
+	srv     *http.Server
+}
+
+func newListener(address string, routes ...func(*gin.Engine)) *listener {
+	r := gin.New()
+	r.Use(gin.Recovery())
+	for _, add := range routes {
+		add(r)
+	}
+	return &listener{address: address, srv: &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second}}
+}
+
+func (l *listener) start(log *slog.Logger) error {
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go func() {
+		if err := l.srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("server: stopped serving.", "address", l.address, "error", err)
+		}
+	}()
+	log.Info("server: listening.", "address", ln.Addr().String())
+	return nil
+}
+
+// listeners are one for all, or callers and internals apart.
+func (p parts) listeners() []*listener {
+	if p.Set.InternalListen == "" {
+		return []*listener{newListener(p.Set.Listen, p.callerRoutes, p.internalRoutes)}
+	}
+	return []*listener{newListener(p.Set.Listen, p.callerRoutes), newListener(p.Set.InternalListen, p.internalRoutes)}
 }
 
 // serve listens, and at a planned stop drains: readiness turns false and new
 // requests are refused as not run, those in flight finish, then the server
-// closes.
+// closes. Peers are served until the last request has ended.
 func serve(lc fx.Lifecycle, p parts) {
-	srv := &http.Server{Handler: p.handler(), ReadHeaderTimeout: 5 * time.Second}
+	gin.SetMode(gin.ReleaseMode)
+	ls := p.listeners()
 	log := p.Log.With("part", "server")
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			ln, err := net.Listen("tcp", p.Set.Listen)
-			if err != nil {
-				return err
-			}
-			go func() {
-				if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-					log.Error("server: stopped serving.", "error", err)
+			for _, l := range ls {
+				if err := l.start(log); err != nil {
+					return err
 				}
-			}()
-			log.Info("server: listening.", "address", ln.Addr().String())
+			}
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
@@ -123,7 +158,11 @@
 				time.Sleep(drainPoll)
 			}
 			log.Info("server: drained; closing.", "in_flight", p.Gateway.InFlight())
-			return srv.Shutdown(ctx)
+			var errs []error
+			for _, l := range ls {
+				errs = append(errs, l.srv.Shutdown(ctx))
+			}
+			return errors.Join(errs...)
 		},
 	})
 }
--- a/command/status/status.go
+++ b/command/status/status.go
@@ -1,5 +1,5 @@
 // Package status is `lovagectl status`: asks each entry, over the peer API,
-// for its instance, failure domain, configuration revision and readiness.
+// for its instance, failure domain, configuration revision, readiness and peers.
 package status
 
 import (
@@ -28,7 +28,8 @@
 				fmt.Printf("%-28s unreachable: %v\n", u, err)
 				continue
 			}
-			fmt.Printf("%-28s instance=%s domain=%s revision=%d ready=%v in_flight=%d\n", u, st.Instance, st.Domain, st.ConfigRevision, st.Ready, st.InFlight)
+			fmt.Printf("%-28s instance=%s domain=%s revision=%d ready=%v in_flight=%d live_peers=%d watching=%v\n",
+				u, st.Instance, st.Domain, st.ConfigRevision, st.Ready, st.InFlight, st.LivePeers, st.Watching)
 		}
 		if failed > 0 {
 			return fmt.Errorf("%d of %d entries unreachable", failed, len(*entries))
--- a/config/types.go
+++ b/config/types.go
@@ -30,7 +30,7 @@
 	// Allow maps a model (or cascade) name to the versions the customer may
 	// use; AnyVersion admits all.
 	Allow map[string][]string `yaml:"allow" json:"allow"`
-	// Priority orders shedding: higher is shed later.
+	// Priority orders shedding: higher is shed later (see route.Reserve).
 	Priority int `yaml:"priority" json:"priority"`
 }
 
@@ -86,6 +86,9 @@
 	Domain  string `yaml:"domain" json:"domain"`
 	Model   string `yaml:"model" json:"model"`
 	Version string `yaml:"version" json:"version"`
+	// Capacity is how many requests it takes at once; 0: not known, and then
+	// nothing is shed before it refuses.
+	Capacity int `yaml:"capacity" json:"capacity,omitempty"`
 	// Idempotent says whether a call may be repeated. Calls to a
 	// non-idempotent service are never retried after dispatch.
 	Idempotent bool `yaml:"idempotent" json:"idempotent"`
--- a/config/validate.go
+++ b/config/validate.go
@@ -188,6 +188,9 @@
 		if b.Domain == "" {
 			c.addf(path+".domain", "a failure domain is required")
 		}
+		if b.Capacity < 0 {
+			c.addf(path+".capacity", "capacity %d is negative", b.Capacity)
+		}
 		switch b.Kind {
 		case KindEngine, KindService:
 		default:
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -14,6 +14,7 @@
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/standin/engine"
+	"github.com/lovageweir/lovageweir/standin/service"
 )
 
 // TestPlannedStopCutsNoStream: invariant 9. Symptom: a caller's answer
@@ -315,9 +316,7 @@
 
 func (c *cluster) executions(t *testing.T) []string {
 	t.Helper()
-	var st struct {
-		Ran []struct{ Body string } `json:"ran"`
-	}
+	var st service.State
 	getJSON(t, "http://"+c.service+"/debug/state", &st)
 	var out []string
 	for _, r := range st.Ran {
--- a/guard/cusum.go
+++ b/guard/cusum.go
@@ -24,10 +24,11 @@
 type cusum float64
 
 // add takes counts of new answers and reports whether the version is bad.
-// The bad ones go last: of the orders they may have come in, it is the one
-// that halts soonest.
+// Within one call the bad ones count as spread among the good: a digest may
+// bring the answers of a long time at once (an entry that has just started
+// hears totals), and taken as coming last and together a few bad ones among
+// thousands would look like a burst.
 func (c *cusum) add(good, bad int64) bool {
-	*c = cusum(math.Max(0, float64(*c)+float64(good)*stepGood))
-	*c += cusum(float64(bad) * stepBad)
+	*c = cusum(math.Max(0, float64(*c)+float64(good)*stepGood+float64(bad)*stepBad))
 	return *c >= threshold
 }
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -6,6 +6,9 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/kv"
@@ -19,20 +22,29 @@
 // This entry's domain is told first.
 const maxEvidence = 64
 
+// evidenceFor is how long counts are told on after they last rose: the test
+// is about how a version does now, and rows of lives long ended would crowd
+// out the others.
+const evidenceFor = 30 * time.Second
+
 // source is one life of one entry.
 type source struct {
 	instance string
 	life     int64
 }
 
-type counts struct{ samples, bad int64 }
+type counts struct {
+	samples, bad int64
+	at           time.Time // when they last rose, on this entry's steady clock
+}
 
 // Guard is one entry's guard. It is safe for concurrent use; its lock is
 // never held across a call.
 type Guard struct {
-	self source
-	log  *slog.Logger
-	news func() // called after a halt became known
+	self  source
+	clock clockwork.Clock
+	log   *slog.Logger
+	news  func() // called after a halt became known
 
 	mu     sync.Mutex
 	halts  map[string]bool // subject -> whether it is known to be in the KV
@@ -43,8 +55,8 @@
 var _ route.Halts = (*Guard)(nil)
 
 // New returns the guard of one life of an instance.
-func New(instance string, life int64, log *slog.Logger) *Guard {
-	return &Guard{self: source{instance, life}, log: log, news: func() {},
+func New(instance string, life int64, clock clockwork.Clock, log *slog.Logger) *Guard {
+	return &Guard{self: source{instance, life}, clock: clock, log: log, news: func() {},
 		halts: map[string]bool{}, counts: map[string]map[source]counts{}, stats: map[string]*cusum{}}
 }
 
@@ -84,6 +96,7 @@
 	if c.samples <= old.samples {
 		return false // an older digest
 	}
+	c.at = g.clock.Now()
 	g.counts[subject][from] = c
 	bad := c.bad - old.bad
 	if !g.stats[subject].add(c.samples-old.samples-bad, bad) {
@@ -149,6 +162,7 @@
 
 // Fill implements peers.Topic.
 func (t *topic) Fill(d *peerpb.Digest, _ bool) {
+	now := t.g.clock.Now()
 	t.g.mu.Lock()
 	for s := range t.g.halts {
 		d.Halts = append(d.Halts, s)
@@ -159,6 +173,9 @@
 			continue
 		}
 		for src, c := range from {
+			if now.Sub(c.at) > evidenceFor {
+				continue
+			}
 			rows = append(rows, &peerpb.Evidence{Instance: src.instance, Life: src.life, Subject: s, Samples: c.samples, Bad: c.bad})
 		}
 	}
@@ -185,7 +202,7 @@
 		if from == g.self {
 			continue
 		}
-		news = g.countLocked(e.Subject, from, counts{e.Samples, e.Bad}) || news
+		news = g.countLocked(e.Subject, from, counts{samples: e.Samples, bad: e.Bad}) || news
 	}
 	return news
 }
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -23,7 +23,7 @@
 const subject = "m@v2#0"
 
 func newGuard(name string) *Guard {
-	return New(name, 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return New(name, 1, clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
 func everyone(string) bool { return true }
@@ -172,3 +172,20 @@
 		}
 	}
 }
+
+// TestNewcomerDoesNotHaltAGoodVersion: symptom: a version that is well is
+// halted everywhere moments after an entry was replaced. Sequence: an entry
+// has counted thousands of answers with a few bad ones among them; a new
+// entry hears its totals for the first time, in one digest. Cause, when a
+// digest's bad answers counted as if they had come last and together: the
+// few of a long time look like a burst.
+func TestNewcomerDoesNotHaltAGoodVersion(t *testing.T) {
+	is := is.New(t)
+	old, fresh := newGuard("old"), newGuard("fresh")
+	for i := range 10000 {
+		old.Observe(subject, i%50 == 0) // 2% bad
+	}
+	is.True(!old.Halted(subject))
+	tell(old, fresh)
+	is.True(!fresh.Halted(subject))
+}
--- a/route/decide.go
+++ b/route/decide.go
@@ -44,8 +44,27 @@
 	CodeModelNotAllowed  = "model_not_allowed"
 	CodeVersionWithdrawn = "version_withdrawn"
 	CodeNoBackend        = "no_backend"
+	CodeShed             = "shed"
 )
 
+// shedRetry is how long a shed caller should wait: about an answer's time.
+const shedRetry = 2 * time.Second
+
+// The share of a back end's capacity kept free for each step of priority
+// above a customer's, and at most.
+const (
+	reserveStep = 0.1
+	reserveMax  = 0.3
+)
+
+// Reserve is how many places of a back end with the given capacity are kept
+// free of customers that are below levels of priority under the highest. A
+// pool that is full refuses whoever comes next; keeping places free of the
+// lower ones first is what lets a higher one still in.
+func Reserve(capacity, below int) int {
+	return int(min(reserveStep*float64(below), reserveMax) * float64(capacity))
+}
+
 // noBackendRetry is how long a caller should wait when no back end serves the
 // version: roughly the time for the instance list and load reports to move.
 const noBackendRetry = 2 * time.Second
@@ -98,7 +117,11 @@
 	if ref != nil {
 		return nil, ref
 	}
-	cands := t.candidates(r.Model, version, r.AffinityKey, view)
+	cands, least := t.candidates(r.Model, version, r.AffinityKey, view)
+	if len(cands) > 0 && t.shed(cands[0].Capacity, least, c.Priority) {
+		return nil, &Refusal{Code: CodeShed, Status: http.StatusServiceUnavailable, RetryAfter: shedRetry,
+			Message: fmt.Sprintf("%s@%s is nearly full; what is left is kept for higher priorities", r.Model, version)}
+	}
 	if len(cands) == 0 {
 		return nil, &Refusal{Code: CodeNoBackend, Status: http.StatusServiceUnavailable,
 			Message: fmt.Sprintf("no back end serves %s@%s now", r.Model, version), RetryAfter: noBackendRetry}
@@ -106,6 +129,13 @@
 	return &Decision{Customer: cust, Model: r.Model, Version: version, Priority: c.Priority, Candidates: cands}, nil
 }
 
+// shed reports whether a request of that priority is refused while the best
+// back end has load requests.
+func (t *Table) shed(capacity, load, priority int) bool {
+	reserve := Reserve(capacity, t.highest-priority)
+	return reserve > 0 && load >= capacity-reserve
+}
+
 func versionAllowed(allowed []string, v string) bool {
 	return slices.Contains(allowed, config.AnyVersion) || slices.Contains(allowed, v)
 }
@@ -161,13 +191,14 @@
 const maxCandidates = 4
 
 // candidates picks the best back ends of one version: own failure domain
-// first (a cut-off domain keeps serving itself), then lowest load, then
-// prefix affinity by rendezvous hashing so a shared prefix tends to one
-// engine. Other domains are scanned only when the own one has too few.
-func (t *Table) candidates(model, version, affinity string, view View) []BackendInfo {
+// first (a cut-off domain keeps serving itself), then the lowest level of
+// load, then prefix affinity by rendezvous hashing so a shared prefix tends to one
+// engine. Other domains are scanned only when the own one has too few. least
+// is the smallest load among them.
+func (t *Table) candidates(model, version, affinity string, view View) (list []BackendInfo, least int) {
 	vb := t.backends[modelVersion{model, version}]
 	if vb == nil {
-		return nil
+		return nil, 0
 	}
 	var top topK
 	ah := hash64(affinity)
@@ -180,26 +211,46 @@
 		}
 	}
 	out := make([]BackendInfo, top.n)
+	least = top.items[0].load
 	for i := range out {
-		out[i] = top.items[i].info
+		out[i] = *top.items[i].info
+		least = min(least, top.items[i].load)
 	}
-	return out
+	return out, least
 }
 
 type scored struct {
-	info     BackendInfo
+	info     *BackendInfo // the table's own
 	local    bool
 	load     int
+	level    int // load in quarters of the capacity
 	affinity uint64
 }
 
+// Loads are compared in levels, so that prefix affinity decides among back
+// ends that are about equally loaded: compared one by one, loads are hardly
+// ever equal, and a shared prefix is read again on engine after engine
+// (docs/CAPACITY.md has BenchmarkPrefixLocality's figures). It also keeps
+// entries that all saw the same lagging report from picking the same engine.
+const (
+	loadLevels   = 4
+	levelUnknown = 4 // requests a level where the capacity is not known
+)
+
+func levelOf(load, capacity int) int {
+	if capacity <= 0 {
+		return load / levelUnknown
+	}
+	return load / max(capacity/loadLevels, 1)
+}
+
 // better orders candidates: local, then less loaded, then higher affinity.
 func (a *scored) better(b *scored) bool {
 	if a.local != b.local {
 		return a.local
 	}
-	if a.load != b.load {
-		return a.load < b.load
+	if a.level != b.level {
+		return a.level < b.level
 	}
 	return a.affinity > b.affinity
 }
@@ -212,12 +263,13 @@
 
 func (k *topK) scan(list []backendEntry, local bool, affinityHash uint64, eps Endpoints) {
 	for i := range list {
-		s := scored{info: list[i].info, local: local, affinity: mix(affinityHash ^ list[i].nameHash)}
+		s := scored{info: &list[i].info, local: local, affinity: mix(affinityHash ^ list[i].nameHash)}
 		if eps != nil {
 			var usable bool
-			if s.load, usable = eps.State(&s.info); !usable {
+			if s.load, usable = eps.State(s.info); !usable {
 				continue
 			}
+			s.level = levelOf(s.load, s.info.Capacity)
 		}
 		k.insert(s)
 	}
--- a/route/property_test.go
+++ b/route/property_test.go
@@ -141,15 +141,15 @@
 			name := fmt.Sprintf("b%02d", i)
 			doc.Backends[name] = config.Backend{Kind: config.KindEngine, Address: name, Model: "m", Version: "v1",
 				Domain: rapid.SampledFrom([]string{"fd-1", "fd-2", "fd-3"}).Draw(t, "domain"+name)}
-			loads[name] = rapid.IntRange(-1, 3).Draw(t, "load"+name)
+			loads[name] = rapid.IntRange(-1, 12).Draw(t, "load"+name)
 		}
 		affinity := rapid.String().Draw(t, "affinity")
-		got := NewTable(1, doc).candidates("m", "v1", affinity, View{Domain: "fd-1", Endpoints: loads})
+		got, _ := NewTable(1, doc).candidates("m", "v1", affinity, View{Domain: "fd-1", Endpoints: loads})
 		var want []scored
 		ah := hash64(affinity)
 		for name, b := range doc.Backends {
 			if loads[name] >= 0 {
-				want = append(want, scored{info: BackendInfo{Name: name}, local: b.Domain == "fd-1", load: loads[name], affinity: mix(ah ^ hash64(name))})
+				want = append(want, scored{info: &BackendInfo{Name: name}, local: b.Domain == "fd-1", load: loads[name], level: levelOf(loads[name], 0), affinity: mix(ah ^ hash64(name))})
 			}
 		}
 		slices.SortFunc(want, func(a, b scored) int {
@@ -242,3 +242,39 @@
 		t.Fatalf("v2 got %d of %d one-off requests at a weight of 10 in 100", got, n)
 	}
 }
+
+// TestPropertyShedsTheLowestFirst: a pool out of capacity. Whatever the load,
+// a customer is shed only if every lower priority is shed too, the highest is
+// never shed here, and with room for all none is.
+func TestPropertyShedsTheLowestFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(0, 100).Draw(t, "capacity")
+		load := rapid.IntRange(0, 120).Draw(t, "load")
+		doc := &config.Document{
+			Models:    map[string]config.Model{"m": {Versions: map[string]config.Version{"v1": {State: config.StateActive, Weight: 1}}}},
+			Customers: map[string]config.Customer{},
+			Backends:  map[string]config.Backend{"b": {Kind: config.KindEngine, Address: "a", Domain: "fd-1", Model: "m", Version: "v1", Capacity: capacity}},
+		}
+		const levels = 5
+		for p := range levels {
+			doc.Customers[fmt.Sprint(p)] = config.Customer{APIKeys: []string{fmt.Sprint(p)}, Priority: p, Allow: map[string][]string{"m": {"*"}}}
+		}
+		tab := NewTable(1, doc)
+		shedAbove := false
+		for p := levels - 1; p >= 0; p-- {
+			_, ref := tab.Decide(Request{APIKey: fmt.Sprint(p), Model: "m", ID: "r"}, View{Domain: "fd-1", Endpoints: mapLoads{"b": load}})
+			shed := ref != nil && ref.Code == CodeShed
+			switch {
+			case shedAbove && !shed:
+				t.Fatalf("priority %d is served while a higher one is shed", p)
+			case shed && p == levels-1:
+				t.Fatal("the highest priority is shed")
+			case shed && load < capacity*7/10:
+				t.Fatalf("shed at load %d of %d", load, capacity)
+			case shed && ref.RetryAfter == 0:
+				t.Fatal("shed without a time to come back")
+			}
+			shedAbove = shed
+		}
+	})
+}
--- a/route/table.go
+++ b/route/table.go
@@ -16,6 +16,7 @@
 	active   map[string][]weighted // model -> active versions
 	backends map[modelVersion]*versionBackends
 	engines  map[string][]BackendInfo // by failure domain, sorted by name
+	highest  int                      // the highest priority of any customer
 }
 
 // versionBackends indexes one version's back ends by failure domain, so a
@@ -54,6 +55,7 @@
 	Domain     string
 	Kind       string
 	Idempotent bool
+	Capacity   int // requests at once; 0: not known
 	Model      string
 	Version    string
 }
@@ -76,6 +78,7 @@
 		for _, k := range c.APIKeys {
 			t.byKey[k] = name
 		}
+		t.highest = max(t.highest, c.Priority)
 	}
 	for name, m := range doc.Models {
 		for v, ver := range m.Versions {
@@ -92,7 +95,7 @@
 			vb = &versionBackends{byDomain: map[string][]backendEntry{}}
 			t.backends[mv] = vb
 		}
-		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent, Model: b.Model, Version: b.Version}
+		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent, Capacity: b.Capacity, Model: b.Model, Version: b.Version}
 		vb.byDomain[b.Domain] = append(vb.byDomain[b.Domain], backendEntry{info: info, nameHash: hash64(name)})
 		if b.Kind == config.KindEngine {
 			t.engines[b.Domain] = append(t.engines[b.Domain], info)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/hex"
 	"fmt"
 	"maps"
@@ -22,12 +23,17 @@
 type Entry struct {
 	Instance string `yaml:"instance"`
 	Domain   string `yaml:"domain"`
-	// Listen is host:port for callers, peers (twirp), /metrics and /debug.
+	// Listen is host:port for callers, and for peers, operators and metrics
+	// too unless InternalListen is set.
 	Listen string `yaml:"listen"`
+	// InternalListen is host:port for peers (twirp), /metrics and /debug. Set
+	// it wherever callers are not trusted: a peer is believed, and the state
+	// dump names customers' back ends.
+	InternalListen string `yaml:"internal_listen"`
 	// KV is the base URL of the platform KV service.
 	KV string `yaml:"kv"`
 	// Advertise is the base URL at which peers reach this entry; left out,
-	// it is http:// and Listen.
+	// it is http:// and InternalListen, or else Listen.
 	Advertise string `yaml:"advertise"`
 	// Rater is the base URL of the service that rates answers. Left out,
 	// cascades go to their last step and guards see failures only.
@@ -90,7 +96,7 @@
 		e.AnswerTimeout = DefaultAnswerTimeout
 	}
 	if e.Advertise == "" {
-		e.Advertise = "http://" + e.Listen
+		e.Advertise = "http://" + cmp.Or(e.InternalListen, e.Listen)
 	}
 	if fs := e.Check(); len(fs) > 0 {
 		return nil, fs
@@ -111,6 +117,9 @@
 	if _, _, err := net.SplitHostPort(e.Listen); err != nil {
 		add("listen", "not host:port: "+err.Error())
 	}
+	if _, _, err := net.SplitHostPort(e.InternalListen); e.InternalListen != "" && err != nil {
+		add("internal_listen", "not host:port: "+err.Error())
+	}
 	if e.KV == "" {
 		add("kv", "the KV service URL is required")
 	}
--- /dev/null
+++ b/standin/control/control.go
@@ -0,0 +1,37 @@
+// Package control is what every stand-in offers operators and tests: its
+// state as JSON (GET /debug/state) and its switches (PUT /fault).
+package control
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// State serves what get returns as JSON.
+func State(mux *http.ServeMux, get func() any) {
+	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, get()) })
+}
+
+// Switches takes a T as JSON and hands it to set.
+func Switches[T any](mux *http.ServeMux, set func(T)) {
+	Put(mux, "/fault", set)
+}
+
+// Put takes a T as JSON at path and hands it to set.
+func Put[T any](mux *http.ServeMux, path string, set func(T)) {
+	mux.HandleFunc("PUT "+path, func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(v)
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// WriteJSON answers with v.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller is gone if it fails
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/standin/control"
 )
 
 // Settings configure one engine stand-in.
@@ -150,26 +151,13 @@
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", e.chat)
-	mux.HandleFunc("GET "+openai.PathLoad, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.report(time.Now())) })
+	mux.HandleFunc("GET "+openai.PathLoad, func(w http.ResponseWriter, _ *http.Request) { control.WriteJSON(w, e.report(time.Now())) })
 	mux.HandleFunc("POST "+openai.PathOrders, e.order)
-	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) })
-	mux.HandleFunc("PUT /fault", func(w http.ResponseWriter, r *http.Request) {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		e.SetFaults(f)
-		w.WriteHeader(http.StatusNoContent)
-	})
+	control.State(mux, func() any { return e.State() })
+	control.Switches(mux, e.SetFaults)
 	return mux
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // admit takes a request in, or says why not. Nothing has run when it refuses.
 func (e *Engine) admit(model string) (n int64, f Faults, status int, why string) {
 	e.mu.Lock()
@@ -317,7 +305,7 @@
 		}
 		text += Token(id, i)
 	}
-	writeJSON(w, openai.ChatResponse{ID: id, Object: "chat.completion", Model: model,
+	control.WriteJSON(w, openai.ChatResponse{ID: id, Object: "chat.completion", Model: model,
 		Choices: []openai.Choice{{Message: openai.Message{Role: "assistant", Content: text}, FinishReason: "stop"}},
 		Usage:   openai.Usage{CompletionTokens: n, TotalTokens: n}})
 }
--- a/standin/instances/instances.go
+++ b/standin/instances/instances.go
@@ -3,7 +3,6 @@
 package instances
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/standin/control"
 )
 
 type version struct {
@@ -59,17 +59,8 @@
 // Handler serves GET /v1/instances and PUT /v1/instances (a JSON array).
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
-	get := func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(l.Served()) }
-	mux.HandleFunc("GET "+openai.PathInstances, get)
-	mux.HandleFunc("GET /debug/state", get)
-	mux.HandleFunc("PUT "+openai.PathInstances, func(w http.ResponseWriter, r *http.Request) {
-		var in []openai.Instance
-		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		l.Put(in...)
-		w.WriteHeader(http.StatusNoContent)
-	})
+	mux.HandleFunc("GET "+openai.PathInstances, func(w http.ResponseWriter, _ *http.Request) { control.WriteJSON(w, l.Served()) })
+	control.State(mux, func() any { return l.Served() })
+	control.Put(mux, openai.PathInstances, func(in []openai.Instance) { l.Put(in...) })
 	return mux
 }
--- a/standin/kvserver/server.go
+++ b/standin/kvserver/server.go
@@ -14,6 +14,7 @@
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/etcdv3/api"
 	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/standin/control"
 )
 
 // Faults are the switches of the stand-in. The zero value is a healthy
@@ -113,8 +114,7 @@
 		case write && f.DropAcks:
 			fail(w, http.StatusServiceUnavailable, api.CodeUnavailable, errors.New("kv stand-in: answer lost"))
 		default:
-			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(out)
+			control.WriteJSON(w, out)
 		}
 	})
 }
@@ -295,18 +295,7 @@
 	handle(s, mux, api.PathKeepAlive, false, s.keepAlive)
 	handle(s, mux, api.PathRevoke, true, s.revoke)
 	mux.HandleFunc("POST "+api.PathWatch, s.watch)
-	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.State())
-	})
-	mux.HandleFunc("PUT /fault", func(w http.ResponseWriter, r *http.Request) {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.SetFaults(f)
-		w.WriteHeader(http.StatusNoContent)
-	})
+	control.State(mux, func() any { return s.State() })
+	control.Switches(mux, s.SetFaults)
 	return mux
 }
--- a/standin/raterd/rater.go
+++ b/standin/raterd/rater.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/lovageweir/lovageweir/rater"
+	"github.com/lovageweir/lovageweir/standin/control"
 )
 
 // DefaultSkill is the skill of a version that was given none.
@@ -71,6 +72,12 @@
 	return DefaultSkill
 }
 
+// State is the rater's state dump.
+type State struct {
+	Rated    int64    `json:"rated"`
+	Settings Settings `json:"settings"`
+}
+
 // Handler serves POST /v1/rate, GET /debug/state and PUT /fault (Settings).
 func (r *Rater) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -89,21 +96,13 @@
 			http.Error(w, "rater is down", http.StatusServiceUnavailable)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(rater.Score{Score: Score(a, set.skillOf(a))})
+		control.WriteJSON(w, rater.Score{Score: Score(a, set.skillOf(a))})
 	})
-	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+	control.State(mux, func() any {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]any{"rated": r.rated, "settings": r.set})
-	})
-	mux.HandleFunc("PUT /fault", func(w http.ResponseWriter, req *http.Request) {
-		var s Settings
-		if err := json.NewDecoder(req.Body).Decode(&s); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		r.Set(s)
-		w.WriteHeader(http.StatusNoContent)
+		return State{Rated: r.rated, Settings: r.set}
 	})
+	control.Switches(mux, r.Set)
 	return mux
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -5,13 +5,13 @@
 package service
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/standin/control"
 )
 
 // Faults are the run-time switches.
@@ -30,6 +30,12 @@
 	Body      string `json:"body"`
 }
 
+// Posted is the answer to a call: how many had run when it ended.
+type Posted struct {
+	Posted    int    `json:"posted"`
+	RequestID string `json:"request_id"`
+}
+
 // Service is one stand-in service.
 type Service struct {
 	work time.Duration
@@ -56,23 +62,21 @@
 	return append([]Execution(nil), s.ran...)
 }
 
+// State is the service's state dump.
+type State struct {
+	Executions int         `json:"executions"`
+	Ran        []Execution `json:"ran"`
+}
+
 // Handler serves any POST as a call, GET /debug/state and PUT /fault.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /", s.call)
-	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+	control.State(mux, func() any {
 		ran := s.Ran()
-		_ = json.NewEncoder(w).Encode(map[string]any{"executions": len(ran), "ran": ran})
-	})
-	mux.HandleFunc("PUT /fault", func(w http.ResponseWriter, r *http.Request) {
-		var f Faults
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		s.SetFaults(f)
-		w.WriteHeader(http.StatusNoContent)
+		return State{Executions: len(ran), Ran: ran}
 	})
+	control.Switches(mux, s.SetFaults)
 	return mux
 }
 
@@ -97,6 +101,5 @@
 	if f.LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"posted": n, "request_id": r.Header.Get(openai.HeaderRequestID)})
+	control.WriteJSON(w, Posted{Posted: n, RequestID: r.Header.Get(openai.HeaderRequestID)})
 }
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -3,13 +3,14 @@
 package weights
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/standin/control"
 )
 
 // Store serves at most one fetch per interval, and Burst at once.
@@ -47,6 +48,12 @@
 	return 0
 }
 
+// State is the store's state dump.
+type State struct {
+	Served  int64 `json:"served"`
+	Refused int64 `json:"refused"`
+}
+
 // Handler serves GET /weights/{model}/{version} and GET /debug/state.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -58,10 +65,10 @@
 		}
 		_, _ = w.Write([]byte(r.PathValue("model") + "@" + r.PathValue("version")))
 	})
-	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, _ *http.Request) {
+	control.State(mux, func() any {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]int64{"served": s.served, "refused": s.refused})
+		return State{Served: s.served, Refused: s.refused}
 	})
 	return mux
 }
