--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -33,8 +34,10 @@
 const (
 	// watchHolders is how many entries of a failure domain watch the KV.
 	watchHolders = 2
-	// ledgerHolders is how many write billing records.
-	ledgerHolders = 1
+	// ledgerGroups is how many groups a failure domain's entries fall into,
+	// each with a holder that writes its bills. One holder for all would spend
+	// over 5% of a core at the target size (docs/CAPACITY.md).
+	ledgerGroups = 4
 	// housekeeping is how often halts are persisted, claims released and
 	// dead entries' requests billed.
 	housekeeping = time.Second
@@ -123,7 +126,7 @@
 }
 
 func newLedger(s *settings.Entry, l life, c kv.Client, members *peers.Table, clock clockwork.Clock, log *slog.Logger) *ledger.Ledger {
-	holder := func() bool { return members.Holds("ledger", ledgerHolders) }
+	holder := func() bool { return members.Holds(ledgerGroup(s.Instance), 1) }
 	return ledger.New(c, s.Instance, int64(l), holder, clock, log.With("part", "ledger"))
 }
 
@@ -131,6 +134,13 @@
 	return duty.New(c, "orders/"+s.Domain, fmt.Sprintf("%s/%d", s.Instance, l), clock)
 }
 
+// ledgerGroup is the duty of writing an instance's bills.
+func ledgerGroup(instance string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(instance))
+	return fmt.Sprintf("ledger/%d", h.Sum32()%ledgerGroups)
+}
+
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
 func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -70,7 +70,7 @@
 
 // runLedger flushes, copies to the holder and bills for dead entries. At a
 // planned stop everything not yet durable is written before the exit.
-func runLedger(lc fx.Lifecycle, l *ledger.Ledger, members *peers.Table, dial peers.Dial, log *slog.Logger) {
+func runLedger(lc fx.Lifecycle, s *settings.Entry, l *ledger.Ledger, members *peers.Table, dial peers.Dial, log *slog.Logger) {
 	log = log.With("part", "ledger")
 	flush := func(ctx context.Context) {
 		if err := l.Flush(ctx); err != nil {
@@ -83,7 +83,7 @@
 		}
 	})
 	background(lc, every(housekeeping, func(context.Context) { l.TakeOver(members.Alive) }), nil)
-	background(lc, func(ctx context.Context) { l.Replicate(ctx, members.FirstOther("ledger"), dial) }, nil)
+	background(lc, func(ctx context.Context) { l.Replicate(ctx, members.FirstOther(ledgerGroup(s.Instance)), dial) }, nil)
 }
 
 // runClaims releases the claims of requests that did not run; the last sweep
--- a/configwatch/faults_test.go
+++ b/configwatch/faults_test.go
@@ -46,15 +46,21 @@
 	*memkv.Store
 	clock  clockwork.Clock
 	down   atomic.Bool
-	reads  atomic.Int64
+	reads  atomic.Int64  // of revisions
+	values atomic.Int64  // of values
 	waited chan struct{} // one per watch that began
 }
 
-func (s *silentWatch) Get(ctx context.Context, key string, prefix bool) (kv.Revision, []kv.KeyValue, error) {
+func (s *silentWatch) List(ctx context.Context, prefix string) (kv.Revision, []kv.KeyValue, error) {
 	s.reads.Add(1)
 	if s.down.Load() {
 		return 0, nil, kv.ErrUnavailable
 	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *silentWatch) Get(ctx context.Context, key string, prefix bool) (kv.Revision, []kv.KeyValue, error) {
+	s.values.Add(1)
 	return s.Store.Get(ctx, key, prefix)
 }
 
@@ -150,7 +156,8 @@
 		w.Refresh(ctx)
 	}
 	is.Equal(s.reads.Load(), int64(2))
-	is.True(w.Table() != nil) // and the configuration stays in force
+	is.Equal(s.values.Load(), int64(1)) // the document is read when it changed
+	is.True(w.Table() != nil)           // and the configuration stays in force
 }
 
 // peerOf serves Config from another watcher.
--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -230,17 +230,30 @@
 	}
 }
 
-// read offers the stored configuration and returns the store's revision.
+// read offers the stored configuration and returns the store's revision. It
+// asks for the revisions first: the value is a hundred kilobytes at the
+// target size, and most reads find nothing new.
 func (w *Watcher) read(ctx context.Context, wait time.Duration) (kv.Revision, error) {
 	asked := w.clock.Now()
 	rctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	rev, kvs, err := w.kv.Get(rctx, config.LivePrefix, true)
+	rev, keys, err := w.kv.List(rctx, config.LivePrefix)
 	if err != nil {
 		return 0, err
 	}
-	for _, v := range kvs {
-		w.take(v)
+	for _, k := range keys {
+		if k.Key != config.Key {
+			w.other(k.Key)
+			continue
+		}
+		if k.ModRevision <= w.Revision() {
+			continue
+		}
+		if _, kvs, err := w.kv.Get(rctx, config.Key, false); err != nil {
+			return 0, err
+		} else if len(kvs) == 1 {
+			w.Offer(kvs[0].ModRevision, kvs[0].Value)
+		}
 	}
 	w.confirm(asked)
 	return rev, nil
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -89,7 +89,7 @@
 	first := c.chat(t, 0, request{key: "ka", model: "m", stream: true, tokens: 3})
 	is.True(first.done)
 	broken := c.chat(t, 0, request{key: "ka", model: "m", stream: true, tokens: 200, onFirst: func() {
-		eventually(t, "the peer holds a copy of the open request", func() bool { return c.dump(t, 1).Ledger.Owners == 1 })
+		eventually(t, "the peer holds a copy of the open request", func() bool { return c.dump(t, 1).Ledger.OwnersOpen == 1 })
 		c.entries[0].signal(t, syscall.SIGKILL)
 	}})
 	is.True(!broken.done)
--- a/kv/etcdv3/api/api.go
+++ b/kv/etcdv3/api/api.go
@@ -36,10 +36,12 @@
 	Lease          int64  `json:"lease,string,omitempty"`
 }
 
-// RangeRequest reads Key, or [Key, RangeEnd) when RangeEnd is set.
+// RangeRequest reads Key, or [Key, RangeEnd) when RangeEnd is set; KeysOnly
+// leaves the values out.
 type RangeRequest struct {
 	Key      []byte `json:"key,omitempty"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	KeysOnly bool   `json:"keys_only,omitempty"`
 }
 
 // RangeResponse answers RangeRequest.
--- a/kv/etcdv3/client.go
+++ b/kv/etcdv3/client.go
@@ -98,8 +98,17 @@
 
 // Get implements kv.KV.
 func (c *Client) Get(ctx context.Context, key string, prefix bool) (kv.Revision, []kv.KeyValue, error) {
+	return c.read(ctx, api.RangeRequest{Key: []byte(key), RangeEnd: rangeEnd(key, prefix)})
+}
+
+// List implements kv.KV.
+func (c *Client) List(ctx context.Context, prefix string) (kv.Revision, []kv.KeyValue, error) {
+	return c.read(ctx, api.RangeRequest{Key: []byte(prefix), RangeEnd: rangeEnd(prefix, true), KeysOnly: true})
+}
+
+func (c *Client) read(ctx context.Context, req api.RangeRequest) (kv.Revision, []kv.KeyValue, error) {
 	var r api.RangeResponse
-	if err := c.call(ctx, api.PathRange, api.RangeRequest{Key: []byte(key), RangeEnd: rangeEnd(key, prefix)}, &r); err != nil {
+	if err := c.call(ctx, api.PathRange, req, &r); err != nil {
 		return 0, nil, err
 	}
 	out := make([]kv.KeyValue, 0, len(r.Kvs))
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -53,6 +53,8 @@
 	// Get returns the key (or, with prefix, every key under it) and the
 	// store's revision at the time of the read.
 	Get(ctx context.Context, key string, prefix bool) (Revision, []KeyValue, error)
+	// List is Get with prefix, without the values: what changed, for little.
+	List(ctx context.Context, prefix string) (Revision, []KeyValue, error)
 	// Put writes unconditionally and returns the new revision.
 	Put(ctx context.Context, key string, value []byte, lease LeaseID) (Revision, error)
 	// CompareAndPut writes only if the key's ModRevision equals expect (0:
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -72,6 +72,15 @@
 	return s.rev, out, nil
 }
 
+// List implements kv.KV.
+func (s *Store) List(ctx context.Context, prefix string) (kv.Revision, []kv.KeyValue, error) {
+	rev, kvs, err := s.Get(ctx, prefix, true)
+	for i := range kvs {
+		kvs[i].Value = nil
+	}
+	return rev, kvs, err
+}
+
 // Put implements kv.KV.
 func (s *Store) Put(_ context.Context, key string, value []byte, id kv.LeaseID) (kv.Revision, error) {
 	s.mu.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -200,6 +200,8 @@
 	Waiting int `json:"waiting"`
 	// Owners is how many other entries' requests it keeps copies of.
 	Owners int `json:"owners"`
+	// OwnersOpen is how many of those are in flight.
+	OwnersOpen int `json:"owners_open"`
 	// Batches is how many batches this life wrote.
 	Batches int `json:"batches"`
 }
@@ -209,5 +211,9 @@
 	n := l.Waiting()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return State{Open: len(l.open), Waiting: n, Owners: len(l.shadow.owners), Batches: l.seq}
+	st := State{Open: len(l.open), Waiting: n, Owners: len(l.shadow.owners), Batches: l.seq}
+	for _, o := range l.shadow.owners {
+		st.OwnersOpen += len(o.open)
+	}
+	return st
 }
--- a/ledger/shadow.go
+++ b/ledger/shadow.go
@@ -57,6 +57,8 @@
 	return shadowState{dirty: map[string]bool{}, copied: make(chan struct{}), kick: make(chan struct{}, 1), owners: map[string]*owned{}}
 }
 
+// changed notes that the holder does not have rid as it is now, and asks for
+// a copy. What changes while one is under way goes together in the next.
 func (s *shadowState) changed(rid string) int64 {
 	s.dirty[rid] = true
 	s.mark++
--- a/standin/kvserver/server.go
+++ b/standin/kvserver/server.go
@@ -134,6 +134,9 @@
 	}
 	out := &api.RangeResponse{Header: header(rev), Count: int64(len(kvs))}
 	for _, v := range kvs {
+		if r.KeysOnly {
+			v.Value = nil
+		}
 		out.Kvs = append(out.Kvs, toAPI(v))
 	}
 	return out, nil
