Process tests keep off the ports the kernel hands out

Tests took free ports from the ephemeral range and released them for the processes to bind, while other packages' tests open thousands of connections. Shown: e2e beside three loops of the fault matrix failed with 'address already in use' in 36 processes; in that stress the range itself ran out too. Ruled out: a bound on time (the failing run was 8 s shorter than a passing one). Change: processes listen on 24000 to 31999, below the range; the matrix's unreachable back end is port 1 rather than a port just released. After: e2e beside one loop of the matrix passed (3 counts of 4 tests). Conclusion: likely the cause of the one failure, not proved to be; should it come again, its whole log is what to keep.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -45,15 +46,31 @@
 	return filepath.Join(binDir, "lovageweir"), filepath.Join(binDir, "lovagectl")
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// Processes under test listen below the range that the kernel hands out to
+// connections. Ports taken from that range and released are soon someone
+// else's: with other packages' tests running beside these, a process found
+// its address in use, or a test reached another package's server.
+const (
+	firstPort = 24000
+	ports     = 8000
+)
+
+// nextPort is where the search goes on; runs side by side start apart.
+var nextPort atomic.Int64
+
+// freeAddr returns a loopback address that nobody listens on.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	nextPort.CompareAndSwap(0, int64(os.Getpid()*97%ports)+1)
+	for range ports {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // proc is one child process; it is killed when the test ends.
--- a/gateway/matrix_test.go
+++ b/gateway/matrix_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -60,6 +59,10 @@
 
 const matrixTokens = 4
 
+// nobody is an address where nothing listens: a port that was free a moment
+// ago would not do, another test's server may have it by now.
+const nobody = "127.0.0.1:1"
+
 func refuse(status int) func(http.ResponseWriter, *http.Request, *faultyBackend) {
 	return func(w http.ResponseWriter, _ *http.Request, _ *faultyBackend) { w.WriteHeader(status) }
 }
@@ -158,13 +161,8 @@
 }
 
 func (b *faultyBackend) start(t *testing.T) string {
-	if b.fault.serve == nil { // nothing listens there
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		ln.Close()
-		return ln.Addr().String()
+	if b.fault.serve == nil {
+		return nobody
 	}
 	s := httptest.NewServer(b)
 	t.Cleanup(s.Close)
