An unknown key is told so for cascades too; serve reads more plainly

Cause: a request for a cascade under an unknown API key got 403 for a customer that does not exist; a model got 401 (seen while reading). Before/after: TestCascadeStepStaysInAllowList has the case; 403 before.

--- a/gateway/cascade_test.go
+++ b/gateway/cascade_test.go
@@ -116,6 +116,9 @@
 	doc.Customers["c"] = config.Customer{APIKeys: []string{"k"}, Allow: map[string][]string{"cheap": {"*"}}}
 	a = askFor(t, serveGateway(t, testDeps(doc, clockwork.NewFakeClock())), "draft", true)
 	is.Equal(a.status, http.StatusForbidden) // the cascade itself is not allowed
+	doc.Customers["c"] = config.Customer{APIKeys: []string{"other"}}
+	a = askFor(t, serveGateway(t, testDeps(doc, clockwork.NewFakeClock())), "draft", true)
+	is.Equal(a.status, http.StatusUnauthorized)
 }
 
 // counter is a guard that halts nothing and counts.
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -136,7 +137,9 @@
 func (g *Gateway) serve(q *request) *route.Refusal {
 	steps := q.table.Steps(q.route.APIKey, q.name)
 	if len(steps) == 0 {
-		return &route.Refusal{Code: route.CodeModelNotAllowed, Status: 403, Message: "the customer may not use cascade " + q.name}
+		if _, ref := g.decide(q, q.name); ref != nil {
+			return ref // the key is unknown, or the cascade not allowed
+		}
 	}
 	var best *held
 	var refused *route.Refusal
@@ -157,23 +160,35 @@
 			return g.lastStep(q, dec, best)
 		}
 		h := g.tryStep(q, dec)
-		if h == nil {
-			continue
-		}
-		if h.rated() {
-			g.learn(q, i, h.score >= st.MinScore)
-		}
-		if h.rated() && h.score >= st.MinScore {
+		if g.passed(q, i, st, h) {
 			g.deliver(q, h, false)
 			return nil
 		}
-		if best == nil || h.score > best.score {
-			best = h
-		}
+		best = better(best, h)
 	}
 	return g.conclude(q, best, refused)
 }
 
+// passed reports whether a step's answer is good enough, and learns from it.
+func (g *Gateway) passed(q *request, i int, st config.Step, h *held) bool {
+	if h == nil || !h.rated() {
+		return false
+	}
+	ok := h.score >= st.MinScore
+	if g.Planner != nil {
+		g.Planner.Learn(q.name, i, q.promptBytes(), ok)
+	}
+	return ok
+}
+
+// better returns the answer to hold on to; either may be nil.
+func better(a, b *held) *held {
+	if a == nil || b != nil && b.score > a.score {
+		return b
+	}
+	return a
+}
+
 // worth reports whether step i of a cascade is worth trying on q.
 func (g *Gateway) worth(q *request, steps []config.Step, i int) bool {
 	if g.Planner == nil {
@@ -182,12 +197,6 @@
 	return g.Planner.Worth(q.name, i, q.promptBytes(), q.table.SkipBelow(q.name, steps[i].Model, steps[i+1].Model))
 }
 
-func (g *Gateway) learn(q *request, step int, passed bool) {
-	if g.Planner != nil {
-		g.Planner.Learn(q.name, step, q.promptBytes(), passed)
-	}
-}
-
 // open bills and claims q once, before its first dispatch.
 func (g *Gateway) open(q *request, dec *route.Decision) *route.Refusal {
 	if q.opened {
@@ -256,7 +265,7 @@
 		return nil
 	case q.mayHaveRun:
 		g.settle(q, ledger.OutcomeUnknown)
-		g.refuse(q.c, 504, openai.OutcomeUnknown, "no_answer", "no back end answered; one may have run the request", retryUnknown)
+		g.refuse(q.c, http.StatusGatewayTimeout, openai.OutcomeUnknown, "no_answer", "no back end answered; one may have run the request", retryUnknown)
 		return nil
 	}
 	if q.opened {
@@ -266,7 +275,7 @@
 		}
 	}
 	if refused == nil {
-		refused = &route.Refusal{Code: "no_capacity", Status: 503, Message: "no back end of " + q.name + " took the request", RetryAfter: noCapacityRetry}
+		refused = &route.Refusal{Code: "no_capacity", Status: http.StatusServiceUnavailable, Message: "no back end of " + q.name + " took the request", RetryAfter: noCapacityRetry}
 	}
 	return refused
 }
