Forget back ends that left the configuration

Change: both are pruned once for each configuration revision; a back end with requests in flight stays until they end. Before/after: TestReplacedEndpointsAreForgotten (new; without Keep nothing is ever removed).

--- a/endpoints/poll.go
+++ b/endpoints/poll.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
 )
@@ -48,7 +49,8 @@
 	hc     *http.Client
 	log    *slog.Logger
 
-	seq int64 // rounds so far; orders this entry's reports
+	seq  int64       // rounds so far; orders this entry's reports
+	kept kv.Revision // the configuration the table was last pruned to
 
 	mu    sync.Mutex
 	seeds []string // entries the list last named
@@ -76,6 +78,10 @@
 	if t == nil {
 		return
 	}
+	if t.Revision != p.kept {
+		p.kept = t.Revision
+		p.table.Keep(t.HasBackend)
+	}
 	work := make(chan route.BackendInfo)
 	for range pollWorkers {
 		wg.Add(1)
--- a/endpoints/table.go
+++ b/endpoints/table.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -161,6 +162,19 @@
 	return r.Version
 }
 
+// Keep forgets back ends that left the configuration, or the view would grow
+// with every endpoint ever replaced. One with requests in flight stays until
+// the next call.
+func (t *Table) Keep(named func(backend string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	gone := func(b string) bool { return !named(b) }
+	maps.DeleteFunc(t.inFlight, func(b string, n int) bool { return n == 0 && gone(b) })
+	maps.DeleteFunc(t.reports, func(b string, _ Report) bool { return gone(b) })
+	maps.DeleteFunc(t.avoid, func(b string, _ avoidance) bool { return gone(b) })
+	maps.DeleteFunc(t.draining, func(b string, _ time.Time) bool { return gone(b) })
+}
+
 // Listed takes the instance list of revision rev; it returns whether it is
 // newer than the one held. Only newer lists count, so a late answer cannot
 // bring a leaving back end back.
--- a/endpoints/table_test.go
+++ b/endpoints/table_test.go
@@ -85,3 +85,26 @@
 	_, usable := table.State(engineB)
 	is.True(!usable) // it has loaded another version
 }
+
+// TestReplacedEndpointsAreForgotten: symptom: an entry's memory grows week by
+// week. Sequence: endpoints are replaced under new names again and again.
+// Cause, if the view kept every name it ever saw.
+func TestReplacedEndpointsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(clockwork.NewFakeClock())
+	for _, b := range []string{"old", "busy", "new"} {
+		end := table.Begin(b)
+		table.Reported(b, Report{Load: 1, Life: 1, Seq: 1})
+		table.Failed(b)
+		table.Draining(b)
+		if b != "busy" {
+			end()
+		}
+	}
+	table.Keep(func(b string) bool { return b == "new" })
+	left := table.Snapshot().Backends
+	_, old := left["old"]
+	is.True(!old)
+	is.Equal(left["busy"].InFlight, 1) // until its request has ended
+	is.Equal(len(left), 2)
+}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -92,6 +92,7 @@
 	if q.table = g.Tables.Table(); q.table == nil {
 		return errNoConfig
 	}
+	g.lines.keep(q.table)
 	// The life keeps ids apart across restarts: the ledger counts each id
 	// once, so an id used again would go unbilled.
 	q.rid = fmt.Sprintf("%s-%s-%d", g.Instance, strconv.FormatInt(g.Life, 36), g.seq.Add(1))
--- a/gateway/lines.go
+++ b/gateway/lines.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"maps"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/route"
 )
 
 // Bounds of connections to back ends.
@@ -29,6 +33,7 @@
 type lines struct {
 	mu    sync.Mutex
 	pools map[string]*http.Client
+	kept  kv.Revision // the configuration the pools were last pruned to
 	once  *http.Client
 }
 
@@ -58,6 +63,24 @@
 	return c
 }
 
+// keep gives up the pools of back ends that left the configuration, once for
+// each revision.
+func (l *lines) keep(t *route.Table) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.kept == t.Revision {
+		return
+	}
+	l.kept = t.Revision
+	maps.DeleteFunc(l.pools, func(address string, c *http.Client) bool {
+		gone := !t.HasAddress(address)
+		if gone {
+			c.CloseIdleConnections() // those in use close when their answer ends
+		}
+		return gone
+	})
+}
+
 // drop gives up the pool of address.
 func (l *lines) drop(address string) {
 	l.mu.Lock()
--- a/route/table.go
+++ b/route/table.go
@@ -16,7 +16,9 @@
 	active   map[string][]weighted // model -> active versions
 	backends map[modelVersion]*versionBackends
 	engines  map[string][]BackendInfo // by failure domain, sorted by name
-	highest  int                      // the highest priority of any customer
+	// addresses are those of all back ends.
+	addresses map[string]struct{}
+	highest   int // the highest priority of any customer
 }
 
 // versionBackends indexes one version's back ends by failure domain, so a
@@ -73,6 +75,8 @@
 		active:   map[string][]weighted{},
 		backends: map[modelVersion]*versionBackends{},
 		engines:  map[string][]BackendInfo{},
+
+		addresses: make(map[string]struct{}, len(doc.Backends)),
 	}
 	for name, c := range doc.Customers {
 		for _, k := range c.APIKeys {
@@ -89,6 +93,7 @@
 		sort.Slice(t.active[name], func(i, j int) bool { return t.active[name][i].version < t.active[name][j].version })
 	}
 	for name, b := range doc.Backends {
+		t.addresses[b.Address] = struct{}{}
 		mv := modelVersion{b.Model, b.Version}
 		vb := t.backends[mv]
 		if vb == nil {
@@ -127,6 +132,18 @@
 // caller must not change the slice.
 func (t *Table) Engines(domain string) []BackendInfo { return t.engines[domain] }
 
+// HasBackend reports whether the configuration names the back end.
+func (t *Table) HasBackend(name string) bool {
+	_, ok := t.doc.Backends[name]
+	return ok
+}
+
+// HasAddress reports whether a back end of the configuration is there.
+func (t *Table) HasAddress(address string) bool {
+	_, ok := t.addresses[address]
+	return ok
+}
+
 // Guarded returns the subject of a version and what its answers must come
 // to, or nil when the version is not guarded.
 func (t *Table) Guarded(model, version string) (string, *config.Guard) {
