--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -1,17 +1,19 @@
-// Command lovageweir is the entry daemon: the caller-facing router that
-// checks each request against its customer's allowed models and versions,
-// picks a back end and relays the answer.
+// Command lovageweir is the entry daemon. `lovageweir edge` runs an entry on
+// the users' platform; `lovageweir entry`, the default, one in front of
+// OpenAI-compatible engines, configured through an etcd-compatible store.
 package main
 
 import (
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"go.uber.org/fx"
 
 	"github.com/lovageweir/lovageweir/agent"
+	"github.com/lovageweir/lovageweir/edge"
 	"github.com/lovageweir/lovageweir/settings"
 )
 
@@ -21,17 +23,35 @@
 // 64 (docs/CAPACITY.md). GOGC in the environment goes first.
 const gcPercent = 50
 
+// stopTimeout bounds a planned stop; the settings bound it closer.
+const stopTimeout = time.Minute
+
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	app := kingpin.New("lovageweir", "Model-aware router: the entry daemon.")
-	cfg := app.Flag("config", "Settings file (YAML).").Short('c').Required().ExistingFile()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	set, err := settings.Load(*cfg)
+	entry := app.Command("entry", "Serve the OpenAI interface.").Default()
+	entryPath := entry.Flag("config", "Settings file (YAML).").Short('c').Required().ExistingFile()
+	onPlatform := app.Command("edge", "Serve on the users' platform.")
+	edgePath := onPlatform.Flag("settings", "Settings file (YAML).").Short('s').Required().ExistingFile()
+	var module fx.Option
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case entry.FullCommand():
+		set, err := settings.Load(*entryPath)
+		exitOn(err)
+		module = agent.Module(set)
+	case onPlatform.FullCommand():
+		set, err := edge.Load(*edgePath)
+		exitOn(err)
+		module = edge.Module(edge.Options{Settings: set, Path: *edgePath})
+	}
+	fx.New(module, fx.StopTimeout(stopTimeout)).Run()
+}
+
+func exitOn(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lovageweir: settings:", err)
 		os.Exit(2)
 	}
-	fx.New(agent.Module(set)).Run()
 }
--- /dev/null
+++ b/edge/module.go
@@ -0,0 +1,126 @@
+package edge
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/lovageweir/lovageweir/call"
+	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/internal/asynclog"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/mesh"
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/platform"
+	"github.com/lovageweir/lovageweir/retry"
+	"github.com/lovageweir/lovageweir/rollout"
+)
+
+// lapsedSlack is how much sooner than the operators' bound an endpoint whose
+// registration ended stops being a last resort: the bound counts from when
+// the store knew, which is before this entry did.
+const lapsedSlack = 600 * time.Millisecond
+
+// bodyShare is the share of the process's memory that request bodies may
+// take up; the rest is for connections, answers and the collector's headroom.
+const bodyShare = 8
+
+// boot is this run of the process; later runs have higher ones.
+type boot int64
+
+// Options of an entry.
+type Options struct {
+	Settings *Settings
+	// Path of the settings file, read again when it changes; empty: never.
+	Path string
+	Logs io.Writer
+}
+
+// Module is the entry's fx module. fx stops hooks in reverse order, so the
+// listeners, which drain, come last: what they need still runs then.
+func Module(o Options) fx.Option {
+	return fx.Options(
+		fx.Supply(o, o.Settings),
+		fx.Provide(
+			func() boot { return boot(time.Now().UnixNano()) },
+			clockwork.NewRealClock,
+			newLogger,
+			newMetrics,
+			func(s *Settings) kv.Client { return platform.NewStore(s.Store) },
+			func() fleet.Decoder { return platform.Values{} },
+			func() call.Wire { return platform.Headers{} },
+			newFollower,
+			newRollouts,
+			place.NewBoard,
+			newBudget,
+			newMesh,
+			newIngress,
+		),
+		fx.Invoke(runFollower, runMesh, runRollouts, runRegistration, runReload, serve),
+		fx.NopLogger,
+	)
+}
+
+func newLogger(lc fx.Lifecycle, o Options, b boot) *slog.Logger {
+	out := o.Logs
+	if out == nil {
+		out = os.Stdout
+	}
+	w := asynclog.New(out, asynclog.DefaultCapacity)
+	lc.Append(fx.StopHook(w.Close))
+	return slog.New(slog.NewJSONHandler(w, nil)).With("instance", o.Settings.Instance)
+}
+
+type metrics struct {
+	scope    tally.Scope
+	reporter promreporter.Reporter
+}
+
+func newMetrics(lc fx.Lifecycle) *metrics {
+	r := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "lovageweir", CachedReporter: r, Separator: promreporter.DefaultSeparator,
+		// tally's own cardinality gauges use dotted names that Prometheus rejects.
+		OmitCardinalityMetrics: true}, metricsInterval)
+	lc.Append(fx.StopHook(closer.Close))
+	return &metrics{scope: scope, reporter: r}
+}
+
+// metricsInterval is how often counters reach the metrics address.
+const metricsInterval = 2 * time.Second
+
+func lapsedFor(s *Settings) time.Duration {
+	return max(0, time.Duration(s.Bounds.LeavingMS)*time.Millisecond-lapsedSlack)
+}
+
+func newFollower(s *Settings, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger) *fleet.Follower {
+	return fleet.NewFollower(c, dec, lapsedFor(s), clock, log)
+}
+
+func newRollouts(s *Settings, b boot, c kv.Client, dec fleet.Decoder, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *rollout.Controller {
+	return rollout.New(rollout.Deps{Instance: s.Instance, Boot: int64(b), Store: c, Decoder: dec, View: f.View,
+		SessionLife: time.Duration(s.Bounds.SessionS * float64(time.Second)), Clock: clock, Log: log})
+}
+
+func newBudget(s *Settings, f *fleet.Follower, clock clockwork.Clock) *retry.Budget {
+	b := retry.Bounds{Ratio: s.Bounds.RepeatRatio, Extra: s.Bounds.RepeatExtra, Window: time.Duration(s.Bounds.RepeatWindowS * float64(time.Second))}
+	return retry.New(b, func() int { return len(f.View().Entries) }, clock)
+}
+
+func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
+	return mesh.New(mesh.Deps{Instance: s.Instance, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Clock: clock, Log: log})
+}
+
+func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, budget *retry.Budget, r *rollout.Controller,
+	clock clockwork.Clock, log *slog.Logger, m *metrics) *ingress.Server {
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Budget: budget, Rollouts: r,
+		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, LapsedFor: lapsedFor(s),
+		Clock: clock, Log: log, Scope: m.scope.SubScope("ingress")})
+}
--- /dev/null
+++ b/edge/serve.go
@@ -0,0 +1,205 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/gravitational/trace"
+	"go.uber.org/fx"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/mesh"
+	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/rpc/meshpb"
+)
+
+// A planned stop.
+const (
+	// lookAway is how long the platform's balancer takes to send no more
+	// connections to an entry that says it is not ready: two looks, a second
+	// apart, and some for the look itself.
+	lookAway = 3200 * time.Millisecond
+	// exitSlack is how long before the kill the process ends by itself.
+	exitSlack = 500 * time.Millisecond
+	// drainPoll is how often a stopping entry looks whether requests remain.
+	drainPoll = 50 * time.Millisecond
+)
+
+// Limits of a caller's connection where the configuration's are not known
+// yet or larger.
+const (
+	headerBytes   = 16 << 10
+	headerTimeout = 5 * time.Second
+	// idleTimeout is above the configuration's: callers reuse connections
+	// within that, and closing one as a request arrives would lose it.
+	idleTimeout = 75 * time.Second
+)
+
+type parts struct {
+	fx.In
+	Set      *Settings
+	Boot     boot
+	Ingress  *ingress.Server
+	Fleet    *fleet.Follower
+	Mesh     *mesh.Mesh
+	Rollouts *rollout.Controller
+	Metrics  *metrics
+	Log      *slog.Logger
+}
+
+// Dump is the entry's state dump: GET /debug/state with the peers.
+type Dump struct {
+	Instance string          `json:"instance"`
+	Domain   string          `json:"domain"`
+	Boot     int64           `json:"boot"`
+	Ready    bool            `json:"ready"`
+	Stopping bool            `json:"stopping"`
+	InFlight int64           `json:"in_flight"`
+	Revision int64           `json:"revision"`
+	Config   int64           `json:"config_version"`
+	AgeMS    int64           `json:"age_ms"`
+	Away     bool            `json:"store_away"`
+	Entries  []fleet.Entry   `json:"entries"`
+	Services []ServiceDump   `json:"services"`
+	Rollouts []rollout.State `json:"rollouts"`
+	Mesh     mesh.State      `json:"mesh"`
+}
+
+// ServiceDump is a service's part of the dump.
+type ServiceDump struct {
+	Name   string           `json:"name"`
+	Ready  []fleet.Endpoint `json:"ready"`
+	Lapsed []fleet.Lapsed   `json:"lapsed,omitempty"`
+	Order  *fleet.Rollout   `json:"rollout,omitempty"`
+}
+
+func (p parts) dump() Dump {
+	v := p.Fleet.View()
+	d := Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Ingress.Stopping(),
+		InFlight: p.Ingress.InFlight(), Revision: int64(v.Revision), AgeMS: -1, Away: p.Fleet.StoreAway(), Entries: v.Entries,
+		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State()}
+	if v.Config != nil {
+		d.Config = v.Config.Version
+	}
+	if age, ok := p.Fleet.Age(); ok {
+		d.AgeMS = age.Milliseconds()
+	}
+	for _, g := range v.Groups() {
+		d.Services = append(d.Services, ServiceDump{g.Service.Name, g.Ready, g.Lapsed, g.Rollout})
+	}
+	return d
+}
+
+// readiness answers the platform's balancer, which reads only the status.
+func (p parts) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.Ingress.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (p parts) peers() http.Handler {
+	r := gin.New()
+	s := meshpb.NewMeshServer(p.Mesh)
+	r.Any(s.PathPrefix()+"*method", gin.WrapH(s))
+	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
+	r.GET("/debug/state", func(c *gin.Context) {
+		c.Header("Content-Type", "application/json")
+		enc := json.NewEncoder(c.Writer)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(p.dump()) // a reader that left needs no dump
+	})
+	return r
+}
+
+func (p parts) metricsOnly() http.Handler {
+	r := gin.New()
+	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
+	return r
+}
+
+type listener struct {
+	name, address string
+	srv           *http.Server
+}
+
+func newListener(name, address string, h http.Handler) *listener {
+	return &listener{name: name, address: address, srv: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerBytes}}
+}
+
+func (l *listener) start(log *slog.Logger) error {
+	ln, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return trace.Wrap(err, "listen.%s", l.name)
+	}
+	go func() {
+		if err := l.srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error("edge: stopped listening.", "for", l.name, "address", l.address, "error", err)
+		}
+	}()
+	return nil
+}
+
+// serve listens, and at a planned stop drains.
+func serve(lc fx.Lifecycle, p parts) {
+	gin.SetMode(gin.ReleaseMode)
+	callers := newListener("callers", p.Set.Listen.Callers, p.Ingress.Handler())
+	all := []*listener{newListener("peers", p.Set.Listen.Peers, p.peers()), callers, newListener("readiness", p.Set.Listen.Readiness, p.readiness())}
+	if p.Set.Listen.Metrics != "" {
+		all = append(all, newListener("metrics", p.Set.Listen.Metrics, p.metricsOnly()))
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, l := range all {
+				if err := l.start(p.Log); err != nil {
+					return err
+				}
+			}
+			p.Log.Info("edge: started.", "boot", int64(p.Boot), "domain", p.Set.Domain, "callers", p.Set.Listen.Callers, "peers", p.Set.Listen.Peers,
+				"store", p.Set.Store, "memory_mb", p.Set.MemoryMB)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			p.drain(callers)
+			for _, l := range all {
+				_ = l.srv.Close() // the process ends now
+			}
+			return nil
+		},
+	})
+}
+
+// drain ends an entry's work without cutting off a request: it says that it
+// is not ready, makes each answer the last on its connection, serves on until
+// the balancer looks elsewhere, and waits for what is in flight.
+func (p parts) drain(callers *listener) {
+	begun := time.Now()
+	p.Ingress.Stop()
+	p.Log.Info("edge: stopping; serving on until callers are elsewhere.", "in_flight", p.Ingress.InFlight())
+	latest := begun.Add(p.Set.Bounds.Grace() - exitSlack)
+	away := begun.Add(min(lookAway, p.Set.Bounds.Grace()/2))
+	closedIdle := false
+	for time.Now().Before(latest) {
+		if time.Now().After(away) {
+			if !closedIdle {
+				closedIdle = true
+				callers.srv.SetKeepAlivesEnabled(false) // closes idle connections
+			}
+			if p.Ingress.InFlight() == 0 {
+				break
+			}
+		}
+		time.Sleep(drainPoll)
+	}
+	p.Ingress.Refuse()
+	p.Log.Info("edge: stopped.", "in_flight", p.Ingress.InFlight(), "took_ms", time.Since(begun).Milliseconds())
+}
--- /dev/null
+++ b/fleet/builder.go
@@ -0,0 +1,208 @@
+package fleet
+
+import (
+	"encoding/json"
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// builder turns items into views. It is not safe for concurrent use.
+type builder struct {
+	dec Decoder
+	log *slog.Logger
+	// lapsedFor is how long an endpoint whose registration ended without
+	// notice stays a last resort.
+	lapsedFor time.Duration
+
+	config    *Config
+	endpoints map[EndpointID]Endpoint
+	lapsed    map[EndpointID]Lapsed
+	orders    map[string]Rollout // by service
+	statuses  map[string]recordedStatus
+	entries   map[string]Entry
+	last      *View
+}
+
+type recordedStatus struct {
+	RolloutStatus
+	revision kv.Revision
+}
+
+func newBuilder(dec Decoder, lapsedFor time.Duration, log *slog.Logger) *builder {
+	return &builder{dec: dec, log: log, lapsedFor: lapsedFor, endpoints: map[EndpointID]Endpoint{}, lapsed: map[EndpointID]Lapsed{},
+		orders: map[string]Rollout{}, statuses: map[string]recordedStatus{}, entries: map[string]Entry{}, last: EmptyView()}
+}
+
+// take notes one change.
+func (b *builder) take(e kv.Event, now time.Time) {
+	kind, name := b.dec.Classify(e.KV.Key)
+	if e.Type == kv.EventDelete {
+		b.remove(kind, name, e.KV.ModRevision, now)
+		return
+	}
+	var err error
+	switch kind {
+	case ItemConfig:
+		err = b.takeConfig(e.KV)
+	case ItemEndpoint:
+		err = b.takeEndpoint(name, e.KV)
+	case ItemRollout:
+		err = b.takeOrder(name, e.KV)
+	case ItemRolloutStatus:
+		err = b.takeStatus(name, e.KV)
+	case ItemEntry:
+		var entry Entry
+		if err = json.Unmarshal(e.KV.Value, &entry); err == nil {
+			b.entries[name] = entry
+		}
+	}
+	if err != nil {
+		// What was known before stays in force: a value that cannot be read
+		// tells nothing about what it replaces.
+		b.log.Error("fleet: stored value cannot be read; keeping the one before.", "key", e.KV.Key, "revision", e.KV.ModRevision, "error", err)
+	}
+}
+
+func (b *builder) takeConfig(item kv.KeyValue) error {
+	c, err := b.dec.Config(item.Value)
+	if err != nil {
+		return err
+	}
+	if b.config != nil && c.Version < b.config.Version {
+		b.log.Warn("fleet: configuration has a lower version than the one in force; keeping that.", "version", c.Version, "in_force", b.config.Version)
+		return nil
+	}
+	b.config = c
+	b.log.Info("fleet: configuration in force.", "version", c.Version, "revision", item.ModRevision, "routes", len(c.Routes), "customers", len(c.Customers))
+	return nil
+}
+
+func (b *builder) takeEndpoint(name string, item kv.KeyValue) error {
+	ep, err := b.dec.Endpoint(name, item.Value)
+	if err != nil {
+		return err
+	}
+	old, known := b.endpoints[ep.ID]
+	b.endpoints[ep.ID] = ep
+	delete(b.lapsed, ep.ID)
+	if !known || old != ep {
+		b.log.Info("fleet: endpoint known.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain, "version", ep.Version,
+			"draining", ep.Draining, "revision", item.ModRevision)
+	}
+	return nil
+}
+
+func (b *builder) takeOrder(service string, item kv.KeyValue) error {
+	r, err := b.dec.Rollout(item.Value)
+	if err != nil {
+		return err
+	}
+	r.Ordered = item.ModRevision
+	if r.Service == "" {
+		r.Service = service
+	}
+	b.orders[r.Service] = r
+	b.log.Info("fleet: roll-out ordered.", "service", r.Service, "target", r.Target, "duration", r.Duration, "revision", r.Ordered)
+	return nil
+}
+
+func (b *builder) takeStatus(service string, item kv.KeyValue) error {
+	s, err := b.dec.RolloutStatus(item.Value)
+	if err != nil {
+		return err
+	}
+	b.statuses[service] = recordedStatus{s, item.ModRevision}
+	b.log.Info("fleet: roll-out recorded.", "service", service, "state", s.State, "target", s.Target, "revision", item.ModRevision)
+	return nil
+}
+
+func (b *builder) remove(kind ItemKind, name string, rev kv.Revision, now time.Time) {
+	switch kind {
+	case ItemEndpoint:
+		id := EndpointID(name)
+		ep, known := b.endpoints[id]
+		if !known {
+			return
+		}
+		delete(b.endpoints, id)
+		if !ep.Draining {
+			b.lapsed[id] = Lapsed{Endpoint: ep, Since: now}
+		}
+		b.log.Info("fleet: endpoint gone.", "endpoint", id, "service", ep.Service, "was_draining", ep.Draining, "revision", rev)
+	case ItemRollout:
+		delete(b.orders, name)
+	case ItemRolloutStatus:
+		delete(b.statuses, name)
+	case ItemEntry:
+		delete(b.entries, name)
+	case ItemConfig, ItemOther:
+	}
+}
+
+// view builds the view at a revision.
+func (b *builder) view(rev kv.Revision, now time.Time) *View {
+	v := &View{Revision: rev, Config: b.config, groups: map[string]*Group{}}
+	if b.config == b.last.Config {
+		v.byHost, v.byKey = b.last.byHost, b.last.byKey
+	} else {
+		v.index()
+	}
+	for _, ep := range b.endpoints {
+		if !ep.Draining {
+			g := b.group(v, ep.Service)
+			g.Ready = append(g.Ready, ep)
+		}
+	}
+	for id, l := range b.lapsed {
+		if now.Sub(l.Since) > b.lapsedFor {
+			delete(b.lapsed, id)
+			continue
+		}
+		g := b.group(v, l.Service)
+		g.Lapsed = append(g.Lapsed, l)
+	}
+	for service, order := range b.orders {
+		b.group(v, service).Rollout = b.withStatus(order)
+	}
+	for _, g := range v.groups {
+		sort.Slice(g.Ready, func(i, j int) bool { return g.Ready[i].ID < g.Ready[j].ID })
+		sort.Slice(g.Lapsed, func(i, j int) bool { return g.Lapsed[i].ID < g.Lapsed[j].ID })
+	}
+	for _, e := range b.entries {
+		v.Entries = append(v.Entries, e)
+	}
+	sort.Slice(v.Entries, func(i, j int) bool { return v.Entries[i].Instance < v.Entries[j].Instance })
+	b.last = v
+	return v
+}
+
+func (b *builder) group(v *View, service string) *Group {
+	g := v.groups[service]
+	if g == nil {
+		g = &Group{Service: Service{Name: service}}
+		if b.config != nil {
+			if s, ok := b.config.Services[service]; ok {
+				g.Service = s
+			}
+		}
+		v.groups[service] = g
+	}
+	return g
+}
+
+// withStatus joins an order with what is recorded of it. A record older than
+// the order is of an earlier order for the same service.
+func (b *builder) withStatus(order Rollout) *Rollout {
+	s, ok := b.statuses[order.Service]
+	if !ok {
+		return &order
+	}
+	order.Recorded = s.revision
+	if s.revision > order.Ordered && s.Target == order.Target {
+		order.State = s.State
+	}
+	return &order
+}
--- /dev/null
+++ b/fleet/follower.go
@@ -0,0 +1,181 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// Following the store.
+const (
+	// watchWait is how long one watch waits. A watch that met a connection
+	// gone silent, or a store that went away, is noticed this much later and a
+	// second more; with 2.5 s a change that the store accepts three seconds
+	// after its return is still in force within two. Shorter waits cost calls.
+	watchWait = 2500 * time.Millisecond
+	// The pause after a call that failed, doubling up to the longest. The
+	// longest keeps calls to a store that is away near one a second and entry.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+)
+
+// Follower keeps this entry's view current. Run owns the following of the
+// store; Merge takes what other entries know. It is safe for concurrent use.
+type Follower struct {
+	store kv.Client
+	clock clockwork.Clock
+	log   *slog.Logger
+	items *Items
+	view  atomic.Pointer[View]
+
+	mu      sync.Mutex // guards build, heard and away; held while a view is built, never across a call
+	build   *builder
+	heard   time.Time // when the store or an entry last told how things stand
+	away    bool      // the store does not answer this entry
+	changed func(*View)
+}
+
+// NewFollower returns a follower that knows nothing yet. lapsedFor is how
+// long an endpoint whose registration ended without notice is a last resort.
+func NewFollower(store kv.Client, dec Decoder, lapsedFor time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
+	f := &Follower{store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}}
+	f.view.Store(EmptyView())
+	return f
+}
+
+// OnChange sets what is called with each new view; set it before Run. It
+// must not block.
+func (f *Follower) OnChange(call func(*View)) { f.changed = call }
+
+// View is the newest view.
+func (f *Follower) View() *View { return f.view.Load() }
+
+// Since returns what this entry knows beyond a revision, for entries that
+// are behind.
+func (f *Follower) Since(after kv.Revision) Changes { return f.items.Since(after) }
+
+// StoreAway reports whether the store does not answer this entry.
+func (f *Follower) StoreAway() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.away
+}
+
+// Age is how long ago the store, or an entry that was not behind, last told
+// how things stand; ok is false when none ever did.
+func (f *Follower) Age() (age time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Since(f.heard), !f.heard.IsZero()
+}
+
+// Merge takes changes that another entry knew of, and knew to be all that
+// there was so long ago.
+func (f *Follower) Merge(from string, c Changes, ago time.Duration) {
+	before := f.items.Revision()
+	if c.Revision < before {
+		return
+	}
+	if c.Revision > before {
+		f.log.Info("fleet: another entry knows more.", "from", from, "revision", c.Revision, "had", before, "whole", c.Whole, "changes", len(c.Events))
+	}
+	f.take(c, ago)
+}
+
+// take applies changes, known to be all so long ago, and publishes a view if
+// any was new.
+func (f *Follower) take(c Changes, ago time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	if at := now.Add(-ago); at.After(f.heard) {
+		f.heard = at
+	}
+	fresh := f.items.Apply(c)
+	if len(fresh) == 0 {
+		return
+	}
+	for _, e := range fresh {
+		f.build.take(e, now)
+	}
+	v := f.build.view(c.Revision, now)
+	f.view.Store(v)
+	f.changed(v)
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			f.setAway(nil)
+			pause = firstPause
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.setAway(err)
+		jittered := time.Duration(float64(pause) * (0.5 + rand.Float64()/2))
+		select {
+		case <-f.clock.After(jittered):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// step makes one call to the store: a watch, or a whole read where nothing
+// is known yet or the history since is gone.
+func (f *Follower) step(ctx context.Context) error {
+	after := f.items.Revision()
+	if after == 0 {
+		return f.readAll(ctx)
+	}
+	rev, events, err := f.store.WatchOnce(ctx, "", true, after, watchWait)
+	if errors.Is(err, kv.ErrCompacted) {
+		f.log.Info("fleet: history since is gone; reading everything.", "revision", after)
+		return f.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.take(Changes{Revision: rev, Events: events}, 0)
+	return nil
+}
+
+func (f *Follower) readAll(ctx context.Context) error {
+	rev, items, err := f.store.Get(ctx, "", true)
+	if err != nil {
+		return err
+	}
+	c := Changes{Revision: rev, Whole: true, Events: make([]kv.Event, 0, len(items))}
+	for _, i := range items {
+		c.Events = append(c.Events, kv.Event{Type: kv.EventPut, KV: i})
+	}
+	f.take(c, 0)
+	return nil
+}
+
+// setAway notes and logs when the store is lost or back.
+func (f *Follower) setAway(err error) {
+	f.mu.Lock()
+	was := f.away
+	f.away = err != nil
+	f.mu.Unlock()
+	if err != nil && !was {
+		f.log.Warn("fleet: store does not answer; going on with what is known.", "revision", f.items.Revision(), "error", err)
+	}
+	if err == nil && was {
+		f.log.Info("fleet: store answers again.", "revision", f.items.Revision())
+	}
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// Entry is another entry instance.
+type Entry struct {
+	Instance string `json:"instance"`
+	Domain   string `json:"domain"`
+	Address  string `json:"address"` // where peers are served, IP:port
+	Boot     int64  `json:"boot"`    // this run of its process
+}
+
+// EntryPrefix is where entries make themselves known to each other.
+const EntryPrefix = "lovageweir/entries/"
+
+// Lapsed is an endpoint whose registration ended without notice. It may have
+// crashed; or it lives, and could not reach the store in time to renew it.
+type Lapsed struct {
+	Endpoint
+	Since time.Time // on the steady clock
+}
+
+// Group is the endpoints of one service.
+type Group struct {
+	Service Service
+	// Ready take new requests, sorted by ID.
+	Ready []Endpoint
+	// Lapsed are a last resort while no endpoint is ready.
+	Lapsed []Lapsed
+	// Rollout is the order in force for the service; nil: there is none.
+	Rollout *Rollout
+}
+
+// View is one consistent state. It is never changed once built.
+type View struct {
+	Revision kv.Revision
+	Config   *Config // nil: not known yet
+	Entries  []Entry
+
+	groups map[string]*Group
+	// byHost are the routes of a host, longest prefix first.
+	byHost map[string][]*Route
+	byKey  map[string]*Customer
+}
+
+// EmptyView knows nothing.
+func EmptyView() *View { return &View{groups: map[string]*Group{}} }
+
+// Route returns the route of a request's host and path; nil: there is none.
+func (v *View) Route(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range v.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Customer returns the holder of an API key; nil: nobody holds it.
+func (v *View) Customer(key string) *Customer {
+	if key == "" {
+		return nil
+	}
+	return v.byKey[key]
+}
+
+// HasCustomers reports whether requests need an API key at all.
+func (v *View) HasCustomers() bool { return len(v.byKey) > 0 }
+
+// Group returns a service's endpoints; nil: none are known.
+func (v *View) Group(service string) *Group { return v.groups[service] }
+
+// Groups returns all services that have endpoints or an order, sorted.
+func (v *View) Groups() []*Group {
+	out := make([]*Group, 0, len(v.groups))
+	for _, g := range v.groups {
+		out = append(out, g)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service.Name < out[j].Service.Name })
+	return out
+}
+
+// index builds the look-ups of a configuration.
+func (v *View) index() {
+	v.byHost = map[string][]*Route{}
+	v.byKey = map[string]*Customer{}
+	if v.Config == nil {
+		return
+	}
+	for i := range v.Config.Routes {
+		r := &v.Config.Routes[i]
+		host := strings.ToLower(r.Host)
+		v.byHost[host] = append(v.byHost[host], r)
+	}
+	for _, routes := range v.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range v.Config.Customers {
+		c := &v.Config.Customers[i]
+		for _, key := range c.Keys {
+			v.byKey[key] = c
+		}
+	}
+}
--- /dev/null
+++ b/ingress/exchange.go
@@ -0,0 +1,320 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/lovageweir/lovageweir/call"
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/retry"
+	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/upstream"
+)
+
+// mostRefusedSends is how many endpoints may refuse a request, as not run,
+// before the caller is told to come back: each costs the fleet's budget a
+// repeat.
+const mostRefusedSends = 2
+
+// exchange is one request and its answer.
+type exchange struct {
+	server   *Server
+	w        gin.ResponseWriter
+	r        *http.Request
+	received time.Time
+	deadline time.Time
+	facts    call.Facts
+	view     *fleet.View
+	route    *fleet.Route
+	customer *fleet.Customer
+	service  string
+	body     []byte
+	hasBody  bool
+
+	tried map[fleet.EndpointID]bool
+	// runs counts sends that may have run, refused those that did not.
+	runs, refused int
+	model         int  // index into the route's models
+	started       bool // something of an answer has reached the caller
+	status        int
+	outcome       string
+	attempts      []attempt
+	done          bool // the line is written
+}
+
+// attempt is what the log tells of one send.
+type attempt struct {
+	endpoint fleet.Endpoint
+	model    string
+	outcome  place.Outcome
+	status   int
+	begun    time.Duration // since the request was received
+	first    time.Duration // to the first event or answer, since begun
+	why      string
+}
+
+func (x *exchange) left() time.Duration { return x.deadline.Sub(x.server.Clock.Now()) }
+
+// target is the service that the request falls to: by the weights of its
+// route, and the same for all tries of the entry.
+func (x *exchange) target() string {
+	if x.service != "" {
+		return x.service
+	}
+	targets := x.route.Targets
+	total := 0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	x.service = targets[0].Service
+	if len(targets) == 1 || total == 0 {
+		return x.service
+	}
+	at := int(place.Hash(x.facts.ID, x.route.Name) >> 1 % uint64(total))
+	for _, t := range targets {
+		if at < t.Weight {
+			x.service = t.Service
+			break
+		}
+		at -= t.Weight
+	}
+	return x.service
+}
+
+// run answers the request.
+func (x *exchange) run(ctx context.Context) {
+	x.tried = map[fleet.EndpointID]bool{}
+	if x.route.Kind == fleet.Streaming {
+		x.runStream(ctx)
+		return
+	}
+	x.runWhole(ctx)
+}
+
+// modelName is the model to name to the endpoint; empty: the caller's stands.
+func (x *exchange) modelName() string {
+	if len(x.route.Models) == 0 || x.facts.Model != call.AnyModel {
+		return ""
+	}
+	return x.route.Models[x.model]
+}
+
+// sent is a request at an endpoint.
+type sent struct {
+	group    *fleet.Group
+	endpoint fleet.Endpoint
+	ticket   *place.Ticket
+	resp     *upstream.Response
+	head     call.Answer
+	cancel   context.CancelFunc
+	watch    *watchdog
+	index    int // into attempts
+}
+
+// end closes the call and notes how it ended.
+func (x *exchange) end(c *sent, o place.Outcome, why string) {
+	c.watch.stop()
+	if reason := c.watch.why(); reason != "" {
+		why = reason
+	}
+	c.cancel()
+	if c.resp != nil {
+		c.resp.Close()
+	}
+	c.ticket.End(o)
+	a := &x.attempts[c.index]
+	a.outcome, a.why = o, why
+	x.server.metrics.attempt(o)
+}
+
+// pick returns the best endpoint for the next send.
+func (x *exchange) pick() (*fleet.Group, fleet.Endpoint, *refusal) {
+	x.view = x.server.Fleet.View()
+	group := x.view.Group(x.target())
+	if group == nil {
+		return nil, fleet.Endpoint{}, refuseNoEndpoint
+	}
+	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session})
+	w := place.Want{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.facts.SharedTokens(), Affinity: x.affinity()}
+	ranked := x.server.Board.Rank(choice.First, w)
+	if len(ranked) == 0 || ranked[0].Standing.Ejected {
+		ranked = append(ranked, x.server.Board.Rank(choice.Then, w)...)
+	}
+	if len(ranked) == 0 {
+		ranked = x.server.Board.Rank(x.lapsed(group), w)
+	}
+	if len(ranked) == 0 {
+		if len(x.tried) > 0 {
+			return nil, fleet.Endpoint{}, refuseFull
+		}
+		return nil, fleet.Endpoint{}, refuseNoEndpoint
+	}
+	best := ranked[0]
+	for _, r := range ranked {
+		if !r.Standing.Ejected {
+			best = r
+			break
+		}
+	}
+	return group, best.Endpoint, nil
+}
+
+// lapsed are the endpoints whose registration ended a short while ago.
+func (x *exchange) lapsed(g *fleet.Group) []fleet.Endpoint {
+	var out []fleet.Endpoint
+	now := x.server.Clock.Now()
+	for _, l := range g.Lapsed {
+		if now.Sub(l.Since) < x.server.LapsedFor {
+			out = append(out, l.Endpoint)
+		}
+	}
+	return out
+}
+
+// affinity is equal for requests that read the same shared prompt with the
+// same model.
+func (x *exchange) affinity() uint64 {
+	shared := x.facts.SharedPrompt()
+	if len(shared) == 0 {
+		return 0
+	}
+	return place.Hash(shared[len(shared)-1].ID, x.modelName())
+}
+
+// send sends the request to one endpoint and reads the head of its answer.
+// On an error, the attempt is ended and noted.
+func (x *exchange) send(ctx context.Context, resumeAfter string) (*sent, *refusal, error) {
+	group, ep, ref := x.pick()
+	if ref != nil {
+		return nil, ref, nil
+	}
+	s := x.server
+	x.tried[ep.ID] = true
+	ctx, cancel := context.WithCancel(ctx)
+	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep.ID), cancel: cancel, index: len(x.attempts)}
+	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), begun: s.Clock.Since(x.received)})
+	d := call.Directions{Endpoint: string(ep.ID), Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
+	d.Urgency, d.SetUrgency = x.urgency()
+	if x.customer != nil {
+		d.Customer = x.customer.Name
+	}
+	c.watch = x.watch(c, cancel)
+	resp, err := upstream.Send(ctx, &upstream.Request{Address: ep.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+		Header: s.Wire.Forward(x.r.Header, d), Body: x.body, HasBody: x.hasBody})
+	if err != nil {
+		return c, nil, x.failedSend(ctx, c, err)
+	}
+	c.resp = resp
+	c.head = s.Wire.Answer(resp.Status, resp.Header)
+	x.attempts[c.index].status = resp.Status
+	c.ticket.Head(c.head.Load)
+	return c, nil, nil
+}
+
+// failedSend ends an attempt that got no answer. An error that is not
+// errNotRun leaves it open whether the request ran.
+func (x *exchange) failedSend(ctx context.Context, c *sent, err error) error {
+	var notSent *upstream.NotSentError
+	switch {
+	case x.r.Context().Err() != nil:
+		x.end(c, place.Abandoned, "caller left")
+	case errors.As(err, &notSent):
+		x.end(c, place.Broken, err.Error())
+		return errNotRun
+	case errors.Is(context.Cause(ctx), errDeadline):
+		x.end(c, place.Broken, "deadline")
+		x.runs++
+		return errDeadline
+	default:
+		x.end(c, place.Broken, err.Error())
+	}
+	x.runs++
+	return errMayHaveRun
+}
+
+// Errors of a send.
+var (
+	errNotRun     = errors.New("request did not run")
+	errMayHaveRun = errors.New("request may have run")
+)
+
+// urgency ranks the request at the engines: the customer's priority goes
+// before the route's. 5 is what an engine assumes.
+func (x *exchange) urgency() (int, bool) {
+	if x.route.Kind != fleet.Streaming {
+		return 0, false
+	}
+	p := x.route.Priority
+	if x.customer != nil && x.customer.Priority != nil {
+		p = *x.customer.Priority
+	}
+	return min(max(2*p+2, 0), 9), true
+}
+
+// observe counts the answer for the roll-outs.
+func (x *exchange) observe(c *sent, failed bool, took time.Duration) {
+	x.attempts[c.index].first = took
+	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(),
+		Failed: failed, Took: took, Scale: x.scale()})
+	if !failed {
+		x.server.Rollouts.Keep(x.facts.Session, c.endpoint.Version)
+	}
+}
+
+// scale is how much longer than its kind's mean the request may take to its
+// first event, by its prompt.
+func (x *exchange) scale() float64 { return 1 + float64(x.facts.Usage.Prompt)/largePrompt }
+
+// largePrompt is the tokens that double the time expected to the first event.
+const largePrompt = 8000
+
+// mayTryAgain reports whether a request that may have run can be sent once
+// more.
+func (x *exchange) mayTryAgain(use retry.Use) bool {
+	return x.route.MayRepeat() && x.runs < x.route.MaxAttempts && x.left() > shortestTry &&
+		x.server.Budget.Take(x.target(), use)
+}
+
+// mayTryElsewhere reports whether one that did not run can be sent to
+// another endpoint.
+func (x *exchange) mayTryElsewhere() bool {
+	x.refused++
+	return x.refused <= mostRefusedSends && x.left() > shortestTry && x.server.Budget.Take(x.target(), retry.ForFailure)
+}
+
+// shortestTry is the least time left for which another try is worth its cost.
+const shortestTry = 20 * time.Millisecond
+
+// returnHead copies an endpoint's status and headers to the caller.
+func (x *exchange) returnHead(c *sent, length int64) {
+	h := x.w.Header()
+	for name, values := range x.server.Wire.Returned(c.resp.Header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // net/http would guess one
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	if x.server.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	x.started = true
+	x.status = c.head.Status
+	x.w.WriteHeader(c.head.Status)
+}
+
+// breakOff ends the connection so that what the caller has does not look
+// whole.
+func (x *exchange) breakOff(outcome string) {
+	x.outcome = outcome
+	x.logged()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/ingress/report.go
@@ -0,0 +1,118 @@
+package ingress
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lovageweir/lovageweir/place"
+)
+
+// metrics are the server's counters and histograms. Tags take few values:
+// never an id, a route or a customer.
+type metrics struct {
+	scope    tally.Scope
+	attempts map[place.Outcome]tally.Counter
+	answers  map[string]tally.Histogram
+}
+
+// latencyBuckets are in seconds, from an objective of 150 ms to a stream of
+// half a minute.
+var latencyBuckets = tally.DurationBuckets{
+	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 32 * time.Second,
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	m := metrics{scope: scope, attempts: map[place.Outcome]tally.Counter{}, answers: map[string]tally.Histogram{}}
+	for o := place.Served; o <= place.Abandoned; o++ {
+		m.attempts[o] = scope.Tagged(map[string]string{"outcome": o.String()}).Counter("attempts_total")
+	}
+	for _, class := range []string{"2xx", "4xx", "5xx", "other"} {
+		m.answers[class] = scope.Tagged(map[string]string{"class": class}).Histogram("request_duration_seconds", latencyBuckets)
+	}
+	return m
+}
+
+func (m metrics) attempt(o place.Outcome) { m.attempts[o].Inc(1) }
+
+func (m metrics) answer(status int, took time.Duration) {
+	class := strconv.Itoa(status/100) + "xx"
+	h, ok := m.answers[class]
+	if !ok {
+		h = m.answers["other"]
+	}
+	h.RecordDuration(took)
+}
+
+func (m metrics) refusal(code string) {
+	m.scope.Tagged(map[string]string{"code": code}).Counter("refusals_total").Inc(1)
+}
+
+// logged writes the request's line, once: what came of it, and each
+// endpoint that it was sent to.
+func (x *exchange) logged() {
+	if x.done {
+		return
+	}
+	x.done = true
+	s := x.server
+	took := s.Clock.Since(x.received)
+	s.metrics.answer(x.status, took)
+	if x.outcome != "answered" {
+		s.metrics.refusal(x.outcome)
+	}
+	attrs := make([]slog.Attr, 0, 16)
+	attrs = append(attrs, slog.String("id", x.facts.ID), slog.Int("status", x.status), slog.String("outcome", x.outcome),
+		slog.Int64("ms", took.Milliseconds()), slog.Int64("revision", int64(x.view.Revision)))
+	if age, ok := s.Fleet.Age(); ok {
+		attrs = append(attrs, slog.Int64("age_ms", age.Milliseconds()))
+	}
+	if x.view.Config != nil {
+		attrs = append(attrs, slog.Int64("config", x.view.Config.Version))
+	}
+	if x.route != nil {
+		attrs = append(attrs, slog.String("route", x.route.Name), slog.Int64("allowed_ms", x.deadline.Sub(x.received).Milliseconds()))
+	}
+	if x.customer != nil {
+		attrs = append(attrs, slog.String("customer", x.customer.Name))
+	}
+	if len(x.attempts) > 0 {
+		attrs = append(attrs, slog.String("sends", x.sends()))
+	}
+	s.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "ingress: request ended.", attrs...)
+}
+
+// sends tells the attempts: endpoint, version, model, when it was sent, when
+// the first event came, status and outcome.
+func (x *exchange) sends() string {
+	var b []byte
+	for i, a := range x.attempts {
+		if i > 0 {
+			b = append(b, "; "...)
+		}
+		b = append(b, a.endpoint.ID...)
+		b = append(b, ' ')
+		b = append(b, a.endpoint.Version...)
+		if a.model != "" {
+			b = append(b, " model="...)
+			b = append(b, a.model...)
+		}
+		b = append(b, " at="...)
+		b = strconv.AppendInt(b, a.begun.Milliseconds(), 10)
+		b = append(b, "ms first="...)
+		b = strconv.AppendInt(b, a.first.Milliseconds(), 10)
+		b = append(b, "ms status="...)
+		b = strconv.AppendInt(b, int64(a.status), 10)
+		b = append(b, ' ')
+		b = append(b, a.outcome.String()...)
+		if a.why != "" {
+			b = append(b, " ("...)
+			b = append(b, a.why...)
+			b = append(b, ')')
+		}
+	}
+	return string(b)
+}
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,215 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lovageweir/lovageweir/call"
+	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/retry"
+	"github.com/lovageweir/lovageweir/rollout"
+)
+
+// Knowledge is what the server needs of the fleet; fleet.Follower
+// implements it.
+type Knowledge interface {
+	View() *fleet.View
+	// Age is how long ago the view was last known to be current.
+	Age() (time.Duration, bool)
+}
+
+// Deps is what a server is made of.
+type Deps struct {
+	Instance string
+	Domain   string
+	Fleet    Knowledge
+	Wire     call.Wire
+	Board    *place.Board
+	Budget   *retry.Budget
+	Rollouts *rollout.Controller
+	Ladder   cascade.Ladder
+	// BodyMemory bounds the bytes of request bodies held at a time.
+	BodyMemory int64
+	// LapsedFor is how long an endpoint whose registration ended without
+	// notice may still get requests that no other endpoint can take.
+	LapsedFor time.Duration
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Scope     tally.Scope
+}
+
+// Server serves callers.
+type Server struct {
+	Deps
+	metrics  metrics
+	inFlight atomic.Int64
+	bodies   atomic.Int64
+	stopping atomic.Bool
+	refusing atomic.Bool
+}
+
+// New returns a server.
+func New(d Deps) *Server { return &Server{Deps: d, metrics: newMetrics(d.Scope)} }
+
+// InFlight is the number of requests being served.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Ready reports whether the server wants new connections: it knows a
+// configuration and is not stopping.
+func (s *Server) Ready() bool { return !s.stopping.Load() && s.Fleet.View().Config != nil }
+
+// Stop makes each answer the last on its connection, so that callers move to
+// other entries; requests are served on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Refuse makes the server refuse what comes from now on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// Stopping reports whether Stop was called.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// Handler returns the caller API: any method, host and path.
+func (s *Server) Handler() http.Handler {
+	r := gin.New()
+	r.RedirectTrailingSlash = false
+	r.NoRoute(func(c *gin.Context) { s.serve(c.Writer, c.Request) })
+	return r
+}
+
+// serve answers one request.
+func (s *Server) serve(w gin.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{server: s, w: w, r: r, received: s.Clock.Now(), facts: s.Wire.Request(r.Header)}
+	defer x.logged()
+	if ref := x.admit(); ref != nil {
+		x.refuse(ref)
+		return
+	}
+	if ref := x.readBody(); ref != nil {
+		x.refuse(ref)
+		return
+	}
+	defer s.bodies.Add(-int64(len(x.body)))
+	ctx, cancel := context.WithDeadlineCause(r.Context(), time.Now().Add(x.left()), errDeadline)
+	defer cancel()
+	x.run(ctx)
+}
+
+// errDeadline is the cause when a request's time is over.
+var errDeadline = errors.New("deadline passed")
+
+// staleAfter is how old knowledge may be for an entry to say that a route or
+// key does not exist: the store was heard from at least every watch's wait.
+// An entry that knows less answers that it cannot tell now.
+const staleAfter = 4 * time.Second
+
+func (s *Server) stale() bool {
+	age, ok := s.Fleet.Age()
+	return !ok || age > staleAfter
+}
+
+// admit finds the request's route and customer.
+func (x *exchange) admit() *refusal {
+	s := x.server
+	x.view = s.Fleet.View()
+	if s.refusing.Load() {
+		return refuseStopping
+	}
+	if x.view.Config == nil {
+		return refuseNoConfig
+	}
+	if len(x.r.RequestURI) == 0 || x.r.RequestURI[0] != '/' {
+		return refuseBadTarget
+	}
+	x.route = x.view.Route(x.r.Host, x.r.URL.Path)
+	if x.route == nil {
+		if s.stale() {
+			return refuseStale
+		}
+		return refuseNoRoute
+	}
+	x.customer = x.view.Customer(x.facts.Key)
+	if x.customer == nil && !x.route.Public && x.view.HasCustomers() {
+		if s.stale() {
+			return refuseStale
+		}
+		return refuseKey
+	}
+	if x.facts.ID == "" {
+		return refuseNoID
+	}
+	x.deadline = x.received.Add(x.allowed())
+	s.Budget.Earn(x.target())
+	return nil
+}
+
+// allowed is how long the request may take: what the caller waits, and not
+// more than the route's timeout.
+func (x *exchange) allowed() time.Duration {
+	allowed := x.route.Timeout
+	if allowed <= 0 {
+		allowed = longestRequest
+	}
+	if x.facts.Remaining > 0 {
+		allowed = min(allowed, x.facts.Remaining)
+	}
+	return allowed
+}
+
+// longestRequest bounds requests on routes without a timeout.
+const longestRequest = time.Minute
+
+// readBody reads the whole body: what may have to be sent to a second
+// endpoint must be kept.
+func (x *exchange) readBody() *refusal {
+	limit := x.view.Config.Limits.BodyBytes
+	if limit > 0 && x.r.ContentLength > limit {
+		return refuseTooLarge
+	}
+	x.hasBody = x.r.ContentLength >= 0 && (x.r.Header.Get("Content-Length") != "") || x.r.ContentLength < 0
+	if x.r.ContentLength > 0 && x.server.bodies.Load()+x.r.ContentLength > x.server.BodyMemory {
+		return refuseMemory
+	}
+	var body io.Reader = x.r.Body
+	if limit > 0 {
+		body = io.LimitReader(body, limit+1)
+	}
+	raw, err := readSized(body, x.r.ContentLength)
+	if err != nil {
+		return refuseBody
+	}
+	if limit > 0 && int64(len(raw)) > limit {
+		return refuseTooLarge
+	}
+	x.server.bodies.Add(int64(len(raw)))
+	x.body = raw
+	return nil
+}
+
+// readSized reads all of r, into a buffer of the right size if it is told.
+func readSized(r io.Reader, size int64) ([]byte, error) {
+	if size < 0 {
+		return io.ReadAll(r)
+	}
+	if size == 0 {
+		return nil, nil
+	}
+	raw := make([]byte, size)
+	_, err := io.ReadFull(r, raw)
+	return raw, err
+}
--- /dev/null
+++ b/ingress/stream.go
@@ -0,0 +1,201 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/retry"
+)
+
+// runStream answers a request with a stream of events. Only whole events are
+// passed on, as they come; so wherever an endpoint breaks off, the caller
+// stands at the edge of an event, and another endpoint can go on from there.
+func (x *exchange) runStream(ctx context.Context) {
+	x.model = x.server.Ladder.First(len(x.route.Models))
+	lastID := x.facts.ResumeAfter
+	for {
+		resume := ""
+		if lastID != x.facts.ResumeAfter {
+			resume = lastID
+		}
+		c, ref, err := x.send(ctx, resume)
+		if ref != nil {
+			x.giveUpStream(ref)
+			return
+		}
+		if err == nil {
+			lastID, err = x.relay(ctx, c, lastID)
+		}
+		if err == nil || !x.streamAgain(ctx, err) {
+			return
+		}
+	}
+}
+
+// relay passes an answer on; it returns the id of the last event passed on.
+func (x *exchange) relay(ctx context.Context, c *sent, lastID string) (string, error) {
+	if err := x.notRun(c); err != nil {
+		return lastID, err
+	}
+	x.runs++
+	if !c.head.Success() {
+		return lastID, x.streamFailed(c)
+	}
+	if x.foreign(c) {
+		x.end(c, place.Broken, "answer is not this request's")
+		return lastID, errMayHaveRun
+	}
+	if x.escalate(c) {
+		return lastID, errRetry
+	}
+	return x.relayEvents(ctx, c, lastID)
+}
+
+// streamFailed handles an answer that is no stream but a failure.
+func (x *exchange) streamFailed(c *sent) error {
+	failed := c.head.Status >= http.StatusInternalServerError
+	x.observe(c, failed, 0)
+	if failed && x.mayTryAgain(retry.ForFailure) {
+		x.end(c, place.Failed, "endpoint failed")
+		return errRetry
+	}
+	body, err := x.readAnswer(c)
+	if err != nil || x.started {
+		x.end(c, place.Failed, "endpoint failed")
+		return errBroken
+	}
+	x.end(c, place.Failed, "endpoint failed")
+	x.outcome = "answered"
+	x.returnHead(c, int64(len(body)))
+	_, _ = x.w.Write(body) // a caller that left needs no answer
+	return nil
+}
+
+// errBroken: the stream cannot go on.
+var errBroken = errors.New("stream broke off")
+
+// escalate drops an answer that its model doubts, if nothing of it has been
+// passed on and a larger model may be asked.
+func (x *exchange) escalate(c *sent) bool {
+	if x.started || x.modelName() == "" {
+		return false
+	}
+	next, ok := x.server.Ladder.Next(len(x.route.Models), x.model, c.head.Confidence)
+	if !ok || !x.mayTryAgain(retry.ForQuality) {
+		return false
+	}
+	x.end(c, place.Served, "confidence "+strconv.Itoa(c.head.Confidence))
+	x.model = next
+	// The larger model may run on the same endpoint.
+	delete(x.tried, c.endpoint.ID)
+	return true
+}
+
+// relayEvents passes the events on until the stream ends.
+func (x *exchange) relayEvents(ctx context.Context, c *sent, lastID string) (string, error) {
+	in := newEvents(c.resp.Body, x.server.Wire.EventID)
+	first := true
+	for {
+		event, id, err := in.next()
+		if errors.Is(err, io.EOF) {
+			return lastID, x.ended(c, first)
+		}
+		if err != nil {
+			return lastID, x.brokeOff(ctx, c, err)
+		}
+		if first {
+			first = false
+			x.observe(c, false, c.ticket.First())
+			if !x.started {
+				x.returnHead(c, -1)
+			}
+		}
+		c.ticket.Heard()
+		c.watch.heard()
+		if !follows(string(id), lastID) {
+			continue // the caller has it
+		}
+		if _, err := x.w.Write(event); err != nil {
+			x.end(c, place.Abandoned, "caller left")
+			return lastID, errCallerLeft
+		}
+		x.w.Flush()
+		if len(id) > 0 {
+			lastID = string(id)
+		}
+	}
+}
+
+// errCallerLeft: nobody waits for the answer.
+var errCallerLeft = errors.New("caller left")
+
+// follows reports whether an event comes after the last one passed on; ids
+// that are no numbers tell nothing.
+func follows(id, last string) bool {
+	a, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	b, err := strconv.ParseInt(last, 10, 64)
+	return err != nil || a > b
+}
+
+// ended handles the marked end of a stream.
+func (x *exchange) ended(c *sent, empty bool) error {
+	x.end(c, place.Served, "")
+	if empty && !x.started {
+		x.returnHead(c, -1)
+	}
+	x.outcome = "answered"
+	return nil
+}
+
+// brokeOff handles a stream that ended without its end.
+func (x *exchange) brokeOff(ctx context.Context, c *sent, err error) error {
+	if x.r.Context().Err() != nil {
+		x.end(c, place.Abandoned, "caller left")
+		return errCallerLeft
+	}
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		x.end(c, place.Abandoned, "deadline")
+		return errDeadline
+	}
+	x.end(c, place.Broken, err.Error())
+	return errMayHaveRun
+}
+
+// streamAgain decides after a send that did not give the whole stream.
+func (x *exchange) streamAgain(ctx context.Context, err error) bool {
+	if !x.started {
+		return x.again(ctx, err)
+	}
+	switch {
+	case errors.Is(err, errCallerLeft) || x.r.Context().Err() != nil:
+		x.breakOff("caller_left")
+	case errors.Is(err, errRetry):
+		return true
+	case errors.Is(err, errNotRun):
+		if x.mayTryElsewhere() {
+			return true
+		}
+	case errors.Is(err, errDeadline):
+		x.breakOff("deadline")
+	case errors.Is(err, errBroken):
+	case x.mayTryAgain(retry.ForFailure):
+		return true
+	}
+	x.breakOff("broke_off")
+	return false
+}
+
+// giveUpStream ends a stream that no endpoint can go on with.
+func (x *exchange) giveUpStream(ref *refusal) {
+	if x.started {
+		x.breakOff("broke_off_" + ref.code)
+	}
+	x.giveUp(ref)
+}
--- /dev/null
+++ b/ingress/watch.go
@@ -0,0 +1,153 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+// Silence of an endpoint. An engine that runs streams is heard from several
+// times a second, by this entry as by others, whatever one request waits for:
+// one that is not heard from at all has died or is cut off, and its requests
+// are better off elsewhere than waiting for their deadlines.
+const (
+	// silentAfter is how long nothing may come from an endpoint, on any of
+	// this entry's connections, before a resumable stream is taken elsewhere.
+	silentAfter = 1200 * time.Millisecond
+	// watchEvery is how often a waiting request looks.
+	watchEvery = 300 * time.Millisecond
+	// lostGaps pauses of the longest that is on time, without an event, mean
+	// that the endpoint has lost the stream, though it answers others.
+	lostGaps = 2.5
+	// slowStart objectives without a first event are given up where the
+	// endpoint usually takes less than a quarter of that.
+	slowStart = 1.2
+)
+
+// watchdog ends a call whose endpoint is silent for too long.
+type watchdog struct {
+	server *Server
+	cancel context.CancelFunc
+	limits watchLimits
+	id     fleet.EndpointID
+
+	mu      sync.Mutex
+	timer   clockwork.Timer
+	stopped bool
+	begun   time.Time
+	last    time.Time // when the last event came; zero: none has
+	reason  string    // why the call was ended
+}
+
+// watchLimits are how long a call may go without an answer; zero: for as
+// long as the request may take.
+type watchLimits struct {
+	answer time.Duration // until the whole answer
+	first  time.Duration // until the first event
+	gap    time.Duration // between events
+	silent time.Duration // of the endpoint as a whole
+}
+
+// limits for the next attempt of a request.
+func (x *exchange) limits(id fleet.EndpointID) watchLimits {
+	if !x.route.MayRepeat() || x.runs+1 >= x.route.MaxAttempts {
+		return watchLimits{}
+	}
+	if x.route.Kind != fleet.Streaming {
+		return watchLimits{answer: min(3*x.route.Objective, x.left()*2/3)}
+	}
+	l := watchLimits{silent: silentAfter, gap: time.Duration(lostGaps * float64(x.route.MaxGap))}
+	first := time.Duration(slowStart * float64(x.route.Objective))
+	if usual := x.server.Board.Standing(id).Latency; usual > 0 && usual < first/4 {
+		l.first = first
+	}
+	return l
+}
+
+// watch starts a watchdog over a call.
+func (x *exchange) watch(c *sent, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{server: x.server, cancel: cancel, limits: x.limits(c.endpoint.ID), id: c.endpoint.ID, begun: x.server.Clock.Now()}
+	if w.limits == (watchLimits{}) {
+		w.stopped = true
+		return w
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = w.server.Clock.AfterFunc(w.every(), w.look)
+	return w
+}
+
+func (w *watchdog) every() time.Duration {
+	if w.limits.answer > 0 {
+		return w.limits.answer
+	}
+	return watchEvery
+}
+
+// heard notes an event.
+func (w *watchdog) heard() {
+	now := w.server.Clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = now
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.stopped = true
+		w.timer.Stop()
+	}
+}
+
+// why is the reason for which the call was ended; empty: it was not.
+func (w *watchdog) why() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reason
+}
+
+func (w *watchdog) look() {
+	silent := w.server.Board.Standing(w.id).Silent
+	now := w.server.Clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.reason = w.limits.exceeded(now.Sub(w.begun), w.sinceLastLocked(now), silent)
+	if w.reason != "" {
+		w.stopped = true
+		w.cancel()
+		return
+	}
+	w.timer = w.server.Clock.AfterFunc(w.every(), w.look)
+}
+
+// sinceLastLocked is the time since the last event; negative: none has come.
+func (w *watchdog) sinceLastLocked(now time.Time) time.Duration {
+	if w.last.IsZero() {
+		return -1
+	}
+	return now.Sub(w.last)
+}
+
+// exceeded says which limit a call has passed; empty: none.
+func (l watchLimits) exceeded(waited, sinceLast, silent time.Duration) string {
+	switch {
+	case l.answer > 0 && waited >= l.answer:
+		return "no answer in time"
+	case l.silent > 0 && silent > l.silent:
+		return "endpoint is silent"
+	case l.first > 0 && sinceLast < 0 && waited > l.first:
+		return "no first event in time"
+	case l.gap > 0 && sinceLast > l.gap:
+		return "no further event in time"
+	}
+	return ""
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,257 @@
+package mesh
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/rpc/meshpb"
+)
+
+// Times of exchanges.
+const (
+	// calmInterval is the time between exchanges while the store answers:
+	// evidence on a version then reaches eight entries within about a second.
+	calmInterval = 500 * time.Millisecond
+	// awayInterval holds while the store does not answer this entry: with a
+	// third of the entries in the same state, ten draws within a second and a
+	// half meet one that is current with all but certainty.
+	awayInterval = 150 * time.Millisecond
+	// callTimeout bounds an exchange: one takes a few milliseconds; one that
+	// takes longer has met a partition or a connection gone silent.
+	callTimeout = 400 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
+	// avoidFor is how long an entry that did not answer is left out.
+	avoidFor = 2 * time.Second
+	// mostRows bounds the evidence told in one exchange.
+	mostRows = 256
+)
+
+// Deps is what a mesh needs.
+type Deps struct {
+	Instance string
+	// Address is where this entry serves its peers, IP:port.
+	Address  string
+	Seeds    []string
+	Fleet    *fleet.Follower
+	Rollouts *rollout.Controller
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+}
+
+// Mesh is one entry's part. It is safe for concurrent use.
+type Mesh struct {
+	Deps
+	http *http.Client
+
+	mu     sync.Mutex
+	seeds  []string
+	avoid  map[string]time.Time // address -> until when it is left out
+	lost   map[string]bool      // addresses whose loss is logged
+	rounds int64
+	failed int64
+}
+
+var _ meshpb.Mesh = (*Mesh)(nil)
+
+// New returns a mesh.
+func New(d Deps) *Mesh {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		MaxIdleConns:        16,
+		IdleConnTimeout:     15 * time.Second,
+		DisableCompression:  true,
+	}
+	return &Mesh{Deps: d, http: &http.Client{Transport: t}, seeds: d.Seeds, avoid: map[string]time.Time{}, lost: map[string]bool{}}
+}
+
+// SetSeeds replaces the seeds, as after a reload of the settings.
+func (m *Mesh) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
+// Run exchanges until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		interval := calmInterval
+		if m.Fleet.StoreAway() || m.Fleet.View().Config == nil {
+			interval = awayInterval
+		}
+		jittered := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
+		select {
+		case <-m.Clock.After(jittered):
+		case <-ctx.Done():
+			return
+		}
+		if address, ok := m.draw(); ok {
+			m.exchangeWith(ctx, address)
+		}
+	}
+}
+
+// draw picks another entry at random.
+func (m *Mesh) draw() (string, bool) {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := map[string]bool{}
+	for _, e := range m.Fleet.View().Entries {
+		known[e.Address] = true
+	}
+	// Seeds may be stale; they count while the store has told of nobody.
+	if len(known) < 2 {
+		for _, s := range m.seeds {
+			known[s] = true
+		}
+	}
+	delete(known, m.Address)
+	var open []string
+	for a := range known {
+		if !now.Before(m.avoid[a]) {
+			open = append(open, a)
+		}
+	}
+	for a, until := range m.avoid {
+		if now.After(until) && !known[a] {
+			delete(m.avoid, a)
+			delete(m.lost, a)
+		}
+	}
+	if len(open) == 0 {
+		return "", false
+	}
+	return open[rand.IntN(len(open))], true
+}
+
+func (m *Mesh) exchangeWith(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := meshpb.NewMeshProtobufClient("http://"+address, m.http)
+	got, err := client.Exchange(ctx, m.message())
+	m.note(address, err)
+	if err == nil {
+		m.merge(got)
+	}
+}
+
+// note keeps count, and logs when a peer is lost or back.
+func (m *Mesh) note(address string, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rounds++
+	was := m.lost[address]
+	if err == nil {
+		delete(m.lost, address)
+		delete(m.avoid, address)
+		if was {
+			m.Log.Info("mesh: entry answers again.", "address", address)
+		}
+		return
+	}
+	m.failed++
+	m.avoid[address] = m.Clock.Now().Add(avoidFor)
+	m.lost[address] = true
+	if !was {
+		m.Log.Warn("mesh: entry does not answer.", "address", address, "error", err)
+	}
+}
+
+// message is what this entry knows, without changes of the store.
+func (m *Mesh) message() *meshpb.ExchangeMessage {
+	told, rows := m.Rollouts.Tell()
+	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1}
+	if age, ok := m.Fleet.Age(); ok {
+		out.ConfirmedMs = age.Milliseconds()
+	}
+	for _, t := range told {
+		out.Orders = append(out.Orders, &meshpb.Order{Service: t.Service, Ordered: int64(t.Ordered), AgeMs: t.Age.Milliseconds(), Halted: t.Halted})
+	}
+	if len(rows) > mostRows {
+		rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+		rows = rows[:mostRows]
+	}
+	for _, r := range rows {
+		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: int64(r.Ordered),
+			Endpoint: string(r.Endpoint), Samples: r.Samples, Bad: r.Bad})
+	}
+	return out
+}
+
+// Exchange implements meshpb.Mesh: it takes what the caller knows and
+// answers with what it lacks.
+func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
+	m.hearRollouts(in)
+	out := m.message()
+	c := m.Fleet.Since(kv.Revision(in.Revision))
+	out.Revision = int64(c.Revision)
+	out.Whole = c.Whole
+	for _, e := range c.Events {
+		out.Changes = append(out.Changes, &meshpb.Change{Key: e.KV.Key, Value: e.KV.Value, Revision: int64(e.KV.ModRevision),
+			Created: int64(e.KV.CreateRevision), Lease: int64(e.KV.Lease), Deleted: e.Type == kv.EventDelete})
+	}
+	return out, nil
+}
+
+// merge takes a peer's answer.
+func (m *Mesh) merge(got *meshpb.ExchangeMessage) {
+	c := fleet.Changes{Revision: kv.Revision(got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
+	for _, ch := range got.Changes {
+		e := kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: ch.Key, Value: ch.Value, ModRevision: kv.Revision(ch.Revision),
+			CreateRevision: kv.Revision(ch.Created), Lease: kv.LeaseID(ch.Lease)}}
+		if ch.Deleted {
+			e.Type = kv.EventDelete
+		}
+		c.Events = append(c.Events, e)
+	}
+	if got.ConfirmedMs >= 0 {
+		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond)
+	}
+	m.hearRollouts(got)
+}
+
+func (m *Mesh) hearRollouts(in *meshpb.ExchangeMessage) {
+	told := make([]rollout.Told, 0, len(in.Orders))
+	for _, o := range in.Orders {
+		told = append(told, rollout.Told{Service: o.Service, Ordered: kv.Revision(o.Ordered), Age: time.Duration(o.AgeMs) * time.Millisecond, Halted: o.Halted})
+	}
+	rows := make([]rollout.Row, 0, len(in.Evidence))
+	for _, e := range in.Evidence {
+		rows = append(rows, rollout.Row{
+			Source: rollout.Source{Instance: e.Instance, Boot: e.Boot, Service: e.Service, Ordered: kv.Revision(e.Ordered), Endpoint: fleet.EndpointID(e.Endpoint)},
+			Counts: rollout.Counts{Samples: e.Samples, Bad: e.Bad},
+		})
+	}
+	if len(told)+len(rows) > 0 {
+		m.Rollouts.Hear(told, rows)
+	}
+}
+
+// State is the mesh's part of the state dump.
+type State struct {
+	Rounds int64    `json:"rounds"`
+	Failed int64    `json:"failed"`
+	Lost   []string `json:"lost"`
+}
+
+// State returns the current dump.
+func (m *Mesh) State() State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := State{Rounds: m.rounds, Failed: m.failed}
+	for a := range m.lost {
+		s.Lost = append(s.Lost, a)
+	}
+	return s
+}
--- /dev/null
+++ b/place/board.go
@@ -0,0 +1,270 @@
+package place
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/call"
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+// What the board remembers, and for how long.
+const (
+	// reportLife is how long a reported load counts; after it only this
+	// entry's own requests do. Reports come with answers, so a busy endpoint
+	// is reported several times a second.
+	reportLife = 2 * time.Second
+	// failureGain is the weight of one outcome in an endpoint's failure rate:
+	// about the last ten count.
+	failureGain = 0.15
+	// failureLife is the time in which a failure rate fades by itself, so that
+	// an endpoint that is well again is tried again.
+	failureLife = 4 * time.Second
+	// hardFailures in a row (no connection, a reset, silence) keep requests
+	// away for ejectFirst, doubling up to ejectLongest.
+	hardFailures = 2
+	ejectFirst   = time.Second
+	ejectLongest = 8 * time.Second
+	// fullFor is how long an endpoint that refused counts as full.
+	fullFor = 150 * time.Millisecond
+	// latencyGain is the weight of one first event in the mean.
+	latencyGain = 0.2
+	// forgetAfter is when an endpoint that is no longer used is forgotten.
+	forgetAfter = time.Minute
+)
+
+// Outcome is how a request ended at an endpoint.
+type Outcome int
+
+// Outcomes.
+const (
+	// Served: the endpoint did what it was asked.
+	Served Outcome = iota
+	// Failed: it answered that it failed.
+	Failed
+	// Refused: it did not run the request, for lack of room.
+	Refused
+	// Broken: there was no connection, or it broke, or nothing came.
+	Broken
+	// Misdirected: the address belongs to another endpoint now.
+	Misdirected
+	// Abandoned: the caller left, or the answer was not needed; it says
+	// nothing of the endpoint.
+	Abandoned
+)
+
+func (o Outcome) String() string {
+	return [...]string{"served", "failed", "refused", "broken", "misdirected", "abandoned"}[o]
+}
+
+type record struct {
+	inFlight int
+	report   call.Load
+	reported time.Time
+	since    int // own requests begun less those ended since the report
+	heard    time.Time
+	failRate float64
+	failedAt time.Time
+	hard     int // hard failures in a row
+	ejected  time.Time
+	ejection time.Duration
+	fullTill time.Time
+	latency  float64 // mean time to the first event, in seconds
+	used     time.Time
+}
+
+// Board is what this entry knows of endpoints from its own requests. It is
+// safe for concurrent use; its lock is never held across a call.
+type Board struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	byID  map[fleet.EndpointID]*record
+	swept time.Time
+}
+
+// NewBoard returns an empty board.
+func NewBoard(clock clockwork.Clock) *Board {
+	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, swept: clock.Now()}
+}
+
+func (b *Board) at(id fleet.EndpointID, now time.Time) *record {
+	r := b.byID[id]
+	if r == nil {
+		r = &record{}
+		b.byID[id] = r
+	}
+	r.used = now
+	return r
+}
+
+// sweepLocked forgets endpoints that are not used any more.
+func (b *Board) sweepLocked(now time.Time) {
+	if now.Sub(b.swept) < forgetAfter {
+		return
+	}
+	b.swept = now
+	for id, r := range b.byID {
+		if r.inFlight == 0 && now.Sub(r.used) > forgetAfter {
+			delete(b.byID, id)
+		}
+	}
+}
+
+// Ticket is one request at one endpoint. End must be called once.
+type Ticket struct {
+	board *Board
+	id    fleet.EndpointID
+	begun time.Time
+	ended bool
+}
+
+// Begin notes a request sent to an endpoint.
+func (b *Board) Begin(id fleet.EndpointID) *Ticket {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweepLocked(now)
+	r := b.at(id, now)
+	if r.inFlight == 0 {
+		r.heard = now // silence counts from when something is awaited
+	}
+	r.inFlight++
+	r.since++
+	return &Ticket{board: b, id: id, begun: now}
+}
+
+// Head notes the head of an answer and the load it told, if any.
+func (t *Ticket) Head(load *call.Load) {
+	b := t.board
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.at(t.id, now)
+	r.heard = now
+	if load != nil {
+		r.report, r.reported, r.since = *load, now, 0
+	}
+}
+
+// First notes the first event or the whole answer; it returns how long it
+// took.
+func (t *Ticket) First() time.Duration {
+	b := t.board
+	now := b.clock.Now()
+	took := now.Sub(t.begun)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.at(t.id, now)
+	r.heard = now
+	if r.latency == 0 {
+		r.latency = took.Seconds()
+	}
+	r.latency += latencyGain * (took.Seconds() - r.latency)
+	return took
+}
+
+// Heard notes that something came.
+func (t *Ticket) Heard() {
+	b := t.board
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(t.id, now).heard = now
+}
+
+// End notes how the request ended.
+func (t *Ticket) End(o Outcome) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	b := t.board
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.at(t.id, now)
+	r.inFlight--
+	r.since--
+	r.outcome(o, now)
+}
+
+func (r *record) outcome(o Outcome, now time.Time) {
+	switch o {
+	case Served:
+		r.fail(0, now)
+		r.hard, r.ejection, r.ejected = 0, 0, time.Time{}
+	case Failed:
+		r.fail(1, now)
+		r.hard = 0
+	case Refused:
+		r.fullTill = now.Add(fullFor)
+	case Broken:
+		r.fail(1, now)
+		r.hard++
+		if r.hard >= hardFailures {
+			r.eject(now)
+		}
+	case Misdirected:
+		// This incarnation is gone for good; its registration will follow.
+		r.ejected = now.Add(forgetAfter)
+	case Abandoned:
+	}
+}
+
+func (r *record) fail(bad float64, now time.Time) {
+	r.failRate = r.faded(now)
+	r.failRate += failureGain * (bad - r.failRate)
+	r.failedAt = now
+}
+
+func (r *record) faded(now time.Time) float64 {
+	if r.failRate == 0 {
+		return 0
+	}
+	return r.failRate * math.Exp(-now.Sub(r.failedAt).Seconds()/failureLife.Seconds())
+}
+
+func (r *record) eject(now time.Time) {
+	r.ejection = min(max(ejectFirst, 2*r.ejection), ejectLongest)
+	r.ejected = now.Add(r.ejection)
+}
+
+// Standing is what the board says of an endpoint now.
+type Standing struct {
+	InFlight int     // of this entry
+	Load     float64 // requests running and waiting there, as far as known
+	FailRate float64
+	Ejected  bool
+	Full     bool
+	// Silent is how long nothing came while something was awaited.
+	Silent time.Duration
+	// Latency is the mean time to the first event; 0: not known.
+	Latency time.Duration
+}
+
+// Standing returns what is known of an endpoint.
+func (b *Board) Standing(id fleet.EndpointID) Standing {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.standingLocked(id, now)
+}
+
+func (b *Board) standingLocked(id fleet.EndpointID, now time.Time) Standing {
+	r := b.byID[id]
+	if r == nil {
+		return Standing{}
+	}
+	s := Standing{InFlight: r.inFlight, Load: float64(r.inFlight), FailRate: r.faded(now), Ejected: now.Before(r.ejected),
+		Full: now.Before(r.fullTill), Latency: time.Duration(r.latency * float64(time.Second))}
+	if now.Sub(r.reported) < reportLife {
+		s.Load = max(s.Load, float64(r.report.Running+r.report.Waiting+r.since))
+	}
+	if r.inFlight > 0 {
+		s.Silent = now.Sub(r.heard)
+	}
+	return s
+}
--- /dev/null
+++ b/rollout/controller.go
@@ -0,0 +1,435 @@
+package rollout
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/place"
+)
+
+// Times of recording.
+const (
+	// Interval is how often the controller looks whether something is to be
+	// recorded.
+	Interval = 200 * time.Millisecond
+	// turn is how much longer each entry, by its place among the entries,
+	// waits before it records what the one before should have: one call does
+	// instead of one an entry.
+	turn = 300 * time.Millisecond
+	// mostTurns bounds the wait where there are many entries.
+	mostTurns = 6
+	// recordAgain is when a record that nothing was heard of is written again.
+	recordAgain = time.Second
+	// sessionSweep is how often ended sessions are forgotten.
+	sessionSweep = 5 * time.Second
+)
+
+// Deps is what a controller needs.
+type Deps struct {
+	Instance string
+	Boot     int64
+	Store    kv.KV
+	Decoder  fleet.Decoder
+	View     func() *fleet.View
+	// SessionLife is how long after its last request a session keeps its
+	// version.
+	SessionLife time.Duration
+	Clock       clockwork.Clock
+	Log         *slog.Logger
+}
+
+// Controller is one entry's part in all roll-outs. It is safe for concurrent
+// use; its lock is never held across a call.
+type Controller struct {
+	Deps
+
+	mu       sync.Mutex
+	tracks   map[string]*track // by service
+	usual    map[usualKey]*usual
+	sessions map[string]pin
+	swept    time.Time
+}
+
+// track is what the entry knows of one order.
+type track struct {
+	ordered  kv.Revision
+	seen     time.Time // when the order was given, as far as known
+	halted   bool
+	evidence *evidence
+	wanted   fleet.RolloutState // what should be recorded
+	wantedAt time.Time
+	written  time.Time
+}
+
+type usualKey struct{ route, model string }
+
+type pin struct {
+	version string
+	used    time.Time
+}
+
+// New returns a controller.
+func New(d Deps) *Controller {
+	return &Controller{Deps: d, tracks: map[string]*track{}, usual: map[usualKey]*usual{}, sessions: map[string]pin{}, swept: d.Clock.Now()}
+}
+
+// trackLocked returns the track of a group's order, a new one for a new order.
+func (c *Controller) trackLocked(r *fleet.Rollout) *track {
+	t := c.tracks[r.Service]
+	if t == nil || t.ordered < r.Ordered {
+		t = &track{ordered: r.Ordered, seen: c.Clock.Now(), evidence: newEvidence()}
+		c.tracks[r.Service] = t
+	}
+	return t
+}
+
+// Choice is which endpoints may get a request.
+type Choice struct {
+	// First are the endpoints of the version that the request falls to, Then
+	// those that may take it when none of First can.
+	First, Then []fleet.Endpoint
+}
+
+// Request is what the choice of a version needs to know.
+type Request struct {
+	ID      string
+	Session string
+}
+
+// Choose splits a group's ready endpoints for one request.
+func (c *Controller) Choose(g *fleet.Group, q Request) Choice {
+	r := g.Rollout
+	if r == nil {
+		return Choice{First: g.Ready}
+	}
+	older, newer := split(g.Ready, r.Target)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.trackLocked(r)
+	switch {
+	case r.State == fleet.RolloutDone:
+		return Choice{First: newer, Then: older}
+	case t.halted || r.State == fleet.RolloutRolledBack:
+		return Choice{First: older}
+	case len(newer) == 0:
+		return Choice{First: older}
+	}
+	share := Share(c.Clock.Since(t.seen), r.Duration)
+	toNew := c.fallsToNewLocked(r, q, share)
+	if !toNew {
+		if len(older) == 0 {
+			return Choice{First: newer}
+		}
+		return Choice{First: older}
+	}
+	return Choice{First: canaries(newer, len(older), share, r.Ordered), Then: older}
+}
+
+// fallsToNewLocked decides by a hash that only grows with the share, so that
+// nothing goes back and forth; a session stays where it was until the share
+// is whole.
+func (c *Controller) fallsToNewLocked(r *fleet.Rollout, q Request, share float64) bool {
+	if share >= 1 {
+		return true
+	}
+	if q.Session != "" {
+		if p, ok := c.sessions[q.Session]; ok && c.Clock.Since(p.used) < c.SessionLife {
+			return p.version == r.Target
+		}
+		return fraction(place.Hash(r.Target, q.Session)) < share
+	}
+	return fraction(place.Hash(r.Target, q.ID)) < share
+}
+
+// fraction maps a hash to [0, 1).
+func fraction(h uint64) float64 { return float64(h>>11) / (1 << 53) }
+
+func split(all []fleet.Endpoint, target string) (older, newer []fleet.Endpoint) {
+	for _, ep := range all {
+		if ep.Version == target {
+			newer = append(newer, ep)
+		} else {
+			older = append(older, ep)
+		}
+	}
+	return older, newer
+}
+
+// canaries are the few new endpoints that a small share goes to: as many as
+// that share would keep as busy as the old ones are, but not one alone.
+func canaries(newer []fleet.Endpoint, older int, share float64, ordered kv.Revision) []fleet.Endpoint {
+	n := max(2, int(share*float64(older)+0.999))
+	if n >= len(newer) {
+		return newer
+	}
+	sorted := append([]fleet.Endpoint(nil), newer...)
+	seed := strconv.FormatInt(int64(ordered), 10)
+	sort.Slice(sorted, func(i, j int) bool {
+		return place.Hash(seed, string(sorted[i].ID)) < place.Hash(seed, string(sorted[j].ID))
+	})
+	return sorted[:n]
+}
+
+// Keep notes which version a session's request went to.
+func (c *Controller) Keep(session, version string) {
+	if session == "" {
+		return
+	}
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sessions[session] = pin{version, now}
+	if now.Sub(c.swept) < sessionSweep {
+		return
+	}
+	c.swept = now
+	for s, p := range c.sessions {
+		if now.Sub(p.used) > c.SessionLife {
+			delete(c.sessions, s)
+		}
+	}
+}
+
+// Answer is how an endpoint answered, as the controller counts it.
+type Answer struct {
+	Group    *fleet.Group
+	Endpoint fleet.Endpoint
+	Route    string
+	Model    string
+	Failed   bool // the endpoint answered that it failed
+	// Took is the time to the first event; 0: there was none.
+	Took time.Duration
+	// Scale is the request's size in proportion to its kind's mean.
+	Scale float64
+}
+
+// Observe counts an answer: as evidence where its version is being brought
+// in, as the usual time elsewhere.
+func (c *Controller) Observe(a Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := usualKey{a.Route, a.Model}
+	u := c.usual[key]
+	if u == nil {
+		u = &usual{}
+		c.usual[key] = u
+	}
+	r := a.Group.Rollout
+	if r == nil || a.Endpoint.Version != r.Target || r.State == fleet.RolloutDone {
+		if a.Took > 0 && !a.Failed {
+			u.add(a.Took)
+		}
+		return
+	}
+	t := c.trackLocked(r)
+	if t.ordered != r.Ordered {
+		return
+	}
+	bad := a.Failed || u.slow(a.Took, a.Scale)
+	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Endpoint: a.Endpoint.ID}
+	counts := t.evidence.rows[src]
+	counts.Samples++
+	if bad {
+		counts.Bad++
+	}
+	t.evidence.take(src, counts)
+	c.judgeLocked(r.Service, t)
+}
+
+func (c *Controller) judgeLocked(service string, t *track) {
+	if t.halted || !t.evidence.bad() {
+		return
+	}
+	t.halted = true
+	sum := t.evidence.totals()
+	c.Log.Warn("rollout: version answers badly; halting it.", "service", service, "order", t.ordered,
+		"samples", sum.Samples, "bad", sum.Bad, "statistic", t.evidence.statistic, "age", c.Clock.Since(t.seen))
+}
+
+// Rollout's state as entries tell each other.
+type (
+	// Told is one order as an entry knows it.
+	Told struct {
+		Service string
+		Ordered kv.Revision
+		Age     time.Duration
+		Halted  bool
+	}
+	// Row is one source's counts.
+	Row struct {
+		Source
+		Counts
+	}
+)
+
+// Tell returns what other entries should know.
+func (c *Controller) Tell() ([]Told, []Row) {
+	v := c.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var told []Told
+	var rows []Row
+	for service, t := range c.tracks {
+		g := v.Group(service)
+		if g == nil || g.Rollout == nil || g.Rollout.Ordered != t.ordered || final(g.Rollout.State) {
+			continue
+		}
+		told = append(told, Told{Service: service, Ordered: t.ordered, Age: c.Clock.Since(t.seen), Halted: t.halted})
+		for s, n := range t.evidence.rows {
+			rows = append(rows, Row{s, n})
+		}
+	}
+	return told, rows
+}
+
+// Hear takes what another entry told.
+func (c *Controller) Hear(told []Told, rows []Row) {
+	v := c.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range told {
+		t := c.knownLocked(v, o.Service, o.Ordered)
+		if t == nil {
+			continue
+		}
+		if seen := c.Clock.Now().Add(-o.Age); seen.Before(t.seen) {
+			t.seen = seen
+		}
+		if o.Halted && !t.halted {
+			t.halted = true
+			c.Log.Warn("rollout: another entry halted the version.", "service", o.Service, "order", o.Ordered)
+		}
+	}
+	for _, row := range rows {
+		if row.Instance == c.Instance && row.Boot == c.Boot {
+			continue
+		}
+		if t := c.knownLocked(v, row.Service, row.Ordered); t != nil && t.evidence.take(row.Source, row.Counts) {
+			c.judgeLocked(row.Service, t)
+		}
+	}
+}
+
+// knownLocked returns the track of an order that the view knows too.
+func (c *Controller) knownLocked(v *fleet.View, service string, ordered kv.Revision) *track {
+	g := v.Group(service)
+	if g == nil || g.Rollout == nil || g.Rollout.Ordered != ordered {
+		return nil
+	}
+	return c.trackLocked(g.Rollout)
+}
+
+func final(s fleet.RolloutState) bool {
+	return s == fleet.RolloutDone || s == fleet.RolloutRolledBack
+}
+
+// Tick records states that are due. It is called every Interval.
+func (c *Controller) Tick(ctx context.Context) {
+	v := c.View()
+	for _, g := range v.Groups() {
+		if g.Rollout == nil || final(g.Rollout.State) {
+			continue
+		}
+		if state, ok := c.due(v, g); ok {
+			c.record(ctx, g.Rollout, state)
+		}
+	}
+}
+
+// due returns the state to record now, if it is this entry's turn.
+func (c *Controller) due(v *fleet.View, g *fleet.Group) (fleet.RolloutState, bool) {
+	r := g.Rollout
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.trackLocked(r)
+	now := c.Clock.Now()
+	want := fleet.RolloutRunning
+	switch {
+	case t.halted:
+		want = fleet.RolloutRolledBack
+	case Due(now.Sub(t.seen), r.Duration) && hasVersion(g.Ready, r.Target):
+		want = fleet.RolloutDone
+	}
+	if want == r.State {
+		return "", false
+	}
+	if want != t.wanted {
+		t.wanted, t.wantedAt, t.written = want, now, time.Time{}
+	}
+	if now.Sub(t.wantedAt) < c.turnOf(v) || now.Sub(t.written) < recordAgain {
+		return "", false
+	}
+	t.written = now
+	return want, true
+}
+
+func hasVersion(all []fleet.Endpoint, version string) bool {
+	for _, ep := range all {
+		if ep.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// turnOf is how long this entry leaves it to those before it.
+func (c *Controller) turnOf(v *fleet.View) time.Duration {
+	for i, e := range v.Entries {
+		if e.Instance == c.Instance {
+			return time.Duration(min(i, mostTurns)) * turn
+		}
+	}
+	return mostTurns * turn
+}
+
+// record writes a state, if what was recorded last still stands. Whatever
+// comes of it, the watch tells; a write whose answer was lost and that takes
+// effect later still meets its condition.
+func (c *Controller) record(ctx context.Context, r *fleet.Rollout, state fleet.RolloutState) {
+	key, value, err := c.Decoder.EncodeRolloutStatus(r.Service, fleet.RolloutStatus{Target: r.Target, State: state})
+	if err != nil {
+		c.Log.Error("rollout: state cannot be encoded.", "service", r.Service, "state", state, "error", err)
+		return
+	}
+	ok, rev, _, err := c.Store.CompareAndPut(ctx, key, r.Recorded, value, 0)
+	switch {
+	case err != nil:
+		c.Log.Warn("rollout: state not confirmed by the store; will write it again.", "service", r.Service, "state", state, "condition", r.Recorded, "error", err)
+	case !ok:
+		c.Log.Info("rollout: something else was recorded meanwhile.", "service", r.Service, "state", state, "condition", r.Recorded)
+	default:
+		c.Log.Info("rollout: state recorded.", "service", r.Service, "state", state, "target", r.Target, "revision", rev)
+	}
+}
+
+// State is a roll-out's row in the state dump.
+type State struct {
+	Service   string  `json:"service"`
+	Order     int64   `json:"order"`
+	AgeMS     int64   `json:"age_ms"`
+	Halted    bool    `json:"halted"`
+	Samples   int64   `json:"samples"`
+	Bad       int64   `json:"bad"`
+	Statistic float64 `json:"statistic"`
+}
+
+// State returns the current dump.
+func (c *Controller) State() []State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]State, 0, len(c.tracks))
+	for s, t := range c.tracks {
+		sum := t.evidence.totals()
+		out = append(out, State{Service: s, Order: int64(t.ordered), AgeMS: c.Clock.Since(t.seen).Milliseconds(), Halted: t.halted,
+			Samples: sum.Samples, Bad: sum.Bad, Statistic: t.evidence.statistic})
+	}
+	return out
+}
