Refuse streams late in a planned stop

Change: streams are refused, as not run, from 2.7 s after SIGTERM, past the balancer's two looks; short requests are served on.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -26,6 +26,10 @@
 	// connections to an entry that says it is not ready: two looks, a second
 	// apart, and some for the look itself.
 	lookAway = 3200 * time.Millisecond
+	// streamsUntil is how long streams are still taken: a stream that comes
+	// later may not end before the process must. It is past the balancer's two
+	// looks, so only connections that stayed open are refused.
+	streamsUntil = 2700 * time.Millisecond
 	// exitSlack is how long before the kill the process ends by itself.
 	exitSlack = 500 * time.Millisecond
 	// drainPoll is how often a stopping entry looks whether requests remain.
@@ -187,8 +191,12 @@
 	p.Log.Info("edge: stopping; serving on until callers are elsewhere.", "in_flight", p.Ingress.InFlight())
 	latest := begun.Add(p.Set.Bounds.Grace() - exitSlack)
 	away := begun.Add(min(lookAway, p.Set.Bounds.Grace()/2))
+	streams := begun.Add(min(streamsUntil, p.Set.Bounds.Grace()/3))
 	closedIdle := false
 	for time.Now().Before(latest) {
+		if time.Now().After(streams) {
+			p.Ingress.RefuseStreams()
+		}
 		if time.Now().After(away) {
 			if !closedIdle {
 				closedIdle = true
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -56,6 +56,8 @@
 	inFlight atomic.Int64
 	bodies   atomic.Int64
 	stopping atomic.Bool
+	// long is set once streams are refused, refusing once everything is.
+	long     atomic.Bool
 	refusing atomic.Bool
 }
 
@@ -73,6 +75,10 @@
 // other entries; requests are served on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// RefuseStreams makes the server refuse streams that come from now on: they
+// take seconds, and a process that is to end has too few left for them.
+func (s *Server) RefuseStreams() { s.long.Store(true) }
+
 // Refuse makes the server refuse what comes from now on.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
@@ -143,6 +149,9 @@
 		}
 		return refuseNoRoute
 	}
+	if x.route.Kind == fleet.Streaming && s.long.Load() {
+		return refuseStopping
+	}
 	x.customer = x.view.Customer(x.facts.Key)
 	if x.customer == nil && !x.route.Public && x.view.HasCustomers() {
 		if s.stale() {
