--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -8,16 +8,19 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
-// Silence of an endpoint. An engine that runs streams is heard from several
-// times a second, by this entry as by others, whatever one request waits for:
-// one that is not heard from at all has died or is cut off, and its requests
-// are better off elsewhere than waiting for their deadlines.
+// Silence of an endpoint. An engine may well say nothing for seconds while it
+// reads the long prompts of others, so silence alone proves nothing; but then
+// it still accepts a connection. One that is dead or cut off does not, and its
+// requests are better off elsewhere than waiting for their deadlines.
 const (
 	// silentAfter is how long nothing may come from an endpoint, on any of
-	// this entry's connections, before a resumable stream is taken elsewhere.
-	silentAfter = 1200 * time.Millisecond
+	// this entry's connections, before its reachability is checked.
+	silentAfter = 800 * time.Millisecond
+	// checkAgain is when one that was reachable is checked again.
+	checkAgain = time.Second
 	// watchEvery is how often a waiting request looks.
 	watchEvery = 300 * time.Millisecond
 	// lostGaps pauses of the longest that is on time, without an event, mean
@@ -30,10 +33,11 @@
 
 // watchdog ends a call whose endpoint is silent for too long.
 type watchdog struct {
-	server *Server
-	cancel context.CancelFunc
-	limits watchLimits
-	id     fleet.EndpointID
+	server  *Server
+	cancel  context.CancelFunc
+	limits  watchLimits
+	id      fleet.EndpointID
+	address string
 
 	mu      sync.Mutex
 	timer   clockwork.Timer
@@ -49,7 +53,8 @@
 	answer time.Duration // until the whole answer
 	first  time.Duration // until the first event
 	gap    time.Duration // between events
-	silent time.Duration // of the endpoint as a whole
+	// reachable: the call ends when its endpoint turns out to be unreachable.
+	reachable bool
 }
 
 // limits for the next attempt of a request.
@@ -60,7 +65,7 @@
 	if x.route.Kind != fleet.Streaming {
 		return watchLimits{answer: min(3*x.route.Objective, x.left()*2/3)}
 	}
-	l := watchLimits{silent: silentAfter, gap: time.Duration(lostGaps * float64(x.route.MaxGap))}
+	l := watchLimits{reachable: true, gap: time.Duration(lostGaps * float64(x.route.MaxGap))}
 	first := time.Duration(slowStart * float64(x.route.Objective))
 	if usual := x.server.Board.Standing(id).Latency; usual > 0 && usual < first/4 {
 		l.first = first
@@ -70,7 +75,7 @@
 
 // watch starts a watchdog over a call.
 func (x *exchange) watch(c *sent, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{server: x.server, cancel: cancel, limits: x.limits(c.endpoint.ID), id: c.endpoint.ID, begun: x.server.Clock.Now()}
+	w := &watchdog{server: x.server, cancel: cancel, limits: x.limits(c.endpoint.ID), id: c.endpoint.ID, address: c.endpoint.Address, begun: x.server.Clock.Now()}
 	if w.limits == (watchLimits{}) {
 		w.stopped = true
 		return w
@@ -113,14 +118,14 @@
 }
 
 func (w *watchdog) look() {
-	silent := w.server.Board.Standing(w.id).Silent
+	unreachable := w.limits.reachable && w.server.unreachable(w.id, w.address, w.begun)
 	now := w.server.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
 		return
 	}
-	w.reason = w.limits.exceeded(now.Sub(w.begun), w.sinceLastLocked(now), silent)
+	w.reason = w.limits.exceeded(now.Sub(w.begun), w.sinceLastLocked(now), unreachable)
 	if w.reason != "" {
 		w.stopped = true
 		w.cancel()
@@ -138,12 +143,12 @@
 }
 
 // exceeded says which limit a call has passed; empty: none.
-func (l watchLimits) exceeded(waited, sinceLast, silent time.Duration) string {
+func (l watchLimits) exceeded(waited, sinceLast time.Duration, unreachable bool) string {
 	switch {
 	case l.answer > 0 && waited >= l.answer:
 		return "no answer in time"
-	case l.silent > 0 && silent > l.silent:
-		return "endpoint is silent"
+	case l.reachable && unreachable:
+		return "endpoint is silent and unreachable"
 	case l.first > 0 && sinceLast < 0 && waited > l.first:
 		return "no first event in time"
 	case l.gap > 0 && sinceLast > l.gap:
@@ -151,3 +156,21 @@
 	}
 	return ""
 }
+
+// unreachable reports whether an endpoint has been silent and no longer
+// accepts connections. At most one request at a time checks an endpoint.
+func (s *Server) unreachable(id fleet.EndpointID, address string, begun time.Time) bool {
+	if s.Board.LostSince(id, begun) {
+		return true // another request found out
+	}
+	silent := s.Board.Standing(id).Silent
+	if silent < silentAfter || !s.Board.MayCheck(id, checkAgain) {
+		return false
+	}
+	if err := upstream.Check(address); err != nil {
+		s.Log.Warn("ingress: endpoint is silent and does not accept a connection.", "endpoint", id, "silent_ms", silent.Milliseconds(), "error", err)
+		s.Board.Unreachable(id)
+		return true
+	}
+	return false
+}
--- a/place/board.go
+++ b/place/board.go
@@ -74,6 +74,9 @@
 	fullTill time.Time
 	latency  float64 // mean time to the first event, in seconds
 	used     time.Time
+	checked  time.Time // when its reachability was last checked
+	// deadAt is when it was found unreachable; what was sent before is lost.
+	deadAt time.Time
 }
 
 // Board is what this entry knows of endpoints from its own requests. It is
@@ -268,3 +271,36 @@
 	}
 	return s
 }
+
+// MayCheck reports whether an endpoint's reachability may be checked now, and
+// takes the turn: one check each interval is enough.
+func (b *Board) MayCheck(id fleet.EndpointID, interval time.Duration) bool {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.at(id, now)
+	if now.Sub(r.checked) < interval {
+		return false
+	}
+	r.checked = now
+	return true
+}
+
+// Unreachable notes that an endpoint accepts no connection.
+func (b *Board) Unreachable(id fleet.EndpointID) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.at(id, now)
+	r.deadAt = now
+	r.eject(now)
+}
+
+// LostSince reports whether an endpoint was found unreachable after then, and
+// nothing came from it since.
+func (b *Board) LostSince(id fleet.EndpointID, then time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.byID[id]
+	return r != nil && r.deadAt.After(then) && r.heard.Before(r.deadAt)
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -151,3 +151,13 @@
 	}
 	return nil, errors.New("too many informational answers")
 }
+
+// Check opens a connection to an endpoint and closes it: one that is dead or
+// cut off accepts none.
+func Check(address string) error {
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
