Placing by the work that engines have outstanding, told among entries

Cause: an engine's time goes into reading prompts, which differ a hundredfold; counts of requests, reported late, say little of how long a request will wait, and eight entries each see an eighth.

--- a/edge/module.go
+++ b/edge/module.go
@@ -60,11 +60,13 @@
 			newFollower,
 			newRollouts,
 			place.NewBoard,
+			place.NewRates,
+			newLoads,
 			newBudget,
 			newMesh,
 			newIngress,
 		),
-		fx.Invoke(runFollower, runMesh, runRollouts, runRegistration, runReload, serve),
+		fx.Invoke(runFollower, runMesh, runLoads, runRollouts, runRegistration, runReload, serve),
 		fx.NopLogger,
 	)
 }
@@ -118,9 +120,13 @@
 	return mesh.New(mesh.Deps{Instance: s.Instance, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Clock: clock, Log: log})
 }
 
-func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, budget *retry.Budget, r *rollout.Controller,
+func newLoads(s *Settings, f *fleet.Follower, board *place.Board, clock clockwork.Clock, log *slog.Logger) *mesh.Loads {
+	return mesh.NewLoads(mesh.LoadsDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Clock: clock, Log: log})
+}
+
+func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller,
 	clock clockwork.Clock, log *slog.Logger, m *metrics) *ingress.Server {
-	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Budget: budget, Rollouts: r,
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r,
 		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, LapsedFor: lapsedFor(s),
 		Clock: clock, Log: log, Scope: m.scope.SubScope("ingress")})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -53,6 +53,8 @@
 
 func runMesh(lc fx.Lifecycle, m *mesh.Mesh) { background(lc, m.Run) }
 
+func runLoads(lc fx.Lifecycle, l *mesh.Loads) { background(lc, l.Run) }
+
 func runRollouts(lc fx.Lifecycle, r *rollout.Controller) {
 	background(lc, func(ctx context.Context) { every(ctx, rollout.Interval, r.Tick) })
 }
@@ -67,7 +69,7 @@
 )
 
 func runRegistration(lc fx.Lifecycle, s *Settings, b boot, c kv.Client, f *fleet.Follower, log *slog.Logger) {
-	r := &registration{self: fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Boot: int64(b)}, store: c, fleet: f, log: log}
+	r := &registration{self: fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Loads: s.Listen.Loads, Boot: int64(b)}, store: c, fleet: f, log: log}
 	background(lc, r.run)
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -33,6 +33,8 @@
 	Readiness string `yaml:"readiness"`
 	// Peers serves other entries, and the state dump.
 	Peers string `yaml:"peers"`
+	// Loads takes other entries' datagrams on load.
+	Loads string `yaml:"loads"`
 	// Metrics; empty: they are served with the peers only.
 	Metrics string `yaml:"metrics"`
 }
@@ -107,6 +109,7 @@
 		{"listen.callers", s.Listen.Callers, false},
 		{"listen.readiness", s.Listen.Readiness, false},
 		{"listen.peers", s.Listen.Peers, false},
+		{"listen.loads", s.Listen.Loads, false},
 		{"listen.metrics", s.Listen.Metrics, true},
 		{"store", s.Store, false},
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -14,6 +14,7 @@
 	Instance string `json:"instance"`
 	Domain   string `json:"domain"`
 	Address  string `json:"address"` // where peers are served, IP:port
+	Loads    string `json:"loads"`   // where it takes datagrams on load, IP:port
 	Boot     int64  `json:"boot"`    // this run of its process
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -142,6 +142,7 @@
 	}
 	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session})
 	w := place.Want{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.facts.SharedTokens(), Affinity: x.affinity()}
+	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
 	ranked := x.server.Board.Rank(choice.First, w)
 	if len(ranked) == 0 || ranked[0].Standing.Ejected {
 		ranked = append(ranked, x.server.Board.Rank(choice.Then, w)...)
@@ -197,7 +198,7 @@
 	s := x.server
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
-	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep.ID), cancel: cancel, index: len(x.attempts)}
+	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep.ID, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts)}
 	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), begun: s.Clock.Since(x.received)})
 	d := call.Directions{Endpoint: string(ep.ID), Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	d.Urgency, d.SetUrgency = x.urgency()
@@ -263,6 +264,7 @@
 	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(),
 		Failed: failed, Took: took, Scale: x.scale()})
 	if !failed {
+		x.server.Rates.Learn(x.modelName(), x.facts.Usage.Prompt, took)
 		x.server.Rollouts.Keep(x.facts.Session, c.endpoint.Version)
 	}
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -36,6 +36,7 @@
 	Fleet    Knowledge
 	Wire     call.Wire
 	Board    *place.Board
+	Rates    *place.Rates
 	Budget   *retry.Budget
 	Rollouts *rollout.Controller
 	Ladder   cascade.Ladder
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -67,7 +67,7 @@
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(lostGaps * float64(x.route.MaxGap))}
 	first := time.Duration(slowStart * float64(x.route.Objective))
-	if usual := x.server.Board.Standing(id).Latency; usual > 0 && usual < first/4 {
+	if at := x.server.Board.Standing(id); at.Latency > 0 && at.Latency < first/4 && at.Wait < first/4 {
 		l.first = first
 	}
 	return l
--- a/place/board.go
+++ b/place/board.go
@@ -62,6 +62,7 @@
 
 type record struct {
 	inFlight int
+	work     time.Duration // outstanding until the first events
 	report   call.Load
 	reported time.Time
 	since    int // own requests begun less those ended since the report
@@ -85,12 +86,13 @@
 	clock clockwork.Clock
 	mu    sync.Mutex
 	byID  map[fleet.EndpointID]*record
+	told  map[string]told // by entry
 	swept time.Time
 }
 
 // NewBoard returns an empty board.
 func NewBoard(clock clockwork.Clock) *Board {
-	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, swept: clock.Now()}
+	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, told: map[string]told{}, swept: clock.Now()}
 }
 
 func (b *Board) at(id fleet.EndpointID, now time.Time) *record {
@@ -121,11 +123,13 @@
 	board *Board
 	id    fleet.EndpointID
 	begun time.Time
+	work  time.Duration // still outstanding
 	ended bool
 }
 
-// Begin notes a request sent to an endpoint.
-func (b *Board) Begin(id fleet.EndpointID) *Ticket {
+// Begin notes a request sent to an endpoint, and how long that will take to
+// begin its answer.
+func (b *Board) Begin(id fleet.EndpointID, work time.Duration) *Ticket {
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -136,7 +140,8 @@
 	}
 	r.inFlight++
 	r.since++
-	return &Ticket{board: b, id: id, begun: now}
+	r.work += work
+	return &Ticket{board: b, id: id, begun: now, work: work}
 }
 
 // Head notes the head of an answer and the load it told, if any.
@@ -166,9 +171,16 @@
 		r.latency = took.Seconds()
 	}
 	r.latency += latencyGain * (took.Seconds() - r.latency)
+	t.settleLocked(r)
 	return took
 }
 
+// settleLocked takes the request's work off: it is done or will not be.
+func (t *Ticket) settleLocked(r *record) {
+	r.work -= t.work
+	t.work = 0
+}
+
 // Heard notes that something came.
 func (t *Ticket) Heard() {
 	b := t.board
@@ -189,6 +201,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.at(t.id, now)
+	t.settleLocked(r)
 	r.inFlight--
 	r.since--
 	r.outcome(o, now)
@@ -237,7 +250,10 @@
 
 // Standing is what the board says of an endpoint now.
 type Standing struct {
-	InFlight int     // of this entry
+	InFlight int // of this entry
+	// Wait is the work outstanding there, of this entry and of those that told
+	// of theirs.
+	Wait     time.Duration
 	Load     float64 // requests running and waiting there, as far as known
 	FailRate float64
 	Ejected  bool
@@ -257,11 +273,12 @@
 }
 
 func (b *Board) standingLocked(id fleet.EndpointID, now time.Time) Standing {
+	wait := b.toldLocked(id, now)
 	r := b.byID[id]
 	if r == nil {
-		return Standing{}
+		return Standing{Wait: wait}
 	}
-	s := Standing{InFlight: r.inFlight, Load: float64(r.inFlight), FailRate: r.faded(now), Ejected: now.Before(r.ejected),
+	s := Standing{Wait: wait + r.work, InFlight: r.inFlight, Load: float64(r.inFlight), FailRate: r.faded(now), Ejected: now.Before(r.ejected),
 		Full: now.Before(r.fullTill), Latency: time.Duration(r.latency * float64(time.Second))}
 	if now.Sub(r.reported) < reportLife {
 		s.Load = max(s.Load, float64(r.report.Running+r.report.Waiting+r.since))
--- a/place/choose.go
+++ b/place/choose.go
@@ -2,27 +2,34 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lovageweir/lovageweir/fleet"
 )
 
-// Weights of the score, in shares of an endpoint's slots: what they buy is
-// how much busier an endpoint may be than another and still be taken.
+// Weights of the score, in time: what they buy is how much longer a request
+// may wait at one endpoint than at another that would be taken otherwise.
 const (
 	// domainPenalty keeps requests within their failure domain where that
-	// makes no difference to load: bytes between domains are paid for.
-	domainPenalty = 0.05
-	// failurePenalty is for an endpoint that always fails. At 0.2, a fifth of
-	// answers failed, it weighs like 40% of the slots.
-	failurePenalty = 2.0
+	// makes little difference: bytes between domains are paid for.
+	domainPenalty = 15 * time.Millisecond
+	// failurePenalty is for an endpoint that always fails; one in five failed
+	// answers weigh like 200 ms.
+	failurePenalty = time.Second
 	// fullPenalty is for one that has just refused.
-	fullPenalty = 1.0
-	// cacheBonus is for the endpoint that a request's prompt prefers, when
-	// cacheWorth tokens or more of it may be cached there; in proportion below.
-	cacheBonus = 0.25
-	cacheWorth = 4000
+	fullPenalty = 500 * time.Millisecond
+	// busyPenalty is for an endpoint whose slots are all taken, in proportion
+	// below: the more requests run, the longer each token takes, and what one
+	// sees of an endpoint's work is not all.
+	busyPenalty = 400 * time.Millisecond
+	// cachedAtPreferred is the share of a shared prompt expected in the cache
+	// of the endpoint that it prefers. Others are taken to lack it.
+	cachedAtPreferred = 0.7
+	// cachePerToken is what reading a shared token again costs besides the
+	// engine's time, as it is paid for.
+	cachePerToken = 20 * time.Microsecond
 	// cacheBeyondDomain is how many shared tokens make the preferred endpoint
 	// one of all domains: sending a prompt of thousands of tokens to another
 	// domain costs less than reading it again, for a short one it is the other
@@ -37,8 +44,10 @@
 	Domain string // this entry's
 	// Affinity is equal for requests that share a prompt; 0: none.
 	Affinity uint64
-	// SharedTokens is how much prompt they share.
+	// SharedTokens is how much prompt they share, Reading how long an engine
+	// takes to read that.
 	SharedTokens int
+	Reading      time.Duration
 	// Tried are endpoints that had the request already.
 	Tried map[fleet.EndpointID]bool
 }
@@ -46,7 +55,7 @@
 // Ranked is an endpoint with its score; lower is better.
 type Ranked struct {
 	fleet.Endpoint
-	Score    float64
+	Score    time.Duration
 	Standing Standing
 }
 
@@ -74,12 +83,14 @@
 	return out
 }
 
-func score(ep fleet.Endpoint, s Standing, w Want, preferred bool) float64 {
+// score is the time that the request would wait at an endpoint, with what
+// else speaks against that.
+func score(ep fleet.Endpoint, s Standing, w Want, preferred bool) time.Duration {
 	slots := ep.Slots
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	v := s.Load/float64(slots) + failurePenalty*s.FailRate
+	v := s.Wait + scaled(busyPenalty, s.Load/float64(slots)) + scaled(failurePenalty, s.FailRate)
 	if ep.Domain != w.Domain {
 		v += domainPenalty
 	}
@@ -87,11 +98,13 @@
 		v += fullPenalty
 	}
 	if preferred {
-		v -= cacheBonus * min(1, 0.2+float64(w.SharedTokens)/cacheWorth)
+		v -= scaled(w.Reading+time.Duration(w.SharedTokens)*cachePerToken, cachedAtPreferred)
 	}
 	return v
 }
 
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
 // prefer returns the endpoint that a prompt prefers: the highest of the
 // hashes of prompt and endpoint, so that all entries agree and a change of
 // the endpoints moves only the prompts of those that changed.
