--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -1,5 +1,7 @@
 package cascade
 
+import "time"
+
 // Ladder decides which of a route's models answers first, and whether an
 // answer that its model doubts is dropped for one of a larger model.
 //
@@ -7,23 +9,64 @@
 // ones do; how hard a request is shows only in the answer. So the smallest
 // model goes first, and its answer is dropped before the caller has received
 // any of it when the model itself doubts it.
+//
+// The load it answers: the largest model takes an engine's time many times
+// over. When engines are behind, an answer of it comes late and makes others
+// late; then only answers that are almost certainly poor are dropped.
 type Ladder struct {
-	// Doubt is the confidence, 0 to 100, below which an answer is dropped.
+	// Doubt is the confidence, 0 to 100, below which an answer is dropped
+	// while there is no hurry.
 	Doubt int
 }
 
 // DefaultDoubt: see docs/CASCADES.md for what callers got at other values.
 const DefaultDoubt = 50
 
+// How doubt falls with the time there is.
+const (
+	// fullSlack of the objective left after the larger model's first event is
+	// no hurry.
+	fullSlack = 0.45
+	// leastSlack: with less, a larger model's answer would be late, and the
+	// one there is stands.
+	leastSlack = 0.1
+)
+
+// Outlook is what a larger model's answer would take.
+type Outlook struct {
+	Elapsed   time.Duration // since the request came
+	Wait      time.Duration // until the larger model's first event
+	Objective time.Duration
+}
+
+// slack is the share of the objective that would be left.
+func (o Outlook) slack() float64 {
+	if o.Objective <= 0 {
+		return 1
+	}
+	return 1 - float64(o.Elapsed+o.Wait)/float64(o.Objective)
+}
+
 // First is the index of the model that a request starts with.
-func (l Ladder) First(models int) int { return 0 }
+func (l Ladder) First(int) int { return 0 }
 
 // Next returns the model to ask after an answer of the model at index with
-// the given confidence; ok is false when that answer stands. It goes to the
-// largest: one in between costs an attempt and is little better.
+// the given confidence. It is the largest: one in between costs an attempt
+// and is little better.
 func (l Ladder) Next(models, index, confidence int) (next int, ok bool) {
 	if index >= models-1 || confidence < 0 || confidence >= l.Doubt {
 		return index, false
 	}
 	return models - 1, true
 }
+
+// Worth reports whether the larger model is worth asking by the time there
+// is.
+func (l Ladder) Worth(confidence int, o Outlook) bool {
+	slack := o.slack()
+	if slack < leastSlack {
+		return false
+	}
+	hurry := min(1, (slack-leastSlack)/(fullSlack-leastSlack))
+	return float64(confidence) < float64(l.Doubt)*hurry
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -134,11 +134,11 @@
 }
 
 // pick returns the best endpoint for the next send.
-func (x *exchange) pick() (*fleet.Group, fleet.Endpoint, *refusal) {
+func (x *exchange) pick() (*fleet.Group, place.Ranked, *refusal) {
 	x.view = x.server.Fleet.View()
 	group := x.view.Group(x.target())
 	if group == nil {
-		return nil, fleet.Endpoint{}, refuseNoEndpoint
+		return nil, place.Ranked{}, refuseNoEndpoint
 	}
 	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session})
 	w := place.Want{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.facts.SharedTokens(), Affinity: x.affinity()}
@@ -152,9 +152,9 @@
 	}
 	if len(ranked) == 0 {
 		if len(x.tried) > 0 {
-			return nil, fleet.Endpoint{}, refuseFull
+			return nil, place.Ranked{}, refuseFull
 		}
-		return nil, fleet.Endpoint{}, refuseNoEndpoint
+		return nil, place.Ranked{}, refuseNoEndpoint
 	}
 	best := ranked[0]
 	for _, r := range ranked {
@@ -163,7 +163,7 @@
 			break
 		}
 	}
-	return group, best.Endpoint, nil
+	return group, best, nil
 }
 
 // lapsed are the endpoints whose registration ended a short while ago.
@@ -191,10 +191,11 @@
 // send sends the request to one endpoint and reads the head of its answer.
 // On an error, the attempt is ended and noted.
 func (x *exchange) send(ctx context.Context, resumeAfter string) (*sent, *refusal, error) {
-	group, ep, ref := x.pick()
+	group, best, ref := x.pick()
 	if ref != nil {
 		return nil, ref, nil
 	}
+	ep := best.Endpoint
 	s := x.server
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/retry"
 )
@@ -84,8 +85,9 @@
 	if x.started || x.modelName() == "" {
 		return false
 	}
-	next, ok := x.server.Ladder.Next(len(x.route.Models), x.model, c.head.Confidence)
-	if !ok || !x.mayTryAgain(retry.ForQuality) {
+	ladder := x.server.Ladder
+	next, ok := ladder.Next(len(x.route.Models), x.model, c.head.Confidence)
+	if !ok || !ladder.Worth(c.head.Confidence, x.outlook(next)) || !x.mayTryAgain(retry.ForQuality) {
 		return false
 	}
 	x.end(c, place.Served, "confidence "+strconv.Itoa(c.head.Confidence))
@@ -95,6 +97,18 @@
 	return true
 }
 
+// outlook is what an answer of another of the route's models would take.
+func (x *exchange) outlook(model int) cascade.Outlook {
+	o := cascade.Outlook{Elapsed: x.server.Clock.Since(x.received), Objective: x.route.Objective}
+	was := x.model
+	x.model = model
+	if _, best, ref := x.pick(); ref == nil {
+		o.Wait = best.Standing.Wait + x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)
+	}
+	x.model = was
+	return o
+}
+
 // relayEvents passes the events on until the stream ends.
 func (x *exchange) relayEvents(ctx context.Context, c *sent, lastID string) (string, error) {
 	in := newEvents(c.resp.Body, x.server.Wire.EventID)
