Roll-outs are judged by route, failures and slowness apart

Change: evidence by route, with a test for reported failures and a laxer one for slowness, time waited for others taken off; half of the endpoints seen must have answered badly.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -114,7 +114,8 @@
 	head     call.Answer
 	cancel   context.CancelFunc
 	watch    *watchdog
-	index    int // into attempts
+	wait     time.Duration // for others, as far as known when it was sent
+	index    int           // into attempts
 }
 
 // end closes the call and notes how it ended.
@@ -199,7 +200,7 @@
 	s := x.server
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
-	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep.ID, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts)}
+	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep.ID, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts), wait: best.Standing.Wait}
 	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), begun: s.Clock.Since(x.received)})
 	d := call.Directions{Endpoint: string(ep.ID), Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	d.Urgency, d.SetUrgency = x.urgency()
@@ -263,7 +264,7 @@
 func (x *exchange) observe(c *sent, failed bool, took time.Duration) {
 	x.attempts[c.index].first = took
 	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(),
-		Failed: failed, Took: took, Scale: x.scale()})
+		Failed: failed, Took: took, Scale: x.scale(), Wait: c.wait})
 	if !failed {
 		x.server.Rates.Learn(x.modelName(), x.facts.Usage.Prompt, took)
 		x.server.Rollouts.Keep(x.facts.Session, c.endpoint.Version)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -184,7 +184,7 @@
 	}
 	for _, r := range rows {
 		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: int64(r.Ordered),
-			Endpoint: string(r.Endpoint), Samples: r.Samples, Bad: r.Bad})
+			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Seen: r.Seen, Bad: r.Bad})
 	}
 	return out
 }
@@ -229,8 +229,8 @@
 	rows := make([]rollout.Row, 0, len(in.Evidence))
 	for _, e := range in.Evidence {
 		rows = append(rows, rollout.Row{
-			Source: rollout.Source{Instance: e.Instance, Boot: e.Boot, Service: e.Service, Ordered: kv.Revision(e.Ordered), Endpoint: fleet.EndpointID(e.Endpoint)},
-			Counts: rollout.Counts{Samples: e.Samples, Bad: e.Bad},
+			Source: rollout.Source{Instance: e.Instance, Boot: e.Boot, Service: e.Service, Ordered: kv.Revision(e.Ordered), Route: e.Route},
+			Counts: rollout.Counts{Samples: e.Samples, Failed: e.Failed, Slow: e.Slow, Seen: e.Seen, Bad: e.Bad},
 		})
 	}
 	if len(told)+len(rows) > 0 {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -207,8 +207,10 @@
 	Failed   bool // the endpoint answered that it failed
 	// Took is the time to the first event; 0: there was none.
 	Took time.Duration
-	// Scale is the request's size in proportion to its kind's mean.
+	// Scale is how much longer than its kind's mean the request should take
+	// by its size, Wait how long it had to wait for others as far as known.
 	Scale float64
+	Wait  time.Duration
 }
 
 // Observe counts an answer: as evidence where its version is being brought
@@ -233,25 +235,35 @@
 	if t.ordered != r.Ordered {
 		return
 	}
-	bad := a.Failed || u.slow(a.Took, a.Scale)
-	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Endpoint: a.Endpoint.ID}
+	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Route: a.Route}
 	counts := t.evidence.rows[src]
 	counts.Samples++
-	if bad {
-		counts.Bad++
+	counts.Seen |= endpointBit(a.Endpoint.ID)
+	switch {
+	case a.Failed:
+		counts.Failed++
+		counts.Bad |= endpointBit(a.Endpoint.ID)
+	case u.slow(a.Took-a.Wait, a.Scale):
+		counts.Slow++
+		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
 	t.evidence.take(src, counts)
 	c.judgeLocked(r.Service, t)
 }
 
 func (c *Controller) judgeLocked(service string, t *track) {
-	if t.halted || !t.evidence.bad() {
+	if t.halted {
+		return
+	}
+	route, bad := t.evidence.bad()
+	if !bad {
 		return
 	}
 	t.halted = true
-	sum := t.evidence.totals()
-	c.Log.Warn("rollout: version answers badly; halting it.", "service", service, "order", t.ordered,
-		"samples", sum.Samples, "bad", sum.Bad, "statistic", t.evidence.statistic, "age", c.Clock.Since(t.seen))
+	sum, on := t.evidence.totals(), t.evidence.routes[route]
+	c.Log.Warn("rollout: version answers badly; halting it.", "service", service, "order", t.ordered, "route", route,
+		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "slow_statistic", on.slow,
+		"age_ms", c.Clock.Since(t.seen).Milliseconds())
 }
 
 // Rollout's state as entries tell each other.
@@ -412,13 +424,13 @@
 
 // State is a roll-out's row in the state dump.
 type State struct {
-	Service   string  `json:"service"`
-	Order     int64   `json:"order"`
-	AgeMS     int64   `json:"age_ms"`
-	Halted    bool    `json:"halted"`
-	Samples   int64   `json:"samples"`
-	Bad       int64   `json:"bad"`
-	Statistic float64 `json:"statistic"`
+	Service string `json:"service"`
+	Order   int64  `json:"order"`
+	AgeMS   int64  `json:"age_ms"`
+	Halted  bool   `json:"halted"`
+	Samples int64  `json:"samples"`
+	Failed  int64  `json:"failed"`
+	Slow    int64  `json:"slow"`
 }
 
 // State returns the current dump.
@@ -429,7 +441,7 @@
 	for s, t := range c.tracks {
 		sum := t.evidence.totals()
 		out = append(out, State{Service: s, Order: int64(t.ordered), AgeMS: c.Clock.Since(t.seen).Milliseconds(), Halted: t.halted,
-			Samples: sum.Samples, Bad: sum.Bad, Statistic: t.evidence.statistic})
+			Samples: sum.Samples, Failed: sum.Failed, Slow: sum.Slow})
 	}
 	return out
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -2,98 +2,131 @@
 
 import (
 	"math"
+	"math/bits"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/place"
 )
 
-// The sequential test. A version that is well answers badly in okRate of
-// cases or fewer (slow by chance, or an endpoint in trouble of its own); one
-// in badRate or more is not worth serving. At threshold, a version that fails
-// a third of its answers is found after about 20 of them, and one that fails
-// okRate of them is halted once in thousands (TestHaltRates).
-const (
-	okRate    = 0.05
-	badRate   = 0.30
-	threshold = 6.0
-	// fewestEndpoints must have answered badly, where the version has several:
-	// one endpoint in trouble is no bad version.
-	fewestEndpoints = 2
-	// loneBad answers of a single endpoint count for nothing against the
-	// version while others of it have answered well.
-	wellEnough = 6
-)
+// test is a sequential test of a share of answers: at okShare or below the
+// version is well, at badShare or above it is not worth serving.
+type test struct{ stepBad, stepGood float64 }
 
+func newTest(okShare, badShare float64) test {
+	return test{stepBad: math.Log(badShare / okShare), stepGood: math.Log((1 - badShare) / (1 - okShare))}
+}
+
+// The tests. Failures that an endpoint itself reports are rare from a version
+// that is well. Slow answers are not: a crash elsewhere, or prompts that no
+// cache holds yet, slow many; but a version that is bad by slowness slows half
+// of its answers or more. At threshold, a version that fails a third of its
+// answers is found after about 20 of them, and one that is well is halted
+// once in thousands of answers (TestHaltRates).
 var (
-	stepBad  = math.Log(badRate / okRate)
-	stepGood = math.Log((1 - badRate) / (1 - okRate))
+	failures  = newTest(0.05, 0.30)
+	slowness  = newTest(0.15, 0.50)
+	threshold = 6.0
 )
 
-// Source is one entry's count for one endpoint under one order.
+// fewestEndpoints must have answered badly, and half of those seen, where
+// the version has several: some endpoints in trouble are no bad version.
+const fewestEndpoints = 2
+
+// Source is one entry's count for one route under one order. Routes are told
+// apart as a version may be bad on one only.
 type Source struct {
 	Instance string
 	Boot     int64
 	Service  string
 	Ordered  kv.Revision
-	Endpoint fleet.EndpointID
+	Route    string
+}
+
+// Counts only ever rise. The masks have a bit for each endpoint, by its hash:
+// which were seen, and which answered badly.
+type Counts struct {
+	Samples, Failed, Slow int64
+	Seen, Bad             uint64
+}
+
+// newer reports whether counts have more in them than others.
+func (c Counts) newer(than Counts) bool {
+	return c.Samples > than.Samples && c.Failed >= than.Failed && c.Slow >= than.Slow
 }
 
-// Counts only ever rise.
-type Counts struct{ Samples, Bad int64 }
+func endpointBit(id fleet.EndpointID) uint64 { return 1 << (place.ShortID(id) % 64) }
+
+// routeEvidence is the evidence on one route.
+type routeEvidence struct {
+	failed, slow float64 // the tests' statistics
+	seen, bad    uint64
+}
 
 // evidence pools the counts for one order.
 type evidence struct {
-	rows      map[Source]Counts
-	statistic float64
-	endpoints map[fleet.EndpointID]Counts
+	rows   map[Source]Counts
+	routes map[string]*routeEvidence
 }
 
 func newEvidence() *evidence {
-	return &evidence{rows: map[Source]Counts{}, endpoints: map[fleet.EndpointID]Counts{}}
+	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}}
 }
 
 // take brings a source's counts up to date; older ones change nothing.
 func (e *evidence) take(s Source, c Counts) (fresh bool) {
 	old := e.rows[s]
-	if c.Samples <= old.Samples || c.Bad < old.Bad {
+	if !c.newer(old) {
 		return false
 	}
 	e.rows[s] = c
-	bad := c.Bad - old.Bad
-	good := c.Samples - old.Samples - bad
-	// Within one update the bad ones count as spread among the good: it may
-	// bring the answers of a long time at once.
-	e.statistic = math.Max(0, e.statistic+float64(good)*stepGood+float64(bad)*stepBad)
-	total := e.endpoints[s.Endpoint]
-	total.Samples += good + bad
-	total.Bad += bad
-	e.endpoints[s.Endpoint] = total
+	r := e.routes[s.Route]
+	if r == nil {
+		r = &routeEvidence{}
+		e.routes[s.Route] = r
+	}
+	samples := c.Samples - old.Samples
+	r.failed = failures.add(r.failed, samples, c.Failed-old.Failed)
+	r.slow = slowness.add(r.slow, samples, c.Slow-old.Slow)
+	r.seen |= c.Seen
+	r.bad |= c.Bad
 	return true
 }
 
-// bad reports whether the version is to be halted.
-func (e *evidence) bad() bool {
-	if e.statistic < threshold {
-		return false
-	}
-	failing, well := 0, 0
-	for _, c := range e.endpoints {
-		switch {
-		case float64(c.Bad) > badRate/2*float64(c.Samples):
-			failing++
-		case c.Samples >= wellEnough:
-			well++
+// add takes new answers into a statistic, the log likelihood ratio of bad
+// against well and never below zero, so that a long good past does not delay
+// the halt of a version that turns bad. Within one update the bad ones count
+// as spread among the good: it may bring the answers of a long time at once.
+func (t test) add(statistic float64, samples, bad int64) float64 {
+	return math.Max(0, statistic+float64(samples-bad)*t.stepGood+float64(bad)*t.stepBad)
+}
+
+// bad reports whether the version is to be halted, and by which route.
+func (e *evidence) bad() (route string, bad bool) {
+	for name, r := range e.routes {
+		if (r.failed >= threshold || r.slow >= threshold) && r.widespread() {
+			return name, true
 		}
 	}
-	return failing >= fewestEndpoints || well == 0
+	return "", false
+}
+
+// widespread reports whether enough of the endpoints answered badly for it to
+// be the version.
+func (r *routeEvidence) widespread() bool {
+	seen, bad := bits.OnesCount64(r.seen), bits.OnesCount64(r.bad)
+	return seen == 1 || bad >= max(fewestEndpoints, (seen+1)/2)
 }
 
 // totals sums the counts.
 func (e *evidence) totals() Counts {
 	var t Counts
-	for _, c := range e.endpoints {
+	for _, c := range e.rows {
 		t.Samples += c.Samples
-		t.Bad += c.Bad
+		t.Failed += c.Failed
+		t.Slow += c.Slow
+		t.Seen |= c.Seen
+		t.Bad |= c.Bad
 	}
 	return t
 }
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -28,7 +28,8 @@
 	u.mean += time.Duration(gain * float64(took-u.mean))
 }
 
-// slow reports whether an answer took much longer than usual; scale is how
+// slow reports whether an answer took much longer than usual, without the
+// time that it waited for others; scale is how
 // much longer than the mean this request is expected to take.
 func (u *usual) slow(took time.Duration, scale float64) bool {
 	if u.n < usualNeeds {
