Few entries watch the store for all

Ruled out: longer waits (a silent watch would be noticed too late). Change: the first entry of each failure domain, three at least, watch; others exchange with these and watch by themselves when they hear of none for a second.

--- a/edge/module.go
+++ b/edge/module.go
@@ -102,8 +102,12 @@
 	return max(0, time.Duration(s.Bounds.LeavingMS)*time.Millisecond-lapsedSlack)
 }
 
-func newFollower(s *Settings, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger) *fleet.Follower {
-	return fleet.NewFollower(c, dec, lapsedFor(s), clock, log)
+func (s *Settings) entry(b boot) fleet.Entry {
+	return fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Loads: s.Listen.Loads, Boot: int64(b)}
+}
+
+func newFollower(s *Settings, b boot, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger) *fleet.Follower {
+	return fleet.NewFollower(s.entry(b), c, dec, lapsedFor(s), clock, log)
 }
 
 func newRollouts(s *Settings, b boot, c kv.Client, dec fleet.Decoder, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *rollout.Controller {
--- a/edge/run.go
+++ b/edge/run.go
@@ -69,7 +69,7 @@
 )
 
 func runRegistration(lc fx.Lifecycle, s *Settings, b boot, c kv.Client, f *fleet.Follower, log *slog.Logger) {
-	r := &registration{self: fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Loads: s.Listen.Loads, Boot: int64(b)}, store: c, fleet: f, log: log}
+	r := &registration{self: s.entry(b), store: c, fleet: f, log: log}
 	background(lc, r.run)
 }
 
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -21,6 +21,17 @@
 	// second more; with 2.5 s a change that the store accepts three seconds
 	// after its return is still in force within two. Shorter waits cost calls.
 	watchWait = 2500 * time.Millisecond
+	// gatherFor is how long changes are gathered after some came, before the
+	// next watch: a burst of them, as when a service is replaced, then costs a
+	// few calls instead of one each. A change is in force that much later.
+	gatherFor = 250 * time.Millisecond
+	// watcherLife is how long after it was last heard that another entry
+	// watches an entry relies on that. Exchanges are 0.3 s apart: three that
+	// fail in a row make it watch by itself, well within the two seconds in
+	// which a change must be in force.
+	watcherLife = time.Second
+	// idleLook is how often an entry that relies on others looks again.
+	idleLook = 100 * time.Millisecond
 	// The pause after a call that failed, doubling up to the longest. The
 	// longest keeps calls to a store that is away near one a second and entry.
 	firstPause   = 100 * time.Millisecond
@@ -34,19 +45,21 @@
 	clock clockwork.Clock
 	log   *slog.Logger
 	items *Items
+	self  Entry
 	view  atomic.Pointer[View]
 
-	mu      sync.Mutex // guards build, heard and away; held while a view is built, never across a call
+	mu      sync.Mutex // guards the fields below; held while a view is built, never across a call
 	build   *builder
 	heard   time.Time // when the store or an entry last told how things stand
 	away    bool      // the store does not answer this entry
+	watcher time.Time // when another entry last said that it watches
 	changed func(*View)
 }
 
 // NewFollower returns a follower that knows nothing yet. lapsedFor is how
 // long an endpoint whose registration ended without notice is a last resort.
-func NewFollower(store kv.Client, dec Decoder, lapsedFor time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
-	f := &Follower{store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}}
+func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedFor time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
+	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -111,10 +124,48 @@
 	f.changed(v)
 }
 
+// HeardWatcher notes that another entry watches the store and is answered.
+func (f *Follower) HeardWatcher() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watcher = f.clock.Now()
+}
+
+// Watching reports whether this entry watches the store and is answered.
+func (f *Follower) Watching() bool { return !f.StoreAway() && f.onDuty() }
+
+// onDuty reports whether this entry is one that watches for all.
+func (f *Follower) onDuty() bool { return Watches(f.View().Entries, f.self) }
+
+// relies reports whether other entries watch for this one.
+func (f *Follower) relies() bool {
+	if f.items.Revision() == 0 || f.onDuty() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Since(f.watcher) < watcherLife
+}
+
+// sleep waits, and reports whether ctx has not ended.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-f.clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.relies() {
+			f.setAway(nil)
+			f.sleep(ctx, idleLook)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			f.setAway(nil)
@@ -126,10 +177,7 @@
 		}
 		f.setAway(err)
 		jittered := time.Duration(float64(pause) * (0.5 + rand.Float64()/2))
-		select {
-		case <-f.clock.After(jittered):
-		case <-ctx.Done():
-		}
+		f.sleep(ctx, jittered)
 		pause = min(2*pause, longestPause)
 	}
 }
@@ -150,6 +198,9 @@
 		return err
 	}
 	f.take(Changes{Revision: rev, Events: events}, 0)
+	if len(events) > 0 {
+		f.sleep(ctx, gatherFor)
+	}
 	return nil
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -20,8 +20,9 @@
 // Times of exchanges.
 const (
 	// calmInterval is the time between exchanges while the store answers:
-	// evidence on a version then reaches eight entries within about a second.
-	calmInterval = 500 * time.Millisecond
+	// evidence on a version then reaches eight entries within a second, and a
+	// change of the store an entry that does not watch it within half of one.
+	calmInterval = 300 * time.Millisecond
 	// awayInterval holds while the store does not answer this entry: with a
 	// third of the entries in the same state, ten draws within a second and a
 	// half meet one that is current with all but certainty.
@@ -101,14 +102,20 @@
 	}
 }
 
-// draw picks another entry at random.
+// draw picks another entry at random: one of those that watch the store, if
+// this one does not.
 func (m *Mesh) draw() (string, bool) {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := map[string]bool{}
-	for _, e := range m.Fleet.View().Entries {
+	watchers := map[string]bool{}
+	entries := m.Fleet.View().Entries
+	for _, e := range entries {
 		known[e.Address] = true
+		if e.Address != m.Address && fleet.Watches(entries, e) {
+			watchers[e.Address] = true
+		}
 	}
 	// Seeds may be stale; they count while the store has told of nobody.
 	if len(known) < 2 {
@@ -129,12 +136,27 @@
 			delete(m.lost, a)
 		}
 	}
+	if !m.Fleet.Watching() {
+		if near := only(open, watchers); len(near) > 0 {
+			open = near
+		}
+	}
 	if len(open) == 0 {
 		return "", false
 	}
 	return open[rand.IntN(len(open))], true
 }
 
+func only(addresses []string, in map[string]bool) []string {
+	var out []string
+	for _, a := range addresses {
+		if in[a] {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 func (m *Mesh) exchangeWith(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -171,7 +193,7 @@
 // message is what this entry knows, without changes of the store.
 func (m *Mesh) message() *meshpb.ExchangeMessage {
 	told, rows := m.Rollouts.Tell()
-	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1}
+	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
 	if age, ok := m.Fleet.Age(); ok {
 		out.ConfirmedMs = age.Milliseconds()
 	}
@@ -215,6 +237,9 @@
 		}
 		c.Events = append(c.Events, e)
 	}
+	if got.Watching {
+		m.Fleet.HeardWatcher()
+	}
 	if got.ConfirmedMs >= 0 {
 		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond)
 	}
