--- /dev/null
+++ b/ingress/harness_test.go
@@ -0,0 +1,206 @@
+package ingress_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/platform"
+	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/retry"
+	"github.com/lovageweir/lovageweir/rollout"
+)
+
+// The world of these tests: a host with one route of each kind, all to one
+// service of a few engines.
+const (
+	host    = "shop.example"
+	service = "svc"
+	key     = "key-1"
+	smallM  = "small"
+	largeM  = "large"
+)
+
+func testConfig() *fleet.Config {
+	to := []fleet.Target{{Service: service, Weight: 1}}
+	return &fleet.Config{
+		Version: 1,
+		Routes: []fleet.Route{
+			{Name: "post", Host: host, Prefix: "/post/", Kind: fleet.NonIdempotent, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 1, Targets: to},
+			{Name: "get", Host: host, Prefix: "/get/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 3, Targets: to},
+			{Name: "quick", Host: host, Prefix: "/quick/", Kind: fleet.NonIdempotent, Timeout: 300 * time.Millisecond, Objective: 100 * time.Millisecond, MaxAttempts: 1, Targets: to},
+			{Name: "once", Host: host, Prefix: "/once/", Kind: fleet.Streaming, Timeout: 10 * time.Second, Objective: time.Second, MaxGap: time.Second, MaxAttempts: 3, Targets: to},
+			{Name: "stream", Host: host, Prefix: "/resume/", Kind: fleet.Streaming, Timeout: 10 * time.Second, Objective: 4 * time.Second, MaxGap: time.Second, MaxAttempts: 3, Resumable: true, Targets: to},
+			{Name: "sized", Host: host, Prefix: "/sized/", Kind: fleet.Streaming, Timeout: 10 * time.Second, Objective: 4 * time.Second, MaxGap: time.Second, MaxAttempts: 3, Resumable: true, Models: []string{smallM, largeM}, Targets: to},
+			{Name: "open", Host: host, Prefix: "/open/", Kind: fleet.Idempotent, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 2, Public: true, Targets: to},
+		},
+		Services:  map[string]fleet.Service{service: {Name: service}},
+		Customers: []fleet.Customer{{Name: "cust", Keys: []string{key}}},
+		Limits:    fleet.Limits{HeaderBytes: 16384, BodyBytes: 64 << 10},
+	}
+}
+
+type world struct {
+	t       *testing.T
+	kv      *memkv.Store
+	fleet   *fleet.Follower
+	engines []*platformtest.Engine
+	server  *ingress.Server
+	url     string
+	logs    *strings.Builder
+}
+
+// newWorld starts n engines and an entry that knows them and the
+// configuration; n may be 0.
+func newWorld(t *testing.T, n int) *world {
+	t.Helper()
+	w := newEmptyWorld(t)
+	w.put("op/config", platformtest.EncodeConfig(testConfig()))
+	for i := range n {
+		w.addEngine(platformtest.EngineConfig{ID: "e" + string(rune('1'+i)), Service: service, Domain: "d1", Version: "v1"})
+	}
+	w.sync()
+	return w
+}
+
+func newEmptyWorld(t *testing.T) *world {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	w := &world{t: t, kv: memkv.New(clock), logs: &strings.Builder{}}
+	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
+	w.fleet = fleet.NewFollower(fleet.Entry{Instance: "i1", Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
+	board := place.NewBoard(clock)
+	rollouts := rollout.New(rollout.Deps{Instance: "i1", Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
+		SessionLife: 5 * time.Second, Clock: clock, Log: log})
+	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
+	w.server = ingress.New(ingress.Deps{Instance: "i1", Domain: "d1", Fleet: w.fleet, Wire: platform.Headers{}, Board: board, Rates: place.NewRates(),
+		Budget: budget, Rollouts: rollouts, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: 1 << 20, LapsedFor: time.Second,
+		Clock: clock, Log: log, Scope: tally.NoopScope})
+	srv := httptest.NewServer(w.server.Handler())
+	t.Cleanup(srv.Close)
+	w.url = srv.URL
+	return w
+}
+
+func (w *world) put(key string, value []byte) {
+	w.t.Helper()
+	if _, err := w.kv.Put(context.Background(), key, value, 0); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// addEngine starts an engine and registers it; sync makes it known.
+func (w *world) addEngine(c platformtest.EngineConfig) *platformtest.Engine {
+	w.t.Helper()
+	e := platformtest.NewEngine(c)
+	srv := httptest.NewServer(e)
+	w.t.Cleanup(srv.Close)
+	e.Config.Address = strings.TrimPrefix(srv.URL, "http://")
+	w.put(e.Registration(false))
+	w.engines = append(w.engines, e)
+	return e
+}
+
+// sync makes the entry know what the store holds.
+func (w *world) sync() {
+	w.t.Helper()
+	rev, items, err := w.kv.Get(context.Background(), "", true)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	c := fleet.Changes{Revision: rev, Whole: true}
+	for _, i := range items {
+		c.Events = append(c.Events, kv.Event{Type: kv.EventPut, KV: i})
+	}
+	w.fleet.Merge("test", c, 0)
+}
+
+// faults makes every engine misbehave in turn: the nth send of a request to
+// any engine gets the nth fault, later ones none.
+func (w *world) faults(f ...platformtest.Fault) {
+	var n atomic.Int64
+	for _, e := range w.engines {
+		e.FaultOf = func(*http.Request) platformtest.Fault {
+			if i := int(n.Add(1)) - 1; i < len(f) {
+				return f[i]
+			}
+			return platformtest.NoFault
+		}
+	}
+}
+
+// runs are all runs at all engines.
+func (w *world) runs() []platformtest.Run {
+	var out []platformtest.Run
+	for _, e := range w.engines {
+		out = append(out, e.Runs()...)
+	}
+	return out
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // reading the body
+}
+
+func (w *world) request(method, path, body string, header ...string) *http.Request {
+	w.t.Helper()
+	req, err := http.NewRequest(method, w.url+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	req.Host = host
+	req.Header.Set("X-Attempt-Id", "a1")
+	req.Header.Set("X-Credential", key)
+	req.Header.Set("X-Deadline-Remaining", "5000")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return req
+}
+
+func (w *world) do(method, path, body string, header ...string) answer {
+	w.t.Helper()
+	resp, err := http.DefaultClient.Do(w.request(method, path, body, header...))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(raw), err}
+}
+
+// whole checks that an answer is the whole answer to request a1.
+func (a answer) whole(is *is.I) {
+	is.Helper()
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, "answer to a1")
+	is.True(a.header.Get("X-Response-Seal") != "") // the engine's seal is passed on
+}
+
+// wholeStream checks that an answer is all events of a stream.
+func (a answer) wholeStream(is *is.I) {
+	is.Helper()
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, platformtest.WholeStream(0, 5))
+}
