--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,150 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/platform"
+	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/rpc/meshpb"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// newEntry returns an entry's mesh, served on loopback.
+func newEntry(t *testing.T, name string, seeds ...string) *Mesh {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	store := memkv.New(clock)
+	f := fleet.NewFollower(fleet.Entry{Instance: name}, store, platform.Values{}, time.Second, clock, quiet)
+	r := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: store, Decoder: platform.Values{}, View: f.View, Clock: clock, Log: quiet})
+	m := New(Deps{Instance: name, Seeds: seeds, Fleet: f, Rollouts: r, Clock: clock, Log: quiet})
+	srv := httptest.NewServer(meshpb.NewMeshServer(m))
+	t.Cleanup(srv.Close)
+	m.Address = strings.TrimPrefix(srv.URL, "http://")
+	return m
+}
+
+func put(key, value string, rev kv.Revision) kv.Event {
+	return kv.Event{KV: kv.KeyValue{Key: key, Value: []byte(value), ModRevision: rev}}
+}
+
+func know(m *Mesh, c fleet.Changes) { m.Fleet.Merge("test", c, 0) }
+
+// Symptom: an entry that starts while the store turns it away serves nothing.
+// It learns everything from another entry, found by its seeds.
+func TestAnEntryLearnsFromAnother(t *testing.T) {
+	is := is.New(t)
+	a := newEntry(t, "a")
+	know(a, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{
+		put("op/config", `{"version":3}`, 5), put("servers/e", `{"service":"s","state":"ready"}`, 7)}})
+	b := newEntry(t, "b", a.Address)
+	address, ok := b.draw()
+	is.True(ok)
+	b.exchangeWith(context.Background(), address)
+	is.Equal(b.Fleet.View().Config.Version, int64(3))
+	is.Equal(len(b.Fleet.View().Group("s").Ready), 1)
+	is.Equal(b.Fleet.View().Revision, kv.Revision(7))
+
+	know(a, fleet.Changes{Revision: 9, Events: []kv.Event{{Type: kv.EventDelete, KV: kv.KeyValue{Key: "servers/e", ModRevision: 9}}}})
+	b.exchangeWith(context.Background(), address)
+	is.Equal(len(b.Fleet.View().Group("s").Ready), 0) // removals are told too
+}
+
+// An entry that never was current itself vouches for nothing.
+func TestAnEntryThatKnowsNothingTeachesNothing(t *testing.T) {
+	is := is.New(t)
+	a, b := newEntry(t, "a"), newEntry(t, "b")
+	know(b, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{put("op/config", `{"version":3}`, 5)}})
+	b.exchangeWith(context.Background(), a.Address)
+	is.Equal(b.Fleet.View().Config.Version, int64(3))
+}
+
+// Symptom: a bad version is halted on the entries that saw it only.
+func TestHaltsAndEvidenceAreTold(t *testing.T) {
+	is := is.New(t)
+	a, b := newEntry(t, "a"), newEntry(t, "b")
+	for _, m := range []*Mesh{a, b} {
+		know(m, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{
+			put("op/rollout/s", `{"service":"s","target":"v2","duration_s":60}`, 7)}})
+	}
+	g := a.Fleet.View().Group("s")
+	for i := range 20 {
+		a.Rollouts.Observe(rollout.Answer{Group: g, Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint(i % 2)), Version: "v2"}, Route: "r", Failed: true})
+	}
+	b.exchangeWith(context.Background(), a.Address)
+	is.Equal(b.Rollouts.State()[0].Samples, int64(20))
+	is.True(b.Rollouts.State()[0].Halted)
+	a.exchangeWith(context.Background(), b.Address)
+	is.Equal(a.Rollouts.State()[0].Samples, int64(20)) // what comes back is not counted twice
+}
+
+// Symptom: exchanges stall on an entry that is gone.
+// One that does not answer is left out for a while.
+func TestAnEntryThatIsGoneIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	gone := newEntry(t, "gone")
+	srv := httptest.NewServer(nil)
+	gone.Address = strings.TrimPrefix(srv.URL, "http://")
+	srv.Close()
+	b := newEntry(t, "b", gone.Address)
+	b.exchangeWith(context.Background(), gone.Address)
+	_, ok := b.draw()
+	is.True(!ok)
+	is.Equal(b.State().Failed, int64(1))
+	is.Equal(b.State().Lost, []string{gone.Address})
+}
+
+// Loads are told in datagrams; what is none is passed over.
+func TestLoadsAreToldAndHeard(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	from, to := place.NewBoard(clock), place.NewBoard(clock)
+	a := NewLoads(LoadsDeps{Instance: "a", Board: from, Log: quiet})
+	b := NewLoads(LoadsDeps{Instance: "b", Board: to, Log: quiet})
+	_, empty, err := a.datagram()
+	is.NoErr(err)
+	is.True(empty)
+	from.Begin("e1", 250*time.Millisecond)
+	raw, empty, err := a.datagram()
+	is.NoErr(err)
+	is.True(!empty)
+	is.True(len(raw) < 30)
+	b.hear([]byte("not a load"))
+	b.hear(raw)
+	is.Equal(to.Standing("e1").Wait, 250*time.Millisecond)
+}
+
+// Each entry tells a bounded number of others, however many there are.
+func TestTheNumberToldIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := newEntry(t, "a")
+	var events []kv.Event
+	for i := range 330 {
+		events = append(events, put(fmt.Sprintf("%si%03d", fleet.EntryPrefix, i), fmt.Sprintf(`{"instance":"i%03d","domain":"d%d","loads":"127.0.0.1:%d"}`, i, i%13, 1000+i), kv.Revision(i+1)))
+	}
+	know(m, fleet.Changes{Revision: 330, Whole: true, Events: events})
+	l := NewLoads(LoadsDeps{Instance: "i000", Domain: "d0", Fleet: m.Fleet, Log: quiet})
+	is.Equal(len(l.others()), 24)
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0x0a, 0x01, 'a'})
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		NewLoads(LoadsDeps{Board: place.NewBoard(clockwork.NewFakeClock()), Log: quiet}).hear(raw)
+	})
+}
