Cut-off domains, lost answers, floods and suspensions

Change: the limit goes by the work outstanding and the request's own prompt; a domain of which two endpoints accept no connection is left alone for a second; sends that were never accepted no longer count as refusals.

--- a/edge/module.go
+++ b/edge/module.go
@@ -33,6 +33,11 @@
 // take up; the rest is for connections, answers and the collector's headroom.
 const bodyShare = 8
 
+// requestsPerMB bounds the requests served at a time: one with its two
+// connections holds some 60 KB, so that at the bound they take half of the
+// memory.
+const requestsPerMB = 8
+
 // boot is this run of the process; later runs have higher ones.
 type boot int64
 
@@ -131,6 +136,6 @@
 func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller,
 	clock clockwork.Clock, log *slog.Logger, m *metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r,
-		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, LapsedFor: lapsedFor(s),
+		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedFor: lapsedFor(s),
 		Clock: clock, Log: log, Scope: m.scope.SubScope("ingress")})
 }
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -53,13 +53,17 @@
 	heard   time.Time // when the store or an entry last told how things stand
 	away    bool      // the store does not answer this entry
 	watcher time.Time // when another entry last said that it watches
-	changed func(*View)
+	// heardAwake is heard on the clock that counts suspensions.
+	heardAwake time.Duration
+	changed    func(*View)
+	// sinceBoot is the time since the machine started, suspensions counted.
+	sinceBoot func() time.Duration
 }
 
 // NewFollower returns a follower that knows nothing yet. lapsedFor is how
 // long an endpoint whose registration ended without notice is a last resort.
 func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedFor time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
-	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}}
+	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}, sinceBoot: sinceBoot}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -68,6 +72,9 @@
 // must not block.
 func (f *Follower) OnChange(call func(*View)) { f.changed = call }
 
+// SetSinceBoot replaces the clock that counts suspensions; set it before Run.
+func (f *Follower) SetSinceBoot(now func() time.Duration) { f.sinceBoot = now }
+
 // View is the newest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
@@ -84,10 +91,15 @@
 
 // Age is how long ago the store, or an entry that was not behind, last told
 // how things stand; ok is false when none ever did.
+//
+// The steady clock stands still while the machine is suspended: by it alone,
+// what was fresh before is fresh after, however long that was, and an entry
+// would deny routes and keys that have been there for long. The clock since
+// boot goes on.
 func (f *Follower) Age() (age time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.clock.Since(f.heard), !f.heard.IsZero()
+	return max(f.clock.Since(f.heard), f.sinceBoot()-f.heardAwake), !f.heard.IsZero()
 }
 
 // Merge takes changes that another entry knew of, and knew to be all that
@@ -110,7 +122,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	if at := now.Add(-ago); at.After(f.heard) {
-		f.heard = at
+		f.heard, f.heardAwake = at, f.sinceBoot()-ago
 	}
 	fresh := f.items.Apply(c)
 	if len(fresh) == 0 {
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -75,6 +75,8 @@
 	clock *clockwork.FakeClock
 	f     *fleet.Follower
 	news  chan *fleet.View
+	// suspended is how long the machine stood still.
+	suspended time.Duration
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -82,6 +84,7 @@
 	x := &fixture{is: is.New(t), store: memkv.New(clock), clock: clock, news: make(chan *fleet.View, 100)}
 	x.flaky = &flaky{Client: x.store}
 	x.f = fleet.NewFollower(self, x.flaky, platform.Values{}, time.Second, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	x.f.SetSinceBoot(func() time.Duration { return clock.Since(time.Time{}) + x.suspended })
 	x.f.OnChange(func(v *fleet.View) { x.news <- v })
 	return x
 }
@@ -279,3 +282,18 @@
 	is.True(n <= 13+3)
 	is.True(fleet.Watches(nil, self)) // one that knows nobody watches
 }
+
+// Symptom: after its machine was suspended, an entry denies keys that were
+// added meanwhile.
+// Events: the configuration was known to be current; the machine stands still
+// for ten seconds, which the steady clock does not count.
+func TestWhatWasFreshBeforeASuspensionIsOldAfterIt(t *testing.T) {
+	x := newFixture(t)
+	x.f.Merge("i2", fleet.Changes{Revision: 1, Whole: true}, 0)
+	age, ok := x.f.Age()
+	x.is.True(ok)
+	x.is.Equal(age, time.Duration(0))
+	x.suspended = 10 * time.Second
+	age, _ = x.f.Age()
+	x.is.Equal(age, 10*time.Second)
+}
--- a/ingress/admission_test.go
+++ b/ingress/admission_test.go
@@ -1,7 +1,10 @@
 package ingress_test
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 
@@ -103,3 +106,53 @@
 	w.server.Refuse()
 	is.Equal(w.do(http.MethodPost, "/post/x", "body").status, http.StatusServiceUnavailable)
 }
+
+// Symptom: a flood of requests takes the process's memory, and it is killed
+// with all that it serves.
+// Events: more requests wait at endpoints than the entry holds at a time.
+// Those beyond are refused at once; as soon as some end, others are served.
+func TestAFloodIsRefusedBeyondTheBound(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.faults(slices.Repeat([]platformtest.Fault{platformtest.Hang}, 20)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	for range 20 {
+		go func() {
+			resp, err := http.DefaultClient.Do(w.request(http.MethodPost, "/post/x", "body").WithContext(ctx))
+			if err == nil {
+				resp.Body.Close()
+			}
+			done <- struct{}{}
+		}()
+	}
+	waitFor(t, func() bool { return len(w.runs()) == 20 })
+	a := w.do(http.MethodPost, "/post/x", "body")
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(a.header.Get("Retry-After") != "")
+	cancel()
+	for range 20 {
+		<-done
+	}
+	waitFor(t, func() bool { return w.server.InFlight() == 0 })
+	w.do(http.MethodPost, "/post/x", "body").whole(is)
+}
+
+// A body whose length nobody has told is bounded all the same.
+func TestAChunkedBodyBeyondTheLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	req := w.request(http.MethodPost, "/post/x", "")
+	req.Body = io.NopCloser(io.LimitReader(zeros{}, 1<<20))
+	req.ContentLength = -1
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil { // the entry may close while the rest is on its way
+		is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+		resp.Body.Close()
+	}
+	is.Equal(len(w.runs()), 0)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -22,6 +22,10 @@
 // repeat.
 const mostRefusedSends = 2
 
+// mostUnreached is how many endpoints may not accept a connection before the
+// caller is told to come back: they cost no endpoint anything, only time.
+const mostUnreached = 6
+
 // exchange is one request and its answer.
 type exchange struct {
 	server   *Server
@@ -40,6 +44,7 @@
 	tried map[fleet.EndpointID]bool
 	// runs counts sends that may have run, refused those that did not.
 	runs, refused int
+	unreached     int  // sends for which no connection was accepted
 	model         int  // index into the route's models
 	started       bool // something of an answer has reached the caller
 	status        int
@@ -200,7 +205,7 @@
 	s := x.server
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
-	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep.ID, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts), wait: best.Standing.Wait}
+	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts), wait: best.Standing.Wait}
 	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), begun: s.Clock.Since(x.received)})
 	d := call.Directions{Endpoint: string(ep.ID), Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	d.Urgency, d.SetUrgency = x.urgency()
@@ -228,8 +233,8 @@
 	case x.r.Context().Err() != nil:
 		x.end(c, place.Abandoned, "caller left")
 	case errors.As(err, &notSent):
-		x.end(c, place.Broken, err.Error())
-		return errNotRun
+		x.end(c, place.Unreached, err.Error())
+		return errNotSent
 	case errors.Is(context.Cause(ctx), errDeadline):
 		x.end(c, place.Broken, "deadline")
 		x.runs++
@@ -244,6 +249,7 @@
 // Errors of a send.
 var (
 	errNotRun     = errors.New("request did not run")
+	errNotSent    = errors.New("request was not sent")
 	errMayHaveRun = errors.New("request may have run")
 )
 
@@ -292,6 +298,13 @@
 	return x.refused <= mostRefusedSends && x.left() > shortestTry && x.server.Budget.Take(x.target(), retry.ForFailure)
 }
 
+// mayReachElsewhere reports whether one that was never sent can be sent to
+// another endpoint.
+func (x *exchange) mayReachElsewhere() bool {
+	x.unreached++
+	return x.unreached <= mostUnreached && x.left() > shortestTry
+}
+
 // shortestTry is the least time left for which another try is worth its cost.
 const shortestTry = 20 * time.Millisecond
 
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -90,7 +90,7 @@
 		SessionLife: 5 * time.Second, Clock: clock, Log: log})
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
 	w.server = ingress.New(ingress.Deps{Instance: "i1", Domain: "d1", Fleet: w.fleet, Wire: platform.Headers{}, Board: board, Rates: place.NewRates(),
-		Budget: budget, Rollouts: rollouts, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: 1 << 20, LapsedFor: time.Second,
+		Budget: budget, Rollouts: rollouts, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -44,6 +44,7 @@
 	refuseBody       = &refusal{http.StatusBadRequest, "body_broken", 0}
 	refuseTooLarge   = &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
 	refuseMemory     = &refusal{http.StatusServiceUnavailable, "bodies_fill_memory", memoryTakes}
+	refuseCrowded    = &refusal{http.StatusServiceUnavailable, "too_many_requests", otherEntryTakes}
 	refuseNoEndpoint = &refusal{http.StatusServiceUnavailable, "no_endpoint", endpointTakes}
 	refuseFull       = &refusal{http.StatusServiceUnavailable, "endpoints_full", roomTakes}
 	refuseDeadline   = &refusal{http.StatusServiceUnavailable, "deadline_before_start", 0}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -42,6 +42,9 @@
 	Ladder   cascade.Ladder
 	// BodyMemory bounds the bytes of request bodies held at a time.
 	BodyMemory int64
+	// MaxInFlight bounds the requests served at a time; 0: they are not
+	// bounded.
+	MaxInFlight int64
 	// LapsedFor is how long an endpoint whose registration ended without
 	// notice may still get requests that no other endpoint can take.
 	LapsedFor time.Duration
@@ -137,6 +140,9 @@
 	if s.refusing.Load() {
 		return refuseStopping
 	}
+	if s.MaxInFlight > 0 && s.inFlight.Load() > s.MaxInFlight {
+		return refuseCrowded
+	}
 	if x.view.Config == nil {
 		return refuseNoConfig
 	}
@@ -196,6 +202,13 @@
 		return refuseMemory
 	}
 	var body io.Reader = x.r.Body
+	if x.r.ContentLength < 0 {
+		// Nobody has said how long it is: it may take what memory is left.
+		left := x.server.BodyMemory - x.server.bodies.Load()
+		if limit <= 0 || limit > left {
+			limit = max(0, left)
+		}
+	}
 	if limit > 0 {
 		body = io.LimitReader(body, limit+1)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -192,6 +192,10 @@
 		x.breakOff("caller_left")
 	case errors.Is(err, errRetry):
 		return true
+	case errors.Is(err, errNotSent):
+		if x.mayReachElsewhere() {
+			return true
+		}
 	case errors.Is(err, errNotRun):
 		if x.mayTryElsewhere() {
 			return true
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -19,6 +19,9 @@
 	// silentAfter is how long nothing may come from an endpoint, on any of
 	// this entry's connections, before its reachability is checked.
 	silentAfter = 800 * time.Millisecond
+	// silentInCutDomain is enough where the endpoint's whole failure domain
+	// seems to be cut off.
+	silentInCutDomain = 400 * time.Millisecond
 	// checkAgain is when one that was reachable is checked again.
 	checkAgain = time.Second
 	// watchEvery is how often a waiting request looks.
@@ -26,18 +29,23 @@
 	// lostGaps pauses of the longest that is on time, without an event, mean
 	// that the endpoint has lost the stream, though it answers others.
 	lostGaps = 2.5
-	// slowStart objectives without a first event are given up where the
-	// endpoint usually takes less than a quarter of that.
-	slowStart = 1.2
+	// An answer may be lost with its connection silent, and the endpoint well.
+	// A stream that has no first event after several times what it should
+	// take, by the work outstanding there and its own prompt, is sent to
+	// another endpoint. What is expected knows nothing of entries that are cut
+	// off and little of a new endpoint, hence the factor, the slack, and at the
+	// least half of the objective, which leaves the other half.
+	startFactor = 4
+	startSlack  = 500 * time.Millisecond
+	startLeast  = 0.5
 )
 
 // watchdog ends a call whose endpoint is silent for too long.
 type watchdog struct {
-	server  *Server
-	cancel  context.CancelFunc
-	limits  watchLimits
-	id      fleet.EndpointID
-	address string
+	server   *Server
+	cancel   context.CancelFunc
+	limits   watchLimits
+	endpoint fleet.Endpoint
 
 	mu      sync.Mutex
 	timer   clockwork.Timer
@@ -66,16 +74,14 @@
 		return watchLimits{answer: min(3*x.route.Objective, x.left()*2/3)}
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(lostGaps * float64(x.route.MaxGap))}
-	first := time.Duration(slowStart * float64(x.route.Objective))
-	if at := x.server.Board.Standing(id); at.Latency > 0 && at.Latency < first/4 && at.Wait < first/4 {
-		l.first = first
-	}
+	expected := x.server.Board.Standing(id).Wait + x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)
+	l.first = max(time.Duration(startLeast*float64(x.route.Objective)), startFactor*expected+startSlack)
 	return l
 }
 
 // watch starts a watchdog over a call.
 func (x *exchange) watch(c *sent, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{server: x.server, cancel: cancel, limits: x.limits(c.endpoint.ID), id: c.endpoint.ID, address: c.endpoint.Address, begun: x.server.Clock.Now()}
+	w := &watchdog{server: x.server, cancel: cancel, limits: x.limits(c.endpoint.ID), endpoint: c.endpoint, begun: x.server.Clock.Now()}
 	if w.limits == (watchLimits{}) {
 		w.stopped = true
 		return w
@@ -118,7 +124,7 @@
 }
 
 func (w *watchdog) look() {
-	unreachable := w.limits.reachable && w.server.unreachable(w.id, w.address, w.begun)
+	unreachable := w.limits.reachable && w.server.unreachable(w.endpoint, w.begun)
 	now := w.server.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -159,17 +165,21 @@
 
 // unreachable reports whether an endpoint has been silent and no longer
 // accepts connections. At most one request at a time checks an endpoint.
-func (s *Server) unreachable(id fleet.EndpointID, address string, begun time.Time) bool {
+func (s *Server) unreachable(ep fleet.Endpoint, begun time.Time) bool {
+	id := ep.ID
 	if s.Board.LostSince(id, begun) {
 		return true // another request found out
 	}
 	silent := s.Board.Standing(id).Silent
+	if s.Board.DomainAway(ep.Domain) && silent > silentInCutDomain {
+		return true
+	}
 	if silent < silentAfter || !s.Board.MayCheck(id, checkAgain) {
 		return false
 	}
-	if err := upstream.Check(address); err != nil {
+	if err := upstream.Check(ep.Address); err != nil {
 		s.Log.Warn("ingress: endpoint is silent and does not accept a connection.", "endpoint", id, "silent_ms", silent.Milliseconds(), "error", err)
-		s.Board.Unreachable(id)
+		s.Board.Unreachable(ep)
 		return true
 	}
 	return false
--- a/ingress/whole.go
+++ b/ingress/whole.go
@@ -42,6 +42,12 @@
 		return false
 	case errors.Is(err, errRetry):
 		return true
+	case errors.Is(err, errNotSent):
+		if x.mayReachElsewhere() {
+			return true
+		}
+		x.giveUp(refuseNoEndpoint)
+		return false
 	case errors.Is(err, errNotRun):
 		if x.mayTryElsewhere() {
 			return true
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -118,7 +118,7 @@
 	_, empty, err := a.datagram()
 	is.NoErr(err)
 	is.True(empty)
-	from.Begin("e1", 250*time.Millisecond)
+	from.Begin(fleet.Endpoint{ID: "e1"}, 250*time.Millisecond)
 	raw, empty, err := a.datagram()
 	is.NoErr(err)
 	is.True(!empty)
--- a/place/board.go
+++ b/place/board.go
@@ -47,8 +47,10 @@
 	Failed
 	// Refused: it did not run the request, for lack of room.
 	Refused
-	// Broken: there was no connection, or it broke, or nothing came.
+	// Broken: the connection broke, or nothing came.
 	Broken
+	// Unreached: the endpoint did not accept a connection.
+	Unreached
 	// Misdirected: the address belongs to another endpoint now.
 	Misdirected
 	// Abandoned: the caller left, or the answer was not needed; it says
@@ -57,7 +59,7 @@
 )
 
 func (o Outcome) String() string {
-	return [...]string{"served", "failed", "refused", "broken", "misdirected", "abandoned"}[o]
+	return [...]string{"served", "failed", "refused", "broken", "unreached", "misdirected", "abandoned"}[o]
 }
 
 type record struct {
@@ -83,16 +85,17 @@
 // Board is what this entry knows of endpoints from its own requests. It is
 // safe for concurrent use; its lock is never held across a call.
 type Board struct {
-	clock clockwork.Clock
-	mu    sync.Mutex
-	byID  map[fleet.EndpointID]*record
-	told  map[string]told // by entry
-	swept time.Time
+	clock   clockwork.Clock
+	mu      sync.Mutex
+	byID    map[fleet.EndpointID]*record
+	told    map[string]told // by entry
+	domains map[string]*domainRecord
+	swept   time.Time
 }
 
 // NewBoard returns an empty board.
 func NewBoard(clock clockwork.Clock) *Board {
-	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, told: map[string]told{}, swept: clock.Now()}
+	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, told: map[string]told{}, domains: map[string]*domainRecord{}, swept: clock.Now()}
 }
 
 func (b *Board) at(id fleet.EndpointID, now time.Time) *record {
@@ -120,16 +123,18 @@
 
 // Ticket is one request at one endpoint. End must be called once.
 type Ticket struct {
-	board *Board
-	id    fleet.EndpointID
-	begun time.Time
-	work  time.Duration // still outstanding
-	ended bool
+	board  *Board
+	id     fleet.EndpointID
+	domain string
+	begun  time.Time
+	work   time.Duration // still outstanding
+	ended  bool
 }
 
 // Begin notes a request sent to an endpoint, and how long that will take to
 // begin its answer.
-func (b *Board) Begin(id fleet.EndpointID, work time.Duration) *Ticket {
+func (b *Board) Begin(ep fleet.Endpoint, work time.Duration) *Ticket {
+	id := ep.ID
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -141,7 +146,7 @@
 	r.inFlight++
 	r.since++
 	r.work += work
-	return &Ticket{board: b, id: id, begun: now, work: work}
+	return &Ticket{board: b, id: id, domain: ep.Domain, begun: now, work: work}
 }
 
 // Head notes the head of an answer and the load it told, if any.
@@ -152,6 +157,7 @@
 	defer b.mu.Unlock()
 	r := b.at(t.id, now)
 	r.heard = now
+	b.reachedLocked(t.domain)
 	if load != nil {
 		r.report, r.reported, r.since = *load, now, 0
 	}
@@ -205,6 +211,9 @@
 	r.inFlight--
 	r.since--
 	r.outcome(o, now)
+	if o == Unreached {
+		b.unreachedLocked(t.domain, t.id, now)
+	}
 }
 
 func (r *record) outcome(o Outcome, now time.Time) {
@@ -217,7 +226,7 @@
 		r.hard = 0
 	case Refused:
 		r.fullTill = now.Add(fullFor)
-	case Broken:
+	case Broken, Unreached:
 		r.fail(1, now)
 		r.hard++
 		if r.hard >= hardFailures {
@@ -303,14 +312,16 @@
 	return true
 }
 
-// Unreachable notes that an endpoint accepts no connection.
-func (b *Board) Unreachable(id fleet.EndpointID) {
+// Unreachable notes that an endpoint accepts no connection any more.
+func (b *Board) Unreachable(ep fleet.Endpoint) {
+	id := ep.ID
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.at(id, now)
 	r.deadAt = now
 	r.eject(now)
+	b.unreachedLocked(ep.Domain, id, now)
 }
 
 // LostSince reports whether an endpoint was found unreachable after then, and
--- a/place/choose.go
+++ b/place/choose.go
@@ -71,6 +71,7 @@
 			continue
 		}
 		s := b.standingLocked(ep.ID, now)
+		s.Ejected = s.Ejected || b.awayLocked(ep.Domain, now)
 		out = append(out, Ranked{Endpoint: ep, Standing: s, Score: score(ep, s, w, ep.ID == preferred)})
 	}
 	b.mu.Unlock()
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -24,8 +24,8 @@
 	is := is.New(t)
 	b := NewBoard(clockwork.NewFakeClock())
 	eps := endpoints(3, "d1")
-	b.Begin("e00", 300*time.Millisecond)
-	b.Begin("e02", 100*time.Millisecond)
+	b.Begin(fleet.Endpoint{ID: "e00"}, 300*time.Millisecond)
+	b.Begin(fleet.Endpoint{ID: "e02"}, 100*time.Millisecond)
 	got := b.Rank(eps, Want{Domain: "d1"})
 	is.Equal(got[0].ID, fleet.EndpointID("e01"))
 	is.Equal(got[1].ID, fleet.EndpointID("e02"))
@@ -54,7 +54,7 @@
 func TestWorkEndsWithTheFirstEvent(t *testing.T) {
 	is := is.New(t)
 	b := NewBoard(clockwork.NewFakeClock())
-	tk := b.Begin("e00", time.Second)
+	tk := b.Begin(fleet.Endpoint{ID: "e00"}, time.Second)
 	is.Equal(b.Outstanding()["e00"], time.Second)
 	tk.First()
 	is.Equal(len(b.Outstanding()), 0)
@@ -72,18 +72,18 @@
 	clock := clockwork.NewFakeClock()
 	b := NewBoard(clock)
 	for range hardFailures {
-		b.Begin("e00", 0).End(Broken)
+		b.Begin(fleet.Endpoint{ID: "e00"}, 0).End(Broken)
 	}
 	is.True(b.Standing("e00").Ejected)
 	got := b.Rank(endpoints(2, "d1"), Want{Domain: "d1"})
 	is.Equal(got[0].ID, fleet.EndpointID("e01"))
 	clock.Advance(ejectFirst)
 	is.True(!b.Standing("e00").Ejected)
-	b.Begin("e00", 0).End(Broken)
+	b.Begin(fleet.Endpoint{ID: "e00"}, 0).End(Broken)
 	clock.Advance(ejectFirst)
 	is.True(b.Standing("e00").Ejected) // twice as long the second time
 	clock.Advance(ejectFirst)
-	b.Begin("e00", 0).End(Served)
+	b.Begin(fleet.Endpoint{ID: "e00"}, 0).End(Served)
 	is.True(!b.Standing("e00").Ejected)
 }
 
@@ -98,7 +98,7 @@
 		if i%2 == 0 {
 			o = Failed
 		}
-		b.Begin("e00", 0).End(o)
+		b.Begin(fleet.Endpoint{ID: "e00"}, 0).End(o)
 	}
 	for range 10 {
 		is.Equal(b.Rank(endpoints(2, "d1"), Want{Domain: "d1"})[0].ID, fleet.EndpointID("e01"))
@@ -112,7 +112,7 @@
 	is := is.New(t)
 	b := NewBoard(clockwork.NewFakeClock())
 	for range 5 {
-		b.Begin("e00", 0).End(Abandoned)
+		b.Begin(fleet.Endpoint{ID: "e00"}, 0).End(Abandoned)
 	}
 	s := b.Standing("e00")
 	is.True(!s.Ejected)
@@ -123,9 +123,9 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	b := NewBoard(clock)
-	tk := b.Begin("e00", 0)
+	tk := b.Begin(fleet.Endpoint{ID: "e00"}, 0)
 	tk.Head(&call.Load{Running: 40, Waiting: 8, Slots: 64})
-	b.Begin("e00", 0)
+	b.Begin(fleet.Endpoint{ID: "e00"}, 0)
 	is.Equal(b.Standing("e00").Load, 49.0) // and one begun since
 	clock.Advance(reportLife)
 	is.Equal(b.Standing("e00").Load, 2.0)
@@ -219,7 +219,7 @@
 		longest = max(longest, start-now)
 		total += start - now
 		free[id] = start + cost
-		open = append(open, job{b.Begin(id, cost), start + cost})
+		open = append(open, job{b.Begin(fleet.Endpoint{ID: id}, cost), start + cost})
 	}
 	return longest, total / requests
 }
@@ -251,3 +251,30 @@
 	r.Learn("m", 10, time.Hour) // too few tokens to tell anything
 	is.Equal(r.Reading("m", 1000), got)
 }
+
+// Symptom: while a failure domain is cut off, each request waits for one
+// endpoint of it after the other.
+// Events: two endpoints of the domain accept no connection.
+// The others there are not tried, until one is heard from or a second is over.
+func TestACutOffDomainIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := NewBoard(clock)
+	eps := endpoints(8, "d1", "d2")
+	in := func(i int) fleet.Endpoint { return eps[i] }
+	b.Begin(in(1), 0).End(Unreached)
+	is.True(!b.DomainAway("d2"))
+	b.Begin(in(1), 0).End(Unreached)
+	is.True(!b.DomainAway("d2")) // the same endpoint again
+	b.Begin(in(3), 0).End(Unreached)
+	is.True(b.DomainAway("d2"))
+	for _, r := range b.Rank(eps, Want{Domain: "d2"})[:4] {
+		is.Equal(r.Domain, "d1")
+	}
+	clock.Advance(domainAway)
+	is.True(!b.DomainAway("d2")) // one may try
+	b.Begin(in(5), 0).End(Unreached)
+	is.True(b.DomainAway("d2")) // and one failure is enough then
+	b.Begin(in(7), 0).Head(nil)
+	is.True(!b.DomainAway("d2"))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -17,8 +17,9 @@
 // Bounds of a call.
 const (
 	// DialTimeout bounds the opening of a connection: endpoints are a
-	// millisecond away, and one behind a partition answers nothing.
-	DialTimeout = 400 * time.Millisecond
+	// millisecond or two away, and one behind a partition answers nothing. A
+	// packet that is lost is sent again after a second: too late in any case.
+	DialTimeout = 200 * time.Millisecond
 	// inlineBody is the largest body that is written before the answer is
 	// read: what a connection's buffers take without its reader.
 	inlineBody = 16 << 10
