--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -12,6 +12,7 @@
 	"github.com/lovageweir/lovageweir/command/billing"
 	"github.com/lovageweir/lovageweir/command/diff"
 	"github.com/lovageweir/lovageweir/command/dump"
+	"github.com/lovageweir/lovageweir/command/explain"
 	"github.com/lovageweir/lovageweir/command/load"
 	"github.com/lovageweir/lovageweir/command/soak"
 	"github.com/lovageweir/lovageweir/command/standin"
@@ -28,6 +29,7 @@
 	status.Register(app)
 	dump.Register(app)
 	billing.Register(app)
+	explain.Register(app)
 	load.Register(app)
 	synth.Register(app)
 	standin.Register(app)
--- /dev/null
+++ b/command/explain/explain.go
@@ -0,0 +1,175 @@
+// Package explain is `lovagectl explain ID`: a request's story, from the
+// entries' logs.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+)
+
+// around is how long before a request's end the beliefs of its entry are
+// told with it: what changed in that time may be its cause.
+const around = 10 * time.Second
+
+// Register adds the subcommand to app.
+func Register(app *kingpin.Application) {
+	cmd := app.Command("explain", "Tell what happened to a request, from the entries' logs.")
+	id := cmd.Arg("id", "The request's id (or the beginning of it).").Required().String()
+	files := cmd.Arg("log", "Log files; none: standard input.").ExistingFiles()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		lines, err := readAll(*files)
+		if err != nil {
+			return err
+		}
+		return Tell(os.Stdout, lines, *id)
+	})
+}
+
+// line is one line of an entry's log.
+type line struct {
+	at       time.Time
+	instance string
+	level    string
+	msg      string
+	fields   map[string]any
+}
+
+func readAll(files []string) ([]line, error) {
+	if len(files) == 0 {
+		return Read(os.Stdin)
+	}
+	var all []line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		lines, err := Read(f)
+		f.Close()
+		if err != nil {
+			return nil, trace.Wrap(err, "%s", name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// longestLine bounds a line of a log.
+const longestLine = 1 << 20
+
+// Read reads the lines of a log. What is no line of an entry's is passed
+// over; something may stand before the line itself, as a collector's prefix.
+func Read(r io.Reader) ([]line, error) {
+	var out []line
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, longestLine)
+	for lines.Scan() {
+		text := lines.Text()
+		start := strings.Index(text, `{"time":`)
+		if start < 0 {
+			continue
+		}
+		if l, ok := parse(text[start:]); ok {
+			out = append(out, l)
+		}
+	}
+	return out, trace.Wrap(lines.Err())
+}
+
+func parse(text string) (line, bool) {
+	l := line{fields: map[string]any{}}
+	if json.Unmarshal([]byte(text), &l.fields) != nil {
+		return l, false
+	}
+	l.instance, _ = l.fields["instance"].(string)
+	l.level, _ = l.fields["level"].(string)
+	l.msg, _ = l.fields["msg"].(string)
+	stamp, _ := l.fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, stamp)
+	l.at = at
+	for _, known := range []string{"time", "level", "msg", "instance"} {
+		delete(l.fields, known)
+	}
+	return l, err == nil
+}
+
+// Tell writes the story of a request: what each entry that had it says, and
+// what that entry learned or lost in the time before.
+func Tell(w io.Writer, lines []line, id string) error {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].at.Before(lines[j].at) })
+	found := false
+	for i, l := range lines {
+		if got, _ := l.fields["id"].(string); got == "" || !strings.HasPrefix(got, id) {
+			continue
+		}
+		found = true
+		tellRequest(w, l)
+		tellBeliefs(w, lines[:i], l)
+	}
+	if !found {
+		return trace.NotFound("no line of request %q: it reached none of these entries, or its line was dropped (look for \"lines dropped\")", id)
+	}
+	return nil
+}
+
+func tellRequest(w io.Writer, l line) {
+	f := l.fields
+	took := time.Duration(number(f["ms"])) * time.Millisecond
+	fmt.Fprintf(w, "request %v at %s: %v, status %v\n", f["id"], l.instance, f["outcome"], f["status"])
+	fmt.Fprintf(w, "  came  %s, ended after %v of %v ms allowed\n", l.at.Add(-took).Format("15:04:05.000"), took, orUnknown(f["allowed_ms"]))
+	fmt.Fprintf(w, "  knew  configuration %v, store revision %v, known to be current %v ms before\n", orUnknown(f["config"]), f["revision"], orUnknown(f["age_ms"]))
+	fmt.Fprintf(w, "  route %v, customer %v\n", orUnknown(f["route"]), orUnknown(f["customer"]))
+	sends, _ := f["sends"].(string)
+	if sends == "" {
+		fmt.Fprintln(w, "  sent  to no endpoint")
+		return
+	}
+	for send := range strings.SplitSeq(sends, "; ") {
+		fmt.Fprintln(w, "  sent ", send)
+	}
+}
+
+// tellBeliefs writes what an entry's beliefs went through before a request
+// ended.
+func tellBeliefs(w io.Writer, before []line, request line) {
+	for _, l := range before {
+		if l.instance != request.instance || request.at.Sub(l.at) > around || strings.HasPrefix(l.msg, "ingress: request") {
+			continue
+		}
+		fmt.Fprintf(w, "  %+.3fs %s %s%s\n", l.at.Sub(request.at).Seconds(), l.level, l.msg, fields(l.fields))
+	}
+}
+
+func fields(f map[string]any) string {
+	names := make([]string, 0, len(f))
+	for name := range f {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, f[name])
+	}
+	return b.String()
+}
+
+func number(v any) int64 {
+	n, _ := v.(float64)
+	return int64(n)
+}
+
+func orUnknown(v any) any {
+	if v == nil {
+		return "unknown"
+	}
+	return v
+}
