--- a/ingress/report.go
+++ b/ingress/report.go
@@ -74,7 +74,7 @@
 		attrs = append(attrs, slog.Int64("config", x.view.Config.Version))
 	}
 	if x.route != nil {
-		attrs = append(attrs, slog.String("route", x.route.Name), slog.Int64("allowed_ms", x.deadline.Sub(x.received).Milliseconds()))
+		attrs = append(attrs, slog.String("route", x.route.Name), slog.Int64("allowed_ms", x.allowed().Milliseconds()))
 	}
 	if x.customer != nil {
 		attrs = append(attrs, slog.String("customer", x.customer.Name))
