Sessions under way when a roll-out begins stay, whichever entry they reach

Change: entries tell each other, in their exchanges, the sessions of late that a roll-out would move first; these stay while they go on. Larger services begin with a smaller share, so that these are few.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -273,7 +273,7 @@
 		Failed: failed, Took: took, Scale: x.scale(), Wait: c.wait})
 	if !failed {
 		x.server.Rates.Learn(x.modelName(), x.facts.Usage.Prompt, took)
-		x.server.Rollouts.Keep(x.facts.Session, c.endpoint.Version)
+		x.server.Rollouts.Keep(x.facts.Session, c.group, c.endpoint.Version)
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -192,7 +192,7 @@
 
 // message is what this entry knows, without changes of the store.
 func (m *Mesh) message() *meshpb.ExchangeMessage {
-	told, rows := m.Rollouts.Tell()
+	told, rows, under := m.Rollouts.Tell()
 	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
 	if age, ok := m.Fleet.Age(); ok {
 		out.ConfirmedMs = age.Milliseconds()
@@ -200,6 +200,10 @@
 	for _, t := range told {
 		out.Orders = append(out.Orders, &meshpb.Order{Service: t.Service, Ordered: int64(t.Ordered), AgeMs: t.Age.Milliseconds(), Halted: t.Halted})
 	}
+	for _, u := range under {
+		out.Session = append(out.Session, u.Hash)
+		out.SessionAgoMs = append(out.SessionAgoMs, uint32(u.Ago.Milliseconds()))
+	}
 	if len(rows) > mostRows {
 		rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
 		rows = rows[:mostRows]
@@ -258,9 +262,13 @@
 			Counts: rollout.Counts{Samples: e.Samples, Failed: e.Failed, Slow: e.Slow, Seen: e.Seen, Bad: e.Bad},
 		})
 	}
-	if len(told)+len(rows) > 0 {
-		m.Rollouts.Hear(told, rows)
+	under := make([]rollout.Session, 0, len(in.Session))
+	for i, hash := range in.Session {
+		if i < len(in.SessionAgoMs) {
+			under = append(under, rollout.Session{Hash: hash, Ago: time.Duration(in.SessionAgoMs[i]) * time.Millisecond})
+		}
 	}
+	m.Rollouts.Hear(told, rows, under)
 }
 
 // State is the mesh's part of the state dump.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -28,8 +28,6 @@
 	mostTurns = 6
 	// recordAgain is when a record that nothing was heard of is written again.
 	recordAgain = time.Second
-	// sessionSweep is how often ended sessions are forgotten.
-	sessionSweep = 5 * time.Second
 )
 
 // Deps is what a controller needs.
@@ -54,8 +52,7 @@
 	mu       sync.Mutex
 	tracks   map[string]*track // by service
 	usual    map[usualKey]*usual
-	sessions map[string]pin
-	swept    time.Time
+	sessions *sessions
 }
 
 // track is what the entry knows of one order.
@@ -71,14 +68,9 @@
 
 type usualKey struct{ route, model string }
 
-type pin struct {
-	version string
-	used    time.Time
-}
-
 // New returns a controller.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, tracks: map[string]*track{}, usual: map[usualKey]*usual{}, sessions: map[string]pin{}, swept: d.Clock.Now()}
+	return &Controller{Deps: d, tracks: map[string]*track{}, usual: map[usualKey]*usual{}, sessions: newSessions(d.SessionLife)}
 }
 
 // trackLocked returns the track of a group's order, a new one for a new order.
@@ -122,7 +114,7 @@
 	case len(newer) == 0:
 		return Choice{First: older}
 	}
-	share := Share(c.Clock.Since(t.seen), r.Duration)
+	share := Share(c.Clock.Since(t.seen), r.Duration, firstShare(len(older)))
 	toNew := c.fallsToNewLocked(r, q, share)
 	if !toNew {
 		if len(older) == 0 {
@@ -134,19 +126,16 @@
 }
 
 // fallsToNewLocked decides by a hash that only grows with the share, so that
-// nothing goes back and forth; a session stays where it was until the share
-// is whole.
+// nothing goes back and forth.
 func (c *Controller) fallsToNewLocked(r *fleet.Rollout, q Request, share float64) bool {
-	if share >= 1 {
-		return true
+	if q.Session == "" {
+		return fraction(place.Hash(r.Target, q.ID)) < share
 	}
-	if q.Session != "" {
-		if p, ok := c.sessions[q.Session]; ok && c.Clock.Since(p.used) < c.SessionLife {
-			return p.version == r.Target
-		}
-		return fraction(place.Hash(r.Target, q.Session)) < share
+	hash := sessionHash(q.Session)
+	if sessionShare(hash) >= share {
+		return false
 	}
-	return fraction(place.Hash(r.Target, q.ID)) < share
+	return share > smallShare || !c.sessions.underWay(hash, c.Clock.Now())
 }
 
 // fraction maps a hash to [0, 1).
@@ -178,24 +167,19 @@
 	return sorted[:n]
 }
 
-// Keep notes which version a session's request went to.
-func (c *Controller) Keep(session, version string) {
-	if session == "" {
+// Keep notes that a session's request went to an endpoint, if it is one that a
+// roll-out would move first and is not on its version.
+func (c *Controller) Keep(session string, g *fleet.Group, version string) {
+	if session == "" || g.Rollout != nil && !final(g.Rollout.State) && version == g.Rollout.Target {
 		return
 	}
-	now := c.Clock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sessions[session] = pin{version, now}
-	if now.Sub(c.swept) < sessionSweep {
+	hash := sessionHash(session)
+	if sessionShare(hash) >= firstShare(len(g.Ready)/2) {
 		return
 	}
-	c.swept = now
-	for s, p := range c.sessions {
-		if now.Sub(p.used) > c.SessionLife {
-			delete(c.sessions, s)
-		}
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sessions.note(hash, c.Clock.Now())
 }
 
 // Answer is how an endpoint answered, as the controller counts it.
@@ -283,7 +267,7 @@
 )
 
 // Tell returns what other entries should know.
-func (c *Controller) Tell() ([]Told, []Row) {
+func (c *Controller) Tell() ([]Told, []Row, []Session) {
 	v := c.View()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -299,14 +283,17 @@
 			rows = append(rows, Row{s, n})
 		}
 	}
-	return told, rows
+	return told, rows, c.sessions.tell(c.Clock.Now())
 }
 
 // Hear takes what another entry told.
-func (c *Controller) Hear(told []Told, rows []Row) {
+func (c *Controller) Hear(told []Told, rows []Row, under []Session) {
 	v := c.View()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, u := range under {
+		c.sessions.note(u.Hash, c.Clock.Now().Add(-u.Ago))
+	}
 	for _, o := range told {
 		t := c.knownLocked(v, o.Service, o.Ordered)
 		if t == nil {
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -4,10 +4,6 @@
 
 // The course of a roll-out, in shares of the time that the order gives.
 const (
-	// canaryShare of the requests go to the new version first. The operators
-	// bound what a bad version gets of all requests (0.0975 at the least seen);
-	// a bad version that is found within the canary stays under that.
-	canaryShare = 0.07
 	// canaryUntil is past the middle: sessions must not move to the new
 	// version in the first half.
 	canaryUntil = 0.53
@@ -20,12 +16,39 @@
 	doneAt = 0.88
 )
 
+// The share of requests that goes to the new version first, by the number of
+// old endpoints. What a bad version may get of all requests is bounded by the
+// operators (0.0975 is the least seen), and one that is found at this stage
+// stays under that. Large services need a smaller share for as many answers a
+// second, and their sessions are told among entries. Steps, so that an
+// endpoint more or less does not move sessions to and fro.
+const (
+	smallService  = 16
+	mediumService = 64
+
+	smallShare  = 0.07
+	mediumShare = 0.04
+	largeShare  = 0.02
+)
+
+// firstShare is the share to begin with.
+func firstShare(older int) float64 {
+	switch {
+	case older <= smallService:
+		return smallShare
+	case older <= mediumService:
+		return mediumShare
+	default:
+		return largeShare
+	}
+}
+
 // Share is the share of new requests that go to the new version when so much
-// of the order's time has passed.
-func Share(passed, whole time.Duration) float64 {
+// of the order's time has passed; first is the share to begin with.
+func Share(passed, whole time.Duration, first float64) float64 {
 	switch p := progress(passed, whole); {
 	case p < canaryUntil:
-		return canaryShare
+		return first
 	case p < halfUntil:
 		return halfShare
 	default:
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -367,36 +367,68 @@
 }
 
 // Symptom: a session's answers come from two versions by turns.
-// A session under way stays on its version until all requests move; then it
-// moves once.
+// Events: its requests reach several entries; an order comes while it is under
+// way. Entries exchange what they know.
+// A session under way stays on its version in the first half, then moves once;
+// one that is new goes where it will stay.
 func TestASessionStaysOnItsVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		x := newFixture(t, 1)
-		e := x.all[0]
+		x := newFixture(t, 3)
 		session := rapid.StringMatching(`[a-z]{6}`).Draw(rt, "session")
+		before := rapid.Bool().Draw(rt, "under way before the order")
+		serve := func() string {
+			e := x.all[rapid.IntRange(0, 2).Draw(rt, "entry")]
+			v := e.Choose(e.group(), Request{ID: "q", Session: session}).First[0].Version
+			e.Keep(session, e.group(), v)
+			return v
+		}
+		exchange := func() {
+			for i := range x.all {
+				x.all[(i+1)%3].Hear(x.all[i].Tell())
+				x.all[i].Hear(x.all[(i+1)%3].Tell())
+			}
+		}
 		last := ""
-		moves := 0
+		if before {
+			x.all[0].Keep(session, x.all[0].group(), "v1")
+			last = "v1"
+		}
 		for i := range 24 {
-			v := e.Choose(e.group(), Request{ID: fmt.Sprint(i), Session: session}).First[0].Version
-			if last != "" && v != last {
-				moves++
-				if v == "v1" {
-					rt.Fatal("moved back")
-				}
-				if i < 12 {
-					rt.Fatal("moved in the first half")
-				}
+			exchange()
+			v := serve()
+			if last != "" && v != last && (v == "v1" || i < 12) {
+				rt.Fatalf("from %s to %s at %d s", last, v, i)
 			}
 			last = v
-			e.Keep(session, v)
 			x.clock.Advance(time.Second)
 		}
-		if moves > 1 {
-			rt.Fatalf("%d moves", moves)
+		if last != "v2" {
+			rt.Fatal("never moved")
 		}
 	})
 }
 
+// Some sessions go to a new version first, if they are new.
+func TestNewSessionsAreAmongTheFirst(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	moved, stayed := 0, 0
+	for i := range 1000 {
+		old, fresh := fmt.Sprint("old", i), fmt.Sprint("new", i)
+		e.Keep(old, e.group(), "v1")
+		if e.Choose(e.group(), Request{Session: old}).First[0].Version == "v2" {
+			stayed++
+		}
+		if e.Choose(e.group(), Request{Session: fresh}).First[0].Version == "v2" {
+			moved++
+		}
+	}
+	x.is.Equal(stayed, 0)
+	x.is.True(moved > 30 && moved < 120)
+	_, _, told := e.Tell()
+	x.is.True(len(told) < 120) // only those that would move are told of
+}
+
 // A new order for the same service starts from nothing.
 func TestANewOrderStartsAnew(t *testing.T) {
 	x := newFixture(t, 1)
