--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -30,12 +30,16 @@
 	// leastSlack: with less, a larger model's answer would be late, and the
 	// one there is stands.
 	leastSlack = 0.1
+	// crowding times the wait counts: if there is one at the best engine there
+	// is one at all, and whatever is added makes others wait as well.
+	crowding = 3
 )
 
 // Outlook is what a larger model's answer would take.
 type Outlook struct {
 	Elapsed   time.Duration // since the request came
-	Wait      time.Duration // until the larger model's first event
+	Wait      time.Duration // for others, at the engine that would take it
+	First     time.Duration // from then to the larger model's first event
 	Objective time.Duration
 }
 
@@ -44,7 +48,7 @@
 	if o.Objective <= 0 {
 		return 1
 	}
-	return 1 - float64(o.Elapsed+o.Wait)/float64(o.Objective)
+	return 1 - float64(o.Elapsed+crowding*o.Wait+o.First)/float64(o.Objective)
 }
 
 // First is the index of the model that a request starts with.
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -79,6 +79,9 @@
 	if x.customer != nil {
 		attrs = append(attrs, slog.String("customer", x.customer.Name))
 	}
+	if x.facts.Usage.Prompt > 0 {
+		attrs = append(attrs, slog.Int("prompt_tokens", x.facts.Usage.Prompt))
+	}
 	if len(x.attempts) > 0 {
 		attrs = append(attrs, slog.String("sends", x.sends()))
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -103,7 +103,8 @@
 	was := x.model
 	x.model = model
 	if _, best, ref := x.pick(); ref == nil {
-		o.Wait = best.Standing.Wait + x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)
+		o.Wait = best.Standing.Wait
+		o.First = x.server.Rates.First(x.modelName(), x.facts.Usage.Prompt)
 	}
 	x.model = was
 	return o
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -74,7 +74,7 @@
 		return watchLimits{answer: min(3*x.route.Objective, x.left()*2/3)}
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(lostGaps * float64(x.route.MaxGap))}
-	expected := x.server.Board.Standing(id).Wait + x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)
+	expected := x.server.Board.Standing(id).Wait + x.server.Rates.First(x.modelName(), x.facts.Usage.Prompt)
 	l.first = max(time.Duration(startLeast*float64(x.route.Objective)), startFactor*expected+startSlack)
 	return l
 }
