--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 
 	"github.com/lovageweir/lovageweir/cascade"
@@ -21,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/ledger"
@@ -79,19 +78,10 @@
 	return slog.New(slog.NewTextHandler(os.Stderr, nil)).With("instance", s.Instance, "domain", s.Domain)
 }
 
-type metrics struct {
-	scope    tally.Scope
-	reporter promreporter.Reporter
-}
+// metricsInterval is how often counters reach the metrics address.
+const metricsInterval = time.Second
 
-func newMetrics(lc fx.Lifecycle) *metrics {
-	r := promreporter.NewReporter(promreporter.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "lovageweir", CachedReporter: r, Separator: promreporter.DefaultSeparator,
-		// tally's own cardinality gauges use dotted names that Prometheus rejects.
-		OmitCardinalityMetrics: true}, time.Second)
-	lc.Append(fx.StopHook(closer.Close))
-	return &metrics{scope: scope, reporter: r}
-}
+func newMetrics(lc fx.Lifecycle) *telemetry.Metrics { return telemetry.New(lc, metricsInterval) }
 
 func newKV(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, &http.Client{}) }
 
@@ -144,14 +134,14 @@
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
 func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
-	gd *guard.Guard, planner *cascade.Planner, clock clockwork.Clock, log *slog.Logger, m *metrics) (*gateway.Gateway, error) {
+	gd *guard.Guard, planner *cascade.Planner, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
 	keys, err := s.Keyring()
 	if err != nil {
 		return nil, err
 	}
 	d := gateway.Deps{
 		Instance: s.Instance, Life: int64(l), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: bill, Claims: claims,
-		Guard: gd, Planner: planner, Clock: clock, Log: log.With("part", "gateway"), Scope: m.scope.SubScope("gateway"),
+		Guard: gd, Planner: planner, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
 		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
 	}
 	if s.Rater != "" {
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
@@ -14,6 +13,7 @@
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/internal/background"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/orders"
@@ -21,51 +21,15 @@
 	"github.com/lovageweir/lovageweir/settings"
 )
 
-// background runs run from start until stop, then last.
-func background(lc fx.Lifecycle, run, last func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() { defer close(done); run(ctx) }()
-			return nil
-		},
-		OnStop: func(stopCtx context.Context) error {
-			cancel()
-			<-done
-			if last != nil {
-				last(stopCtx)
-			}
-			return nil
-		},
-	})
-}
-
-// every calls tick at each interval.
-func every(interval time.Duration, tick func(context.Context)) func(context.Context) {
-	return func(ctx context.Context) {
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for {
-			select {
-			case <-t.C:
-				tick(ctx)
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-}
-
-func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) { background(lc, w.Run, nil) }
+func runWatcher(lc fx.Lifecycle, w *configwatch.Watcher) { background.Run(lc, w.Run, nil) }
 
 func runPoller(lc fx.Lifecycle, p *endpoints.Poller) {
-	background(lc, every(endpoints.PollInterval, p.Poll), nil)
+	background.Run(lc, background.Every(endpoints.PollInterval, p.Poll), nil)
 }
 
 func runGuard(lc fx.Lifecycle, g *guard.Guard, c kv.Client) {
 	persist := func(ctx context.Context) { g.Persist(ctx, c) }
-	background(lc, every(housekeeping, persist), persist)
+	background.Run(lc, background.Every(housekeeping, persist), persist)
 }
 
 // runLedger flushes, copies to the holder and bills for dead entries. At a
@@ -77,19 +41,19 @@
 			log.Warn("ledger: flush not confirmed; will write the same batch again.", "error", err, "waiting", l.Waiting())
 		}
 	}
-	background(lc, every(ledger.FlushInterval, flush), func(ctx context.Context) {
+	background.Run(lc, background.Every(ledger.FlushInterval, flush), func(ctx context.Context) {
 		if err := l.FlushAll(ctx); err != nil {
 			log.Error("ledger: records not written at stop.", "error", err, "waiting", l.Waiting())
 		}
 	})
-	background(lc, every(housekeeping, func(context.Context) { l.TakeOver(members.Alive) }), nil)
-	background(lc, func(ctx context.Context) { l.Replicate(ctx, members.FirstOther(ledgerGroup(s.Instance)), dial) }, nil)
+	background.Run(lc, background.Every(housekeeping, func(context.Context) { l.TakeOver(members.Alive) }), nil)
+	background.Run(lc, func(ctx context.Context) { l.Replicate(ctx, members.FirstOther(ledgerGroup(s.Instance)), dial) }, nil)
 }
 
 // runClaims releases the claims of requests that did not run; the last sweep
 // is at a planned stop, so that none is left to refuse a caller's repeat.
 func runClaims(lc fx.Lifecycle, c *idem.Claims) {
-	background(lc, every(housekeeping, c.Sweep), c.Sweep)
+	background.Run(lc, background.Every(housekeeping, c.Sweep), c.Sweep)
 }
 
 // runOrders keeps engines at their versions, where the settings ask for it.
@@ -99,13 +63,13 @@
 	}
 	mine := func() bool { return members.Holds("orders", 1) }
 	k := orders.New(d, mine, w.Table, t, s.Domain, clock, log.With("part", "orders"))
-	background(lc, every(orders.Interval, k.Round), d.Resign)
+	background.Run(lc, background.Every(orders.Interval, k.Round), d.Resign)
 }
 
-func runGossip(lc fx.Lifecycle, g *peers.Gossip) { background(lc, g.Run, nil) }
+func runGossip(lc fx.Lifecycle, g *peers.Gossip) { background.Run(lc, g.Run, nil) }
 
 func runRatings(lc fx.Lifecycle, s *settings.Entry, g *gateway.Gateway) {
 	if s.Rater != "" {
-		background(lc, g.RunRatings, nil)
+		background.Run(lc, g.RunRatings, nil)
 	}
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -19,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/peers"
@@ -42,7 +43,7 @@
 	Ledger    *ledger.Ledger
 	Claims    *idem.Claims
 	Planner   *cascade.Planner
-	Metrics   *metrics
+	Metrics   *telemetry.Metrics
 	Log       *slog.Logger
 }
 
@@ -90,7 +91,7 @@
 		enc.SetIndent("", "  ")
 		_ = enc.Encode(p.dump())
 	})
-	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
+	r.GET("/metrics", gin.WrapH(p.Metrics.Handler))
 	peer := peerpb.NewPeerServer(&peerServer{p})
 	r.Any(peer.PathPrefix()+"*method", gin.WrapH(peer))
 }
--- a/edge/module.go
+++ b/edge/module.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
-	promreporter "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/fx"
 
 	"github.com/lovageweir/lovageweir/call"
@@ -16,6 +14,7 @@
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
 	"github.com/lovageweir/lovageweir/internal/asynclog"
+	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/place"
@@ -86,19 +85,7 @@
 	return slog.New(slog.NewJSONHandler(w, nil)).With("instance", o.Settings.Instance)
 }
 
-type metrics struct {
-	scope    tally.Scope
-	reporter promreporter.Reporter
-}
-
-func newMetrics(lc fx.Lifecycle) *metrics {
-	r := promreporter.NewReporter(promreporter.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "lovageweir", CachedReporter: r, Separator: promreporter.DefaultSeparator,
-		// tally's own cardinality gauges use dotted names that Prometheus rejects.
-		OmitCardinalityMetrics: true}, metricsInterval)
-	lc.Append(fx.StopHook(closer.Close))
-	return &metrics{scope: scope, reporter: r}
-}
+func newMetrics(lc fx.Lifecycle) *telemetry.Metrics { return telemetry.New(lc, metricsInterval) }
 
 // metricsInterval is how often counters reach the metrics address.
 const metricsInterval = 2 * time.Second
@@ -134,8 +121,8 @@
 }
 
 func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller,
-	clock clockwork.Clock, log *slog.Logger, m *metrics) *ingress.Server {
+	clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r,
 		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedFor: lapsedFor(s),
-		Clock: clock, Log: log, Scope: m.scope.SubScope("ingress")})
+		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -13,50 +13,20 @@
 	"go.uber.org/fx"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/internal/background"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/rollout"
 )
 
-// background runs run from start to stop.
-func background(lc fx.Lifecycle, run func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() { defer close(done); run(ctx) }()
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			<-done
-			return nil
-		},
-	})
-}
-
-// every calls tick at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, tick func(context.Context)) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			tick(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func runFollower(lc fx.Lifecycle, f *fleet.Follower) { background(lc, f.Run) }
+func runFollower(lc fx.Lifecycle, f *fleet.Follower) { background.Run(lc, f.Run, nil) }
 
-func runMesh(lc fx.Lifecycle, m *mesh.Mesh) { background(lc, m.Run) }
+func runMesh(lc fx.Lifecycle, m *mesh.Mesh) { background.Run(lc, m.Run, nil) }
 
-func runLoads(lc fx.Lifecycle, l *mesh.Loads) { background(lc, l.Run) }
+func runLoads(lc fx.Lifecycle, l *mesh.Loads) { background.Run(lc, l.Run, nil) }
 
 func runRollouts(lc fx.Lifecycle, r *rollout.Controller) {
-	background(lc, func(ctx context.Context) { every(ctx, rollout.Interval, r.Tick) })
+	background.Run(lc, background.Every(rollout.Interval, r.Tick), nil)
 }
 
 // Registration of this entry, by which the others find it.
@@ -70,7 +40,7 @@
 
 func runRegistration(lc fx.Lifecycle, s *Settings, b boot, c kv.Client, f *fleet.Follower, log *slog.Logger) {
 	r := &registration{self: s.entry(b), store: c, fleet: f, log: log}
-	background(lc, r.run)
+	background.Run(lc, r.run, nil)
 }
 
 // registration keeps this entry's key in the store.
@@ -139,7 +109,7 @@
 	if err != nil {
 		log.Warn("edge: settings file cannot be read.", "path", o.Path, "error", err)
 	}
-	background(lc, func(ctx context.Context) {
+	background.Run(lc, func(ctx context.Context) {
 		hup := make(chan os.Signal, 1)
 		signal.Notify(hup, syscall.SIGHUP)
 		defer signal.Stop(hup)
@@ -155,7 +125,7 @@
 			}
 			last = reload(o.Path, last, m, log)
 		}
-	})
+	}, nil)
 }
 
 func reload(path string, last []byte, m *mesh.Mesh, log *slog.Logger) []byte {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
@@ -54,7 +55,7 @@
 	Fleet    *fleet.Follower
 	Mesh     *mesh.Mesh
 	Rollouts *rollout.Controller
-	Metrics  *metrics
+	Metrics  *telemetry.Metrics
 	Log      *slog.Logger
 }
 
@@ -114,7 +115,7 @@
 	r := gin.New()
 	s := meshpb.NewMeshServer(p.Mesh)
 	r.Any(s.PathPrefix()+"*method", gin.WrapH(s))
-	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
+	r.GET("/metrics", gin.WrapH(p.Metrics.Handler))
 	r.GET("/debug/state", func(c *gin.Context) {
 		c.Header("Content-Type", "application/json")
 		enc := json.NewEncoder(c.Writer)
@@ -126,7 +127,7 @@
 
 func (p parts) metricsOnly() http.Handler {
 	r := gin.New()
-	r.GET("/metrics", gin.WrapH(p.Metrics.reporter.HTTPHandler()))
+	r.GET("/metrics", gin.WrapH(p.Metrics.Handler))
 	return r
 }
 
