--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -59,7 +59,7 @@
 	model    string
 	outcome  place.Outcome
 	status   int
-	load     *call.Load // as the endpoint told it
+	load     *call.Load    // as the endpoint told it
 	begun    time.Duration // since the request was received
 	first    time.Duration // to the first event or answer, since begun
 	why      string
@@ -140,61 +140,6 @@
 	x.server.metrics.attempt(o)
 }
 
-// pick returns the best endpoint for the next send.
-func (x *exchange) pick() (*fleet.Group, place.Ranked, *refusal) {
-	x.view = x.server.Fleet.View()
-	group := x.view.Group(x.target())
-	if group == nil {
-		return nil, place.Ranked{}, refuseNoEndpoint
-	}
-	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session})
-	w := place.Want{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.facts.SharedTokens(), Affinity: x.affinity()}
-	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
-	ranked := x.server.Board.Rank(choice.First, w)
-	if len(ranked) == 0 || ranked[0].Standing.Ejected {
-		ranked = append(ranked, x.server.Board.Rank(choice.Then, w)...)
-	}
-	if len(ranked) == 0 {
-		ranked = x.server.Board.Rank(x.lapsed(group), w)
-	}
-	if len(ranked) == 0 {
-		if len(x.tried) > 0 {
-			return nil, place.Ranked{}, refuseFull
-		}
-		return nil, place.Ranked{}, refuseNoEndpoint
-	}
-	best := ranked[0]
-	for _, r := range ranked {
-		if !r.Standing.Ejected {
-			best = r
-			break
-		}
-	}
-	return group, best, nil
-}
-
-// lapsed are the endpoints whose registration ended a short while ago.
-func (x *exchange) lapsed(g *fleet.Group) []fleet.Endpoint {
-	var out []fleet.Endpoint
-	now := x.server.Clock.Now()
-	for _, l := range g.Lapsed {
-		if now.Sub(l.Since) < x.server.LapsedFor {
-			out = append(out, l.Endpoint)
-		}
-	}
-	return out
-}
-
-// affinity is equal for requests that read the same shared prompt with the
-// same model.
-func (x *exchange) affinity() uint64 {
-	shared := x.facts.SharedPrompt()
-	if len(shared) == 0 {
-		return 0
-	}
-	return place.Hash(shared[len(shared)-1].ID, x.modelName())
-}
-
 // send sends the request to one endpoint and reads the head of its answer.
 // On an error, the attempt is ended and noted.
 func (x *exchange) send(ctx context.Context, resumeAfter string) (*sent, *refusal, error) {
@@ -255,19 +200,6 @@
 	errMayHaveRun = errors.New("request may have run")
 )
 
-// urgency ranks the request at the engines: the customer's priority goes
-// before the route's. 5 is what an engine assumes.
-func (x *exchange) urgency() (int, bool) {
-	if x.route.Kind != fleet.Streaming {
-		return 0, false
-	}
-	p := x.route.Priority
-	if x.customer != nil && x.customer.Priority != nil {
-		p = *x.customer.Priority
-	}
-	return min(max(2*p+2, 0), 9), true
-}
-
 // observe counts the answer for the roll-outs.
 func (x *exchange) observe(c *sent, failed bool, took time.Duration) {
 	x.attempts[c.index].first = took
@@ -279,13 +211,6 @@
 	}
 }
 
-// scale is how much longer than its kind's mean the request may take to its
-// first event, by its prompt.
-func (x *exchange) scale() float64 { return 1 + float64(x.facts.Usage.Prompt)/largePrompt }
-
-// largePrompt is the tokens that double the time expected to the first event.
-const largePrompt = 8000
-
 // mayTryAgain reports whether a request that may have run can be sent once
 // more.
 func (x *exchange) mayTryAgain(use retry.Use) bool {
--- /dev/null
+++ b/rollout/tell.go
@@ -0,0 +1,88 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// Rollout's state as entries tell each other.
+type (
+	// Told is one order as an entry knows it.
+	Told struct {
+		Service string
+		Ordered kv.Revision
+		Age     time.Duration
+		Halted  bool
+	}
+	// Row is one source's counts.
+	Row struct {
+		Source
+		Counts
+	}
+)
+
+// Tell returns what other entries should know.
+func (c *Controller) Tell() ([]Told, []Row, []Session) {
+	v := c.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var told []Told
+	var rows []Row
+	for service, t := range c.tracks {
+		g := v.Group(service)
+		if g == nil || g.Rollout == nil || g.Rollout.Ordered != t.ordered || final(g.Rollout.State) {
+			continue
+		}
+		told = append(told, Told{Service: service, Ordered: t.ordered, Age: c.Clock.Since(t.seen), Halted: t.halted})
+		for s, n := range t.evidence.rows {
+			rows = append(rows, Row{s, n})
+		}
+	}
+	return told, rows, c.sessions.tell(c.Clock.Now())
+}
+
+// Hear takes what another entry told.
+func (c *Controller) Hear(told []Told, rows []Row, under []Session) {
+	v := c.View()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range under {
+		c.sessions.note(u.Hash, c.Clock.Now().Add(-u.Ago))
+	}
+	for _, o := range told {
+		t := c.knownLocked(v, o.Service, o.Ordered)
+		if t == nil {
+			continue
+		}
+		if seen := c.Clock.Now().Add(-o.Age); seen.Before(t.seen) {
+			t.seen = seen
+		}
+		if o.Halted && !t.halted {
+			t.halted = true
+			c.Log.Warn("rollout: another entry halted the version.", "service", o.Service, "order", o.Ordered)
+		}
+	}
+	for _, row := range rows {
+		if row.Instance == c.Instance && row.Boot == c.Boot {
+			continue
+		}
+		if t := c.knownLocked(v, row.Service, row.Ordered); t != nil && t.evidence.take(row.Source, row.Counts) {
+			c.judgeLocked(row.Service, t)
+		}
+	}
+}
+
+// knownLocked returns the track of an order that the view knows too.
+func (c *Controller) knownLocked(v *fleet.View, service string, ordered kv.Revision) *track {
+	g := v.Group(service)
+	if g == nil || g.Rollout == nil || g.Rollout.Ordered != ordered {
+		return nil
+	}
+	return c.trackLocked(g.Rollout)
+}
+
+func final(s fleet.RolloutState) bool {
+	return s == fleet.RolloutDone || s == fleet.RolloutRolledBack
+}
