Slow versions are judged by each answer's own prompt, over all routes, and must stay slow

Cause: slow was judged by the route's mean; with long prompts allowed for on top of it, eight times the usual hardly counted; and answers dropped for a larger model's were not counted at all. Change: time against what the answer's own prompt should take, all routes pooled, dropped answers counted, halted only if slow for four seconds.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -200,15 +200,24 @@
 	errMayHaveRun = errors.New("request may have run")
 )
 
-// observe counts the answer for the roll-outs.
+// observe counts the answer for the roll-outs, and learns from it how long
+// answers take, unless its version may be a slow one.
 func (x *exchange) observe(c *sent, failed bool, took time.Duration) {
 	x.attempts[c.index].first = took
-	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(),
-		Failed: failed, Took: took, Scale: x.scale(), Wait: c.wait})
-	if !failed {
-		x.server.Rates.Learn(x.modelName(), x.facts.Usage.Prompt, took)
-		x.server.Rollouts.Keep(x.facts.Session, c.group, c.endpoint.Version)
+	s := x.server
+	model, tokens := x.modelName(), x.facts.Usage.Prompt
+	a := rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: model, Failed: failed, Took: took, Wait: c.wait}
+	if tokens > 0 {
+		a.Expected = s.Rates.First(model, tokens)
+	}
+	usual := s.Rollouts.Observe(a)
+	if failed {
+		return
+	}
+	if usual {
+		s.Rates.Learn(model, tokens, took)
 	}
+	s.Rollouts.Keep(x.facts.Session, c.group, c.endpoint.Version)
 }
 
 // mayTryAgain reports whether a request that may have run can be sent once
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -73,10 +73,3 @@
 	}
 	return min(max(2*p+2, 0), 9), true
 }
-
-// scale is how much longer than its kind's mean the request may take to its
-// first event, by its prompt.
-func (x *exchange) scale() float64 { return 1 + float64(x.facts.Usage.Prompt)/largePrompt }
-
-// largePrompt is the tokens that double the time expected to the first event.
-const largePrompt = 8000
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -90,6 +90,7 @@
 	if !ok || !ladder.Worth(c.head.Confidence, x.outlook(next)) || !x.mayTryAgain(retry.ForQuality) {
 		return false
 	}
+	x.observe(c, false, c.ticket.First())
 	x.end(c, place.Served, "confidence "+strconv.Itoa(c.head.Confidence))
 	x.model = next
 	// The larger model may run on the same endpoint.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -190,15 +190,15 @@
 	Failed   bool // the endpoint answered that it failed
 	// Took is the time to the first event; 0: there was none.
 	Took time.Duration
-	// Scale is how much longer than its kind's mean the request should take
-	// by its size, Wait how long it had to wait for others as far as known.
-	Scale float64
-	Wait  time.Duration
+	// Expected is the time to the first event that its prompt should take, 0:
+	// it has none; Wait how long it had to wait for others, as far as known.
+	Expected time.Duration
+	Wait     time.Duration
 }
 
 // Observe counts an answer: as evidence where its version is being brought
-// in, as the usual time elsewhere.
-func (c *Controller) Observe(a Answer) {
+// in, as the usual time elsewhere. It reports whether it counted as usual.
+func (c *Controller) Observe(a Answer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := usualKey{a.Route, a.Model}
@@ -210,13 +210,13 @@
 	r := a.Group.Rollout
 	if r == nil || a.Endpoint.Version != r.Target || r.State == fleet.RolloutDone {
 		if a.Took > 0 && !a.Failed {
-			u.add(a.Took)
+			u.add(a.Took-a.Wait, a.Expected)
 		}
-		return
+		return true
 	}
 	t := c.trackLocked(r)
 	if t.ordered != r.Ordered {
-		return
+		return false
 	}
 	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Route: a.Route}
 	counts := t.evidence.rows[src]
@@ -226,19 +226,20 @@
 	case a.Failed:
 		counts.Failed++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
-	case u.slow(a.Took-a.Wait, a.Scale):
+	case u.slow(a.Took-a.Wait, a.Expected):
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
-	t.evidence.take(src, counts)
+	t.evidence.take(src, counts, c.Clock.Now())
 	c.judgeLocked(r.Service, t)
+	return false
 }
 
 func (c *Controller) judgeLocked(service string, t *track) {
 	if t.halted {
 		return
 	}
-	route, bad := t.evidence.bad()
+	route, bad := t.evidence.bad(c.Clock.Now())
 	if !bad {
 		return
 	}
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
@@ -20,7 +21,7 @@
 // The tests. Failures that an endpoint itself reports are rare from a version
 // that is well. Slow answers are not: a crash elsewhere, or prompts that no
 // cache holds yet, slow many; but a version that is bad by slowness slows half
-// of its answers or more, and is found within some 40 of them by the higher
+// of its answers or more, and is found within some 50 of them by the higher
 // threshold; with 6, a good version was rolled back when a crash of a quarter
 // of the endpoints slowed 14 of 235 answers. At the other, a version that fails a third of its
 // answers is found after about 20 of them, and one that is well is halted
@@ -33,7 +34,7 @@
 // Thresholds of the statistics.
 const (
 	failedThreshold = 6.0
-	slowThreshold   = 14.0
+	slowThreshold   = 13.5
 )
 
 // fewestEndpoints must have answered badly, and half of those seen, where
@@ -64,12 +65,22 @@
 
 func endpointBit(id fleet.EndpointID) uint64 { return 1 << (place.ShortID(id) % 64) }
 
+// slowPersists is how long slow answers must go on: a crash of some endpoints
+// slows the answers of the others for a second or two, a version that is bad
+// by slowness stays so.
+const slowPersists = 4 * time.Second
+
 // routeEvidence is the evidence on one route.
 type routeEvidence struct {
-	failed, slow float64 // the tests' statistics
+	failed, slow float64   // the tests' statistics
+	slowSince    time.Time // when slow was last zero
 	seen, bad    uint64
 }
 
+// allRoutes pools what is slow on any route: that shows sooner, and few
+// versions are slow on one only.
+const allRoutes = ""
+
 // evidence pools the counts for one order.
 type evidence struct {
 	rows   map[Source]Counts
@@ -81,23 +92,37 @@
 }
 
 // take brings a source's counts up to date; older ones change nothing.
-func (e *evidence) take(s Source, c Counts) (fresh bool) {
+func (e *evidence) take(s Source, c Counts, now time.Time) (fresh bool) {
 	old := e.rows[s]
 	if !c.newer(old) {
 		return false
 	}
 	e.rows[s] = c
-	r := e.routes[s.Route]
+	samples, failed, slow := c.Samples-old.Samples, c.Failed-old.Failed, c.Slow-old.Slow
+	route, all := e.at(s.Route), e.at(allRoutes)
+	route.failed = failures.add(route.failed, samples, failed)
+	for _, r := range []*routeEvidence{route, all} {
+		r.addSlow(samples, slow, now)
+		r.seen |= c.Seen
+		r.bad |= c.Bad
+	}
+	return true
+}
+
+func (e *evidence) at(route string) *routeEvidence {
+	r := e.routes[route]
 	if r == nil {
 		r = &routeEvidence{}
-		e.routes[s.Route] = r
+		e.routes[route] = r
 	}
-	samples := c.Samples - old.Samples
-	r.failed = failures.add(r.failed, samples, c.Failed-old.Failed)
-	r.slow = slowness.add(r.slow, samples, c.Slow-old.Slow)
-	r.seen |= c.Seen
-	r.bad |= c.Bad
-	return true
+	return r
+}
+
+func (r *routeEvidence) addSlow(samples, slow int64, now time.Time) {
+	if r.slow == 0 {
+		r.slowSince = now
+	}
+	r.slow = slowness.add(r.slow, samples, slow)
 }
 
 // add takes new answers into a statistic, the log likelihood ratio of bad
@@ -109,9 +134,10 @@
 }
 
 // bad reports whether the version is to be halted, and by which route.
-func (e *evidence) bad() (route string, bad bool) {
+func (e *evidence) bad(now time.Time) (route string, bad bool) {
 	for name, r := range e.routes {
-		if (r.failed >= failedThreshold || r.slow >= slowThreshold) && r.widespread() {
+		slow := r.slow >= slowThreshold && now.Sub(r.slowSince) >= slowPersists
+		if (r.failed >= failedThreshold || slow) && r.widespread() {
 			return name, true
 		}
 	}
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -6,35 +6,40 @@
 const (
 	// slowFactor times the usual is slow; versions that are bad by slowness
 	// are several times slower.
-	slowFactor = 3.5
+	slowFactor = 3.0
 	// slowSlack is added, as small times vary much by chance.
-	slowSlack = 200 * time.Millisecond
+	slowSlack = 100 * time.Millisecond
 	// usualGain is the weight of one answer in the usual time, usualNeeds how
 	// many make it known.
 	usualGain  = 0.05
 	usualNeeds = 10
 )
 
-// usual is the mean time to the first event of the versions in force, for
-// one kind of request.
+// usual is how long answers of the versions in force take, in parts of what
+// is expected of each by its prompt, for one route and model. Without the
+// prompt's part, a version that is slow eight times over looked well on routes
+// with long prompts, and a long prompt looked slow on others.
 type usual struct {
-	mean time.Duration
+	mean float64
 	n    int
 }
 
-func (u *usual) add(took time.Duration) {
+func parts(took, expected time.Duration) float64 {
+	return float64(took) / float64(max(expected, time.Millisecond))
+}
+
+func (u *usual) add(took, expected time.Duration) {
 	u.n++
 	gain := max(usualGain, 1/float64(u.n))
-	u.mean += time.Duration(gain * float64(took-u.mean))
+	u.mean += gain * (parts(took, expected) - u.mean)
 }
 
 // slow reports whether an answer took much longer than usual, without the
-// time that it waited for others; scale is how
-// much longer than the mean this request is expected to take.
-func (u *usual) slow(took time.Duration, scale float64) bool {
+// time that it waited for others.
+func (u *usual) slow(took, expected time.Duration) bool {
 	if u.n < usualNeeds {
 		return false
 	}
-	expected := float64(u.mean) * max(1, scale)
-	return float64(took) > slowFactor*expected+float64(slowSlack)
+	limit := slowFactor*u.mean*float64(max(expected, time.Millisecond)) + float64(slowSlack)
+	return float64(took) > limit
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -148,7 +148,7 @@
 
 func (e *entry) answer(endpoint int, failed bool) {
 	e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", endpoint)), Version: "v2"},
-		Route: "r", Failed: failed, Took: 50 * time.Millisecond, Scale: 1})
+		Route: "r", Failed: failed, Took: 50 * time.Millisecond})
 }
 
 func TestAGoodVersionIsDoneInTime(t *testing.T) {
@@ -232,7 +232,7 @@
 		e.answer(6+i%2, false)
 		e.answer(6+i%2, false)
 		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", 6+i%2)), Version: "v2"}, Route: "bad",
-			Failed: i%3 == 0, Took: time.Millisecond, Scale: 1})
+			Failed: i%3 == 0, Took: time.Millisecond})
 	}
 	x.is.Equal(share(e), 0.0)
 }
@@ -242,7 +242,7 @@
 	e := x.all[0]
 	answer := func(endpoint int, version string, took, wait time.Duration) {
 		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", endpoint)), Version: version}, Route: "r",
-			Took: took, Wait: wait, Scale: 1})
+			Took: took, Wait: wait})
 	}
 	for range 50 {
 		answer(0, "v1", 100*time.Millisecond, 0)
@@ -251,6 +251,7 @@
 	}
 	x.is.True(share(e) > 0)
 	for i := range 100 {
+		x.clock.Advance(100 * time.Millisecond)
 		took := 100 * time.Millisecond
 		if i%4 < 2 {
 			took = 900 * time.Millisecond
@@ -268,18 +269,23 @@
 	e := x.all[0]
 	answer := func(endpoint int, version string, took time.Duration) {
 		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", endpoint)), Version: version}, Route: "r",
-			Took: took, Scale: 1})
+			Took: took})
 	}
 	for i := range 220 {
 		answer(0, "v1", 100*time.Millisecond)
 		answer(6+i%6, "v2", 100*time.Millisecond)
 	}
-	for i := range 14 {
+	for i := range 30 {
+		x.clock.Advance(70 * time.Millisecond)
 		answer(6+i%6, "v2", 2*time.Second)
 		if i%2 == 0 {
 			answer(6+i%6, "v2", 100*time.Millisecond)
 		}
 	}
+	for i := range 60 {
+		x.clock.Advance(70 * time.Millisecond)
+		answer(6+i%6, "v2", 100*time.Millisecond)
+	}
 	x.is.True(share(e) > 0)
 }
 
@@ -300,8 +306,8 @@
 				c.Failed++
 				c.Bad |= bit
 			}
-			e.take(src, c)
-			if _, bad := e.bad(); bad {
+			e.take(src, c, time.Time{})
+			if _, bad := e.bad(time.Time{}); bad {
 				return n, true
 			}
 		}
@@ -493,3 +499,30 @@
 	part := n / 6 // of six endpoints
 	x.is.True(most > 2*part)
 }
+
+// Symptom: a version that is eight times as slow passes on routes whose
+// prompts differ in length.
+// What an answer should take goes by its own prompt.
+func TestASlowVersionIsHaltedWhateverItsPrompts(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	answer := func(i int, version string, factor int) {
+		expected := time.Duration(50+i%10*100) * time.Millisecond
+		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", 6+i%2)), Version: version}, Route: "r",
+			Took: time.Duration(factor) * expected, Expected: expected})
+	}
+	for i := range 60 {
+		answer(i, "v1", 1)
+		answer(i, "v2", 1) // as quick as the old one, long prompts and short
+	}
+	x.is.True(share(e) > 0)
+	for i := range 120 {
+		x.clock.Advance(70 * time.Millisecond)
+		factor := 1
+		if i%5 < 2 {
+			factor = 8
+		}
+		answer(i, "v2", factor)
+	}
+	x.is.Equal(share(e), 0.0)
+}
--- a/rollout/tell.go
+++ b/rollout/tell.go
@@ -68,7 +68,7 @@
 		if row.Instance == c.Instance && row.Boot == c.Boot {
 			continue
 		}
-		if t := c.knownLocked(v, row.Service, row.Ordered); t != nil && t.evidence.take(row.Source, row.Counts) {
+		if t := c.knownLocked(v, row.Service, row.Ordered); t != nil && t.evidence.take(row.Source, row.Counts, c.Clock.Now()) {
 			c.judgeLocked(row.Service, t)
 		}
 	}
