--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/platform"
@@ -26,11 +27,54 @@
 
 func registerPlatformStore(parent *kingpin.CmdClause) {
 	cmd, address := clause(parent, "platform-store", "The users' platform's store.")
+	endpoints := cmd.Flag("endpoints", "Registrations of endpoints to begin with, none of which answers.").Default("0").Int()
+	domains := cmd.Flag("domains", "Failure domains that these are in.").Default("4").Int()
+	customers := cmd.Flag("customers", "Customers of a configuration to begin with; 0: none.").Default("0").Int()
 	cmd.Action(func(*kingpin.ParseContext) error {
-		return run("platform-store", *address, platformtest.NewStore(memkv.New(clockwork.NewRealClock())))
+		store := memkv.New(clockwork.NewRealClock())
+		if err := populate(store, *endpoints, *domains, *customers); err != nil {
+			return err
+		}
+		return run("platform-store", *address, platformtest.NewStore(store))
 	})
 }
 
+// populate fills a store for measurements at size.
+func populate(store *memkv.Store, endpoints, domains, customers int) error {
+	ctx := context.Background()
+	for i := range endpoints {
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("i-%06d", i), Service: fmt.Sprintf("svc-%d", i%synthServices),
+			Address: fmt.Sprintf("127.1.%d.%d:9", i/250, i%250+1), Domain: fmt.Sprintf("d%d", i%domains), Version: "v1"})
+		key, value := e.Registration(false)
+		if _, err := store.Put(ctx, key, value, 0); err != nil {
+			return err
+		}
+	}
+	if customers == 0 {
+		return nil
+	}
+	_, err := store.Put(ctx, "op/config", platformtest.EncodeConfig(synthConfig(customers)), 0)
+	return err
+}
+
+// synthServices is how many services the endpoints of a filled store are of:
+// the models and versions of the two-year size.
+const synthServices = 17
+
+func synthConfig(customers int) *fleet.Config {
+	c := &fleet.Config{Version: 1, Services: map[string]fleet.Service{}, Limits: fleet.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20}}
+	for i := range synthServices {
+		name := fmt.Sprintf("svc-%d", i)
+		c.Services[name] = fleet.Service{Name: name, MaxConnections: 370}
+		c.Routes = append(c.Routes, fleet.Route{Name: "r-" + name, Host: "h.example", Prefix: "/" + name + "/", Kind: fleet.Streaming, Timeout: 20 * time.Second,
+			Objective: time.Second, MaxGap: time.Second, MaxAttempts: 3, Resumable: true, Targets: []fleet.Target{{Service: name, Weight: 1}}})
+	}
+	for i := range customers {
+		c.Customers = append(c.Customers, fleet.Customer{Name: fmt.Sprintf("customer-%d", i), Keys: []string{fmt.Sprintf("key-a-%012d", i*7919), fmt.Sprintf("key-b-%012d", i*104729)}})
+	}
+	return c
+}
+
 // Registration of an engine stand-in.
 const (
 	registrationLife  = 3 * time.Second
