Slow versions: pace of streams, enough seen before all move, the dead do not vote

Causes, in the order found: endpoints that are gone stood for well ones; the new endpoints became known late, and all requests moved by the clock with little seen; first events hardly show a slow version while few requests are on it; the wait deducted grew with the queue that the slow version made. Change: only endpoints that are there count; all requests move after 90 answers without doubt, at 0.72 of the time at the latest; the pause between a stream's events counts as evidence after six; at most half of a time is deducted; far over the threshold halts at once; nothing is recorded as done in doubt.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -62,6 +62,8 @@
 	load     *call.Load    // as the endpoint told it
 	begun    time.Duration // since the request was received
 	first    time.Duration // to the first event or answer, since begun
+	events   int           // of a stream, as read from the endpoint
+	stream   time.Duration // from its first event to its last
 	why      string
 }
 
@@ -113,15 +115,16 @@
 
 // sent is a request at an endpoint.
 type sent struct {
-	group    *fleet.Group
-	endpoint fleet.Endpoint
-	ticket   *place.Ticket
-	resp     *upstream.Response
-	head     call.Answer
-	cancel   context.CancelFunc
-	watch    *watchdog
-	wait     time.Duration // for others, as far as known when it was sent
-	index    int           // into attempts
+	group     *fleet.Group
+	endpoint  fleet.Endpoint
+	ticket    *place.Ticket
+	resp      *upstream.Response
+	head      call.Answer
+	cancel    context.CancelFunc
+	watch     *watchdog
+	streaming time.Time     // when the first event came
+	wait      time.Duration // for others, as far as known when it was sent
+	index     int           // into attempts
 }
 
 // end closes the call and notes how it ended.
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -110,6 +110,9 @@
 		b = strconv.AppendInt(b, a.first.Milliseconds(), 10)
 		b = append(b, "ms status="...)
 		b = strconv.AppendInt(b, int64(a.status), 10)
+		if a.events > 0 {
+			b = fmt.Appendf(b, " events=%d in %dms", a.events, a.stream.Milliseconds())
+		}
 		if a.load != nil {
 			b = fmt.Appendf(b, " load=%d+%d/%d", a.load.Running, a.load.Waiting, a.load.Slots)
 		}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/retry"
+	"github.com/lovageweir/lovageweir/rollout"
 )
 
 // runStream answers a request with a stream of events. Only whole events are
@@ -130,8 +132,7 @@
 				x.returnHead(c, -1)
 			}
 		}
-		c.ticket.Heard()
-		c.watch.heard()
+		x.passed(c)
 		if !follows(string(id), lastID) {
 			continue // the caller has it
 		}
@@ -146,6 +147,33 @@
 	}
 }
 
+// passed notes an event of a stream.
+func (x *exchange) passed(c *sent) {
+	now := x.server.Clock.Now()
+	a := &x.attempts[c.index]
+	if a.events == 0 {
+		c.streaming = now
+	}
+	a.events++
+	a.stream = now.Sub(c.streaming)
+	if a.events == paceEvents {
+		x.observePace(c)
+	}
+	c.ticket.Heard()
+	c.watch.heard()
+}
+
+// paceEvents of a stream tell its pace: it is counted then, as a slow stream
+// may take most of a minute to its end.
+const paceEvents = 6
+
+// observePace counts how fast the events of a stream come for the roll-outs.
+func (x *exchange) observePace(c *sent) {
+	a := x.attempts[c.index]
+	pace := a.stream / time.Duration(a.events-1)
+	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(), Took: pace, Pace: true})
+}
+
 // errCallerLeft: nobody waits for the answer.
 var errCallerLeft = errors.New("caller left")
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -31,6 +31,13 @@
 	// takes longer has met a partition or a connection gone silent.
 	callTimeout = 400 * time.Millisecond
 	dialTimeout = 300 * time.Millisecond
+	// wholeTimeout is for an entry that knows nothing: a whole copy of a large
+	// store, over a slow link, takes seconds.
+	wholeTimeout = 3 * time.Second
+	// wholeEvery is how often an entry tells a whole copy. When hundreds start
+	// at once and ask the same few, copies told to all at a time would none of
+	// them arrive.
+	wholeEvery = 200 * time.Millisecond
 	// avoidFor is how long an entry that did not answer is left out.
 	avoidFor = 2 * time.Second
 	// mostRows bounds the evidence told in one exchange.
@@ -60,6 +67,7 @@
 	lost   map[string]bool      // addresses whose loss is logged
 	rounds int64
 	failed int64
+	whole  time.Time // when a whole copy was last told
 }
 
 var _ meshpb.Mesh = (*Mesh)(nil)
@@ -87,7 +95,7 @@
 func (m *Mesh) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := calmInterval
-		if m.Fleet.StoreAway() || m.Fleet.View().Config == nil {
+		if m.Fleet.StoreAway() {
 			interval = awayInterval
 		}
 		jittered := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
@@ -96,6 +104,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if m.Fleet.View().Revision == 0 && !m.Fleet.StoreAway() {
+			continue // the store is being read, and tells more for less
+		}
 		if address, ok := m.draw(); ok {
 			m.exchangeWith(ctx, address)
 		}
@@ -158,7 +169,11 @@
 }
 
 func (m *Mesh) exchangeWith(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limit := callTimeout
+	if m.Fleet.View().Revision == 0 {
+		limit = wholeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	client := meshpb.NewMeshProtobufClient("http://"+address, m.http)
 	got, err := client.Exchange(ctx, m.message())
@@ -221,6 +236,10 @@
 	m.hearRollouts(in)
 	out := m.message()
 	c := m.Fleet.Since(kv.Revision(in.Revision))
+	if c.Whole && !m.mayTellWhole() {
+		out.Revision, out.ConfirmedMs, out.Watching = 0, -1, false
+		return out, nil
+	}
 	out.Revision = int64(c.Revision)
 	out.Whole = c.Whole
 	for _, e := range c.Events {
@@ -230,6 +249,19 @@
 	return out, nil
 }
 
+// mayTellWhole reports whether a whole copy may be told now, and takes the
+// turn.
+func (m *Mesh) mayTellWhole() bool {
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.whole) < wholeEvery {
+		return false
+	}
+	m.whole = now
+	return true
+}
+
 // merge takes a peer's answer.
 func (m *Mesh) merge(got *meshpb.ExchangeMessage) {
 	c := fleet.Changes{Revision: kv.Revision(got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -148,3 +148,28 @@
 		NewLoads(LoadsDeps{Board: place.NewBoard(clockwork.NewFakeClock()), Log: quiet}).hear(raw)
 	})
 }
+
+// Symptom: after all entries were killed, none serves for half a minute.
+// Events: hundreds start at once and ask the same few seeds for everything;
+// the copies fill the seeds' links, and every call ends before its copy has
+// arrived.
+// A whole copy is told now and then; the others ask again, or the store.
+func TestWholeCopiesAreToldOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	a := newEntry(t, "a")
+	clock := clockwork.NewFakeClock()
+	a.Clock = clock
+	know(a, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{put("op/config", `{"version":3}`, 5)}})
+	ask := func(revision int64) *meshpb.ExchangeMessage {
+		got, err := a.Exchange(context.Background(), &meshpb.ExchangeMessage{Instance: "b", Revision: revision})
+		is.NoErr(err)
+		return got
+	}
+	is.Equal(len(ask(0).Changes), 1)
+	second := ask(0)
+	is.Equal(len(second.Changes), 0)
+	is.Equal(second.ConfirmedMs, int64(-1)) // it vouches for nothing
+	is.Equal(len(ask(4).Changes), 1)        // what is little is told at once
+	clock.Advance(wholeEvery)
+	is.Equal(len(ask(0).Changes), 1)
+}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -59,13 +59,17 @@
 	ordered  kv.Revision
 	seen     time.Time // when the order was given, as far as known
 	halted   bool
+	movedOn  bool // past the first share
 	evidence *evidence
 	wanted   fleet.RolloutState // what should be recorded
 	wantedAt time.Time
 	written  time.Time
 }
 
-type usualKey struct{ route, model string }
+type usualKey struct {
+	route, model string
+	pace         bool
+}
 
 // New returns a controller.
 func New(d Deps) *Controller {
@@ -113,7 +117,7 @@
 	case len(newer) == 0:
 		return Choice{First: older}
 	}
-	share := Share(c.Clock.Since(t.seen), r.Duration, firstShare(len(older)))
+	share := c.shareLocked(t, r, len(older))
 	toNew := c.fallsToNewLocked(r, q, share)
 	if !toNew {
 		if len(older) == 0 {
@@ -124,6 +128,24 @@
 	return Choice{First: canaries(newer, len(older), share, r.Ordered), Then: older}
 }
 
+// shareLocked is the new version's share now. Once it has moved on it does not
+// go back, short of a halt: sessions would go to and fro.
+func (c *Controller) shareLocked(t *track, r *fleet.Rollout, older int) float64 {
+	doubt := !t.movedOn && t.evidence.doubt()
+	seen := t.evidence.totals().Samples
+	if t.movedOn {
+		seen = enoughSeen
+	}
+	first := firstShare(older)
+	share := Share(c.Clock.Since(t.seen), r.Duration, first, seen, doubt)
+	if share > first && !t.movedOn {
+		t.movedOn = true
+		c.Log.Info("rollout: moving on from the first share.", "service", r.Service, "order", t.ordered, "seen", seen,
+			"age_ms", c.Clock.Since(t.seen).Milliseconds())
+	}
+	return share
+}
+
 // fallsToNewLocked decides by a hash that only grows with the share, so that
 // nothing goes back and forth.
 func (c *Controller) fallsToNewLocked(r *fleet.Rollout, q Request, share float64) bool {
@@ -140,6 +162,17 @@
 // fraction maps a hash to [0, 1).
 func fraction(h uint64) float64 { return float64(h>>11) / (1 << 53) }
 
+// aliveBits are the bits of the endpoints of the version that is brought in.
+func aliveBits(g *fleet.Group) uint64 {
+	var alive uint64
+	for _, ep := range g.Ready {
+		if ep.Version == g.Rollout.Target {
+			alive |= endpointBit(ep.ID)
+		}
+	}
+	return alive
+}
+
 func split(all []fleet.Endpoint, target string) (older, newer []fleet.Endpoint) {
 	for _, ep := range all {
 		if ep.Version == target {
@@ -194,14 +227,26 @@
 	// it has none; Wait how long it had to wait for others, as far as known.
 	Expected time.Duration
 	Wait     time.Duration
+	// Pace: Took is the mean pause between the events of a stream instead. It
+	// varies less than first events do, and shows a slow version sooner.
+	Pace bool
 }
 
+// net is the time without what it waited for others. What is known of that
+// grows with each request that a slow version keeps waiting, so that half of
+// the time counts in any case.
+func (a Answer) net() time.Duration { return a.Took - min(a.Wait, a.Took/2) }
+
 // Observe counts an answer: as evidence where its version is being brought
 // in, as the usual time elsewhere. It reports whether it counted as usual.
 func (c *Controller) Observe(a Answer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := usualKey{a.Route, a.Model}
+	key := usualKey{a.Route, a.Model, a.Pace}
+	slack := slowSlack
+	if a.Pace {
+		slack = paceSlack
+	}
 	u := c.usual[key]
 	if u == nil {
 		u = &usual{}
@@ -210,7 +255,7 @@
 	r := a.Group.Rollout
 	if r == nil || a.Endpoint.Version != r.Target || r.State == fleet.RolloutDone {
 		if a.Took > 0 && !a.Failed {
-			u.add(a.Took-a.Wait, a.Expected)
+			u.add(a.net(), a.Expected)
 		}
 		return true
 	}
@@ -226,20 +271,21 @@
 	case a.Failed:
 		counts.Failed++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
-	case u.slow(a.Took-a.Wait, a.Expected):
+	case u.slow(a.net(), a.Expected, slack):
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
 	t.evidence.take(src, counts, c.Clock.Now())
-	c.judgeLocked(r.Service, t)
+	c.judgeLocked(a.Group, t)
 	return false
 }
 
-func (c *Controller) judgeLocked(service string, t *track) {
+func (c *Controller) judgeLocked(g *fleet.Group, t *track) {
+	service := g.Rollout.Service
 	if t.halted {
 		return
 	}
-	route, bad := t.evidence.bad(c.Clock.Now())
+	route, bad := t.evidence.bad(aliveBits(g), c.Clock.Now())
 	if !bad {
 		return
 	}
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -35,6 +35,12 @@
 const (
 	failedThreshold = 6.0
 	slowThreshold   = 13.5
+	// slowAtOnce needs no time to prove itself: what a crash left behind never
+	// came near it.
+	slowAtOnce = 30.0
+	// slowDoubt and failedDoubt are reason to wait before all requests move.
+	slowDoubt   = 4.5
+	failedDoubt = 3.0
 )
 
 // fewestEndpoints must have answered badly, and half of those seen, where
@@ -133,22 +139,34 @@
 	return math.Max(0, statistic+float64(samples-bad)*t.stepGood+float64(bad)*t.stepBad)
 }
 
-// bad reports whether the version is to be halted, and by which route.
-func (e *evidence) bad(now time.Time) (route string, bad bool) {
+// bad reports whether the version is to be halted, and by which route; alive
+// are the bits of its endpoints that are there now.
+func (e *evidence) bad(alive uint64, now time.Time) (route string, bad bool) {
 	for name, r := range e.routes {
-		slow := r.slow >= slowThreshold && now.Sub(r.slowSince) >= slowPersists
-		if (r.failed >= failedThreshold || slow) && r.widespread() {
+		slow := r.slow >= slowThreshold && now.Sub(r.slowSince) >= slowPersists || r.slow >= slowAtOnce
+		if (r.failed >= failedThreshold || slow) && r.widespread(alive) {
 			return name, true
 		}
 	}
 	return "", false
 }
 
+// doubt reports whether the evidence is on its way to a halt.
+func (e *evidence) doubt() bool {
+	for _, r := range e.routes {
+		if r.failed >= failedDoubt || r.slow >= slowDoubt {
+			return true
+		}
+	}
+	return false
+}
+
 // widespread reports whether enough of the endpoints answered badly for it to
-// be the version.
-func (r *routeEvidence) widespread() bool {
-	seen, bad := bits.OnesCount64(r.seen), bits.OnesCount64(r.bad)
-	return seen == 1 || bad >= max(fewestEndpoints, (seen+1)/2)
+// be the version. Those that are gone do not count: they would stand for well
+// ones, and a bad version of which half has crashed would never be halted.
+func (r *routeEvidence) widespread(alive uint64) bool {
+	seen, bad := bits.OnesCount64(r.seen&alive), bits.OnesCount64(r.bad&alive)
+	return seen <= 1 || bad >= max(fewestEndpoints, (seen+1)/2)
 }
 
 // totals sums the counts.
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -7,8 +7,10 @@
 	// slowFactor times the usual is slow; versions that are bad by slowness
 	// are several times slower.
 	slowFactor = 3.0
-	// slowSlack is added, as small times vary much by chance.
+	// slowSlack is added for first events, paceSlack for the pauses between
+	// events, as small times vary much by chance.
 	slowSlack = 100 * time.Millisecond
+	paceSlack = 30 * time.Millisecond
 	// usualGain is the weight of one answer in the usual time, usualNeeds how
 	// many make it known.
 	usualGain  = 0.05
@@ -36,10 +38,10 @@
 
 // slow reports whether an answer took much longer than usual, without the
 // time that it waited for others.
-func (u *usual) slow(took, expected time.Duration) bool {
+func (u *usual) slow(took, expected, slack time.Duration) bool {
 	if u.n < usualNeeds {
 		return false
 	}
-	limit := slowFactor*u.mean*float64(max(expected, time.Millisecond)) + float64(slowSlack)
+	limit := slowFactor*u.mean*float64(max(expected, time.Millisecond)) + float64(slack)
 	return float64(took) > limit
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -11,6 +11,9 @@
 	// that fails under load shows it before it has all.
 	halfUntil = 0.58
 	halfShare = 0.5
+	// allBy is when all requests move at the latest, unless there is doubt: a
+	// version of which little has been seen has no more time for it.
+	allBy = 0.72
 	// doneAt is late enough for the streams on old endpoints to end, as these
 	// stop at once when the roll-out is done.
 	doneAt = 0.88
@@ -43,11 +46,16 @@
 	}
 }
 
-// Share is the share of new requests that go to the new version when so much
-// of the order's time has passed; first is the share to begin with.
-func Share(passed, whole time.Duration, first float64) float64 {
+// enoughSeen answers at the first share are enough to move on: a slow version
+// shows in fifty to eighty, a failing one in fifteen.
+const enoughSeen = 90
+
+// Share is the share of new requests that goes to the new version when so much
+// of the order's time has passed and so many answers were seen; first is the
+// share to begin with, which holds on while there is doubt.
+func Share(passed, whole time.Duration, first float64, seen int64, doubt bool) float64 {
 	switch p := progress(passed, whole); {
-	case p < canaryUntil:
+	case p < canaryUntil || doubt || p < allBy && seen < enoughSeen:
 		return first
 	case p < halfUntil:
 		return halfShare
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -31,7 +31,7 @@
 	switch {
 	case t.halted:
 		want = fleet.RolloutRolledBack
-	case Due(now.Sub(t.seen), r.Duration) && hasVersion(g.Ready, r.Target):
+	case Due(now.Sub(t.seen), r.Duration) && hasVersion(g.Ready, r.Target) && !t.evidence.doubt():
 		want = fleet.RolloutDone
 	}
 	if want == r.State {
--- a/rollout/tell.go
+++ b/rollout/tell.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if t := c.knownLocked(v, row.Service, row.Ordered); t != nil && t.evidence.take(row.Source, row.Counts, c.Clock.Now()) {
-			c.judgeLocked(row.Service, t)
+			c.judgeLocked(v.Group(row.Service), t)
 		}
 	}
 }
