--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -281,6 +282,17 @@
 	is.Equal(len(domains), 13)
 	is.True(n <= 13+3)
 	is.True(fleet.Watches(nil, self)) // one that knows nobody watches
+	var large []fleet.Entry
+	for i := range 75 {
+		large = append(large, fleet.Entry{Instance: fmt.Sprint(i), Domain: "d"})
+	}
+	watching := 0
+	for _, e := range large {
+		if fleet.Watches(large, e) {
+			watching++
+		}
+	}
+	is.Equal(watching, 3) // one for each 32
 }
 
 // Symptom: after its machine was suspended, an entry denies keys that were
