--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -44,20 +44,19 @@
 				}
 			}
 		}
-		for _, end := range events {
-			requests, repeats := 0.0, 0.0
+		count := func(until time.Duration, repeat bool) float64 {
+			n := 0.0
 			for _, e := range events {
-				if e.at <= end.at && end.at-e.at < bounds.Window-bounds.Window/buckets {
-					if e.repeat {
-						repeats++
-					} else {
-						requests++
-					}
+				if e.repeat == repeat && e.at <= until && until-e.at < bounds.Window {
+					n++
 				}
 			}
-			// Requests of the window before count too, as the bound has it.
-			if repeats > bounds.Ratio*requests+bounds.Extra && repeats > bounds.Ratio*float64(len(events))+bounds.Extra {
-				t.Fatalf("%v repeats for %v requests", repeats, requests)
+			return n
+		}
+		for _, end := range events {
+			requests := max(count(end.at, false), count(end.at-bounds.Window/2, false), count(end.at-bounds.Window, false))
+			if repeats := count(end.at, true); repeats > bounds.Ratio*requests+bounds.Extra {
+				t.Fatalf("%v repeats for %v requests in the window until %v", repeats, requests, end.at)
 			}
 		}
 	})
