The pace of streams is evidence of its own; losses suspend slowness

Causes: the usual was kept by route and model, so that an entry knew none for a quarter of a minute; pauses between events, nearly all of them slow, were pooled with first events, nearly all in time; the first share gave few answers in a short order. Change: usual by model; pace counted by itself, at 2.2 times the usual; after an endpoint of the new version accepted no connection, slowness says nothing for 4 s; first share of small services 9.5%; half of the requests for a while from when the version moves on.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -184,6 +184,7 @@
 		x.end(c, place.Abandoned, "caller left")
 	case errors.As(err, &notSent):
 		x.end(c, place.Unreached, err.Error())
+		x.server.Rollouts.Lost(c.group, c.endpoint)
 		return errNotSent
 	case errors.Is(context.Cause(ctx), errDeadline):
 		x.end(c, place.Broken, "deadline")
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -59,16 +59,21 @@
 	ordered  kv.Revision
 	seen     time.Time // when the order was given, as far as known
 	halted   bool
-	movedOn  bool // past the first share
+	movedOn  time.Time // when it went past the first share
+	lostTill time.Time // until when slowness says nothing: endpoints were lost
 	evidence *evidence
 	wanted   fleet.RolloutState // what should be recorded
 	wantedAt time.Time
 	written  time.Time
 }
 
+// usualKey is what the usual time is known by: the model, as what is expected
+// of each prompt is taken off, or for plain requests the route. By both, an
+// entry with a few requests a second knew nothing usual for a quarter of a
+// minute.
 type usualKey struct {
-	route, model string
-	pace         bool
+	name string
+	pace bool
 }
 
 // New returns a controller.
@@ -131,19 +136,24 @@
 // shareLocked is the new version's share now. Once it has moved on it does not
 // go back, short of a halt: sessions would go to and fro.
 func (c *Controller) shareLocked(t *track, r *fleet.Rollout, older int) float64 {
-	doubt := !t.movedOn && t.evidence.doubt()
-	seen := t.evidence.totals().Samples
-	if t.movedOn {
-		seen = enoughSeen
+	if !t.movedOn.IsZero() {
+		return ShareAfter(c.Clock.Since(t.movedOn), r.Duration)
 	}
-	first := firstShare(older)
-	share := Share(c.Clock.Since(t.seen), r.Duration, first, seen, doubt)
-	if share > first && !t.movedOn {
-		t.movedOn = true
-		c.Log.Info("rollout: moving on from the first share.", "service", r.Service, "order", t.ordered, "seen", seen,
-			"age_ms", c.Clock.Since(t.seen).Milliseconds())
+	sum := t.evidence.totals()
+	seen := sum.Samples
+	age := c.Clock.Since(t.seen)
+	if !MayMoveOn(age, r.Duration, seen, t.evidence.doubt()) {
+		return firstShare(older)
 	}
-	return share
+	// Where the time alone is the reason, it counts from then, so that entries
+	// with few requests are not behind the others.
+	t.movedOn = c.Clock.Now()
+	if latest := t.seen.Add(time.Duration(allBy * float64(r.Duration))); latest.Before(t.movedOn) {
+		t.movedOn = latest
+	}
+	c.Log.Info("rollout: moving on from the first share.", "service", r.Service, "order", t.ordered, "seen", seen,
+		"failed", sum.Failed, "slow", sum.Slow, "slow_statistic", t.evidence.at(allRoutes).slow, "age_ms", age.Milliseconds())
+	return ShareAfter(c.Clock.Since(t.movedOn), r.Duration)
 }
 
 // fallsToNewLocked decides by a hash that only grows with the share, so that
@@ -232,6 +242,31 @@
 	Pace bool
 }
 
+// afterLoss is how long after an endpoint was lost the others, which take over
+// its requests, may be slow through no fault of the version.
+const afterLoss = 4 * time.Second
+
+// Lost notes that an endpoint of a group accepts no connections. It counts if it
+// is of the version that is brought in.
+func (c *Controller) Lost(g *fleet.Group, ep fleet.Endpoint) {
+	if g.Rollout == nil || ep.Version != g.Rollout.Target {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.trackLocked(g.Rollout).lostTill = c.Clock.Now().Add(afterLoss)
+}
+
+// evidenceRoute is what the answer is counted under. The pace of streams is
+// evidence of its own, over all routes: a version may be slow in that only, and
+// among first events that are in time it would not show.
+func (a Answer) evidenceRoute() string {
+	if a.Pace {
+		return "(pace)"
+	}
+	return a.Route
+}
+
 // net is the time without what it waited for others. What is known of that
 // grows with each request that a slow version keeps waiting, so that half of
 // the time counts in any case.
@@ -242,10 +277,9 @@
 func (c *Controller) Observe(a Answer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := usualKey{a.Route, a.Model, a.Pace}
-	slack := slowSlack
-	if a.Pace {
-		slack = paceSlack
+	key := usualKey{a.Model, a.Pace}
+	if a.Model == "" {
+		key.name = a.Route
 	}
 	u := c.usual[key]
 	if u == nil {
@@ -263,7 +297,7 @@
 	if t.ordered != r.Ordered {
 		return false
 	}
-	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Route: a.Route}
+	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Route: a.evidenceRoute()}
 	counts := t.evidence.rows[src]
 	counts.Samples++
 	counts.Seen |= endpointBit(a.Endpoint.ID)
@@ -271,7 +305,9 @@
 	case a.Failed:
 		counts.Failed++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
-	case u.slow(a.net(), a.Expected, slack):
+	case c.Clock.Now().Before(t.lostTill):
+		return false // slow or not, it says little now
+	case u.slow(a.net(), a.Expected, a.Pace):
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -4,17 +4,20 @@
 
 // Judging an answer slow.
 const (
-	// slowFactor times the usual is slow; versions that are bad by slowness
-	// are several times slower.
+	// slowFactor times the usual is a slow first event; versions that are bad by
+	// slowness are several times slower. The pause between events varies less
+	// (nine in ten within 1.6 times the mean), and a version that is slow for
+	// some slows all that run beside them: paceFactor.
 	slowFactor = 3.0
+	paceFactor = 2.2
 	// slowSlack is added for first events, paceSlack for the pauses between
 	// events, as small times vary much by chance.
 	slowSlack = 100 * time.Millisecond
-	paceSlack = 30 * time.Millisecond
+	paceSlack = 20 * time.Millisecond
 	// usualGain is the weight of one answer in the usual time, usualNeeds how
 	// many make it known.
 	usualGain  = 0.05
-	usualNeeds = 10
+	usualNeeds = 8
 )
 
 // usual is how long answers of the versions in force take, in parts of what
@@ -38,10 +41,14 @@
 
 // slow reports whether an answer took much longer than usual, without the
 // time that it waited for others.
-func (u *usual) slow(took, expected, slack time.Duration) bool {
+func (u *usual) slow(took, expected time.Duration, pace bool) bool {
 	if u.n < usualNeeds {
 		return false
 	}
-	limit := slowFactor*u.mean*float64(max(expected, time.Millisecond)) + float64(slack)
+	factor, slack := slowFactor, slowSlack
+	if pace {
+		factor, slack = paceFactor, paceSlack
+	}
+	limit := factor*u.mean*float64(max(expected, time.Millisecond)) + float64(slack)
 	return float64(took) > limit
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -7,9 +7,9 @@
 	// canaryUntil is past the middle: sessions must not move to the new
 	// version in the first half.
 	canaryUntil = 0.53
-	// halfUntil: for a short while half of the requests, so that a version
-	// that fails under load shows it before it has all.
-	halfUntil = 0.58
+	// halfFor: for a short while half of the requests, so that a version that
+	// fails under load shows it before it has all.
+	halfFor   = 0.05
 	halfShare = 0.5
 	// allBy is when all requests move at the latest, unless there is doubt: a
 	// version of which little has been seen has no more time for it.
@@ -29,7 +29,7 @@
 	smallService  = 16
 	mediumService = 64
 
-	smallShare  = 0.07
+	smallShare  = 0.095
 	mediumShare = 0.04
 	largeShare  = 0.02
 )
@@ -50,18 +50,20 @@
 // shows in fifty to eighty, a failing one in fifteen.
 const enoughSeen = 90
 
-// Share is the share of new requests that goes to the new version when so much
-// of the order's time has passed and so many answers were seen; first is the
-// share to begin with, which holds on while there is doubt.
-func Share(passed, whole time.Duration, first float64, seen int64, doubt bool) float64 {
-	switch p := progress(passed, whole); {
-	case p < canaryUntil || doubt || p < allBy && seen < enoughSeen:
-		return first
-	case p < halfUntil:
+// MayMoveOn reports whether more than the first share may go to the new
+// version when so much of the order's time has passed and so many answers were
+// seen.
+func MayMoveOn(passed, whole time.Duration, seen int64, doubt bool) bool {
+	p := progress(passed, whole)
+	return p >= canaryUntil && !doubt && (p >= allBy || seen >= enoughSeen)
+}
+
+// ShareAfter is the share so long after moving on.
+func ShareAfter(since, whole time.Duration) float64 {
+	if progress(since, whole) < halfFor {
 		return halfShare
-	default:
-		return 1
 	}
+	return 1
 }
 
 // Due reports whether a good version may be recorded as done.
