The engine stand-in's flag for its software is not called version

Given a flag of that name, kingpin leaves every default unset: streams of 5 events instead of 20, no pauses.

--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -98,7 +98,8 @@
 	cmd.Flag("store", "The platform's store, host:port.").Required().StringVar(&e.store)
 	cmd.Flag("service", "Service.").Required().StringVar(&e.config.Service)
 	cmd.Flag("domain", "Failure domain.").Required().StringVar(&e.config.Domain)
-	cmd.Flag("version", "Version of its software.").Default("v1").StringVar(&e.config.Version)
+	// Not "version": given a flag of that name, kingpin leaves all defaults unset.
+	cmd.Flag("software", "Version of its software.").Default("v1").StringVar(&e.config.Version)
 	cmd.Flag("work", "Time of a plain answer.").Default("5ms").DurationVar(&e.config.Work)
 	cmd.Flag("events", "Events of a stream.").Default("20").IntVar(&e.config.Events)
 	cmd.Flag("pause", "Pause between events.").Default("20ms").DurationVar(&e.config.Pause)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -145,7 +145,7 @@
 	}
 	name := fmt.Sprintf("engine-%d-%s-%d", i, version, time.Now().UnixNano())
 	e := &engine{proxy: proxy, log: c.log(name), process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
-		"--advertise", proxy.Address, "--store", c.direct, "--id", name, "--service", service, "--domain", fmt.Sprintf("d%d", i%2), "--version", version,
+		"--advertise", proxy.Address, "--store", c.direct, "--id", name, "--service", service, "--domain", fmt.Sprintf("d%d", i%2), "--software", version,
 		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", "20ms", "--work", "5ms"}}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
