A version is done only after all requests have been on it for a while

Found in reading: where doubt holds the requests back until shortly before the time at which a version is recorded as done, the old endpoints would stop under the streams they are still at. Test: TestDoneWaitsUntilRequestsHaveMoved, which fails without the change (done 1 s after the doubt had cleared).

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -22,10 +22,10 @@
 // that is well. Slow answers are not: a crash elsewhere, or prompts that no
 // cache holds yet, slow many; but a version that is bad by slowness slows half
 // of its answers or more, and is found within some 50 of them by the higher
-// threshold; with 6, a good version was rolled back when a crash of a quarter
-// of the endpoints slowed 14 of 235 answers. At the other, a version that fails a third of its
-// answers is found after about 20 of them, and one that is well is halted
-// once in thousands of answers (TestHaltRates).
+// threshold. With 6, a good version was rolled back when a crash of a quarter
+// of the endpoints slowed 14 of 235 answers. A version that fails a third of
+// its answers is found after 15 of them on average, and one that is well is
+// halted once in thousands of answers (TestHaltRates).
 var (
 	failures = newTest(0.05, 0.30)
 	slowness = newTest(0.15, 0.50)
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -17,6 +17,9 @@
 	// doneAt is late enough for the streams on old endpoints to end, as these
 	// stop at once when the roll-out is done.
 	doneAt = 0.88
+	// settleFor is how long all requests must have been on the new version
+	// before that, where doubt had held them back.
+	settleFor = 0.1
 )
 
 // The share of requests that goes to the new version first, by the number of
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -31,7 +31,7 @@
 	switch {
 	case t.halted:
 		want = fleet.RolloutRolledBack
-	case Due(now.Sub(t.seen), r.Duration) && hasVersion(g.Ready, r.Target) && !t.evidence.doubt():
+	case Due(now.Sub(t.seen), r.Duration) && hasVersion(g.Ready, r.Target) && c.settledLocked(t, g):
 		want = fleet.RolloutDone
 	}
 	if want == r.State {
@@ -47,6 +47,16 @@
 	return want, true
 }
 
+// settledLocked reports whether all requests have been on the new version for a
+// while, without doubt: when it is done, the old endpoints stop at once, with
+// whatever they are still at.
+func (c *Controller) settledLocked(t *track, g *fleet.Group) bool {
+	r := g.Rollout
+	older, _ := split(g.Ready, r.Target)
+	c.shareLocked(t, r, len(older)) // an entry without requests moves on here
+	return !t.movedOn.IsZero() && progress(c.Clock.Since(t.movedOn), r.Duration) >= settleFor && !t.evidence.doubt()
+}
+
 func hasVersion(all []fleet.Endpoint, version string) bool {
 	for _, ep := range all {
 		if ep.Version == version {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -632,3 +632,25 @@
 	}
 	x.is.Equal(share(e), 0.0)
 }
+
+// Symptom: streams on the old endpoints are cut when a version is done.
+// Events: doubt holds the requests back until shortly before the time at which
+// the version would be recorded as done; then it clears.
+func TestDoneWaitsUntilRequestsHaveMoved(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	x.play(12 * time.Second)
+	e.answer(7, false) // one of the two is well: no halt
+	for range 9 * 5 {  // but doubt
+		e.answer(6, true)
+		x.play(200 * time.Millisecond)
+	}
+	x.is.True(share(e) < 0.0975)
+	for i := range 60 {
+		e.answer(6+i%2, false)
+	}
+	x.play(time.Second) // past the time at which it would be done
+	x.is.Equal(x.state(), fleet.RolloutRunning)
+	x.play(4 * time.Second)
+	x.is.Equal(x.state(), fleet.RolloutDone)
+}
