--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -60,6 +60,7 @@
 	seen     time.Time // when the order was given, as far as known
 	halted   bool
 	movedOn  time.Time // when it went past the first share
+	doubted  time.Time // when there was last doubt before that
 	lostTill time.Time // until when slowness says nothing: endpoints were lost
 	evidence *evidence
 	wanted   fleet.RolloutState // what should be recorded
@@ -142,13 +143,18 @@
 	sum := t.evidence.totals()
 	seen := sum.Samples
 	age := c.Clock.Since(t.seen)
-	if !MayMoveOn(age, r.Duration, seen, t.evidence.doubt()) {
+	doubt := t.evidence.doubt()
+	if doubt {
+		t.doubted = c.Clock.Now()
+	}
+	if !MayMoveOn(age, r.Duration, seen, doubt) {
 		return firstShare(older)
 	}
 	// Where the time alone is the reason, it counts from then, so that entries
 	// with few requests are not behind the others.
 	t.movedOn = c.Clock.Now()
-	if latest := t.seen.Add(time.Duration(allBy * float64(r.Duration))); latest.Before(t.movedOn) {
+	latest := t.seen.Add(time.Duration(allBy * float64(r.Duration)))
+	if latest.Before(t.movedOn) && t.doubted.Before(latest) {
 		t.movedOn = latest
 	}
 	c.Log.Info("rollout: moving on from the first share.", "service", r.Service, "order", t.ordered, "seen", seen,
