--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -659,3 +659,25 @@
 	x.play(4 * time.Second)
 	x.is.Equal(x.state(), fleet.RolloutDone)
 }
+
+// Symptom: a slow version is recorded as done.
+// Events: all entries are killed after all requests have moved to it; started
+// again, none of them has ever seen what is usual, nor the evidence there was.
+func TestASlowVersionIsFoundAfterAllEntriesWereKilled(t *testing.T) {
+	x := newFixture(t, 1)
+	x.play(18 * time.Second)
+	e := x.all[0]
+	e.Controller = New(e.Deps)
+	e.Hear([]Told{{Service: "s", Ordered: e.group().Rollout.Ordered, Age: 18 * time.Second}}, nil, nil)
+	for i := range 60 {
+		x.clock.Advance(50 * time.Millisecond)
+		c := e.Choose(e.group(), Request{ID: fmt.Sprint(i)})
+		took := 50 * time.Millisecond
+		if c.First[0].Version == "v2" {
+			took = 400 * time.Millisecond
+		}
+		e.Observe(Answer{Group: e.group(), Endpoint: c.First[0], Route: "r", Took: took, Pace: true})
+	}
+	x.play(6 * time.Second)
+	x.is.True(x.state() != fleet.RolloutDone)
+}
