A starting entry listens sooner and waits for its first configuration

Ruled out: processor time while serving (0.017 of a core). Test: TestARequestWaitsForTheFirstConfiguration.

--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -23,12 +23,22 @@
 // 64 (docs/CAPACITY.md). GOGC in the environment goes first.
 const gcPercent = 50
 
+// A process that starts does so because another has ended, and callers are
+// refused connections until it listens. At gcPercent it collects twice before
+// that, a quarter of the processor time of its start; at startGCPercent it does
+// not. settled is when it has started and read its configuration.
+const (
+	startGCPercent = 200
+	settled        = 2 * time.Second
+)
+
 // stopTimeout bounds a planned stop; the settings bound it closer.
 const stopTimeout = time.Minute
 
 func main() {
 	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(startGCPercent)
+		time.AfterFunc(settled, func() { debug.SetGCPercent(gcPercent) })
 	}
 	app := kingpin.New("lovageweir", "Model-aware router: the entry daemon.")
 	entry := app.Command("entry", "Serve the OpenAI interface.").Default()
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -56,6 +56,8 @@
 	// heardAwake is heard on the clock that counts suspensions.
 	heardAwake time.Duration
 	changed    func(*View)
+	known      chan struct{} // closed with the first configuration
+	knownOnce  sync.Once
 	// sinceBoot is the time since the machine started, suspensions counted.
 	sinceBoot func() time.Duration
 }
@@ -63,7 +65,8 @@
 // NewFollower returns a follower that knows nothing yet. lapsedFor is how
 // long an endpoint whose registration ended without notice is a last resort.
 func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedFor time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
-	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}, sinceBoot: sinceBoot}
+	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), build: newBuilder(dec, lapsedFor, log), changed: func(*View) {}, known: make(chan struct{}),
+		sinceBoot: sinceBoot}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -78,6 +81,9 @@
 // View is the newest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// Known is closed once a configuration is known.
+func (f *Follower) Known() <-chan struct{} { return f.known }
+
 // Since returns what this entry knows beyond a revision, for entries that
 // are behind.
 func (f *Follower) Since(after kv.Revision) Changes { return f.items.Since(after) }
@@ -132,7 +138,11 @@
 		f.build.take(e, now)
 	}
 	v := f.build.view(c.Revision, now)
+	first := v.Config != nil && f.View().Config == nil
 	f.view.Store(v)
+	if first {
+		f.knownOnce.Do(func() { close(f.known) })
+	}
 	f.changed(v)
 }
 
--- a/ingress/admission_test.go
+++ b/ingress/admission_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -156,3 +157,22 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Symptom: callers that come right after all entries were killed are refused,
+// and do not come again.
+// Events: an entry listens before it has read the configuration; a request
+// comes in between.
+// It waits for the configuration, which is there within milliseconds.
+func TestARequestWaitsForTheFirstConfiguration(t *testing.T) {
+	is := is.New(t)
+	w := newEmptyWorld(t)
+	w.put("op/config", platformtest.EncodeConfig(testConfig()))
+	w.addEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1"})
+	answered := make(chan answer)
+	go func() { answered <- w.do(http.MethodGet, "/get/x", "") }()
+	for w.server.InFlight() == 0 {
+		runtime.Gosched()
+	}
+	w.sync()
+	(<-answered).whole(is)
+}
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -18,7 +18,8 @@
 
 // Retry-After of refusals: what has to happen first, and how long it takes.
 const (
-	// configurationTakes: an entry that starts reads the store in some 10 ms.
+	// configurationTakes: an entry that starts reads the store in some 10 ms, or
+	// in 250 when the store is sixty times as slow as usual.
 	configurationTakes = 300 * time.Millisecond
 	// otherEntryTakes: another entry serves at once.
 	otherEntryTakes = 50 * time.Millisecond
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,6 +27,10 @@
 	View() *fleet.View
 	// Age is how long ago the view was last known to be current.
 	Age() (time.Duration, bool)
+	// Known is closed once a configuration is known.
+	Known() <-chan struct{}
+	// StoreAway reports whether the store does not answer.
+	StoreAway() bool
 }
 
 // Deps is what a server is made of.
@@ -143,6 +147,10 @@
 	if s.MaxInFlight > 0 && s.inFlight.Load() > s.MaxInFlight {
 		return refuseCrowded
 	}
+	if x.view.Config == nil {
+		s.awaitConfig(x.r.Context())
+		x.view = s.Fleet.View()
+	}
 	if x.view.Config == nil {
 		return refuseNoConfig
 	}
@@ -174,6 +182,22 @@
 	return nil
 }
 
+// awaitConfig waits a moment for the first configuration. After all entries
+// were killed, the callers that lost their answers come as soon as the first
+// listens, some milliseconds before it has read the store, and many come only
+// once: a refusal was their last answer. Where the store is known not to
+// answer there is nothing to wait for.
+func (s *Server) awaitConfig(ctx context.Context) {
+	if s.Fleet.StoreAway() {
+		return
+	}
+	select {
+	case <-s.Fleet.Known():
+	case <-s.Clock.After(configurationTakes):
+	case <-ctx.Done():
+	}
+}
+
 // allowed is how long the request may take: what the caller waits, and not
 // more than the route's timeout.
 func (x *exchange) allowed() time.Duration {
