An entry that learns of a roll-out late sees the old version before all move

Cause: entries that all start again in the middle of a roll-out know neither what is usual nor the evidence. Ruled out: evidence lost with its entries alone: three entries had 164 to 270 answers of others by the end, and still none knew the usual. Change: an entry that learns of an order after a quarter of its time sends half of the requests until enough was seen or another tells that it has moved on (a new field of the exchange); pace says nothing before the usual is known; more than 12 in 100 slow answers are a doubt by themselves (good versions at moving on: 0 to 5 of 128 to 208).

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -213,7 +213,7 @@
 		out.ConfirmedMs = age.Milliseconds()
 	}
 	for _, t := range told {
-		out.Orders = append(out.Orders, &meshpb.Order{Service: t.Service, Ordered: int64(t.Ordered), AgeMs: t.Age.Milliseconds(), Halted: t.Halted})
+		out.Orders = append(out.Orders, &meshpb.Order{Service: t.Service, Ordered: int64(t.Ordered), AgeMs: t.Age.Milliseconds(), Halted: t.Halted, MovedMs: movedMS(t)})
 	}
 	for _, u := range under {
 		out.Session = append(out.Session, u.Hash)
@@ -230,6 +230,13 @@
 	return out
 }
 
+func movedMS(t rollout.Told) int64 {
+	if !t.HasMoved {
+		return -1
+	}
+	return t.Moved.Milliseconds()
+}
+
 // Exchange implements meshpb.Mesh: it takes what the caller knows and
 // answers with what it lacks.
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
@@ -285,7 +292,8 @@
 func (m *Mesh) hearRollouts(in *meshpb.ExchangeMessage) {
 	told := make([]rollout.Told, 0, len(in.Orders))
 	for _, o := range in.Orders {
-		told = append(told, rollout.Told{Service: o.Service, Ordered: kv.Revision(o.Ordered), Age: time.Duration(o.AgeMs) * time.Millisecond, Halted: o.Halted})
+		told = append(told, rollout.Told{Service: o.Service, Ordered: kv.Revision(o.Ordered), Age: time.Duration(o.AgeMs) * time.Millisecond, Halted: o.Halted,
+			HasMoved: o.MovedMs >= 0, Moved: time.Duration(o.MovedMs) * time.Millisecond})
 	}
 	rows := make([]rollout.Row, 0, len(in.Evidence))
 	for _, e := range in.Evidence {
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -57,7 +57,9 @@
 // track is what the entry knows of one order.
 type track struct {
 	ordered  kv.Revision
+	learned  time.Time // when this entry learned of the order
 	seen     time.Time // when the order was given, as far as known
+	holding  bool      // half of the requests, until enough was seen
 	halted   bool
 	movedOn  time.Time // when it went past the first share
 	doubted  time.Time // when there was last doubt before that
@@ -86,7 +88,7 @@
 func (c *Controller) trackLocked(r *fleet.Rollout) *track {
 	t := c.tracks[r.Service]
 	if t == nil || t.ordered < r.Ordered {
-		t = &track{ordered: r.Ordered, seen: c.Clock.Now(), evidence: newEvidence()}
+		t = &track{ordered: r.Ordered, learned: c.Clock.Now(), seen: c.Clock.Now(), evidence: newEvidence()}
 		c.tracks[r.Service] = t
 	}
 	return t
@@ -147,6 +149,9 @@
 	if doubt {
 		t.doubted = c.Clock.Now()
 	}
+	if t.late(r.Duration) && !MayMoveOnLate(age, r.Duration, seen, doubt) {
+		return c.lateShareLocked(t, r, older, age)
+	}
 	if !MayMoveOn(age, r.Duration, seen, doubt) {
 		return firstShare(older)
 	}
@@ -162,6 +167,29 @@
 	return ShareAfter(c.Clock.Since(t.movedOn), r.Duration)
 }
 
+// late reports whether the entry learned of the order when it had been under
+// way for long, as one does that was started since.
+func (t *track) late(whole time.Duration) bool {
+	return progress(t.learned.Sub(t.seen), whole) >= lateFrom
+}
+
+// lateShareLocked is the share of an entry that learned of the order late and
+// has seen too little of the version since. Were it to send all requests to
+// the new version because the time has come, no answer of the old one would
+// ever tell it what is usual, and a slow version looked well. It does not go
+// back from half: sessions would go to and fro.
+func (c *Controller) lateShareLocked(t *track, r *fleet.Rollout, older int, age time.Duration) float64 {
+	if progress(age, r.Duration) >= allBy && !t.holding {
+		t.holding = true
+		c.Log.Info("rollout: learned of the order late; half of the requests until enough was seen.", "service", r.Service, "order", t.ordered,
+			"age_ms", age.Milliseconds(), "learned_ago_ms", c.Clock.Since(t.learned).Milliseconds())
+	}
+	if t.holding {
+		return halfShare
+	}
+	return firstShare(older)
+}
+
 // fallsToNewLocked decides by a hash that only grows with the share, so that
 // nothing goes back and forth.
 func (c *Controller) fallsToNewLocked(r *fleet.Rollout, q Request, share float64) bool {
@@ -313,6 +341,8 @@
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	case c.Clock.Now().Before(t.lostTill):
 		return false // slow or not, it says little now
+	case a.Pace && !u.known():
+		return false // it would count as well, whatever it is
 	case u.slow(a.net(), a.Expected, a.Pace):
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -41,6 +41,13 @@
 	// slowDoubt and failedDoubt are reason to wait before all requests move.
 	slowDoubt   = 4.5
 	failedDoubt = 3.0
+	// doubtShare of all answers seen being slow is one as well, from doubtNeeds
+	// answers: the statistic forgets, and a version of which a fifth of the
+	// answers were slow has stood at zero the moment that it was asked. Versions
+	// that are well had up to 4 in 100 of 130, one that slows two in five of its
+	// answers 24 of 90.
+	doubtShare = 0.12
+	doubtNeeds = 20
 )
 
 // fewestEndpoints must have answered badly, and half of those seen, where
@@ -158,7 +165,8 @@
 			return true
 		}
 	}
-	return false
+	sum := e.totals()
+	return sum.Samples >= doubtNeeds && float64(sum.Slow) > doubtShare*float64(sum.Samples)
 }
 
 // widespread reports whether enough of the endpoints answered badly for it to
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -39,10 +39,13 @@
 	u.mean += gain * (parts(took, expected) - u.mean)
 }
 
+// known reports whether enough answers were seen to tell what is usual.
+func (u *usual) known() bool { return u.n >= usualNeeds }
+
 // slow reports whether an answer took much longer than usual, without the
 // time that it waited for others.
 func (u *usual) slow(took, expected time.Duration, pace bool) bool {
-	if u.n < usualNeeds {
+	if !u.known() {
 		return false
 	}
 	factor, slack := slowFactor, slowSlack
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -20,6 +20,12 @@
 	// settleFor is how long all requests must have been on the new version
 	// before that, where doubt had held them back.
 	settleFor = 0.1
+	// lateFrom is how far the order must be under way when an entry learns of
+	// it for the entry to be late: others learn of it in seconds.
+	lateFrom = 0.25
+	// lateAllBy is when a late entry moves all requests at the latest, however
+	// little it saw: with settleFor it can still be done in time.
+	lateAllBy = 0.87
 )
 
 // The share of requests that goes to the new version first, by the number of
@@ -61,6 +67,12 @@
 	return p >= canaryUntil && !doubt && (p >= allBy || seen >= enoughSeen)
 }
 
+// MayMoveOnLate is MayMoveOn for an entry that learned of the order late.
+func MayMoveOnLate(passed, whole time.Duration, seen int64, doubt bool) bool {
+	p := progress(passed, whole)
+	return p >= canaryUntil && !doubt && (p >= lateAllBy || seen >= enoughSeen)
+}
+
 // ShareAfter is the share so long after moving on.
 func ShareAfter(since, whole time.Duration) float64 {
 	if progress(since, whole) < halfFor {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -681,3 +681,48 @@
 	x.play(6 * time.Second)
 	x.is.True(x.state() != fleet.RolloutDone)
 }
+
+// Symptom: a slow version is recorded as done.
+// Events: half of the entries are killed twice in mid roll-out; a quarter of the
+// answers that the others count are slow, spread so that the statistic stands
+// near zero again when the version is asked for.
+// A share of slow answers that no version in force has is a doubt by itself.
+func TestAQuarterOfSlowAnswersIsDoubt(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	answer := func(i int, version string, took time.Duration) {
+		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", 6+i%2)), Version: version}, Route: "r", Took: took})
+	}
+	for i := range 20 {
+		answer(i, "v1", 50*time.Millisecond)
+	}
+	x.play(13 * time.Second)
+	for i := range 100 {
+		took := 50 * time.Millisecond
+		if i%4 == 0 {
+			took = time.Second
+		}
+		answer(i, "v2", took)
+	}
+	x.is.True(share(e) < 0.0975)
+	x.play(9 * time.Second)
+	x.is.True(x.state() != fleet.RolloutDone)
+}
+
+// Symptom: the sessions that a started entry serves go back to the old version.
+// Events: it is started anew after the others have moved all requests.
+// It hears that they have.
+func TestALateEntryMovesWithTheOthers(t *testing.T) {
+	x := newFixture(t, 2)
+	x.play(13 * time.Second)
+	for i := range enoughSeen {
+		x.all[0].answer(6+i%2, false)
+	}
+	x.play(3*time.Second, x.all[1])
+	x.is.Equal(share(x.all[0]), 1.0)
+	late := x.all[1]
+	late.Controller = New(late.Deps)
+	x.is.True(share(late) < 0.0975)
+	late.Hear(x.all[0].Tell())
+	x.is.Equal(share(late), 1.0)
+}
--- a/rollout/tell.go
+++ b/rollout/tell.go
@@ -15,6 +15,9 @@
 		Ordered kv.Revision
 		Age     time.Duration
 		Halted  bool
+		// Moved is how long ago the entry went past the first share, if HasMoved.
+		Moved    time.Duration
+		HasMoved bool
 	}
 	// Row is one source's counts.
 	Row struct {
@@ -35,7 +38,8 @@
 		if g == nil || g.Rollout == nil || g.Rollout.Ordered != t.ordered || final(g.Rollout.State) {
 			continue
 		}
-		told = append(told, Told{Service: service, Ordered: t.ordered, Age: c.Clock.Since(t.seen), Halted: t.halted})
+		told = append(told, Told{Service: service, Ordered: t.ordered, Age: c.Clock.Since(t.seen), Halted: t.halted,
+			HasMoved: !t.movedOn.IsZero(), Moved: c.Clock.Since(t.movedOn)})
 		for s, n := range t.evidence.rows {
 			rows = append(rows, Row{s, n})
 		}
@@ -59,6 +63,9 @@
 		if seen := c.Clock.Now().Add(-o.Age); seen.Before(t.seen) {
 			t.seen = seen
 		}
+		if o.HasMoved && t.movedOn.IsZero() && t.late(v.Group(o.Service).Rollout.Duration) {
+			t.movedOn = c.Clock.Now().Add(-o.Moved)
+		}
 		if o.Halted && !t.halted {
 			t.halted = true
 			c.Log.Warn("rollout: another entry halted the version.", "service", o.Service, "order", o.Ordered)
