Once all requests have moved, pauses must be four times the usual to be slow

Change: the factor is 4 after moving on, 2.2 before as it was. Test: TestACrowdedVersionIsNotASlowOne, which also finds the version that is slow besides.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -351,7 +351,7 @@
 		return false // slow or not, it says little now
 	case a.Pace && !u.known():
 		return false // it would count as well, whatever it is
-	case u.slow(a.net(), a.Expected, a.Pace):
+	case u.slow(a.net(), a.Expected, a.Pace, !t.movedOn.IsZero()):
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -10,6 +10,14 @@
 	// some slows all that run beside them: paceFactor.
 	slowFactor = 3.0
 	paceFactor = 2.2
+	// movedPaceFactor takes its place once all requests have moved. What is
+	// usual was learned from the old version before, on emptier endpoints, and
+	// there are no answers of it now to learn from: after five of twelve crashed
+	// and three were taken away, the pauses of a good version were three times
+	// the usual (median 126 ms, nine in ten under 204), and it was rolled back in
+	// five of eleven runs, with this factor in none of eight. A version that is eight times as slow is found as
+	// before.
+	movedPaceFactor = 4.0
 	// slowSlack is added for first events, paceSlack for the pauses between
 	// events, as small times vary much by chance.
 	slowSlack = 100 * time.Millisecond
@@ -44,12 +52,15 @@
 
 // slow reports whether an answer took much longer than usual, without the
 // time that it waited for others.
-func (u *usual) slow(took, expected time.Duration, pace bool) bool {
+func (u *usual) slow(took, expected time.Duration, pace, moved bool) bool {
 	if !u.known() {
 		return false
 	}
 	factor, slack := slowFactor, slowSlack
-	if pace {
+	switch {
+	case pace && moved:
+		factor, slack = movedPaceFactor, paceSlack
+	case pace:
 		factor, slack = paceFactor, paceSlack
 	}
 	limit := factor*u.mean*float64(max(expected, time.Millisecond)) + float64(slack)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -706,3 +706,37 @@
 	late.Hear(x.all[0].Tell())
 	x.is.Equal(share(late), 1.0)
 }
+
+// Symptom: a good version is rolled back on a crowded day.
+// Events: it has all requests, and some of the endpoints have crashed or are
+// taken away; the pauses between events are three times what was usual of the
+// old version on emptier endpoints.
+// Crowded is not slow; eight times as slow is.
+func TestACrowdedVersionIsNotASlowOne(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	pace := func(version string, i int, took time.Duration) {
+		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", 6+i%6)), Version: version}, Route: "r",
+			Took: took, Pace: true})
+	}
+	for i := range 100 {
+		pace("v1", i, time.Duration(30+i%30)*time.Millisecond)
+		pace("v2", i, time.Duration(30+i%30)*time.Millisecond)
+	}
+	x.play(15 * time.Second)
+	x.is.Equal(share(e), 1.0)
+	for i := range 300 {
+		x.clock.Advance(20 * time.Millisecond)
+		pace("v2", i, time.Duration(90+i%100)*time.Millisecond)
+	}
+	x.is.Equal(share(e), 1.0)
+	for i := range 100 { // as crowded, and two in five are slow besides
+		x.clock.Advance(50 * time.Millisecond)
+		took := 120 * time.Millisecond
+		if i%5 < 2 {
+			took = 400 * time.Millisecond
+		}
+		pace("v2", i, took)
+	}
+	x.is.Equal(share(e), 0.0)
+}
