--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -79,8 +79,6 @@
 const (
 	registrationLife  = 3 * time.Second
 	registrationEvery = time.Second
-	// servesOn is how long a leaving engine still serves.
-	servesOn = 2500 * time.Millisecond
 )
 
 type platformEngine struct {
@@ -88,6 +86,8 @@
 	advertise string
 	store     string
 	faults    float64
+	// servesOn is how long it still serves after it has announced that it leaves.
+	servesOn time.Duration
 }
 
 func registerPlatformEngine(parent *kingpin.CmdClause) {
@@ -104,6 +104,7 @@
 	cmd.Flag("events", "Events of a stream.").Default("20").IntVar(&e.config.Events)
 	cmd.Flag("pause", "Pause between events.").Default("20ms").DurationVar(&e.config.Pause)
 	cmd.Flag("faults", "Share of requests that meet a fault.").Default("0").Float64Var(&e.faults)
+	cmd.Flag("serves-on", "How long it serves after a planned stop began.").Default("2500ms").DurationVar(&e.servesOn)
 	cmd.Action(func(*kingpin.ParseContext) error { return e.run(*address) })
 }
 
@@ -126,7 +127,7 @@
 	waitForSignal()
 	cancel()
 	e.leave(engine)
-	time.Sleep(servesOn)
+	time.Sleep(e.servesOn)
 	return srv.Close()
 }
 
@@ -178,27 +179,37 @@
 	}
 }
 
-// leave announces that the engine leaves; a store that is away learns of it
-// when the lease ends.
+// leave announces that the engine leaves, and prints a line once the store has
+// taken it; a store that is away learns of it when the lease ends.
 func (e *platformEngine) leave(engine *platformtest.Engine) {
 	key, value := engine.Registration(true)
 	store := platform.NewStore(e.store)
-	if lease, err := store.Grant(context.Background(), registrationLife); err == nil {
-		_, _ = store.Put(context.Background(), key, value, lease)
+	lease, err := store.Grant(context.Background(), registrationLife)
+	if err != nil {
+		return
+	}
+	if _, err := store.Put(context.Background(), key, value, lease); err == nil {
+		printLine(Printed{Engine: e.config.ID, LeftMS: time.Now().UnixMilli()})
 	}
 }
 
-// PrintedRun is the line that is printed for a run.
-type PrintedRun struct {
-	ID     string `json:"id"`
+// Printed is a line that an engine prints: a run that begins, or that the store
+// has taken that it leaves.
+type Printed struct {
 	Engine string `json:"engine"`
-	AtMS   int64  `json:"at_ms"`
+	ID     string `json:"id,omitempty"`      // the request that runs
+	AtMS   int64  `json:"at_ms,omitempty"`   // since when it runs
+	LeftMS int64  `json:"left_ms,omitempty"` // since when it leaves
 }
 
 // printRun prints a run as it begins, before its answer, so that no run is
 // lost with its process.
 func printRun(run platformtest.Run) {
-	line, err := json.Marshal(PrintedRun{run.ID, run.Engine, run.At.UnixMilli()})
+	printLine(Printed{Engine: run.Engine, ID: run.ID, AtMS: run.At.UnixMilli()})
+}
+
+func printLine(p Printed) {
+	line, err := json.Marshal(p)
 	if err == nil {
 		fmt.Fprintln(os.Stdout, string(line))
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -146,7 +146,7 @@
 	name := fmt.Sprintf("engine-%d-%s-%d", i, version, time.Now().UnixNano())
 	e := &engine{proxy: proxy, log: c.log(name), process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
 		"--advertise", proxy.Address, "--store", c.direct, "--id", name, "--service", service, "--domain", fmt.Sprintf("d%d", i%2), "--software", version,
-		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", "20ms", "--work", "5ms"}}}
+		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", "20ms", "--work", "5ms", "--serves-on", servesOn.String()}}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engines = append(c.engines, e)
@@ -218,8 +218,8 @@
 }
 
 // runs are the runs that engines have printed, by request.
-func (c *cluster) runs() (map[string]int, error) {
-	out := map[string]int{}
+func (c *cluster) runs() (*ran, error) {
+	out := &ran{times: map[string]int{}, left: map[string]time.Time{}}
 	for _, e := range c.engines {
 		f, err := os.Open(e.log)
 		if err != nil {
@@ -227,9 +227,16 @@
 		}
 		lines := bufio.NewScanner(f)
 		for lines.Scan() {
-			var run standin.PrintedRun
-			if json.Unmarshal(lines.Bytes(), &run) == nil && run.ID != "" {
-				out[run.ID]++
+			var line standin.Printed
+			if json.Unmarshal(lines.Bytes(), &line) != nil {
+				continue
+			}
+			if line.ID != "" {
+				out.times[line.ID]++
+				out.all = append(out.all, run{id: line.ID, engine: line.Engine, at: time.UnixMilli(line.AtMS)})
+			}
+			if line.LeftMS > 0 {
+				out.left[line.Engine] = time.UnixMilli(line.LeftMS)
 			}
 		}
 		f.Close()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,7 +25,8 @@
 
 	mu     sync.Mutex
 	played []string
-	engine int // engines started so far
+	deaf   []span // when some entry could not hear of changes
+	engine int    // engines started so far
 	orders int
 }
 
@@ -82,15 +83,15 @@
 	mode := Mode(1 + f.rng.IntN(4))
 	switch f.rng.IntN(9) {
 	case 0:
-		return e, func() { f.link("store of "+e.name, e.store, mode, for_) }
+		return e, func() { defer f.hide()(); f.link("store of "+e.name, e.store, mode, for_) }
 	case 1, 2:
 		return g, func() { f.link(g.name, g.proxy, mode, for_) }
 	case 3:
-		return e, func() { f.pause(e.process, for_) }
+		return e, func() { defer f.hide()(); f.pause(e.process, for_) }
 	case 4:
-		return e, func() { f.restart(e.process, syscall.SIGKILL) }
+		return e, func() { defer f.hide()(); f.restart(e.process, syscall.SIGKILL) }
 	case 5:
-		return e, func() { f.restart(e.process, syscall.SIGTERM) }
+		return e, func() { defer f.hide()(); f.restart(e.process, syscall.SIGTERM) }
 	case 6:
 		return g, func() { f.replace(g, f.rng.IntN(2) == 0) }
 	case 7:
@@ -99,6 +100,17 @@
 	return "config", f.rollOut
 }
 
+// hide notes that an entry cannot hear of changes from now until the returned
+// function is called.
+func (f *faults) hide() (heard func()) {
+	begun := time.Now()
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.deaf = append(f.deaf, span{begun, time.Now()})
+	}
+}
+
 func (f *faults) link(name string, p *Proxy, m Mode, d time.Duration) {
 	f.note("link to %s in mode %d for %v", name, m, d)
 	p.Set(m)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,17 +76,20 @@
 	for _, q := range s.all {
 		r.Answered[fmt.Sprintf("%s %d", q.kind, q.status)]++
 		once := q.kind == "post" || q.kind == "once"
-		if once && runs[q.id] > 1 {
-			s.found("%s (%s): ran %d times", q.id, q.kind, runs[q.id])
+		if once && runs.times[q.id] > 1 {
+			s.found("%s (%s): ran %d times", q.id, q.kind, runs.times[q.id])
 		}
 		refused := q.status == http.StatusServiceUnavailable || q.status == http.StatusTooManyRequests
-		if once && refused && runs[q.id] > 0 {
+		if once && refused && runs.times[q.id] > 0 {
 			s.found("%s (%s): refused with %d and has run", q.id, q.kind, q.status)
 		}
 		if q.late {
 			s.found("%s (%s): no answer %v after its deadline", q.id, q.kind, requestSlack)
 		}
 	}
+	for _, late := range runs.afterLeaving(f.deaf) {
+		s.found("%s: ran at %s %v after the store took that it leaves", late.id, late.engine, late.at.Sub(runs.left[late.engine]))
+	}
 	sort.Strings(s.findings)
 	r.Findings = s.findings
 	return r, nil
