--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -26,9 +26,12 @@
 // A process that starts does so because another has ended, and callers are
 // refused connections until it listens. At gcPercent it collects twice before
 // that, a quarter of the processor time of its start; at startGCPercent it does
-// not. settled is when it has started and read its configuration.
+// not. startMemory keeps a large configuration, read meanwhile, from making the
+// heap three times its size: near it the collector runs whatever the percentage.
+// settled is when the process has started and read its configuration.
 const (
 	startGCPercent = 200
+	startMemory    = 40 << 20
 	settled        = 2 * time.Second
 )
 
@@ -38,7 +41,11 @@
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(startGCPercent)
-		time.AfterFunc(settled, func() { debug.SetGCPercent(gcPercent) })
+		unlimited := debug.SetMemoryLimit(startMemory)
+		time.AfterFunc(settled, func() {
+			debug.SetGCPercent(gcPercent)
+			debug.SetMemoryLimit(unlimited)
+		})
 	}
 	app := kingpin.New("lovageweir", "Model-aware router: the entry daemon.")
 	entry := app.Command("entry", "Serve the OpenAI interface.").Default()
