--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -12,8 +12,8 @@
 // A version may be well while few requests are on an endpoint and fail when
 // many are. With the first share of the requests its endpoints are no fuller
 // than the old ones, and a day's traffic may never fill them: such a version
-// was brought in, and was bad from the first crowded minute on. So, before all
-// requests move, one of its endpoints is filled with copies of requests that
+// would be brought in, and fail as soon as they fill. So, before all requests
+// move, one of its endpoints is filled with copies of requests that
 // may be repeated; nobody waits for their answers. If it answers badly, another
 // endpoint is filled: a single one in trouble is no bad version. No caller is
 // sent to the two meanwhile, if there are others.
@@ -44,9 +44,10 @@
 	exposureUse = 0.9
 	// trialSuspect failures among an endpoint's answers are a doubt, trialFailed
 	// are its failure, and trialSecond those of a second endpoint: versions that
-	// are well failed none of some ninety copies in eight roll-outs, one that
-	// fails under load one to nine. The tests for callers' answers do not fit: they weigh many good
-	// ones against few, and most of a trial's come before the endpoint is full.
+	// are well failed none of some ninety copies in each of eight roll-outs, one
+	// that fails under load one to nine. The tests for callers' answers do not
+	// fit: they weigh many good ones against few, and most of a trial's come
+	// before the endpoint is full.
 	trialSuspect = 1
 	trialFailed  = 4
 	trialSecond  = 2
