Endpoints that start again under their name are others; foreign entries name none

Cause: an endpoint may now crash and start again under the id it had, knowing nothing of before; its failures, load, latency and evidence were carried over, and what was in flight there was waited for. An entry of another writer with an unknown state counted as ready. Ruled out: reading it from the sequence alone, as an endpoint's counts may be missed between two of its writes. Change: the start time is part of an endpoint's internal id, so that all that is learned of it ends with it; callers' requests in flight at the earlier one count as lost. A registration that lacks a field, or has one of another type or an unknown state, names no endpoint and is logged once. The confidence of each answer stands in the request's log line.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -18,9 +18,9 @@
 	lapsedFor time.Duration
 
 	config    *Config
-	endpoints map[EndpointID]Endpoint
-	lapsed    map[EndpointID]Lapsed
-	orders    map[string]Rollout // by service
+	endpoints map[string]Endpoint // by name
+	lapsed    map[string]Lapsed   // by name
+	orders    map[string]Rollout  // by service
 	statuses  map[string]recordedStatus
 	entries   map[string]Entry
 	last      *View
@@ -32,7 +32,7 @@
 }
 
 func newBuilder(dec Decoder, lapsedFor time.Duration, log *slog.Logger) *builder {
-	return &builder{dec: dec, log: log, lapsedFor: lapsedFor, endpoints: map[EndpointID]Endpoint{}, lapsed: map[EndpointID]Lapsed{},
+	return &builder{dec: dec, log: log, lapsedFor: lapsedFor, endpoints: map[string]Endpoint{}, lapsed: map[string]Lapsed{},
 		orders: map[string]Rollout{}, statuses: map[string]recordedStatus{}, entries: map[string]Entry{}, last: EmptyView()}
 }
 
@@ -48,7 +48,7 @@
 	case ItemConfig:
 		err = b.takeConfig(e.KV)
 	case ItemEndpoint:
-		err = b.takeEndpoint(name, e.KV)
+		b.takeEndpoint(name, e.KV)
 	case ItemRollout:
 		err = b.takeOrder(name, e.KV)
 	case ItemRolloutStatus:
@@ -80,19 +80,27 @@
 	return nil
 }
 
-func (b *builder) takeEndpoint(name string, item kv.KeyValue) error {
+func (b *builder) takeEndpoint(name string, item kv.KeyValue) {
 	ep, err := b.dec.Endpoint(name, item.Value)
 	if err != nil {
-		return err
+		// Another writer's: it names no endpoint, and what stood there before is
+		// overwritten. If the endpoint lives it registers again with its next
+		// heartbeat.
+		delete(b.endpoints, name)
+		delete(b.lapsed, name)
+		b.log.Error("fleet: registration names no endpoint.", "key", item.Key, "revision", item.ModRevision, "error", err)
+		return
+	}
+	old, known := b.endpoints[name]
+	b.endpoints[name] = ep
+	delete(b.lapsed, name)
+	if known && old.ID != ep.ID {
+		b.log.Warn("fleet: endpoint started again under its name.", "before", old.ID, "endpoint", ep.ID, "revision", item.ModRevision)
 	}
-	old, known := b.endpoints[ep.ID]
-	b.endpoints[ep.ID] = ep
-	delete(b.lapsed, ep.ID)
 	if !known || old != ep {
 		b.log.Info("fleet: endpoint known.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain, "version", ep.Version,
 			"draining", ep.Draining, "revision", item.ModRevision)
 	}
-	return nil
 }
 
 func (b *builder) takeOrder(service string, item kv.KeyValue) error {
@@ -122,16 +130,15 @@
 func (b *builder) remove(kind ItemKind, name string, rev kv.Revision, now time.Time) {
 	switch kind {
 	case ItemEndpoint:
-		id := EndpointID(name)
-		ep, known := b.endpoints[id]
+		ep, known := b.endpoints[name]
 		if !known {
 			return
 		}
-		delete(b.endpoints, id)
+		delete(b.endpoints, name)
 		if !ep.Draining {
-			b.lapsed[id] = Lapsed{Endpoint: ep, Since: now}
+			b.lapsed[name] = Lapsed{Endpoint: ep, Since: now}
 		}
-		b.log.Info("fleet: endpoint gone.", "endpoint", id, "service", ep.Service, "was_draining", ep.Draining, "revision", rev)
+		b.log.Info("fleet: endpoint gone.", "endpoint", ep.ID, "service", ep.Service, "was_draining", ep.Draining, "revision", rev)
 	case ItemRollout:
 		delete(b.orders, name)
 	case ItemRolloutStatus:
@@ -156,9 +163,9 @@
 			g.Ready = append(g.Ready, ep)
 		}
 	}
-	for id, l := range b.lapsed {
+	for name, l := range b.lapsed {
 		if now.Sub(l.Since) > b.lapsedFor {
-			delete(b.lapsed, id)
+			delete(b.lapsed, name)
 			continue
 		}
 		g := b.group(v, l.Service)
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -207,6 +207,34 @@
 	x.until(t, func(v *fleet.View) bool { return version(v) == 3 })
 }
 
+// Symptom: one bad entry among the endpoints' takes others with it, or is used.
+// Events: another writer overwrites an endpoint's entry; the endpoint, which
+// lives, writes its own again.
+func TestAnEntryOfAnotherWriterLeavesTheOtherEndpoints(t *testing.T) {
+	x := newFixture(t)
+	put := func(id string) (key string) {
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "d1", Version: "v1"})
+		key, value := e.Registration(false)
+		_, err := x.store.Put(context.Background(), key, value, 0)
+		x.is.NoErr(err)
+		return key
+	}
+	ready := func(n int) {
+		x.until(t, func(v *fleet.View) bool { return v.Group("s") != nil && len(v.Group("s").Ready) == n })
+	}
+	key := put("e1")
+	put("e2")
+	x.run(t)
+	ready(2)
+	_, err := x.store.Put(context.Background(), key, []byte(`{"service":"s","state":"ready","address":7}`), 0)
+	x.is.NoErr(err)
+	ready(1)
+	x.is.Equal(x.f.View().Group("s").Ready[0].Name, "e2")
+	x.is.Equal(len(x.f.View().Group("s").Lapsed), 0)
+	put("e1")
+	ready(2)
+}
+
 // Symptom: a store outage takes all endpoints away at once.
 // Events: registrations lapse, unannounced. For a short while they are a last
 // resort; an endpoint that announced its leaving is not.
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/lovageweir/lovageweir/kv"
@@ -106,12 +107,27 @@
 	Limits    Limits
 }
 
-// EndpointID names one incarnation of an endpoint.
+// EndpointID names one incarnation of an endpoint: what is learned of it, and
+// what was sent to it, ends with it.
 type EndpointID string
 
+// IncarnationID is the id of the incarnation of an endpoint that started at a
+// time in Unix milliseconds; 0: it does not tell, and its name is enough.
+func IncarnationID(name string, born int64) EndpointID {
+	if born == 0 {
+		return EndpointID(name)
+	}
+	return EndpointID(name + "@" + strconv.FormatInt(born, 10))
+}
+
 // Endpoint is one back end as it registered itself.
 type Endpoint struct {
-	ID       EndpointID
+	ID EndpointID
+	// Name is what the endpoint answers to. One that starts again may have the
+	// name that it had, and then knows nothing of before.
+	Name string
+	// Born is when this incarnation started, in Unix milliseconds; 0: not told.
+	Born     int64
 	Service  string
 	Address  string // IP:port
 	Domain   string // failure domain
@@ -156,7 +172,7 @@
 	// Classify says what lies under a key, and the name within its kind.
 	Classify(key string) (ItemKind, string)
 	Config(value []byte) (*Config, error)
-	Endpoint(id string, value []byte) (Endpoint, error)
+	Endpoint(name string, value []byte) (Endpoint, error)
 	Rollout(value []byte) (Rollout, error)
 	RolloutStatus(value []byte) (RolloutStatus, error)
 	// EncodeRolloutStatus returns the key and value that record a state.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -63,12 +63,14 @@
 	model    string
 	outcome  place.Outcome
 	status   int
-	load     *call.Load    // as the endpoint told it
-	begun    time.Duration // since the request was received
-	first    time.Duration // to the first event or answer, since begun
-	events   int           // of a stream, as read from the endpoint
-	stream   time.Duration // from its first event to its last
-	why      string
+	load     *call.Load // as the endpoint told it
+	// confidence is the model's own opinion of its answer; negative: not told.
+	confidence int
+	begun      time.Duration // since the request was received
+	first      time.Duration // to the first event or answer, since begun
+	events     int           // of a stream, as read from the endpoint
+	stream     time.Duration // from its first event to its last
+	why        string
 }
 
 func (x *exchange) left() time.Duration { return x.deadline.Sub(x.server.Clock.Now()) }
@@ -162,8 +164,8 @@
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
 	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts), wait: best.Standing.Wait}
-	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), begun: s.Clock.Since(x.received)})
-	d := call.Directions{Endpoint: string(ep.ID), Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
+	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received)})
+	d := call.Directions{Endpoint: ep.Name, Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	d.Urgency, d.SetUrgency = x.urgency()
 	if x.customer != nil {
 		d.Customer = x.customer.Name
@@ -178,6 +180,7 @@
 	c.head = s.Wire.Answer(resp.Status, resp.Header)
 	x.attempts[c.index].status = resp.Status
 	x.attempts[c.index].load = c.head.Load
+	x.attempts[c.index].confidence = c.head.Confidence
 	c.ticket.Head(c.head.Load)
 	if c.head.Load != nil {
 		s.Board.TookLoad(x.target(), *c.head.Load)
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -113,6 +113,10 @@
 		if a.events > 0 {
 			b = fmt.Appendf(b, " events=%d in %dms", a.events, a.stream.Milliseconds())
 		}
+		if a.confidence >= 0 {
+			b = append(b, " confidence="...)
+			b = strconv.AppendInt(b, int64(a.confidence), 10)
+		}
 		if a.load != nil {
 			b = fmt.Appendf(b, " load=%d+%d/%d", a.load.Running, a.load.Waiting, a.load.Slots)
 		}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -44,7 +44,7 @@
 	}
 	x.copied = true
 	x.runs++
-	d := call.Directions{Endpoint: string(trial.Endpoint.ID), Remaining: min(x.left(), trialLongest), Model: x.trialModel(), Urgency: trialUrgency, SetUrgency: true}
+	d := call.Directions{Endpoint: trial.Endpoint.Name, Remaining: min(x.left(), trialLongest), Model: x.trialModel(), Urgency: trialUrgency, SetUrgency: true}
 	if x.customer != nil {
 		d.Customer = x.customer.Name
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -50,7 +50,7 @@
 	is := is.New(t)
 	a := newEntry(t, "a")
 	know(a, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{
-		put("op/config", `{"version":3}`, 5), put("servers/e", `{"service":"s","state":"ready"}`, 7)}})
+		put("op/config", `{"version":3}`, 5), put("servers/e", `{"service":"s","address":"127.0.0.1:1","zone":"d","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"sequence":1}`, 7)}})
 	b := newEntry(t, "b", a.Address)
 	address, ok := b.draw()
 	is.True(ok)
--- a/place/board.go
+++ b/place/board.go
@@ -91,12 +91,20 @@
 	told    map[string]told // by entry
 	domains map[string]*domainRecord
 	busy    map[string]float64 // by service
-	swept   time.Time
+	// born is when the latest incarnation of each named endpoint started.
+	born  map[string]incarnation
+	swept time.Time
+}
+
+// incarnation is one start of a named endpoint.
+type incarnation struct {
+	id   fleet.EndpointID
+	born int64
 }
 
 // NewBoard returns an empty board.
 func NewBoard(clock clockwork.Clock) *Board {
-	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, told: map[string]told{}, domains: map[string]*domainRecord{}, busy: map[string]float64{}, swept: clock.Now()}
+	return &Board{clock: clock, byID: map[fleet.EndpointID]*record{}, told: map[string]told{}, domains: map[string]*domainRecord{}, busy: map[string]float64{}, born: map[string]incarnation{}, swept: clock.Now()}
 }
 
 func (b *Board) at(id fleet.EndpointID, now time.Time) *record {
@@ -120,6 +128,11 @@
 			delete(b.byID, id)
 		}
 	}
+	for name, latest := range b.born {
+		if b.byID[latest.id] == nil {
+			delete(b.born, name)
+		}
+	}
 }
 
 // busyGain is the weight of one answer's load in how busy a service is: the
@@ -163,6 +176,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweepLocked(now)
+	b.bornLocked(ep, now)
 	r := b.at(id, now)
 	if r.inFlight == 0 {
 		r.heard = now // silence counts from when something is awaited
@@ -173,6 +187,23 @@
 	return &Ticket{board: b, id: id, domain: ep.Domain, begun: now, work: work}
 }
 
+// bornLocked notes which incarnation of an endpoint is in use. What was sent to
+// an earlier one is lost: where that fell silent and started again behind a
+// partition, its connections never end, and callers would wait for nothing.
+func (b *Board) bornLocked(ep fleet.Endpoint, now time.Time) {
+	if ep.Born == 0 {
+		return
+	}
+	latest, known := b.born[ep.Name]
+	if known && latest.born >= ep.Born {
+		return
+	}
+	b.born[ep.Name] = incarnation{ep.ID, ep.Born}
+	if earlier := b.byID[latest.id]; known && earlier != nil {
+		earlier.deadAt = now
+	}
+}
+
 // Head notes the head of an answer and the load it told, if any.
 func (t *Ticket) Head(load *call.Load) {
 	b := t.board
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -264,3 +264,37 @@
 	r.Learn("m", 0, time.Hour) // nothing was read
 	is.Equal(r.First("m", 500), before)
 }
+
+// Symptom: an endpoint that was started again is left alone for what it did
+// before, and callers wait for answers that its earlier process took with it.
+// Events: it fails and is ejected; it crashes behind a partition and starts
+// again under its name; the old connection never ends.
+func TestAnEndpointThatStartsAgainIsAnotherOne(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	b := NewBoard(clock)
+	before := fleet.Endpoint{ID: fleet.IncarnationID("e", 1000), Name: "e", Born: 1000, Slots: 64}
+	after := fleet.Endpoint{ID: fleet.IncarnationID("e", 2000), Name: "e", Born: 2000, Slots: 64}
+	for range hardFailures {
+		b.Begin(before, 0).End(Broken)
+	}
+	waiting := b.Begin(before, time.Second)
+	sent := clock.Now()
+	is.True(b.Standing(before.ID).Ejected)
+	clock.Advance(10 * time.Millisecond)
+
+	b.Begin(after, 0).End(Served)
+	is.True(b.LostSince(before.ID, sent))
+	is.True(!b.LostSince(after.ID, sent))
+	is.True(!b.Standing(after.ID).Ejected)
+	is.Equal(b.Standing(after.ID).Wait, time.Duration(0))
+	is.Equal(b.Standing(after.ID).FailRate, 0.0)
+
+	waiting.End(Broken) // says nothing of the later one
+	is.Equal(b.Standing(after.ID).InFlight, 0)
+	is.Equal(b.Standing(after.ID).FailRate, 0.0)
+
+	// An entry whose view is older does not undo it.
+	b.Begin(before, 0)
+	is.True(!b.LostSince(after.ID, sent))
+}
