A new version is compared with the old one's answers of the same time

Cause: slowness was judged by fixed factors of a mean. At its first share a version four times as slow makes under a tenth of its answers later than any such limit; nothing found in time, it got all requests. Change: while both versions serve, each answer of the new one is ranked among the latest 48 of the old one to the same model, first events and pauses apart, over both halves of the version's endpoints; the mean ranks of all entries decide. To be halted a version must be slower by five standard deviations at first, by a half when it should move on; to move on it must be faster than is tolerated by two.

--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -160,12 +160,13 @@
 	// Where the time alone is the reason, it counts from then, so that entries
 	// with few requests are not behind the others.
 	t.movedOn = c.Clock.Now()
+	slower, _ := t.evidence.slower()
 	latest := t.seen.Add(time.Duration(allBy * float64(r.Duration)))
 	if latest.Before(t.movedOn) && t.doubted.Before(latest) {
 		t.movedOn = latest
 	}
 	c.Log.Info("rollout: moving on from the first share.", "service", r.Service, "order", t.ordered, "seen", seen,
-		"failed", sum.Failed, "slow", sum.Slow, "slow_statistic", t.evidence.at(allRoutes).slow, "age_ms", age.Milliseconds())
+		"failed", sum.Failed, "slow", sum.Slow, "slow_statistic", t.evidence.at(allRoutes).slow, "slower_by", slower, "age_ms", age.Milliseconds())
 	return ShareAfter(c.Clock.Since(t.movedOn), r.Duration)
 }
 
@@ -355,6 +356,9 @@
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
+	if !a.Failed && a.Took > 0 && t.movedOn.IsZero() {
+		c.compareLocked(t, u, a)
+	}
 	t.evidence.take(src, counts, c.Clock.Now())
 	c.judgeLocked(a.Group, t)
 	return false
@@ -366,13 +370,20 @@
 		return
 	}
 	route, bad := t.evidence.bad(aliveBits(g), c.Clock.Now())
-	if !bad {
+	slower, compared := t.evidence.slower()
+	switch {
+	case bad:
+	case !t.movedOn.IsZero(): // nothing is left to compare with
+		return
+	case compared && slower >= slowerLimit(progress(c.Clock.Since(t.seen), g.Rollout.Duration)):
+		route = "(compared)"
+	default:
 		return
 	}
 	t.halted = true
-	sum, on := t.evidence.totals(), t.evidence.routes[route]
+	sum, on := t.evidence.totals(), t.evidence.at(route)
 	c.Log.Warn("rollout: version answers badly; halting it.", "service", service, "order", t.ordered, "route", route,
-		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "slow_statistic", on.slow,
+		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "slow_statistic", on.slow, "slower_by", slower,
 		"age_ms", c.Clock.Since(t.seen).Milliseconds())
 }
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -68,13 +68,16 @@
 // which were seen, and which answered badly.
 type Counts struct {
 	Samples, Failed, Slow int64
-	Seen, Bad             uint64
+	// Rank is the sum of the answers' ranks in hundredths, where they are ranked.
+	Rank      int64
+	Seen, Bad uint64
 }
 
 func (c *Counts) add(o Counts) {
 	c.Samples += o.Samples
 	c.Failed += o.Failed
 	c.Slow += o.Slow
+	c.Rank += o.Rank
 	c.Seen |= o.Seen
 	c.Bad |= o.Bad
 }
@@ -119,6 +122,9 @@
 		return false
 	}
 	e.rows[s] = c
+	if rankRoute(s.Route) {
+		return true
+	}
 	samples, failed, slow := c.Samples-old.Samples, c.Failed-old.Failed, c.Slow-old.Slow
 	route, all := e.at(s.Route), e.at(allRoutes)
 	route.failed = failures.add(route.failed, samples, failed)
@@ -178,7 +184,7 @@
 
 // doubt reports whether the evidence is on its way to a halt.
 func (e *evidence) doubt() bool {
-	if e.trialDoubt() {
+	if e.trialDoubt() || e.maybeSlower() {
 		return true
 	}
 	for name, r := range e.routes {
@@ -205,7 +211,7 @@
 func (e *evidence) totals() Counts {
 	var t Counts
 	for s, c := range e.rows {
-		if trialRoute(s.Route) {
+		if trialRoute(s.Route) || rankRoute(s.Route) {
 			continue
 		}
 		t.add(c)
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -142,13 +142,15 @@
 // inTrialOrder sorts a version's endpoints, alike on all entries.
 func inTrialOrder(eps []fleet.Endpoint, ordered kv.Revision) []fleet.Endpoint {
 	sorted := append([]fleet.Endpoint(nil), eps...)
-	seed := strconv.FormatInt(int64(ordered), 10)
-	sort.Slice(sorted, func(i, j int) bool {
-		return place.Hash(seed, string(sorted[i].ID)) < place.Hash(seed, string(sorted[j].ID))
-	})
+	sort.Slice(sorted, func(i, j int) bool { return trialLess(sorted[i].ID, sorted[j].ID, ordered) })
 	return sorted
 }
 
+func trialLess(a, b fleet.EndpointID, ordered kv.Revision) bool {
+	seed := strconv.FormatInt(int64(ordered), 10)
+	return place.Hash(seed, string(a)) < place.Hash(seed, string(b))
+}
+
 // ObserveTrial counts how a copy was answered, with so many running and waiting there.
 func (c *Controller) ObserveTrial(g *fleet.Group, trial Trial, load int, failed bool) {
 	r := g.Rollout
