--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -70,6 +70,7 @@
 	first      time.Duration // to the first event or answer, since begun
 	events     int           // of a stream, as read from the endpoint
 	stream     time.Duration // from its first event to its last
+	pause      time.Duration // the longest between two events
 	why        string
 }
 
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -111,7 +111,7 @@
 		b = append(b, "ms status="...)
 		b = strconv.AppendInt(b, int64(a.status), 10)
 		if a.events > 0 {
-			b = fmt.Appendf(b, " events=%d in %dms", a.events, a.stream.Milliseconds())
+			b = fmt.Appendf(b, " events=%d in %dms pause=%dms", a.events, a.stream.Milliseconds(), a.pause.Milliseconds())
 		}
 		if a.confidence >= 0 {
 			b = append(b, " confidence="...)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -159,6 +159,7 @@
 		c.streaming = now
 	}
 	a.events++
+	a.pause = max(a.pause, now.Sub(c.streaming)-a.stream)
 	a.stream = now.Sub(c.streaming)
 	if a.events == paceEvents {
 		x.observePace(c)
