Ranks are summed as they are told

Change: the sums are kept with the rows. What is decided does not change. Test: rollout.TestRankSumsAreThoseOfTheRows.

--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -169,7 +169,7 @@
 	var sum int64
 	least := math.Inf(1)
 	for _, route := range rankRoutes[kind] {
-		c := e.on(route)
+		c := e.ranked[route]
 		if c.Samples == 0 {
 			continue
 		}
--- a/rollout/compare_test.go
+++ b/rollout/compare_test.go
@@ -189,3 +189,18 @@
 }
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// The sums that decide are those of the rows, however often and in whatever
+// order these are told.
+func TestRankSumsAreThoseOfTheRows(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	told := []Counts{{Samples: 2, Rank: 150}, {Samples: 1, Rank: 90}, {Samples: 5, Rank: 300}, {Samples: 5, Rank: 300}}
+	for _, entry := range []string{"i1", "i2"} {
+		for _, c := range told {
+			e.take(Source{Instance: entry, Route: rankRoutes[1][0]}, c, time.Time{})
+		}
+	}
+	is.Equal(e.ranked[rankRoutes[1][0]], e.on(rankRoutes[1][0]))
+	is.Equal(e.ranked[rankRoutes[1][0]], Counts{Samples: 10, Rank: 600})
+}
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -109,10 +109,13 @@
 type evidence struct {
 	rows   map[Source]Counts
 	routes map[string]*routeEvidence
+	// ranked sums the rows of each rank route: it is read for each request, and a
+	// large fleet has thousands of rows.
+	ranked map[string]Counts
 }
 
 func newEvidence() *evidence {
-	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}}
+	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}, ranked: map[string]Counts{}}
 }
 
 // take brings a source's counts up to date; older ones change nothing.
@@ -123,6 +126,10 @@
 	}
 	e.rows[s] = c
 	if rankRoute(s.Route) {
+		sum := e.ranked[s.Route]
+		sum.Samples += c.Samples - old.Samples
+		sum.Rank += c.Rank - old.Rank
+		e.ranked[s.Route] = sum
 		return true
 	}
 	samples, failed, slow := c.Samples-old.Samples, c.Failed-old.Failed, c.Slow-old.Slow
