--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -36,10 +36,10 @@
 	// easilyBusy and mostBusy, in parts of the engines' slots, are where doubt
 	// begins to fall and where nothing is dropped any more. What is told of work
 	// outstanding ends with each first event; a stream of the largest model goes
-	// on for seconds after that, and slows all that run beside it. On the heaviest
-	// days of ninety endpoints (half of them crash; a domain is cut off) benefit
+	// on for seconds after that, and slows all that run beside it. Under the heaviest
+	// load of ninety endpoints (half of them crash; a domain is cut off) benefit
 	// less prices was 0.428 and 0.296 without, 0.440 and 0.367 with 0.4 to 1.0;
-	// lower bounds gain more there and lose on days that are merely full.
+	// lower bounds gain more there and lose where engines are merely full.
 	easilyBusy = 0.35
 	mostBusy   = 0.9
 )
