--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -285,6 +285,16 @@
 // shortestTry is the least time left for which another try is worth its cost.
 const shortestTry = 20 * time.Millisecond
 
+// goneOutcome is the outcome of a request whose caller's connection is gone: a
+// caller leaves, or the process ends and closes it. Told apart, as the log of a
+// request that the stop has cut off would otherwise put it on the caller.
+func (x *exchange) goneOutcome() string {
+	if x.server.refusing.Load() {
+		return "cut_by_stop"
+	}
+	return "caller_left"
+}
+
 // returnHead copies an endpoint's status and headers to the caller.
 func (x *exchange) returnHead(c *sent, length int64) {
 	h := x.w.Header()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -64,6 +64,8 @@
 	inFlight atomic.Int64
 	bodies   atomic.Int64
 	stopping atomic.Bool
+	// stopped is when the stop began; read only once stopping is set.
+	stopped time.Time
 	// long is set once streams are refused, refusing once everything is.
 	long     atomic.Bool
 	refusing atomic.Bool
@@ -81,7 +83,10 @@
 
 // Stop makes each answer the last on its connection, so that callers move to
 // other entries; requests are served on.
-func (s *Server) Stop() { s.stopping.Store(true) }
+func (s *Server) Stop() {
+	s.stopped = s.Clock.Now()
+	s.stopping.Store(true)
+}
 
 // RefuseStreams makes the server refuse streams that come from now on: they
 // take seconds, and a process that is to end has too few left for them.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -224,7 +224,7 @@
 	}
 	switch {
 	case errors.Is(err, errCallerLeft) || x.r.Context().Err() != nil:
-		x.breakOff("caller_left")
+		x.breakOff(x.goneOutcome())
 	case errors.Is(err, errRetry):
 		return true
 	case errors.Is(err, errNotSent):
--- a/ingress/whole.go
+++ b/ingress/whole.go
@@ -38,7 +38,7 @@
 func (x *exchange) again(ctx context.Context, err error) bool {
 	switch {
 	case x.r.Context().Err() != nil:
-		x.outcome = "caller_left"
+		x.outcome = x.goneOutcome()
 		return false
 	case errors.Is(err, errRetry):
 		return true
