A stopping entry takes only what will be answered before its process ends

Cause: admission did not ask how much of the stop was left. Besides, nothing in flight and the refusal were two steps, with a request possible between them. Class: admission without regard to the time that is left. Ruled out: callers that left (the log said so; its outcome now names the stop); the race (in_flight was 3), which the same change closes. Change: package drain. All requests go through a gate that counts them before they ask; while a process stops, one is taken if it came before its sender could know, or if all the time that it may take ends before the stop does. The gate is closed before the last look at what is in flight. What outlasts the stop is told so: calls get 502 or, if they have not run, 503; streams break off. The listener is shut before connections are closed.

--- /dev/null
+++ b/drain/drain.go
@@ -0,0 +1,62 @@
+package drain
+
+import "time"
+
+// Times are the stages of a planned stop, each counted from its beginning.
+type Times struct {
+	// TakesAll is how long requests are taken whatever time they need, as those
+	// who send them have not seen yet that the process stops.
+	TakesAll time.Duration
+	// Stays is how long the process serves at the least: new connections come
+	// as usual until then.
+	Stays time.Duration
+	// End is when what is still in flight is cut off. The process must be able
+	// to run for LastAnswers more.
+	End time.Duration
+}
+
+const (
+	// LastAnswers is how long answers may take to be written once the rest was
+	// cut off. An instance with a fifth of a core that has used it up runs again
+	// within a tenth of a second.
+	LastAnswers = 200 * time.Millisecond
+	// poll is how often a stopping process looks at what is in flight.
+	poll = 50 * time.Millisecond
+)
+
+// Drain goes through a planned stop and returns when the process may end:
+// everything that was taken is answered, or was told that it is cut off.
+// closeIdle closes connections on which nothing is under way; it is called once
+// new ones come no more as usual.
+func (g *Gate) Drain(t Times, closeIdle func()) {
+	g.Begin(t)
+	end := g.stop.Load().end
+	g.clock.Sleep(min(t.Stays, t.End))
+	closeIdle()
+	g.waitIdle(end)
+	// Closed before the last look: a request may have come since the one above.
+	g.Close()
+	g.waitIdle(end)
+	g.cut(ErrCut)
+	g.waitIdle(g.clock.Now().Add(LastAnswers))
+}
+
+// Begin begins a stop. Drain calls it first.
+func (g *Gate) Begin(t Times) {
+	now := g.clock.Now()
+	g.stop.Store(&stop{begun: now, takesAll: now.Add(t.TakesAll), end: now.Add(t.End)})
+}
+
+// Close makes the gate admit nothing more.
+func (g *Gate) Close() { g.closed.Store(true) }
+
+// waitIdle waits until nothing is in flight, at the longest until latest.
+func (g *Gate) waitIdle(latest time.Time) {
+	for g.InFlight() > 0 {
+		left := latest.Sub(g.clock.Now())
+		if left <= 0 {
+			return
+		}
+		g.clock.Sleep(min(poll, left))
+	}
+}
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,156 @@
+package drain
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Whatever the stages and whenever a request comes: one that is taken has its
+// answer by the end, or its sender could not know of the stop.
+func TestWhatIsTakenFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		span := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, name))
+		}
+		clock := clockwork.NewFakeClock()
+		g := NewGate(clock)
+		if !g.Admits(span("before")) {
+			t.Fatal("refused though nothing stops")
+		}
+		times := Times{TakesAll: span("takes all"), Stays: span("stays"), End: span("end")}
+		g.Begin(times)
+		at, needs := span("comes"), span("needs")
+		clock.Advance(at)
+		fits := at < times.TakesAll || at+needs <= times.End
+		if g.Admits(needs) != fits {
+			t.Fatalf("came after %v, needs %v, stages %+v: taken: %v", at, needs, times, !fits)
+		}
+		g.Close()
+		if g.Admits(0) {
+			t.Fatal("taken though closed")
+		}
+	})
+}
+
+// stopping is a drain under way on a fake clock.
+type stopping struct {
+	clock *clockwork.FakeClock
+	gate  *Gate
+	idle  chan struct{} // closed when idle connections are
+	ended chan struct{}
+}
+
+func begin(times Times, inFlight int) *stopping {
+	s := &stopping{clock: clockwork.NewFakeClock(), idle: make(chan struct{}), ended: make(chan struct{})}
+	s.gate = NewGate(s.clock)
+	for range inFlight {
+		s.gate.Enter()
+	}
+	go func() {
+		defer close(s.ended)
+		s.gate.Drain(times, func() { close(s.idle) })
+	}()
+	return s
+}
+
+// advance moves the clock once the drain sleeps.
+func (s *stopping) advance(t *testing.T, d time.Duration) {
+	t.Helper()
+	if err := s.clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	s.clock.Advance(d)
+}
+
+// finish moves the clock, each time that the drain sleeps, until it has ended,
+// and returns how long that took.
+func (s *stopping) finish(t *testing.T) time.Duration {
+	t.Helper()
+	begun := s.clock.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-s.ended
+		cancel()
+	}()
+	for s.clock.BlockUntilContext(ctx, 1) == nil {
+		s.clock.Advance(poll)
+	}
+	<-s.ended
+	return s.clock.Since(begun)
+}
+
+var stages = Times{TakesAll: time.Second, Stays: 2 * time.Second, End: 5 * time.Second}
+
+// A process without requests stays until no more come as usual, and ends.
+func TestAnIdleProcessEndsOnceCallersAreElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := begin(stages, 0)
+	s.advance(t, stages.Stays)
+	<-s.idle
+	<-s.ended
+	is.Equal(s.clock.Since(s.gate.stop.Load().begun), stages.Stays)
+	is.True(s.gate.Closed())
+}
+
+// Symptom: at the end of a stop a request gets no answer.
+// Events: the last request has ended; another comes just then.
+// Cause: a request was asked for before it was counted, or the gate closed after
+// the last look. It is counted first and closed first: whoever has entered an
+// open gate is waited for.
+func TestWhoeverEntersAnOpenGateIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	s := begin(stages, 0)
+	if err := s.clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	s.gate.Enter()
+	is.True(s.gate.Admits(time.Second))
+	s.clock.Advance(stages.Stays)
+	<-s.idle
+	s.advance(t, poll)
+	select {
+	case <-s.ended:
+		t.Fatal("ended with a request in flight")
+	default:
+	}
+	s.gate.Leave()
+	s.finish(t)
+	is.Equal(s.gate.InFlight(), int64(0))
+}
+
+// What outlasts the stop is told so by its context, and has some time to answer.
+func TestWhatOutlastsTheStopIsCut(t *testing.T) {
+	is := is.New(t)
+	s := begin(stages, 1)
+	ctx, unbind := s.gate.Bound(context.Background())
+	defer unbind()
+	s.advance(t, stages.Stays)
+	<-s.idle
+	took := s.finish(t)
+	<-ctx.Done()
+	is.True(errors.Is(context.Cause(ctx), ErrCut))
+	is.Equal(took, stages.End-stages.Stays+LastAnswers)
+	is.True(s.gate.Closed())
+}
+
+// A context that was let go is not cut off, and one of its own ends as it would.
+func TestABoundContextKeepsItsOwnCause(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(clockwork.NewFakeClock())
+	own := errors.New("own")
+	parent, cancel := context.WithCancelCause(context.Background())
+	ctx, unbind := g.Bound(parent)
+	defer unbind()
+	cancel(own)
+	is.True(errors.Is(context.Cause(ctx), own))
+	other, letGo := g.Bound(context.Background())
+	letGo()
+	g.cut(ErrCut)
+	is.True(!errors.Is(context.Cause(other), ErrCut))
+}
--- a/edge/module.go
+++ b/edge/module.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
 	"github.com/lovageweir/lovageweir/internal/asynclog"
@@ -71,6 +72,7 @@
 			newLoads,
 			newBudget,
 			newMesh,
+			drain.NewGate,
 			newIngress,
 		),
 		fx.Invoke(runFollower, runMesh, runLoads, runRollouts, runRegistration, runReload, serve),
@@ -125,8 +127,8 @@
 }
 
 func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller,
-	clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
+	gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r,
-		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedFor: lapsedFor(s),
+		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: gate, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedFor: lapsedFor(s),
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/fx"
 
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
 	"github.com/lovageweir/lovageweir/internal/telemetry"
@@ -27,14 +28,16 @@
 	// connections to an entry that says it is not ready: two looks, a second
 	// apart, and some for the look itself.
 	lookAway = 3200 * time.Millisecond
-	// streamsUntil is how long streams are still taken: a stream that comes
-	// later may not end before the process must. It is past the balancer's two
-	// looks, so only connections that stayed open are refused.
-	streamsUntil = 2700 * time.Millisecond
+	// takesAll is how long requests are taken that may not be answered before
+	// the process must end. It is past the balancer's two looks, so that only
+	// connections that stayed open are refused, and those that it sends here as
+	// too few entries of the domain are ready.
+	takesAll = 2700 * time.Millisecond
 	// exitSlack is how long before the kill the process ends by itself.
 	exitSlack = 500 * time.Millisecond
-	// drainPoll is how often a stopping entry looks whether requests remain.
-	drainPoll = 50 * time.Millisecond
+	// closing is how long the last answers have to leave once all requests have
+	// ended.
+	closing = 100 * time.Millisecond
 )
 
 // Limits of a caller's connection where the configuration's are not known
@@ -53,6 +56,7 @@
 	Set      *Settings
 	Boot     boot
 	Ingress  *ingress.Server
+	Gate     *drain.Gate
 	Fleet    *fleet.Follower
 	Mesh     *mesh.Mesh
 	Rollouts *rollout.Controller
@@ -88,8 +92,8 @@
 
 func (p parts) dump() Dump {
 	v := p.Fleet.View()
-	d := Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Ingress.Stopping(),
-		InFlight: p.Ingress.InFlight(), Revision: int64(v.Revision), AgeMS: -1, Away: p.Fleet.StoreAway(), Entries: v.Entries,
+	d := Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
+		InFlight: p.Gate.InFlight(), Revision: int64(v.Revision), AgeMS: -1, Away: p.Fleet.StoreAway(), Entries: v.Entries,
 		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
@@ -202,31 +206,25 @@
 }
 
 // drain ends an entry's work without cutting off a request: it says that it
-// is not ready, makes each answer the last on its connection, serves on until
-// the balancer looks elsewhere, and waits for what is in flight.
+// is not ready, makes each answer the last on its connection, takes what will be
+// answered in time, and waits for it.
 func (p parts) drain(callers *listener) {
-	begun := time.Now()
-	p.Ingress.Stop()
-	p.Log.Info("edge: stopping; serving on until callers are elsewhere.", "in_flight", p.Ingress.InFlight())
-	latest := begun.Add(p.Set.Bounds.Grace() - exitSlack)
-	away := begun.Add(min(lookAway, p.Set.Bounds.Grace()/2))
-	streams := begun.Add(min(streamsUntil, p.Set.Bounds.Grace()/3))
-	closedIdle := false
-	for time.Now().Before(latest) {
-		if time.Now().After(streams) {
-			p.Ingress.RefuseStreams()
-		}
-		if time.Now().After(away) {
-			if !closedIdle {
-				closedIdle = true
-				callers.srv.SetKeepAlivesEnabled(false) // closes idle connections
-			}
-			if p.Ingress.InFlight() == 0 {
-				break
-			}
-		}
-		time.Sleep(drainPoll)
+	p.Log.Info("edge: stopping; serving on until callers are elsewhere.", "in_flight", p.Gate.InFlight())
+	p.Gate.Drain(stages(p.Set.Bounds.Grace()), func() { callers.srv.SetKeepAlivesEnabled(false) })
+	took, _ := p.Gate.Since()
+	p.Log.Info("edge: stopped.", "in_flight", p.Gate.InFlight(), "took_ms", took.Milliseconds())
+	ctx, cancel := context.WithTimeout(context.Background(), closing)
+	defer cancel()
+	if err := callers.srv.Shutdown(ctx); err != nil {
+		p.Log.Warn("edge: connections still busy are closed.", "error", err)
+	}
+}
+
+// stages are those of a stop that has so long until the kill.
+func stages(grace time.Duration) drain.Times {
+	return drain.Times{
+		TakesAll: min(takesAll, grace/3),
+		Stays:    min(lookAway, grace/2),
+		End:      max(0, grace-exitSlack-closing-drain.LastAnswers),
 	}
-	p.Ingress.Refuse()
-	p.Log.Info("edge: stopped.", "in_flight", p.Ingress.InFlight(), "took_ms", time.Since(begun).Milliseconds())
 }
--- a/ingress/admission_test.go
+++ b/ingress/admission_test.go
@@ -8,9 +8,11 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
@@ -89,23 +91,73 @@
 	is.True(left.Milliseconds() <= 300) // the route's timeout
 }
 
-// Symptom: a stop cuts off streams.
-// Events: a stream comes late in a planned stop, when its process has too
-// little time left for it. It is refused as not run; short requests are not.
-func TestAStoppingEntryRefusesLateStreams(t *testing.T) {
+// Symptom: a stop cuts off streams and calls, which may have run, without an
+// answer.
+// Events: they come late in a planned stop, when too little time is left for
+// them. What would not be answered before the end is refused as not run and sent
+// elsewhere; what is short enough is served, until there is no time for it either.
+// Cause: streams were refused from some moment on, calls never.
+func TestAStoppingEntryTakesOnlyWhatFits(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1)
-	w.server.Stop()
+	w.gate.Begin(drain.Times{TakesAll: 2 * time.Second, Stays: 3 * time.Second, End: 7 * time.Second})
 	is.True(!w.server.Ready())
-	a := w.do(http.MethodPost, "/resume/stream", "body")
-	a.wholeStream(is)
-	w.server.RefuseStreams()
-	a = w.do(http.MethodPost, "/resume/stream", "body")
-	is.Equal(a.status, http.StatusServiceUnavailable)
-	is.True(a.header.Get("Retry-After") != "")
-	w.do(http.MethodPost, "/post/x", "body").whole(is)
-	w.server.Refuse()
-	is.Equal(w.do(http.MethodPost, "/post/x", "body").status, http.StatusServiceUnavailable)
+	long, short := []string{"X-Deadline-Remaining", "5000"}, []string{"X-Deadline-Remaining", "1000"}
+	w.do(http.MethodPost, "/resume/stream", "body", long...).wholeStream(is)
+	refused := func(path string, header ...string) {
+		t.Helper()
+		before := len(w.runs())
+		a := w.do(http.MethodPost, path, "body", header...)
+		is.NoErr(a.err)
+		is.Equal(a.status, http.StatusServiceUnavailable)
+		is.True(a.header.Get("Retry-After") != "")
+		is.True(a.last)
+		is.Equal(len(w.runs()), before)
+	}
+	w.stop.Advance(2500 * time.Millisecond)
+	refused("/resume/stream", long...)
+	refused("/post/x", long...)
+	w.do(http.MethodPost, "/post/x", "body", short...).whole(is)
+	w.stop.Advance(4 * time.Second)
+	refused("/post/x", short...)
+	w.do(http.MethodPost, "/quick/x", "body").whole(is) // its route allows 300 ms
+	w.gate.Close()
+	refused("/quick/x")
+}
+
+// Symptom: the end of a stop closes connections, and callers cannot tell whether
+// their requests have run.
+// Events: a call and a stream are still at their endpoint when the stop's time is
+// over. The call is answered that it may have run; the stream has begun, and ends
+// so that it does not look whole; the log names the stop, not the callers.
+func TestWhatOutlastsAStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	w := newEmptyWorld(t)
+	w.put("op/config", platformtest.EncodeConfig(testConfig()))
+	w.addEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1", Events: 1000, Pause: 20 * time.Millisecond})
+	w.sync()
+	w.faults(platformtest.Hang)
+	call := make(chan answer)
+	go func() { call <- w.do(http.MethodPost, "/post/x", "body") }()
+	waitFor(t, func() bool { return len(w.runs()) == 1 })
+	resp, err := http.DefaultClient.Do(w.request(http.MethodPost, "/once/stream", "body"))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusOK)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		w.gate.Drain(drain.Times{}, func() {})
+	}()
+	a := <-call
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusBadGateway)
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil) // it does not look whole
+	waitFor(t, func() bool { return w.gate.InFlight() == 0 })
+	w.stop.Advance(time.Second)
+	<-drained
+	is.Equal(strings.Count(w.logs.String(), `"outcome":"cut_by_stop"`), 2)
 }
 
 // Symptom: a flood of requests takes the process's memory, and it is killed
@@ -135,7 +187,7 @@
 	for range 20 {
 		<-done
 	}
-	waitFor(t, func() bool { return w.server.InFlight() == 0 })
+	waitFor(t, func() bool { return w.gate.InFlight() == 0 })
 	w.do(http.MethodPost, "/post/x", "body").whole(is)
 }
 
@@ -170,7 +222,7 @@
 	w.addEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1"})
 	answered := make(chan answer)
 	go func() { answered <- w.do(http.MethodGet, "/get/x", "") }()
-	for w.server.InFlight() == 0 {
+	for w.gate.InFlight() == 0 {
 		runtime.Gosched()
 	}
 	w.sync()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/lovageweir/lovageweir/call"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/retry"
@@ -213,6 +214,13 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.end(c, place.Abandoned, "caller left")
+	case cut(ctx):
+		x.end(c, place.Abandoned, "entry stops")
+		if errors.As(err, &notSent) {
+			return errNotSent
+		}
+		x.runs++
+		return errCut
 	case errors.As(err, &notSent):
 		x.end(c, place.Unreached, err.Error())
 		x.server.Rollouts.Lost(c.group, c.endpoint)
@@ -233,8 +241,12 @@
 	errNotRun     = errors.New("request did not run")
 	errNotSent    = errors.New("request was not sent")
 	errMayHaveRun = errors.New("request may have run")
+	errCut        = errors.New("entry stops; request may have run")
 )
 
+// cut reports whether a request's context ended with the planned stop's time.
+func cut(ctx context.Context) bool { return errors.Is(context.Cause(ctx), drain.ErrCut) }
+
 // observe counts the answer for the roll-outs, and learns from it how long
 // answers take, unless its version may be a slow one.
 func (x *exchange) observe(c *sent, failed bool, took time.Duration) {
@@ -289,7 +301,7 @@
 // caller leaves, or the process ends and closes it. Told apart, as the log of a
 // request that the stop has cut off would otherwise put it on the caller.
 func (x *exchange) goneOutcome() string {
-	if x.server.refusing.Load() {
+	if x.server.Gate.Closed() {
 		return "cut_by_stop"
 	}
 	return "caller_left"
@@ -307,7 +319,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	if x.server.stopping.Load() {
+	if x.server.Gate.Stopping() {
 		h.Set("Connection", "close")
 	}
 	x.started = true
--- a/ingress/faults_test.go
+++ b/ingress/faults_test.go
@@ -184,7 +184,7 @@
 	cancel()
 	<-done
 	waitFor(t, func() bool { return w.runs()[0].Left })
-	waitFor(t, func() bool { return w.server.InFlight() == 0 })
+	waitFor(t, func() bool { return w.gate.InFlight() == 0 })
 	is.Equal(len(w.runs()), 1) // it was not sent on to another either
 }
 
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
 	"github.com/lovageweir/lovageweir/kv"
@@ -62,9 +64,29 @@
 	fleet   *fleet.Follower
 	engines []*platformtest.Engine
 	server  *ingress.Server
+	gate    *drain.Gate
+	stop    *clockwork.FakeClock // what the gate goes by
 	orders  *rollout.Controller
 	url     string
-	logs    *strings.Builder
+	logs    *logBuffer
+}
+
+// logBuffer keeps what is logged; it is safe for concurrent use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 // newWorld starts n engines and an entry that knows them and the
@@ -83,16 +105,18 @@
 func newEmptyWorld(t *testing.T) *world {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	w := &world{t: t, kv: memkv.New(clock), logs: &strings.Builder{}}
-	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
+	w := &world{t: t, kv: memkv.New(clock), logs: &logBuffer{}}
+	log := slog.New(slog.NewJSONHandler(w.logs, nil))
 	w.fleet = fleet.NewFollower(fleet.Entry{Instance: "i1", Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
 	board := place.NewBoard(clock)
 	rollouts := rollout.New(rollout.Deps{Instance: "i1", Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
 		SessionLife: 5 * time.Second, Exposure: rollout.Exposure{Share: 0.15, Slack: 30}, Clock: clock, Log: log})
 	w.orders = rollouts
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
+	w.stop = clockwork.NewFakeClock()
+	w.gate = drain.NewGate(w.stop)
 	w.server = ingress.New(ingress.Deps{Instance: "i1", Domain: "d1", Fleet: w.fleet, Wire: platform.Headers{}, Board: board, Rates: place.NewRates(),
-		Budget: budget, Rollouts: rollouts, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
+		Budget: budget, Rollouts: rollouts, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
@@ -160,6 +184,7 @@
 	status int
 	header http.Header
 	body   string
+	last   bool  // of its connection
 	err    error // reading the body
 }
 
@@ -187,7 +212,7 @@
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(raw), err}
+	return answer{resp.StatusCode, resp.Header, string(raw), resp.Close, err}
 }
 
 // whole checks that an answer is the whole answer to request a1.
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -55,6 +55,7 @@
 var (
 	failBroken   = &refusal{http.StatusBadGateway, "endpoint_broke_off", 0}
 	failDeadline = &refusal{http.StatusGatewayTimeout, "deadline", 0}
+	failStopped  = &refusal{http.StatusBadGateway, "cut_by_stop", 0}
 )
 
 type refusalBody struct {
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -83,8 +83,8 @@
 	if x.facts.Usage.Prompt > 0 {
 		attrs = append(attrs, slog.Int("prompt_tokens", x.facts.Usage.Prompt))
 	}
-	if s.stopping.Load() {
-		attrs = append(attrs, slog.Int64("stopping_ms", s.Clock.Since(s.stopped).Milliseconds()))
+	if since, ok := s.Gate.Since(); ok {
+		attrs = append(attrs, slog.Int64("stopping_ms", since.Milliseconds()))
 	}
 	if len(x.attempts) > 0 {
 		attrs = append(attrs, slog.String("sends", x.sends()))
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/retry"
@@ -44,6 +45,8 @@
 	Budget   *retry.Budget
 	Rollouts *rollout.Controller
 	Ladder   cascade.Ladder
+	// Gate counts the requests, and at a planned stop says which are taken.
+	Gate *drain.Gate
 	// BodyMemory bounds the bytes of request bodies held at a time.
 	BodyMemory int64
 	// MaxInFlight bounds the requests served at a time; 0: they are not
@@ -60,43 +63,16 @@
 // Server serves callers.
 type Server struct {
 	Deps
-	metrics  metrics
-	inFlight atomic.Int64
-	bodies   atomic.Int64
-	stopping atomic.Bool
-	// stopped is when the stop began; read only once stopping is set.
-	stopped time.Time
-	// long is set once streams are refused, refusing once everything is.
-	long     atomic.Bool
-	refusing atomic.Bool
+	metrics metrics
+	bodies  atomic.Int64
 }
 
 // New returns a server.
 func New(d Deps) *Server { return &Server{Deps: d, metrics: newMetrics(d.Scope)} }
 
-// InFlight is the number of requests being served.
-func (s *Server) InFlight() int64 { return s.inFlight.Load() }
-
 // Ready reports whether the server wants new connections: it knows a
 // configuration and is not stopping.
-func (s *Server) Ready() bool { return !s.stopping.Load() && s.Fleet.View().Config != nil }
-
-// Stop makes each answer the last on its connection, so that callers move to
-// other entries; requests are served on.
-func (s *Server) Stop() {
-	s.stopped = s.Clock.Now()
-	s.stopping.Store(true)
-}
-
-// RefuseStreams makes the server refuse streams that come from now on: they
-// take seconds, and a process that is to end has too few left for them.
-func (s *Server) RefuseStreams() { s.long.Store(true) }
-
-// Refuse makes the server refuse what comes from now on.
-func (s *Server) Refuse() { s.refusing.Store(true) }
-
-// Stopping reports whether Stop was called.
-func (s *Server) Stopping() bool { return s.stopping.Load() }
+func (s *Server) Ready() bool { return !s.Gate.Stopping() && s.Fleet.View().Config != nil }
 
 // Handler returns the caller API: any method, host and path.
 func (s *Server) Handler() http.Handler {
@@ -108,9 +84,9 @@
 
 // serve answers one request.
 func (s *Server) serve(w gin.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	if s.stopping.Load() {
+	s.Gate.Enter()
+	defer s.Gate.Leave()
+	if s.Gate.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{server: s, w: w, r: r, received: s.Clock.Now(), facts: s.Wire.Request(r.Header)}
@@ -124,7 +100,9 @@
 		return
 	}
 	defer s.bodies.Add(-int64(len(x.body)))
-	ctx, cancel := context.WithDeadlineCause(r.Context(), time.Now().Add(x.left()), errDeadline)
+	ctx, unbind := s.Gate.Bound(r.Context())
+	defer unbind()
+	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.left()), errDeadline)
 	defer cancel()
 	x.run(ctx)
 	x.answered.Store(x.outcome == "answered")
@@ -147,10 +125,10 @@
 func (x *exchange) admit() *refusal {
 	s := x.server
 	x.view = s.Fleet.View()
-	if s.refusing.Load() {
+	if s.Gate.Closed() {
 		return refuseStopping
 	}
-	if s.MaxInFlight > 0 && s.inFlight.Load() > s.MaxInFlight {
+	if s.MaxInFlight > 0 && s.Gate.InFlight() > s.MaxInFlight {
 		return refuseCrowded
 	}
 	if x.view.Config == nil {
@@ -170,7 +148,7 @@
 		}
 		return refuseNoRoute
 	}
-	if x.route.Kind == fleet.Streaming && s.long.Load() {
+	if !s.Gate.Admits(x.allowed()) {
 		return refuseStopping
 	}
 	x.customer = x.view.Customer(x.facts.Key)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -209,6 +209,10 @@
 		x.end(c, place.Abandoned, "caller left")
 		return errCallerLeft
 	}
+	if cut(ctx) {
+		x.end(c, place.Abandoned, "entry stops")
+		return errCut
+	}
 	if errors.Is(context.Cause(ctx), errDeadline) {
 		x.end(c, place.Abandoned, "deadline")
 		return errDeadline
@@ -225,6 +229,8 @@
 	switch {
 	case errors.Is(err, errCallerLeft) || x.r.Context().Err() != nil:
 		x.breakOff(x.goneOutcome())
+	case cut(ctx):
+		x.breakOff("cut_by_stop")
 	case errors.Is(err, errRetry):
 		return true
 	case errors.Is(err, errNotSent):
--- a/ingress/whole.go
+++ b/ingress/whole.go
@@ -40,6 +40,9 @@
 	case x.r.Context().Err() != nil:
 		x.outcome = x.goneOutcome()
 		return false
+	case cut(ctx):
+		x.giveUpAtStop()
+		return false
 	case errors.Is(err, errRetry):
 		return true
 	case errors.Is(err, errNotSent):
@@ -73,6 +76,15 @@
 	x.refuse(ref)
 }
 
+// giveUpAtStop answers a request that the end of a planned stop has cut off.
+func (x *exchange) giveUpAtStop() {
+	if x.runs > 0 {
+		x.refuse(failStopped)
+		return
+	}
+	x.refuse(refuseStopping)
+}
+
 // tryReturn reads the answer and returns it, if it is one to return.
 func (x *exchange) tryReturn(c *sent) error {
 	if err := x.notRun(c); err != nil {
