--- a/ingress/trial_test.go
+++ b/ingress/trial_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -73,6 +74,16 @@
 	is.Equal(len(w.engines[1].Runs()), 0)
 }
 
+// Symptom: an endpoint on trial works for an entry that is gone.
+// Events: an entry that stops serves a stream, and its copy would outlast it.
+func TestAStoppingEntryCopiesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newTrialWorld(t)
+	w.gate.Begin(drain.Times{TakesAll: time.Second, Stays: time.Second, End: time.Second})
+	w.do(http.MethodPost, "/sized/stream", "body", trialHeaders...).wholeStream(is)
+	is.Equal(len(w.engines[1].Runs()), 0)
+}
+
 // Symptom: engines work on for callers that are gone.
 // Events: a caller whose request was copied leaves before it has its answer.
 // Its copy ends as well.
