--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -23,6 +23,8 @@
 	step    string // an engine's time per token; "" is 1ms
 	config  string // more configuration, merged last
 	rater   string // skills as JSON; "" starts no rater
+	work    string // the service's time per call; "" is 5ms
+	drain   string // the entries' drain_timeout; "" leaves the default
 }
 
 // cluster is a KV stand-in, two engines of model m (v1 and v2), a plain
@@ -66,10 +68,13 @@
 	if p.step == "" {
 		p.step = "1ms"
 	}
+	if p.work == "" {
+		p.work = "5ms"
+	}
 	c := &cluster{ctl: ctl, dir: t.TempDir(), kv: freeAddr(t), service: freeAddr(t), instances: freeAddr(t),
 		engines: map[string]string{"v1": freeAddr(t), "v2": freeAddr(t)}}
 	start(t, ctl, "standin", "kv", "--listen", c.kv)
-	start(t, ctl, "standin", "service", "--listen", c.service)
+	start(t, ctl, "standin", "service", "--listen", c.service, "--work", p.work)
 	start(t, ctl, "standin", "instances", "--listen", c.instances, "--lag", "500ms")
 	for v, addr := range c.engines {
 		start(t, ctl, "standin", "engine", "--listen", addr, "--model", "m", "--version", v, "--step", p.step)
@@ -84,13 +89,17 @@
 	for _, addr := range []string{c.kv, c.service, c.instances, c.engines["v1"], c.engines["v2"]} {
 		waitHTTP(t, "http://"+addr+"/debug/state")
 	}
+	drain := ""
+	if p.drain != "" {
+		drain = "drain_timeout: " + p.drain + "\n"
+	}
 	addrs := make([]string, p.entries)
 	for i := range addrs {
 		addrs[i] = freeAddr(t)
 	}
 	for i, addr := range addrs {
-		settings := fmt.Sprintf("instance: e%d\ndomain: fd-1\nlisten: %s\nkv: http://%s\ninstances: http://%s\npeers: [http://%s]\nmanage_engines: true\n%s%s",
-			i, addr, c.kv, c.instances, strings.Join(addrs, ", http://"), rater, sessionKeys)
+		settings := fmt.Sprintf("instance: e%d\ndomain: fd-1\nlisten: %s\nkv: http://%s\ninstances: http://%s\npeers: [http://%s]\nmanage_engines: true\n%s%s%s",
+			i, addr, c.kv, c.instances, strings.Join(addrs, ", http://"), rater, drain, sessionKeys)
 		path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
 		write(t, path, settings)
 		c.entries = append(c.entries, &entry{url: "http://" + addr, proc: start(t, entryBin, "-c", path)})
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -301,17 +301,26 @@
 
 func (c *cluster) post(t *testing.T, entry int, key, body string) (int, string) {
 	t.Helper()
+	status, answer, err := c.tryPost(entry, key, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status, answer
+}
+
+// tryPost is post where the connection may break; err says so.
+func (c *cluster) tryPost(entry int, key, body string) (int, string, error) {
 	req, _ := http.NewRequest(http.MethodPost, c.entries[entry].url+"/v1/services/postings/send", strings.NewReader(body))
 	req.Header.Set("Authorization", "Bearer ka")
 	req.Header.Set(openai.HeaderIdempotencyKey, key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		t.Fatal(err)
+		return 0, "", err
 	}
 	defer resp.Body.Close()
 	b := new(strings.Builder)
-	_, _ = copyAll(b, resp)
-	return resp.StatusCode, b.String()
+	_, err = copyAll(b, resp)
+	return resp.StatusCode, b.String(), err
 }
 
 func (c *cluster) executions(t *testing.T) []string {
