A planned stop of the OpenAI interface answers what it cannot finish

A drain_timeout of a minute or more never came to Shutdown at all. An entry with nothing in flight exited at once, while the balancer still sent it connections; no answer of a stopping entry said that its connection ends.

Ruled out: the race in gateway.admit (draining looked at before the request is counted) lost no request, as Shutdown waited for it; with a close after the drain it would. Claims of requests cut off were right (held); their bills were missing only because the ledger's hook never ran, or were written by the holder where there was one. "Caller left" is not logged by this router, but what a stop ended would have been counted as no_answer or stream_cut, a back end's fault.

Change: requests go through drain.Gate, as those of the platform's router do: counted before they are checked, refused once a stop has begun (a stream has no bound, so nothing is sure to fit), ended with drain.ErrCut at drain_timeout. What may have run is answered so with the code entry_stopped (504, or in band and without [DONE]), billed so, and keeps its claim; a body that still comes is read no further and its request refused as not run; a cascade gives the answer it holds. Every answer since SIGTERM says Connection: close. An idle entry stays 3.2 s. The listeners get a second for the last answers and are then closed. fx's stop context covers drain_timeout and the share of each hook after it (46.2 s by default, a minute for everything before). gateway.InFlight, Drain and Draining are gone: the gate says it.

Not tested: a caller that stops reading its stream and is closed on after the second.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/duty"
 	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/gateway"
@@ -67,9 +68,11 @@
 			newClaims,
 			cascade.NewPlanner,
 			newDuty,
+			drain.NewGate,
 			newGateway,
 		),
 		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runGossip, runRatings, serve),
+		fx.StopTimeout(stopTimeout(set)),
 		fx.NopLogger,
 	)
 }
@@ -134,14 +137,14 @@
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
 func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
-	gd *guard.Guard, planner *cascade.Planner, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
+	gd *guard.Guard, planner *cascade.Planner, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
 	keys, err := s.Keyring()
 	if err != nil {
 		return nil, err
 	}
 	d := gateway.Deps{
 		Instance: s.Instance, Life: int64(l), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: bill, Claims: claims,
-		Guard: gd, Planner: planner, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
+		Guard: gd, Planner: planner, Gate: gate, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
 		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
 	}
 	if s.Rater != "" {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
@@ -27,14 +28,12 @@
 	"github.com/lovageweir/lovageweir/settings"
 )
 
-// drainPoll is how often a stopping entry looks whether requests remain.
-const drainPoll = 50 * time.Millisecond
-
 // parts are what the server shows and serves.
 type parts struct {
 	fx.In
 	Set       *settings.Entry
 	Gateway   *gateway.Gateway
+	Gate      *drain.Gate
 	Watcher   *configwatch.Watcher
 	Endpoints *endpoints.Table
 	Members   *peers.Table
@@ -63,12 +62,12 @@
 }
 
 func (p parts) dump() Dump {
-	return Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Draining: p.Gateway.Draining(), InFlight: p.Gateway.InFlight(),
+	return Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Draining: p.Gate.Stopping(), InFlight: p.Gate.InFlight(),
 		Config: p.Watcher.State(), Peers: p.Members.State(), Guard: p.Guard.State(), Ledger: p.Ledger.State(),
 		ClaimsPending: p.Claims.Pending(), Cascades: p.Planner.State(), Endpoints: p.Endpoints.Snapshot()}
 }
 
-func (p parts) ready() bool { return !p.Gateway.Draining() && p.Watcher.Table() != nil }
+func (p parts) ready() bool { return !p.Gate.Stopping() && p.Watcher.Table() != nil }
 
 // callerRoutes are what callers and the platform's balancer need.
 func (p parts) callerRoutes(r *gin.Engine) {
@@ -133,9 +132,7 @@
 	return []*listener{newListener(p.Set.Listen, p.callerRoutes), newListener(p.Set.InternalListen, p.internalRoutes)}
 }
 
-// serve listens, and at a planned stop drains: readiness turns false and new
-// requests are refused as not run, those in flight finish, then the server
-// closes. Peers are served until the last request has ended.
+// serve listens, and at a planned stop drains.
 func serve(lc fx.Lifecycle, p parts) {
 	gin.SetMode(gin.ReleaseMode)
 	ls := p.listeners()
@@ -149,21 +146,9 @@
 			}
 			return nil
 		},
-		OnStop: func(ctx context.Context) error {
-			p.Members.Leave()
-			p.Gossip.Rumour()
-			p.Gateway.Drain()
-			log.Info("server: draining.", "in_flight", p.Gateway.InFlight())
-			deadline := time.Now().Add(p.Set.DrainTimeout)
-			for p.Gateway.InFlight() > 0 && time.Now().Before(deadline) {
-				time.Sleep(drainPoll)
-			}
-			log.Info("server: drained; closing.", "in_flight", p.Gateway.InFlight())
-			var errs []error
-			for _, l := range ls {
-				errs = append(errs, l.srv.Shutdown(ctx))
-			}
-			return errors.Join(errs...)
+		OnStop: func(context.Context) error {
+			p.drain(ls, log)
+			return nil
 		},
 	})
 }
@@ -186,5 +171,5 @@
 
 func (p *peerServer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
 	return &peerpb.StatusResponse{Instance: p.Set.Instance, Domain: p.Set.Domain, ConfigRevision: int64(p.Watcher.Revision()),
-		Ready: p.ready(), InFlight: p.Gateway.InFlight(), LivePeers: int64(len(p.Members.Live())), Watching: p.Watcher.State().Watching}, nil
+		Ready: p.ready(), InFlight: p.Gate.InFlight(), LivePeers: int64(len(p.Members.Live())), Watching: p.Watcher.State().Watching}, nil
 }
--- /dev/null
+++ b/agent/stop.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/lovageweir/lovageweir/drain"
+	"github.com/lovageweir/lovageweir/settings"
+)
+
+// A planned stop.
+const (
+	// lookAway is how long the platform's balancer takes to send no more
+	// connections to an entry that says it is not ready: two looks, a second
+	// apart, and some for the look itself. An entry that ended sooner would
+	// leave those who come meanwhile with a connection refused.
+	lookAway = 3200 * time.Millisecond
+	// closing is how long the last answers have to leave: a caller that reads
+	// slowly must not hold up the bills, which come after. Each of two listeners
+	// may take that long, and the handlers of closed connections once more.
+	closing = time.Second
+	// lastHaltsFor is what remains for the halts of versions, which are written
+	// last and known to other entries by gossip.
+	lastHaltsFor = 2 * time.Second
+)
+
+// stopTimeout is how long a planned stop may take in all. When it is over, fx
+// calls no further hook and the process exits: a drain that took all of it left
+// bills unwritten.
+func stopTimeout(s *settings.Entry) time.Duration {
+	return s.DrainTimeout + drain.LastAnswers + 3*closing + resignFor + lastClaimsFor + lastBillsFor + lastHaltsFor
+}
+
+// stages are those of the drain.
+func stages(s *settings.Entry) drain.Times {
+	return drain.Times{Stays: min(lookAway, s.DrainTimeout/2), End: s.DrainTimeout}
+}
+
+// drain ends an entry's work: readiness turns false, new requests are refused
+// as not run, those in flight finish or, when the time is over, are told that
+// they are cut off. Then the listeners close, the callers' first: peers are
+// served until the last request has ended.
+func (p parts) drain(ls []*listener, log *slog.Logger) {
+	p.Members.Leave()
+	p.Gossip.Rumour()
+	log.Info("server: draining.", "in_flight", p.Gate.InFlight())
+	callers := ls[0]
+	p.Gate.Drain(stages(p.Set), func() { callers.srv.SetKeepAlivesEnabled(false) })
+	took, _ := p.Gate.Since()
+	log.Info("server: closing.", "in_flight", p.Gate.InFlight(), "took_ms", took.Milliseconds())
+	for _, l := range ls {
+		l.close(log)
+	}
+	p.awaitHandlers()
+}
+
+// close ends l once its last answers have left. Connections that are still busy
+// then are closed.
+func (l *listener) close(log *slog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), closing)
+	defer cancel()
+	if err := l.srv.Shutdown(ctx); err != nil {
+		log.Warn("server: closing connections that are still busy.", "address", l.address, "error", err)
+		_ = l.srv.Close() // the process ends
+	}
+}
+
+// awaitHandlers waits for requests whose connection was closed under them: each
+// settles its bill once it notices, and the ledger is written after this.
+func (p parts) awaitHandlers() {
+	const poll = 10 * time.Millisecond
+	for range closing / poll {
+		if p.Gate.InFlight() == 0 {
+			return
+		}
+		time.Sleep(poll)
+	}
+}
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -2,22 +2,31 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx/fxtest"
 
+	"github.com/lovageweir/lovageweir/configwatch"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/duty"
+	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/internal/background"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/ledger"
+	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
@@ -123,3 +132,64 @@
 	is.NoErr(ctx.Err()) // some of the stop's time is left
 	is.Equal(claims.Pending(), 1)
 }
+
+// TestIdleEntryStaysUntilCallersAreElsewhere: symptom: callers find connections
+// refused at every planned stop, while other entries would serve them. Sequence:
+// an entry with nothing in flight is stopped; the balancer, which has not looked
+// yet, sends it a new connection. Cause: the entry ended at once. Here it still
+// answers: the balancer, that it is not ready, and the caller, that the request
+// did not run and that the connection ends with this answer.
+func TestIdleEntryStaysUntilCallersAreElsewhere(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	members := peers.NewTable(&peerpb.Member{Instance: "e1", Domain: "fd-1", Address: "http://e1", Life: 1}, clock, nil)
+	gate := drain.NewGate(clock)
+	p := parts{Set: &settings.Entry{DrainTimeout: settings.DefaultDrainTimeout}, Gate: gate, Log: log, Members: members,
+		Gossip:  peers.NewGossip(members, func() []string { return nil }, nil, log),
+		Watcher: configwatch.New(memkv.New(clock), clock, log),
+		Gateway: gateway.New(gateway.Deps{Gate: gate, Clock: clock, Log: log, Scope: tally.NoopScope})}
+	callers := newListener("", p.callerRoutes)
+	srv := httptest.NewServer(callers.srv.Handler)
+	defer srv.Close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.drain([]*listener{callers}, log)
+	}()
+	stays, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer cancel()
+		<-ended
+	}()
+	is.NoErr(clock.BlockUntilContext(stays, 1)) // it has begun and not ended
+
+	resp, err := http.Get(srv.URL + "/readyz")
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	resp, err = http.Post(srv.URL+"/v1/chat/completions", "application/json", strings.NewReader(`{"model":"m"}`))
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Close) // the caller is to come back on another connection
+	is.True(resp.Header.Get("Retry-After") != "")
+	var body openai.ErrorBody
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&body))
+	is.Equal(body.Error.Type, openai.OutcomeNotRun)
+
+	clock.Advance(lookAway)
+	<-ended
+}
+
+// A stop has time for all that comes in it, whatever drain_timeout is.
+func TestStopTimeoutCoversItsParts(t *testing.T) {
+	is := is.New(t)
+	for _, d := range []time.Duration{time.Second, settings.DefaultDrainTimeout, 10 * time.Minute} {
+		s := &settings.Entry{DrainTimeout: d}
+		times := stages(s)
+		is.True(times.Stays <= times.End)
+		is.Equal(times.End, d)
+		is.True(stopTimeout(s) >= d+drain.LastAnswers+closing+lastClaimsFor+lastBillsFor)
+	}
+}
--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -35,8 +35,9 @@
 	settled        = 2 * time.Second
 )
 
-// stopTimeout bounds a planned stop; the settings bound it closer.
-const stopTimeout = time.Minute
+// edgeStopTimeout bounds a planned stop on the users' platform, where the grace
+// that the settings give bounds it closer.
+const edgeStopTimeout = time.Minute
 
 func main() {
 	if os.Getenv("GOGC") == "" {
@@ -63,9 +64,9 @@
 		exitOn("settings", err)
 		callers, err := edge.OpenCallers(set)
 		exitOn("start", err)
-		module = edge.Module(edge.Options{Settings: set, Path: *edgePath, Callers: callers})
+		module = fx.Options(edge.Module(edge.Options{Settings: set, Path: *edgePath, Callers: callers}), fx.StopTimeout(edgeStopTimeout))
 	}
-	fx.New(module, fx.StopTimeout(stopTimeout)).Run()
+	fx.New(module).Run()
 }
 
 func exitOn(doing string, err error) {
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -49,22 +49,6 @@
 	return n
 }
 
-// admit counts requests in flight, refuses new ones while the entry drains,
-// and answers the refusals that handle returns.
-func (g *Gateway) admit(handle func(*gin.Context) *route.Refusal) gin.HandlerFunc {
-	return func(c *gin.Context) {
-		if g.draining.Load() {
-			g.refuseNotRun(c, errDraining)
-			return
-		}
-		g.inFlight.Add(1)
-		defer g.inFlight.Add(-1)
-		if ref := handle(c); ref != nil {
-			g.refuseNotRun(c, ref)
-		}
-	}
-}
-
 // chat serves one chat completion.
 func (g *Gateway) chat(c *gin.Context) *route.Refusal {
 	q, ref := g.read(c)
@@ -76,7 +60,12 @@
 
 // readBody reads a request's body whole, or says why not.
 func readBody(c *gin.Context) ([]byte, *route.Refusal) {
+	stop := interruptReading(c)
 	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxBody+1))
+	stop()
+	if err != nil && cutOff(c) {
+		return nil, errDraining
+	}
 	if err != nil {
 		return nil, badRequest(err.Error())
 	}
@@ -257,7 +246,7 @@
 		return nil
 	case gotBroken:
 		g.settle(q, ledger.OutcomeUnknown)
-		out.breakOff(res.code)
+		out.breakOff(g.endCode(q, res.code))
 		return nil
 	}
 	return g.conclude(q, best, nil)
@@ -284,7 +273,7 @@
 		return nil
 	case q.mayHaveRun:
 		g.settle(q, ledger.OutcomeUnknown)
-		g.refuse(q.c, http.StatusGatewayTimeout, openai.OutcomeUnknown, "no_answer", "no back end answered; one may have run the request", retryUnknown)
+		g.refuse(q.c, http.StatusGatewayTimeout, openai.OutcomeUnknown, g.endCode(q, "no_answer"), "no back end answered; one may have run the request", retryUnknown)
 		return nil
 	}
 	if q.opened {
@@ -293,6 +282,9 @@
 			g.Bill.Drop(q.rid)
 		}
 	}
+	if cutOff(q.c) {
+		return errDraining
+	}
 	if refused == nil {
 		refused = &route.Refusal{Code: "no_capacity", Status: http.StatusServiceUnavailable, Message: "no back end of " + q.name + " took the request", RetryAfter: noCapacityRetry}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
@@ -77,6 +78,7 @@
 	Guard     Guard            // optional: no version is guarded
 	Rater     rater.Rater      // optional: answers are not rated
 	Planner   *cascade.Planner // optional: every step of a cascade is tried
+	Gate      *drain.Gate      // optional: no stop is planned
 	Timeouts  Timeouts
 	Clock     clockwork.Clock
 	Log       *slog.Logger
@@ -90,26 +92,17 @@
 	budget  *retryBudget
 	ratings chan rating
 
-	seq      atomic.Uint64
-	inFlight atomic.Int64
-	draining atomic.Bool
+	seq atomic.Uint64
 }
 
 // New returns a gateway.
 func New(d Deps) *Gateway {
+	if d.Gate == nil {
+		d.Gate = drain.NewGate(d.Clock)
+	}
 	return &Gateway{Deps: d, lines: newLines(), budget: newRetryBudget(), ratings: make(chan rating, ratingQueue)}
 }
 
-// InFlight is the number of requests being served.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
-
-// Drain makes the gateway refuse new requests (not run, with Retry-After)
-// while those in flight finish.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
-// Draining reports whether Drain was called.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
-
 // Register adds the caller API to r.
 func (g *Gateway) Register(r gin.IRoutes) {
 	r.POST(chatPath, g.admit(g.chat))
@@ -126,6 +119,7 @@
 		body.Error.RetryAfterSeconds = secs
 	}
 	g.Scope.Tagged(map[string]string{"outcome": outcome, "code": code}).Counter("refusals").Inc(1)
+	g.lastIfStopping(c)
 	c.AbortWithStatusJSON(status, body)
 }
 
--- a/gateway/output.go
+++ b/gateway/output.go
@@ -132,6 +132,7 @@
 		return
 	}
 	o.begun = true
+	o.g.lastIfStopping(o.q.c)
 	o.q.c.Header("Content-Type", "text/event-stream")
 	o.q.c.Header("Cache-Control", "no-cache")
 	o.q.c.Status(http.StatusOK)
@@ -152,6 +153,7 @@
 // finish sends the end of a whole answer.
 func (o *output) finish() {
 	if !o.q.stream {
+		o.g.lastIfStopping(o.q.c)
 		o.q.c.Data(http.StatusOK, "application/json", o.wholeBody(o.q))
 		return
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -83,7 +83,7 @@
 			q.mayHaveRun = true
 			return result{kind: gotWhole}
 		}
-		gone := q.c.Request.Context().Err() != nil // the caller left: no fault of the back end
+		gone := q.c.Request.Context().Err() != nil // the caller left, or the entry stops: no fault of the back end
 		if !gone {
 			g.blame(b, a)
 		}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -62,6 +62,7 @@
 	}
 	g.settle(q, ledger.OutcomeOK)
 	g.Scope.Counter("answers").Inc(1)
+	g.lastIfStopping(q.c)
 	q.c.Data(ans.status, ans.contentType, ans.body)
 	return nil
 }
