A test: a stop bills a caller that has stopped reading

Cause that it guards against: the end of a request's context does not end a write to a caller that reads nothing, so such a request outlasts the drain; its bill is settled only once its connection is closed.

Change: the test alone, and the idle entry's test serves by the listener that the drain closes, and checks that it is closed.

--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,14 +14,17 @@
 	"testing"
 	"time"
 
+	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx/fxtest"
 
+	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/configwatch"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/duty"
+	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/internal/background"
@@ -28,6 +33,7 @@
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/route"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
 )
@@ -143,15 +149,8 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	members := peers.NewTable(&peerpb.Member{Instance: "e1", Domain: "fd-1", Address: "http://e1", Life: 1}, clock, nil)
-	gate := drain.NewGate(clock)
-	p := parts{Set: &settings.Entry{DrainTimeout: settings.DefaultDrainTimeout}, Gate: gate, Log: log, Members: members,
-		Gossip:  peers.NewGossip(members, func() []string { return nil }, nil, log),
-		Watcher: configwatch.New(memkv.New(clock), clock, log),
-		Gateway: gateway.New(gateway.Deps{Gate: gate, Clock: clock, Log: log, Scope: tally.NoopScope})}
-	callers := newListener("", p.callerRoutes)
-	srv := httptest.NewServer(callers.srv.Handler)
-	defer srv.Close()
+	p := testParts(clock, settings.DefaultDrainTimeout, gateway.Deps{Clock: clock, Log: log, Scope: tally.NoopScope})
+	callers, srv := listen(t, p)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -180,6 +179,89 @@
 
 	clock.Advance(lookAway)
 	<-ended
+	_, err = (&http.Client{Transport: &http.Transport{}}).Get(srv.URL + "/readyz")
+	is.True(err != nil) // it has closed
+}
+
+// bills hands over what is settled.
+type bills chan ledger.Record
+
+func (bills) Open(ledger.Record)                          {}
+func (b bills) Settle(_ context.Context, r ledger.Record) { b <- r }
+func (bills) Drop(string)                                 {}
+
+// oneTable is a configuration that does not change.
+type oneTable struct{ t *route.Table }
+
+func (o oneTable) Table() *route.Table   { return o.t }
+func (oneTable) Refresh(context.Context) {}
+
+// TestStopBillsACallerThatDoesNotRead: symptom: a request is not billed, or the
+// stop takes until the process is killed. Sequence: a caller stops reading its
+// stream, so that the entry waits to write to it; the stop's time is over.
+// Cause: the end of a request's context does not end a write. Here its
+// connection is closed, and its bill settled before the ledger is written.
+func TestStopBillsACallerThatDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	var events atomic.Int64
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		event := fmt.Sprintf(`data: {"id":%q,"choices":[{"delta":{"content":%q}}]}`+"\n\n", r.Header.Get(openai.HeaderRequestID), strings.Repeat("x", 32<<10))
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, event); err != nil {
+				return
+			}
+			events.Add(1)
+		}
+	}))
+	t.Cleanup(engine.Close)
+	doc := &config.Document{
+		Models:    map[string]config.Model{"m": {Versions: map[string]config.Version{"v1": {State: config.StateActive, Weight: 1}}}},
+		Customers: map[string]config.Customer{"c": {APIKeys: []string{"k"}, Allow: map[string][]string{"m": {"*"}}}},
+		Backends:  map[string]config.Backend{"e": {Kind: config.KindEngine, Address: strings.TrimPrefix(engine.URL, "http://"), Domain: "fd-1", Model: "m", Version: "v1"}},
+	}
+	clock := clockwork.NewRealClock()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	settled := make(bills, 1)
+	p := testParts(clock, 0, gateway.Deps{Instance: "e1", Domain: "fd-1", Tables: oneTable{route.NewTable(1, doc)}, Endpoints: endpoints.NewTable(clock), Bill: settled,
+		Timeouts: gateway.Timeouts{FirstToken: time.Hour, Idle: time.Hour, Whole: time.Hour}, Clock: clock, Log: log, Scope: tally.NoopScope})
+	callers, srv := listen(t, p)
+	caller, err := net.Dial("tcp", srv.Listener.Addr().String())
+	is.NoErr(err)
+	defer caller.Close()
+	body := `{"model":"m","stream":true,"messages":[]}`
+	_, err = fmt.Fprintf(caller, "POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer k\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	is.NoErr(err)
+	const still = 200 * time.Millisecond
+	for before := int64(-1); before != events.Load() || before == 0; time.Sleep(still) {
+		before = events.Load() // until all buffers on the way are full
+	}
+
+	p.drain([]*listener{callers}, log)
+	is.Equal(p.Gate.InFlight(), int64(0))
+	is.Equal((<-settled).Outcome, ledger.OutcomeUnknown)
+}
+
+// testParts are what a drain needs of an entry.
+func testParts(clock clockwork.Clock, drainTimeout time.Duration, d gateway.Deps) parts {
+	members := peers.NewTable(&peerpb.Member{Instance: "e1", Domain: "fd-1", Address: "http://e1", Life: 1}, clock, nil)
+	d.Gate = drain.NewGate(clock)
+	return parts{Set: &settings.Entry{DrainTimeout: drainTimeout}, Gate: d.Gate, Log: d.Log, Members: members,
+		Gossip:  peers.NewGossip(members, func() []string { return nil }, nil, d.Log),
+		Watcher: configwatch.New(memkv.New(clock), clock, d.Log),
+		Gateway: gateway.New(d)}
+}
+
+// listen serves p's callers.
+func listen(t *testing.T, p parts) (*listener, *httptest.Server) {
+	gin.SetMode(gin.ReleaseMode)
+	callers := newListener("", p.callerRoutes)
+	srv := httptest.NewUnstartedServer(nil)
+	srv.Config = callers.srv
+	srv.Start()
+	t.Cleanup(srv.Close)
+	t.Cleanup(srv.CloseClientConnections)
+	return callers, srv
 }
 
 // A stop has time for all that comes in it, whatever drain_timeout is.
