One figure for the balancer's looks; the stop on the platform has its grace

Cause: lookAway stood in both routers; fx's stop time was one minute on the platform, so that with a longer grace it would have ended the drain as it did the other router's. Change: drain.LookAway; the stop time follows the settings.

--- a/agent/stop.go
+++ b/agent/stop.go
@@ -11,11 +11,6 @@
 
 // A planned stop.
 const (
-	// lookAway is how long the platform's balancer takes to send no more
-	// connections to an entry that says it is not ready: two looks, a second
-	// apart, and some for the look itself. An entry that ended sooner would
-	// leave those who come meanwhile with a connection refused.
-	lookAway = 3200 * time.Millisecond
 	// closing is how long the last answers have to leave: a caller that reads
 	// slowly must not hold up the bills, which come after. Each of two listeners
 	// may take that long, and the handlers of closed connections once more.
@@ -34,7 +29,7 @@
 
 // stages are those of the drain.
 func stages(s *settings.Entry) drain.Times {
-	return drain.Times{Stays: min(lookAway, s.DrainTimeout/2), End: s.DrainTimeout}
+	return drain.Times{Stays: min(drain.LookAway, s.DrainTimeout/2), End: s.DrainTimeout}
 }
 
 // drain ends an entry's work: readiness turns false, new requests are refused
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -177,7 +177,7 @@
 	is.NoErr(json.NewDecoder(resp.Body).Decode(&body))
 	is.Equal(body.Error.Type, openai.OutcomeNotRun)
 
-	clock.Advance(lookAway)
+	clock.Advance(drain.LookAway)
 	<-ended
 	_, err = (&http.Client{Transport: &http.Transport{}}).Get(srv.URL + "/readyz")
 	is.True(err != nil) // it has closed
--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -35,10 +35,6 @@
 	settled        = 2 * time.Second
 )
 
-// edgeStopTimeout bounds a planned stop on the users' platform, where the grace
-// that the settings give bounds it closer.
-const edgeStopTimeout = time.Minute
-
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(startGCPercent)
@@ -64,7 +60,7 @@
 		exitOn("settings", err)
 		callers, err := edge.OpenCallers(set)
 		exitOn("start", err)
-		module = fx.Options(edge.Module(edge.Options{Settings: set, Path: *edgePath, Callers: callers}), fx.StopTimeout(edgeStopTimeout))
+		module = edge.Module(edge.Options{Settings: set, Path: *edgePath, Callers: callers})
 	}
 	fx.New(module).Run()
 }
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -16,6 +16,11 @@
 }
 
 const (
+	// LookAway is how long the platform's balancer takes to send no more
+	// connections to an instance that says it is not ready: two looks, a second
+	// apart, and some for the look itself. A process that ended sooner would leave
+	// those who come meanwhile with a connection refused.
+	LookAway = 3200 * time.Millisecond
 	// LastAnswers is how long answers may take to be written once the rest was
 	// cut off. An instance with a fifth of a core that has used it up runs again
 	// within a tenth of a second.
--- a/edge/module.go
+++ b/edge/module.go
@@ -75,6 +75,7 @@
 			drain.NewGate,
 			newIngress,
 		),
+		fx.StopTimeout(o.Settings.Bounds.Grace()+stopSlack),
 		fx.Invoke(runFollower, runMesh, runLoads, runRollouts, runRegistration, runReload, serve),
 		fx.NopLogger,
 	)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -24,10 +24,6 @@
 
 // A planned stop.
 const (
-	// lookAway is how long the platform's balancer takes to send no more
-	// connections to an entry that says it is not ready: two looks, a second
-	// apart, and some for the look itself.
-	lookAway = 3200 * time.Millisecond
 	// takesAll is how long requests are taken that may not be answered before
 	// the process must end. It is past the balancer's two looks, so that only
 	// connections that stayed open are refused, and those that it sends here as
@@ -41,6 +37,9 @@
 	// closing is how long the last answers have to leave once all requests have
 	// ended.
 	closing = 100 * time.Millisecond
+	// stopSlack is what fx gives a stop beyond the grace. When its time is over it
+	// calls no further hook; the kill is to come first.
+	stopSlack = 10 * time.Second
 )
 
 // Limits of a caller's connection where the configuration's are not known
@@ -227,7 +226,7 @@
 func stages(grace time.Duration) drain.Times {
 	return drain.Times{
 		TakesAll: min(takesAll, grace/3),
-		Stays:    min(lookAway, grace/2),
+		Stays:    min(drain.LookAway, grace/2),
 		End:      max(0, grace-exitSlack),
 	}
 }
