--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovageweir/lovageweir/agent"
 	"github.com/lovageweir/lovageweir/edge"
+	"github.com/lovageweir/lovageweir/internal/daemon"
 	"github.com/lovageweir/lovageweir/settings"
 )
 
@@ -35,9 +36,6 @@
 	settled        = 2 * time.Second
 )
 
-// stopTimeout bounds a planned stop; the settings bound it closer.
-const stopTimeout = time.Minute
-
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(startGCPercent)
@@ -65,7 +63,7 @@
 		exitOn("start", err)
 		module = edge.Module(edge.Options{Settings: set, Path: *edgePath, Callers: callers})
 	}
-	fx.New(module, fx.StopTimeout(stopTimeout)).Run()
+	os.Exit(daemon.Run(fx.New(module)))
 }
 
 func exitOn(doing string, err error) {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -16,6 +16,11 @@
 }
 
 const (
+	// LookAway is how long the platform's balancer takes to send no more
+	// connections to an instance that says it is not ready: two looks, a second
+	// apart, and some for the look itself. A process that ended sooner would leave
+	// those who come meanwhile with a connection refused.
+	LookAway = 3200 * time.Millisecond
 	// LastAnswers is how long answers may take to be written once the rest was
 	// cut off. An instance with a fifth of a core that has used it up runs again
 	// within a tenth of a second.
@@ -33,10 +38,10 @@
 	end := g.stop.Load().end
 	g.clock.Sleep(min(t.Stays, t.End))
 	closeIdle()
-	g.waitIdle(end)
-	// Closed before the last look: a request may have come since the one above.
+	if g.waitIdle(end) {
+		return
+	}
 	g.Close()
-	g.waitIdle(end)
 	g.cut(ErrCut)
 	g.waitIdle(g.clock.Now().Add(LastAnswers))
 }
@@ -47,16 +52,15 @@
 	g.stop.Store(&stop{begun: now, takesAll: now.Add(t.TakesAll), end: now.Add(t.End)})
 }
 
-// Close makes the gate admit nothing more.
-func (g *Gate) Close() { g.closed.Store(true) }
-
-// waitIdle waits until nothing is in flight, at the longest until latest.
-func (g *Gate) waitIdle(latest time.Time) {
-	for g.InFlight() > 0 {
+// waitIdle waits until nothing is in flight, and closes the gate then; at the
+// longest until latest. It reports whether it came to that.
+func (g *Gate) waitIdle(latest time.Time) bool {
+	for !g.closeIfIdle() {
 		left := latest.Sub(g.clock.Now())
 		if left <= 0 {
-			return
+			return false
 		}
 		g.clock.Sleep(min(poll, left))
 	}
+	return true
 }
