A line when an entry begins or ceases to rely on entries that watch

Sight for a configuration that came into force late: at which age of its knowledge an entry began to watch for itself, and how long before it had heard of one that watches, had to be put together from the lines of its requests.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -53,6 +53,7 @@
 	heard   time.Time // when the store or an entry last told how things stand
 	away    bool      // the store does not answer this entry
 	watcher time.Time // when another entry last said that it watches
+	relying bool      // other entries watch for this one
 	// heardAwake is heard on the clock that counts suspensions.
 	heardAwake time.Duration
 	changed    func(*View)
@@ -183,7 +184,9 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		if f.relies() {
+		relying := f.relies()
+		f.setRelying(relying)
+		if relying {
 			f.setAway(nil)
 			f.sleep(ctx, idleLook)
 			continue
@@ -239,6 +242,26 @@
 	return nil
 }
 
+// setRelying notes and logs when the entry begins or ceases to rely on others,
+// with how old its knowledge is then: a change that is in force late is either
+// one that no watcher knew, or one that a watcher knew and this entry was not
+// told.
+func (f *Follower) setRelying(relying bool) {
+	f.mu.Lock()
+	was, watcher := f.relying, f.watcher
+	f.relying = relying
+	f.mu.Unlock()
+	if relying == was {
+		return
+	}
+	age, _ := f.Age()
+	message := "fleet: watching the store for itself."
+	if relying {
+		message = "fleet: relying on entries that watch the store."
+	}
+	f.log.Info(message, "revision", f.items.Revision(), "age_ms", age.Milliseconds(), "watcher_heard_ms", f.clock.Since(watcher).Milliseconds())
+}
+
 // setAway notes and logs when the store is lost or back.
 func (f *Follower) setAway(err error) {
 	f.mu.Lock()
