While all that watch the store are cut off, some entries ask it for the rest

Change: an entry relies on any other whose knowledge is current, not on those alone that say they watch; watchers that told old knowledge are passed over for 5 s, and any entry is asked where none is left. The time of an exchange counts to the age that it tells. 'store answers again' is no longer said of an entry that stopped asking. Weighed: the next by the hash in place of a watcher that hears nothing (needs agreement on who hears nothing). Tests: mesh.TestAnEntryPassesOverWatchersThatHearNothing, TestTheTimeOfAnExchangeCountsToTheAgeOfWhatItTells, new. HeardWatcher is gone: fleet.TestAnEntryReliesOnThoseThatWatch tells the entry by Merge, as an exchange does, with the same assertions; TestAnEntryDoesNotRelyOnAWatcher- ThatHearsNothing and TestAnEntryReliesOnWatchersWhoseWatchIsQuiet lose the call, nothing else. ExchangeMessage.watching goes on being told, for entries of another version of the program.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -20,9 +20,10 @@
 	// others judge by its answers whether the store is heard at all, so that it
 	// bounds reliedAge; the store gets a call a second from each of these few.
 	dutyWait = time.Second
-	// ownWait is how long one watch waits at an entry that watches for itself
-	// alone. It saves calls where all do, and keeps what an entry knows under the
-	// 4 s from which it no longer denies routes and keys: reliedAge and this wait.
+	// ownWait is how long one watch waits at an entry that watches for itself. It
+	// is longer as there may be many of them; reliedAge and this wait together
+	// stay under the 4 s from which an entry cannot tell that a route or a key
+	// does not exist.
 	// A watch that met a connection gone silent, or a store that went away, is
 	// noticed this much later and a second more.
 	ownWait = 2 * time.Second
@@ -30,11 +31,11 @@
 	// next watch: a burst of them, as when a service is replaced, then costs a
 	// few calls instead of one each. A change is in force that much later.
 	gatherFor = 250 * time.Millisecond
-	// watcherLife is how long after it was last heard that another entry
-	// watches an entry relies on that. Exchanges are 0.3 s apart: three that
-	// fail in a row make it watch by itself, well within the two seconds in
-	// which a change must be in force.
-	watcherLife = time.Second
+	// peerLife is how long after another entry whose knowledge was current last
+	// answered an entry relies on others. Exchanges are 0.3 s apart: three that
+	// fail in a row make it watch by itself, well within the two seconds in which
+	// a change must be in force.
+	peerLife = time.Second
 	// reliedAge is the oldest knowledge with which an entry relies on others.
 	// One whose connection to the store went silent believes that it watches
 	// until its call is given up, and the entry that relies on it would serve
@@ -64,8 +65,8 @@
 	mu      sync.Mutex // guards the fields below; held while a view is built, never across a call
 	build   *builder
 	heard   time.Time // when the store or an entry last told how things stand
-	away    bool      // the store does not answer this entry
-	watcher time.Time // when another entry last said that it watches
+	away    bool      // the store did not answer this entry's last call
+	peer    time.Time // when another entry whose knowledge was current last answered
 	relying bool      // other entries watch for this one
 	// heardAwake is heard on the clock that counts suspensions.
 	heardAwake time.Duration
@@ -125,6 +126,9 @@
 // Merge takes changes that another entry knew of, and knew to be all that
 // there was so long ago.
 func (f *Follower) Merge(from string, c Changes, ago time.Duration) {
+	if IsCurrent(ago) {
+		f.notePeer()
+	}
 	before := f.items.Revision()
 	if c.Revision < before {
 		return
@@ -160,11 +164,10 @@
 	f.changed(v)
 }
 
-// HeardWatcher notes that another entry watches the store and is answered.
-func (f *Follower) HeardWatcher() {
+func (f *Follower) notePeer() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watcher = f.clock.Now()
+	f.peer = f.clock.Now()
 }
 
 // Watching reports whether this entry watches the store and is answered.
@@ -173,21 +176,27 @@
 // onDuty reports whether this entry is one that watches for all.
 func (f *Follower) onDuty() bool { return Watches(f.View().Entries, f.self) }
 
-// Current reports whether what this entry knows is as young as it is where the
-// store is heard by those that watch it.
+// IsCurrent reports whether knowledge of an age is as young as it is where the
+// entries that watch the store hear it.
+func IsCurrent(age time.Duration) bool { return age <= reliedAge }
+
+// Current reports whether what this entry knows is current.
 func (f *Follower) Current() bool {
 	age, ok := f.Age()
-	return ok && age <= reliedAge
+	return ok && IsCurrent(age)
 }
 
-// relies reports whether other entries watch for this one, and hear the store.
+// relies reports whether this entry leaves watching to others: its knowledge is
+// current, and so is that of another that lately answered. Whether that one is of
+// those that watch for all does not matter: when these are all cut off from the
+// store, some of the others ask the store, and the rest rely on these.
 func (f *Follower) relies() bool {
 	if f.items.Revision() == 0 || f.onDuty() || !f.Current() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.clock.Since(f.watcher) < watcherLife
+	return f.clock.Since(f.peer) < peerLife
 }
 
 // sleep waits, and reports whether ctx has not ended.
@@ -207,7 +216,7 @@
 		relying := f.relies()
 		f.setRelying(relying)
 		if relying {
-			f.setAway(nil)
+			f.stopAsking()
 			f.sleep(ctx, idleLook)
 			continue
 		}
@@ -275,7 +284,7 @@
 // told.
 func (f *Follower) setRelying(relying bool) {
 	f.mu.Lock()
-	was, watcher := f.relying, f.watcher
+	was, peer := f.relying, f.peer
 	f.relying = relying
 	f.mu.Unlock()
 	if relying == was {
@@ -284,9 +293,17 @@
 	age, _ := f.Age()
 	message := "fleet: watching the store for itself."
 	if relying {
-		message = "fleet: relying on entries that watch the store."
+		message = "fleet: relying on other entries."
 	}
-	f.log.Info(message, "revision", f.items.Revision(), "age_ms", age.Milliseconds(), "watcher_heard_ms", f.clock.Since(watcher).Milliseconds())
+	f.log.Info(message, "revision", f.items.Revision(), "age_ms", age.Milliseconds(), "peer_heard_ms", f.clock.Since(peer).Milliseconds())
+}
+
+// stopAsking notes that this entry does not ask the store, so that nothing is
+// known of whether it would answer.
+func (f *Follower) stopAsking() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = false
 }
 
 // setAway notes and logs when the store is lost or back.
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -259,8 +259,8 @@
 }
 
 // Symptom: each change costs the store a call an entry.
-// An entry that hears of another that watches makes no calls; when it hears
-// of none for a second, it watches by itself.
+// An entry that hears of another whose knowledge is current makes no calls; when
+// it hears of none for a second, it watches by itself.
 func TestAnEntryReliesOnThoseThatWatch(t *testing.T) {
 	x := newFixture(t)
 	others := []fleet.Entry{{Instance: "a", Domain: "d1"}, {Instance: "b", Domain: "d1"}, {Instance: "c", Domain: "d1"}, {Instance: "d", Domain: "d1"},
@@ -277,13 +277,12 @@
 		x.is.NoErr(err)
 	}
 	x.config(1)
-	x.f.HeardWatcher()
 	x.run(t)
 	x.until(t, func(v *fleet.View) bool { return version(v) == 1 })
 	before := x.flaky.count()
 	for range 8 {
 		x.clock.Advance(100 * time.Millisecond)
-		x.f.HeardWatcher()
+		x.f.Merge("a", fleet.Changes{Revision: x.f.View().Revision}, 0)
 	}
 	x.is.True(x.flaky.count() <= before+1) // the watch that was under way when it began to rely
 	x.config(2)
--- a/fleet/watchers_test.go
+++ b/fleet/watchers_test.go
@@ -43,7 +43,6 @@
 		whole.Events = append(whole.Events, kv.Event{Type: kv.EventPut, KV: item})
 	}
 	x.f.Merge("a", whole, 0)
-	x.f.HeardWatcher()
 	return x
 }
 
@@ -67,7 +66,6 @@
 	x.run(t)
 	x.config(2)
 	for silent := time.Duration(0); silent < inForceWithin; silent += tick {
-		x.f.HeardWatcher()
 		x.f.Merge("a", fleet.Changes{Revision: known}, silent)
 		x.tick(t)
 	}
@@ -85,7 +83,6 @@
 	known := x.f.View().Revision
 	x.run(t)
 	for since := time.Duration(0); since < 10*oldest; since += tick {
-		x.f.HeardWatcher()
 		x.f.Merge("a", fleet.Changes{Revision: known}, since%oldest)
 		x.tick(t)
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,6 +40,9 @@
 	wholeEvery = 200 * time.Millisecond
 	// avoidFor is how long an entry that did not answer is left out.
 	avoidFor = 2 * time.Second
+	// deafFor is how long an entry whose knowledge was old, so that it does not
+	// hear the store, is passed over among those that watch it.
+	deafFor = 5 * time.Second
 	// mostRows bounds the evidence told in one exchange.
 	mostRows = 256
 )
@@ -64,6 +67,7 @@
 	mu     sync.Mutex
 	seeds  []string
 	avoid  map[string]time.Time // address -> until when it is left out
+	deaf   map[string]time.Time // address -> until when it is taken not to hear the store
 	lost   map[string]bool      // addresses whose loss is logged
 	rounds int64
 	failed int64
@@ -81,7 +85,7 @@
 		IdleConnTimeout:     15 * time.Second,
 		DisableCompression:  true,
 	}
-	return &Mesh{Deps: d, http: &http.Client{Transport: t}, seeds: d.Seeds, avoid: map[string]time.Time{}, lost: map[string]bool{}}
+	return &Mesh{Deps: d, http: &http.Client{Transport: t}, seeds: d.Seeds, avoid: map[string]time.Time{}, deaf: map[string]time.Time{}, lost: map[string]bool{}}
 }
 
 // SetSeeds replaces the seeds, as after a reload of the settings.
@@ -113,10 +117,10 @@
 	}
 }
 
-// draw picks another entry at random: one of those that watch the store, if
-// this one does not. When what it knows is old they may all be cut off from the
-// store, as it may be itself: it then asks anyone, and most entries, who reach
-// the store, have asked that by themselves.
+// draw picks another entry at random: one of those that watch the store and
+// lately heard it, if this one does not watch. Where there is none, as when all
+// are cut off from the store, and when what this one knows is old, it may be any:
+// of the others, those that reach the store have asked it by themselves.
 func (m *Mesh) draw() (string, bool) {
 	now := m.Clock.Now()
 	m.mu.Lock()
@@ -126,7 +130,7 @@
 	entries := m.Fleet.View().Entries
 	for _, e := range entries {
 		known[e.Address] = true
-		if e.Address != m.Address && fleet.Watches(entries, e) {
+		if e.Address != m.Address && !now.Before(m.deaf[e.Address]) && fleet.Watches(entries, e) {
 			watchers[e.Address] = true
 		}
 	}
@@ -149,6 +153,11 @@
 			delete(m.lost, a)
 		}
 	}
+	for a, until := range m.deaf {
+		if now.After(until) {
+			delete(m.deaf, a)
+		}
+	}
 	if !m.Fleet.Watching() && m.Fleet.Current() {
 		if near := only(open, watchers); len(near) > 0 {
 			open = near
@@ -178,13 +187,30 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	client := meshpb.NewMeshProtobufClient("http://"+address, m.http)
+	asked := m.Clock.Now()
 	got, err := client.Exchange(ctx, m.message())
 	m.note(address, err)
 	if err == nil {
-		m.merge(got)
+		m.noteHearing(address, got)
+		m.merge(got, m.Clock.Since(asked))
 	}
 }
 
+// noteHearing notes whether an entry that answered hears the store. One that
+// vouches for nothing says nothing of that.
+func (m *Mesh) noteHearing(address string, got *meshpb.ExchangeMessage) {
+	if got.ConfirmedMs < 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if fleet.IsCurrent(time.Duration(got.ConfirmedMs) * time.Millisecond) {
+		delete(m.deaf, address)
+		return
+	}
+	m.deaf[address] = m.Clock.Now().Add(deafFor)
+}
+
 // note keeps count, and logs when a peer is lost or back.
 func (m *Mesh) note(address string, err error) {
 	m.mu.Lock()
@@ -207,7 +233,8 @@
 	}
 }
 
-// message is what this entry knows, without changes of the store.
+// message is what this entry knows, without changes of the store. Watching is
+// told for entries that run another version of the program, which rely on it.
 func (m *Mesh) message() *meshpb.ExchangeMessage {
 	told, rows, under := m.Rollouts.Tell()
 	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
@@ -271,8 +298,10 @@
 	return true
 }
 
-// merge takes a peer's answer.
-func (m *Mesh) merge(got *meshpb.ExchangeMessage) {
+// merge takes a peer's answer to an exchange that took so long. The age that it
+// tells may have been on the way for all of that: not counted, knowledge that is
+// passed on over slow links would look younger with each entry.
+func (m *Mesh) merge(got *meshpb.ExchangeMessage, took time.Duration) {
 	c := fleet.Changes{Revision: kv.Revision(got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
 	for _, ch := range got.Changes {
 		e := kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: ch.Key, Value: ch.Value, ModRevision: kv.Revision(ch.Revision),
@@ -282,11 +311,8 @@
 		}
 		c.Events = append(c.Events, e)
 	}
-	if got.Watching {
-		m.Fleet.HeardWatcher()
-	}
 	if got.ConfirmedMs >= 0 {
-		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond)
+		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond+took)
 	}
 	m.hearRollouts(got)
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -161,6 +161,45 @@
 	is.Equal(len(drawn(m)), len(all)-1)
 }
 
+// Symptom: while all that watch the store are cut off from it, every other
+// entry asks it for each change.
+// Events: an entry asks the store by itself, so that its knowledge is current;
+// it goes on asking only those that watch, hears from none of them anything
+// current, and tells nobody either.
+func TestAnEntryPassesOverWatchersThatHearNothing(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m, all := newRelying(t, clock)
+	for _, e := range all {
+		if fleet.Watches(all, e) {
+			m.noteHearing(e.Address, &meshpb.ExchangeMessage{ConfirmedMs: 3000})
+		}
+	}
+	is.Equal(len(drawn(m)), len(all)-1)
+	one := all[0]
+	for _, e := range all {
+		if fleet.Watches(all, e) {
+			one = e
+		}
+	}
+	m.noteHearing(one.Address, &meshpb.ExchangeMessage{ConfirmedMs: 100})
+	is.Equal(drawn(m), map[string]bool{one.Address: true})
+}
+
+// Symptom: knowledge that is seconds old passes for current.
+// Events: it is passed on from entry to entry over links on which answers wait;
+// each tells how old it was when it answered.
+func TestTheTimeOfAnExchangeCountsToTheAgeOfWhatItTells(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m, _ := newRelying(t, clock)
+	clock.Advance(10 * time.Second)
+	m.merge(&meshpb.ExchangeMessage{Instance: "i1", Revision: 10, ConfirmedMs: 100}, 300*time.Millisecond)
+	age, ok := m.Fleet.Age()
+	is.True(ok)
+	is.Equal(age, 400*time.Millisecond)
+}
+
 // newRelying returns the mesh of one of ten entries of a failure domain, one
 // for which others watch the store, and what all ten are.
 func newRelying(t *testing.T, clock *clockwork.FakeClock) (*Mesh, []fleet.Entry) {
