--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -16,20 +16,34 @@
 
 // Following the store.
 const (
-	// watchWait is how long one watch waits. A watch that met a connection
-	// gone silent, or a store that went away, is noticed this much later and a
-	// second more; with 2.5 s a change that the store accepts three seconds
-	// after its return is still in force within two. Shorter waits cost calls.
-	watchWait = 2500 * time.Millisecond
+	// dutyWait is how long one watch waits at an entry that watches for all. The
+	// others judge by its answers whether the store is heard at all, so that it
+	// bounds reliedAge; the store gets a call a second from each of these few.
+	dutyWait = time.Second
+	// ownWait is how long one watch waits at an entry that watches for itself. It
+	// is longer as there may be many of them; reliedAge and this wait together
+	// stay under the 4 s from which an entry cannot tell that a route or a key
+	// does not exist.
+	// A watch that met a connection gone silent, or a store that went away, is
+	// noticed this much later and a second more.
+	ownWait = 2 * time.Second
 	// gatherFor is how long changes are gathered after some came, before the
 	// next watch: a burst of them, as when a service is replaced, then costs a
 	// few calls instead of one each. A change is in force that much later.
 	gatherFor = 250 * time.Millisecond
-	// watcherLife is how long after it was last heard that another entry
-	// watches an entry relies on that. Exchanges are 0.3 s apart: three that
-	// fail in a row make it watch by itself, well within the two seconds in
-	// which a change must be in force.
-	watcherLife = time.Second
+	// peerLife is how long after another entry whose knowledge was current last
+	// answered an entry relies on others. Exchanges are 0.3 s apart: three that
+	// fail in a row make it watch by itself, well within the two seconds in which
+	// a change must be in force.
+	peerLife = time.Second
+	// reliedAge is the oldest knowledge with which an entry relies on others.
+	// One whose connection to the store went silent believes that it watches
+	// until its call is given up, and the entry that relies on it would serve
+	// keys that were taken away until then. The age of what it tells shows it
+	// sooner: gathering (0.25 s), a watch (1 s) and the time from one exchange to
+	// the next (0.38 s at most) make 1.63 s where all is well. A change is in
+	// force at an entry that reaches the store within this and idleLook.
+	reliedAge = 1750 * time.Millisecond
 	// idleLook is how often an entry that relies on others looks again.
 	idleLook = 100 * time.Millisecond
 	// The pause after a call that failed, doubling up to the longest. The
@@ -51,8 +65,9 @@
 	mu      sync.Mutex // guards the fields below; held while a view is built, never across a call
 	build   *builder
 	heard   time.Time // when the store or an entry last told how things stand
-	away    bool      // the store does not answer this entry
-	watcher time.Time // when another entry last said that it watches
+	away    bool      // the store did not answer this entry's last call
+	peer    time.Time // when another entry whose knowledge was current last answered
+	relying bool      // other entries watch for this one
 	// heardAwake is heard on the clock that counts suspensions.
 	heardAwake time.Duration
 	changed    func(*View)
@@ -111,6 +126,9 @@
 // Merge takes changes that another entry knew of, and knew to be all that
 // there was so long ago.
 func (f *Follower) Merge(from string, c Changes, ago time.Duration) {
+	if IsCurrent(ago) {
+		f.notePeer()
+	}
 	before := f.items.Revision()
 	if c.Revision < before {
 		return
@@ -146,11 +164,10 @@
 	f.changed(v)
 }
 
-// HeardWatcher notes that another entry watches the store and is answered.
-func (f *Follower) HeardWatcher() {
+func (f *Follower) notePeer() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watcher = f.clock.Now()
+	f.peer = f.clock.Now()
 }
 
 // Watching reports whether this entry watches the store and is answered.
@@ -159,14 +176,27 @@
 // onDuty reports whether this entry is one that watches for all.
 func (f *Follower) onDuty() bool { return Watches(f.View().Entries, f.self) }
 
-// relies reports whether other entries watch for this one.
+// IsCurrent reports whether knowledge of an age is as young as it is where the
+// entries that watch the store hear it.
+func IsCurrent(age time.Duration) bool { return age <= reliedAge }
+
+// Current reports whether what this entry knows is current.
+func (f *Follower) Current() bool {
+	age, ok := f.Age()
+	return ok && IsCurrent(age)
+}
+
+// relies reports whether this entry leaves watching to others: its knowledge is
+// current, and so is that of another that lately answered. Whether that one is of
+// those that watch for all does not matter: when these are all cut off from the
+// store, some of the others ask the store, and the rest rely on these.
 func (f *Follower) relies() bool {
-	if f.items.Revision() == 0 || f.onDuty() {
+	if f.items.Revision() == 0 || f.onDuty() || !f.Current() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.clock.Since(f.watcher) < watcherLife
+	return f.clock.Since(f.peer) < peerLife
 }
 
 // sleep waits, and reports whether ctx has not ended.
@@ -183,8 +213,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		if f.relies() {
-			f.setAway(nil)
+		relying := f.relies()
+		f.setRelying(relying)
+		if relying {
+			f.stopAsking()
 			f.sleep(ctx, idleLook)
 			continue
 		}
@@ -211,7 +243,7 @@
 	if after == 0 {
 		return f.readAll(ctx)
 	}
-	rev, events, err := f.store.WatchOnce(ctx, "", true, after, watchWait)
+	rev, events, err := f.store.WatchOnce(ctx, "", true, after, f.watchWait())
 	if errors.Is(err, kv.ErrCompacted) {
 		f.log.Info("fleet: history since is gone; reading everything.", "revision", after)
 		return f.readAll(ctx)
@@ -226,6 +258,13 @@
 	return nil
 }
 
+func (f *Follower) watchWait() time.Duration {
+	if f.onDuty() {
+		return dutyWait
+	}
+	return ownWait
+}
+
 func (f *Follower) readAll(ctx context.Context) error {
 	rev, items, err := f.store.Get(ctx, "", true)
 	if err != nil {
@@ -239,6 +278,34 @@
 	return nil
 }
 
+// setRelying notes and logs when the entry begins or ceases to rely on others,
+// with how old its knowledge is then: a change that is in force late is either
+// one that no watcher knew, or one that a watcher knew and this entry was not
+// told.
+func (f *Follower) setRelying(relying bool) {
+	f.mu.Lock()
+	was, peer := f.relying, f.peer
+	f.relying = relying
+	f.mu.Unlock()
+	if relying == was {
+		return
+	}
+	age, _ := f.Age()
+	message := "fleet: watching the store for itself."
+	if relying {
+		message = "fleet: relying on other entries."
+	}
+	f.log.Info(message, "revision", f.items.Revision(), "age_ms", age.Milliseconds(), "peer_heard_ms", f.clock.Since(peer).Milliseconds())
+}
+
+// stopAsking notes that this entry does not ask the store, so that nothing is
+// known of whether it would answer.
+func (f *Follower) stopAsking() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = false
+}
+
 // setAway notes and logs when the store is lost or back.
 func (f *Follower) setAway(err error) {
 	f.mu.Lock()
