A session is under way until its stream's end

Cause: a session's version was noted at the first event of an answer only, and kept for five seconds from there; a longer stream's session could be moved to a new version while it went on or just after. Ruled out: the first share's hash (alike on all entries) and the copies of a trial (the callers' own sends moved).

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -164,6 +164,7 @@
 	if a.events == paceEvents {
 		x.observePace(c)
 	}
+	x.server.Rollouts.Keep(x.facts.Session, c.group, c.endpoint.Version)
 	c.ticket.Heard()
 	c.watch.heard()
 }
