A version is compared with a control group of the same load

Cause: the control group was all old endpoints, each with several times as many requests as the version's first ones, so that a slow version on nearly empty endpoints ranked as a good one does; and what was in doubt stayed so without an end. Change: as many old endpoints as the version has at first get an equal share; short pauses of both groups are compared, as logarithms, in the rows that entries tell already (the wire's field rank carries the sum; no new field); the limits to halt and to move on meet at 0.65 of the order's time; pauses count also just after a loss. Sorting endpoints by hash is done once a view, not for each answer. The harness gives the control endpoints the equal share and the load that goes with it, and tells a short pause (spread 0.15, as measured); scenario and assertion of the red test are as they were. Two tests of the ranks' inside are replaced by the same for the sums; doubt() takes the time passed.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -72,6 +72,7 @@
 	stream     time.Duration // from its first event to its last
 	pause      time.Duration // the longest between two events
 	why        string
+	pauses     [paceEvents - 1]time.Duration // between the first events
 }
 
 func (x *exchange) left() time.Duration { return x.deadline.Sub(x.server.Clock.Now()) }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -158,6 +159,9 @@
 	if a.events == 0 {
 		c.streaming = now
 	}
+	if a.events > 0 && a.events < paceEvents {
+		a.pauses[a.events-1] = now.Sub(c.streaming) - a.stream
+	}
 	a.events++
 	a.pause = max(a.pause, now.Sub(c.streaming)-a.stream)
 	a.stream = now.Sub(c.streaming)
@@ -177,7 +181,17 @@
 func (x *exchange) observePace(c *sent) {
 	a := x.attempts[c.index]
 	pace := a.stream / time.Duration(a.events-1)
-	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(), Took: pace, Pace: true})
+	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(), Took: pace, Pace: true,
+		ShortPause: a.shortPause()})
+}
+
+// shortPause is the second shortest of the first pauses: how fast the engine
+// generates while it reads no other prompts. The shortest may be of two events
+// that came together.
+func (a *attempt) shortPause() time.Duration {
+	pauses := a.pauses
+	slices.Sort(pauses[:])
+	return pauses[1]
 }
 
 // errCallerLeft: nobody waits for the answer.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -225,7 +225,7 @@
 	}
 	for _, r := range rows {
 		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: int64(r.Ordered),
-			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.Rank, Seen: r.Seen, Bad: r.Bad})
+			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.LogTime, Seen: r.Seen, Bad: r.Bad})
 	}
 	return out
 }
@@ -299,7 +299,7 @@
 	for _, e := range in.Evidence {
 		rows = append(rows, rollout.Row{
 			Source: rollout.Source{Instance: e.Instance, Boot: e.Boot, Service: e.Service, Ordered: kv.Revision(e.Ordered), Route: e.Route},
-			Counts: rollout.Counts{Samples: e.Samples, Failed: e.Failed, Slow: e.Slow, Rank: e.Rank, Seen: e.Seen, Bad: e.Bad},
+			Counts: rollout.Counts{Samples: e.Samples, Failed: e.Failed, Slow: e.Slow, LogTime: e.Rank, Seen: e.Seen, Bad: e.Bad},
 		})
 	}
 	under := make([]rollout.Session, 0, len(in.Session))
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -2,186 +2,273 @@
 
 import (
 	"math"
-	"sort"
-
-	"github.com/lovageweir/lovageweir/fleet"
 )
 
 // A version may be a few times slower than the one before. How much time an
-// answer takes depends on how busy the engines are, so that no fixed time, and
-// no factor of a mean, tells a slow version from a loaded one: of versions four
-// and five times as slow under a tenth of the answers were later than any such
-// limit at the first share, and in 26 of 36 roll-outs they got more requests
-// than the operators allow a bad one, up to all.
+// answer takes depends on how busy its engine is, so that no fixed time, and no
+// factor of the usual, tells a slow version from a loaded one, nor a slow one on
+// nearly empty endpoints from a good one on busy ones.
 //
-// While a version has its first share the old one serves the same routes under
-// the same load, and is the control group: each answer of the new version is
-// ranked among the latest of the old one to the same model, and the mean rank
-// says which is slower, whatever the load. Good versions came to 0.34 at the
-// most (27 roll-outs at three deployments, with crashes and bursts beside), as
-// their few endpoints are a little emptier; versions four and five times as slow
-// to 0.54 at the least (18 roll-outs; a pause was tolerated 1.3 times as long).
+// While a version has its first share, as many endpoints of the old version get
+// an equal share of the requests (control.go). They serve the same routes at the
+// same time under the same load, and are the control group. The times of both
+// groups, as logarithms in parts of the usual, are averaged over all entries, and
+// the difference of the two means says by which factor the version is slower,
+// whatever the load.
 //
-// Where the first endpoints are much emptier than the old ones, a slow version
-// ranks as a good one does, and is not found by this.
+// Of a stream a short pause between events is taken, in which the engine read no
+// prompt. At endpoints with a first share's load the 90th percentile of the least
+// and of the median of five pauses was 1.1 to 1.4 times the 10th, that of their
+// mean 1.2 to 4.8 times. By mean pauses 6 of 24 good versions were halted.
 const (
-	// controlSize answers of the old version are the control group: a quarter of
-	// a minute's of one entry, by model.
-	controlSize = 48
-	// controlNeeds makes a rank mean something.
-	controlNeeds = 6
-	// tolerated is how many times as long a first event may take, toleratedPace
-	// a pause between events, which varies less and is shorter on the emptier
-	// endpoints of the first share.
-	tolerated     = 1.2
-	toleratedPace = 1.1
-	// evenRank is the mean rank that a version may have, evenPace that of its
-	// pauses.
-	evenRank = 0.5
-	evenPace = 0.6
-	// rankSpread is the standard deviation of a rank.
-	rankSpread = 0.289
-	// rankScale is what ranks are counted in: hundredths.
-	rankScale = 100
-	// comparedNeeds ranks are the least to judge by.
-	comparedNeeds = 12
-	// halfNeeds ranks tell whether a half of the endpoints is slow.
-	halfNeeds = 6
-	// pauseNeeds ranks of pauses are enough to go by them.
-	pauseNeeds = 6
-	// slowerFirst standard deviations of the mean are a slow version at first,
-	// when the ranks are few and of few seconds, slowerLast when it should move
-	// on. At the end of the first share good versions came to -3.7 at the most
-	// (120 roll-outs, three quarters of them beside crashes), versions three and four
-	// times as slow to 1.5 at the least in 59 of 60.
-	slowerFirst = 5.0
-	slowerLast  = 0.5
-	// slowerDoubt is a reason not to move on: that a version was not found slow
-	// does not make it as good.
-	slowerDoubt = -2.0
+	// comparedFrom is when answers begin to count, in shares of the order's time:
+	// before, the control group's endpoints still have their earlier load, and
+	// a version's none.
+	comparedFrom = 0.08
+	// tolerated is how many times as long as the control group's the answers may
+	// take.
+	tolerated = 1.45
+	// unlike is by which factor the endpoints of one version may be of unlike speed:
+	// the middle of the control group's is compared with, up to that. Two good new
+	// ones were 1.36 times as slow as the quicker of the control group.
+	unlike = 1.3
+	// firstSpread is the standard deviation of the logarithm of a first event in
+	// parts of what is expected, pauseSpread that of a pause between events, as
+	// far as known before answers of the control group tell: spreadWeight is for
+	// how many of these it stands.
+	firstSpread  = 1.2
+	pauseSpread  = 0.4
+	spreadWeight = 4
+	// alike: answers of one endpoint at the same time vary together, so that means
+	// vary by so much more than those of independent answers.
+	alike = 1.15
+	// mostLog bounds the logarithm of one first event: one that waited for a prompt
+	// of a minute does not outweigh all others.
+	mostLog = 3.0
+	// logScale is what logarithms are counted in: hundredths.
+	logScale = 100
+	// comparedNeeds answers of either group are the least to judge by. How little
+	// few answers say is in the deviation of their mean.
+	comparedNeeds = 4
+	// halfNeeds answers of a half of the endpoints tell of it. With six, a version of
+	// which one endpoint got most requests was not judged for long.
+	halfNeeds = 3
+	// alone times as many answers of one half as of the other: it has the only
+	// endpoint that is chosen.
+	alone = 6
+	// lowerOfTwo: the lower of two means varies as a mean of so many times the
+	// answers of each, pi/(pi-1).
+	lowerOfTwo = 1.47
+	// slowerFirst standard deviations are a slow version at first, when the answers
+	// are few and of few seconds, slowerMiddle when it should move on. wellFirst is
+	// the most with which it moves on then. Up to slowerBy of the order's time that
+	// rises to slowerMiddle: a version held in doubt for longer gives more bad
+	// answers than the operators allow.
+	slowerFirst  = 3.5
+	slowerMiddle = -0.8
+	wellFirst    = -3.0
+	slowerBy     = 0.65
+	// goodStands is where a version as good stands at the most when there were
+	// enough answers to halt one that was not shown to be. Otherwise, as with a few
+	// answers a second, a version is halted from slowerSurely on, and gives few bad
+	// answers in doubt.
+	goodStands   = -3.0
+	slowerSurely = 1.5
 )
 
-// control are the latest answers of the version in force.
-type control struct {
-	ring [controlSize]float64
-	n    int
-}
+// The kinds of times that are compared.
+const (
+	firstEvents = iota
+	pauses
+	timeKinds
+)
 
-func (c *control) add(v float64) {
-	c.ring[c.n%controlSize] = v
-	c.n++
-}
+// The groups that are compared.
+const (
+	controlGroup = iota
+	newGroup
+	comparedGroups
+)
 
-// rank is the share of the control group that is lower than v, from 0 to 1.
-func (c *control) rank(v float64) (float64, bool) {
-	known := min(c.n, controlSize)
-	if known < controlNeeds {
-		return 0, false
-	}
-	below := 0.0
-	for _, w := range c.ring[:known] {
-		switch {
-		case w < v:
-			below++
-		case w == v:
-			below += 0.5
-		}
-	}
-	return (below + 0.5) / float64(known+1), true
+// comparedRoutes are where logarithms are counted: by kind, group, and half of
+// the group's endpoints.
+var comparedRoutes = [timeKinds][comparedGroups][2]string{
+	{{"(first control 1)", "(first control 2)"}, {"(first new 1)", "(first new 2)"}},
+	{{"(pace control 1)", "(pace control 2)"}, {"(pace new 1)", "(pace new 2)"}},
 }
 
-// rankRoutes are where ranks are counted: of first events and of pauses, and of
-// either half of the version's endpoints.
-var rankRoutes = [2][2]string{{"(rank 1)", "(rank 2)"}, {"(rank pace 1)", "(rank pace 2)"}}
-
-func rankRoute(route string) bool {
-	for _, halves := range rankRoutes {
-		if route == halves[0] || route == halves[1] {
-			return true
+var isComparedRoute = func() map[string]bool {
+	routes := map[string]bool{}
+	for _, groups := range comparedRoutes {
+		for _, halves := range groups {
+			routes[halves[0]], routes[halves[1]] = true, true
 		}
 	}
-	return false
-}
+	return routes
+}()
 
-// compareLocked ranks an answer of a version that has its first share, and
-// counts the rank.
+// compareLocked counts the time of an answer if its endpoint is of one of the
+// groups.
 func (c *Controller) compareLocked(t *track, u *usual, a Answer) {
-	factor, kind := tolerated, 0
+	now := c.Clock.Now()
+	if a.Failed || a.Took <= 0 || !t.movedOn.IsZero() || !u.known() ||
+		progress(now.Sub(t.seen), a.Group.Rollout.Duration) < comparedFrom {
+		return
+	}
+	kind := firstEvents
 	if a.Pace {
-		factor, kind = toleratedPace, 1
+		kind = pauses
 	}
-	rank, ok := u.control.rank(parts(a.net(), a.Expected) / factor)
+	// What was sent to an endpoint that was lost waits at the others, but hardly
+	// slows what they generate.
+	if kind == firstEvents && now.Before(t.lostTill) {
+		return
+	}
+	group, half, ok := t.trialOrderLocked(a.Group).memberOf(a.Endpoint)
 	if !ok {
 		return
 	}
+	log := a.log(u)
+	if kind == firstEvents {
+		log = within(log, mostLog)
+	}
+	if group == controlGroup {
+		t.evidence.spreads[kind].add(log)
+	}
 	src := Source{Instance: c.Instance, Boot: c.Boot, Service: a.Group.Rollout.Service, Ordered: a.Group.Rollout.Ordered,
-		Route: rankRoutes[kind][half(a.Group, a.Endpoint)]}
+		Route: comparedRoutes[kind][group][half]}
 	counts := t.evidence.rows[src]
 	counts.Samples++
-	counts.Rank += int64(math.Round(rank * rankScale))
-	t.evidence.take(src, counts, c.Clock.Now())
+	counts.LogTime += int64(math.Round(log * logScale))
+	t.evidence.take(src, counts, now)
 }
 
-// half is which half of the version's endpoints one belongs to: a version is
-// slow if both are, and one endpoint that is slow by itself is none.
-func half(g *fleet.Group, ep fleet.Endpoint) int {
-	_, newer := split(g.Ready, g.Rollout.Target)
-	newer = inTrialOrder(newer, g.Rollout.Ordered)
-	at := sort.Search(len(newer), func(i int) bool {
-		return !trialLess(newer[i].ID, ep.ID, g.Rollout.Ordered)
-	})
-	return at % 2
+// log is the logarithm of the time to compare. Of a pause it is that of the short
+// one, which says how fast the engine generates; the mean one also says how many
+// prompts it read in between. A first event is taken in parts of the usual, as
+// routes differ; a pause is not, as what is usual varies by entry and moment more
+// than short pauses do.
+func (a Answer) log(u *usual) float64 {
+	took := parts(a.net(), a.Expected)
+	switch {
+	case a.ShortPause > 0:
+		took = parts(a.ShortPause, 0)
+	case !a.Pace:
+		took /= u.mean
+	}
+	return math.Log(took)
 }
 
-// slower is by how many standard deviations the version is slower than is
-// tolerated: in its pauses, or in them and its first events together. First
-// events alone say little where there are pauses to go by: the new endpoints'
-// caches hold no prompts yet. It is not ok where too few answers were ranked.
-func (e *evidence) slower() (by float64, ok bool) {
-	firsts, first := e.rankedSlower(0, evenRank)
-	pauses, pace := e.rankedSlower(1, evenPace)
-	switch {
-	case firsts+pauses < comparedNeeds:
-		return 0, false
-	case pauses < pauseNeeds:
-		return first / math.Sqrt2, true
+// within bounds a logarithm, so that one answer does not outweigh all others.
+func within(log, most float64) float64 { return max(-most, min(most, log)) }
+
+// spread estimates the standard deviation of logarithms.
+type spread struct{ n, sum, squares float64 }
+
+func (s *spread) add(log float64) {
+	s.n++
+	s.sum += log
+	s.squares += log * log
+}
+
+// deviation is the estimate, where earlier knowledge stands for spreadWeight of
+// the values.
+func (s spread) deviation(earlier float64) float64 {
+	if s.n == 0 {
+		return earlier
 	}
-	return max(pace, (first+pace)/math.Sqrt2), true
+	around := max(0, s.squares-s.sum*s.sum/s.n)
+	return math.Sqrt((around + spreadWeight*earlier*earlier) / (s.n + spreadWeight))
 }
 
-// slowerLimit is by how much a version must be slower to be halted when so much
-// of the order's time has passed.
-func slowerLimit(p float64) float64 {
-	left := 1 - min(1, p/canaryUntil)
-	return slowerLast + left*(slowerFirst-slowerLast)
+// comparison is what the answers say of a version.
+type comparison struct {
+	// by is by how many standard deviations it is slower than is tolerated, good
+	// what a version that is as good as the old one has on average.
+	by, good float64
 }
 
-// maybeSlower reports whether the comparison speaks against moving on.
-func (e *evidence) maybeSlower() bool {
-	by, ok := e.slower()
-	return ok && by > slowerDoubt
+// decides reports whether there were enough answers to tell a version as good
+// from one at the tolerated limit.
+func (c comparison) decides() bool { return c.good <= goodStands }
+
+// slower compares the version's pauses, or these and its first events together.
+// First events alone say little where there are pauses to go by: the new
+// endpoints' caches hold no prompts yet. It is not ok where too few answers were
+// compared.
+func (e *evidence) slower() (c comparison, ok bool) {
+	first, firstOK := e.slowerIn(firstEvents, firstSpread)
+	pause, pauseOK := e.slowerIn(pauses, pauseSpread)
+	if !pauseOK {
+		return first, firstOK
+	}
+	if firstOK {
+		pause.by = max(pause.by, (first.by+pause.by)/math.Sqrt2)
+	}
+	return pause, true
 }
 
-// rankedSlower returns how many answers of a kind were ranked, and by how many
-// standard deviations their mean rank exceeds an even one: that of the better
-// half of the endpoints, if that is the lower.
-func (e *evidence) rankedSlower(kind int, even float64) (n int64, by float64) {
-	var sum int64
-	least := math.Inf(1)
-	for _, route := range rankRoutes[kind] {
-		c := e.ranked[route]
-		if c.Samples == 0 {
-			continue
-		}
-		n += c.Samples
-		sum += c.Rank
-		if c.Samples >= halfNeeds {
-			least = min(least, float64(c.Rank)/float64(c.Samples)/rankScale-even)
+// slowerIn is slower for one kind of times, where either group has enough.
+func (e *evidence) slowerIn(kind int, earlier float64) (c comparison, ok bool) {
+	old, worse, oldN := e.betterHalf(comparedRoutes[kind][controlGroup])
+	newer, _, newN := e.betterHalf(comparedRoutes[kind][newGroup])
+	if min(oldN, newN) < comparedNeeds {
+		return comparison{}, false
+	}
+	deviation := alike * e.spreads[kind].deviation(earlier) * math.Sqrt(1/oldN+1/newN)
+	good := -math.Log(tolerated) / deviation
+	old += min(worse, math.Log(unlike)) / 2
+	return comparison{by: (newer-old)/deviation + good, good: good}, true
+}
+
+// betterHalf is the mean logarithm of the better half of a group's endpoints, as
+// one endpoint in trouble is no slow group, and of how many answers a mean varies
+// as much; worse is by how much the other half is slower, as far as known. Where
+// few answers came from one half, the group is judged only if the other has so many
+// that it has the only endpoint.
+func (e *evidence) betterHalf(halves [2]string) (mean, worse, n float64) {
+	one, two := e.compared[halves[0]], e.compared[halves[1]]
+	if one.Samples < two.Samples {
+		one, two = two, one
+	}
+	if two.Samples < halfNeeds {
+		if one.Samples < alone*(two.Samples+1) {
+			return 0, 0, 0
 		}
+		return one.meanLog(), 0, float64(one.Samples)
+	}
+	if two.meanLog() < one.meanLog() {
+		one, two = two, one
 	}
-	if n == 0 {
-		return 0, 0
+	return one.meanLog(), two.meanLog() - one.meanLog(), lowerOfTwo * float64(one.Samples)
+}
+
+// meanLog is the mean of the logarithms counted.
+func (c Counts) meanLog() float64 { return float64(c.LogTime) / float64(c.Samples) / logScale }
+
+// slowerLimits are by how much a version must be slower to be halted when so much
+// of the order's time has passed, and by how much it may be to move on.
+func slowerLimits(p float64) (halted, well float64) {
+	early := min(1, p/canaryUntil)
+	halted = slowerMiddle + (slowerFirst-slowerMiddle)*(1-early*early)
+	late := max(0, min(1, (p-canaryUntil)/(slowerBy-canaryUntil)))
+	well = wellFirst + (slowerMiddle-wellFirst)*late
+	return halted, well
+}
+
+// tooSlow reports whether the comparison halts the version.
+func (e *evidence) tooSlow(p float64) bool {
+	c, ok := e.slower()
+	limit, _ := slowerLimits(p)
+	if !c.decides() {
+		limit = max(limit, slowerSurely)
 	}
-	excess := min(float64(sum)/float64(n)/rankScale-even, max(least, -even))
-	return n, excess * math.Sqrt(float64(n)) / rankSpread
+	return ok && c.by >= limit
+}
+
+// maybeSlower reports whether the comparison speaks against moving on.
+func (e *evidence) maybeSlower(p float64) bool {
+	c, ok := e.slower()
+	_, limit := slowerLimits(p)
+	return ok && c.by >= limit
 }
--- a/rollout/compare_test.go
+++ b/rollout/compare_test.go
@@ -23,10 +23,11 @@
 	cold    float64 // how many times as long its first events take by empty caches
 	crash   bool    // endpoints of both versions crash for two seconds
 	oneSlow bool    // one of the two new endpoints is slow by itself
-	// emptier is how busy the new endpoints are, in parts of the old ones; 0: as
-	// busy.
+	// emptier is how busy the endpoints that get a first share's requests are, the
+	// new ones and those of the control group, in parts of the others; 0: as busy.
 	emptier float64
 	until   float64 // how long it is played, in shares of the order's time; 0: the first share
+	allSlow bool    // all of its answers are slow, not half
 }
 
 func (l load) end() float64 {
@@ -50,6 +51,9 @@
 	got    int  // requests until then
 }
 
+// curveSeeds are played for each row of the operating curve.
+const curveSeeds = 60
+
 const (
 	oldPerSecond = 45
 	newPerSecond = 9
@@ -70,8 +74,10 @@
 	}
 	order := &fleet.Rollout{Service: "s", Target: "v2", Duration: duration, Ordered: 5}
 	g := &fleet.Group{Ready: ready, Rollout: order}
-	_, newer := split(ready, "v2")
+	older, newer := split(ready, "v2")
 	first := inTrialOrder(newer, order.Ordered)[:2]
+	older = inTrialOrder(older, order.Ordered)
+	controls, others := older[:controlSize(len(older))], older[controlSize(len(older)):]
 	t := c.trackLocked(order)
 	got := 0
 	const step = 100 * time.Millisecond
@@ -83,13 +89,16 @@
 		if l.crash && age > 4*time.Second && age < 6*time.Second {
 			busy *= 2.5
 		}
-		for range count(r, oldPerSecond*step.Seconds()) {
-			answer(c, g, r, ready[r.IntN(6)], busy, 1, 1)
+		for range count(r, (oldPerSecond-newPerSecond)*step.Seconds()) {
+			answer(c, g, r, others[r.IntN(len(others))], busy, 1, 1)
+		}
+		for range count(r, newPerSecond*step.Seconds()) {
+			answer(c, g, r, controls[r.IntN(len(controls))], busy*l.busyness(), 1, 1)
 		}
 		for range count(r, newPerSecond*step.Seconds()) {
 			at := r.IntN(2)
 			factor := 1.0
-			if r.IntN(2) == 0 && (!l.oneSlow || at == 0) {
+			if (l.allSlow || r.IntN(2) == 0) && (!l.oneSlow || at == 0) {
 				factor = l.factor
 			}
 			answer(c, g, r, first[at], busy*l.busyness(), factor, l.cold)
@@ -99,7 +108,7 @@
 			return outcome{halted: true, got: got}
 		}
 	}
-	return outcome{held: t.evidence.doubt(), got: got}
+	return outcome{held: t.evidence.doubt(l.end()), got: got}
 }
 
 func count(r *rand.Rand, mean float64) int {
@@ -112,7 +121,7 @@
 
 // answer observes one answer: its first event and, of one in two, its pace.
 // Times vary by a factor of two and more, and one in twenty waits for a long
-// prompt.
+// prompt. Short pauses vary by some 15 in 100 at one endpoint.
 func answer(c *Controller, g *fleet.Group, r *rand.Rand, ep fleet.Endpoint, busy, factor, cold float64) {
 	expected := time.Duration((60 + 200*r.ExpFloat64()) * float64(time.Millisecond))
 	wait := 1.0
@@ -122,8 +131,10 @@
 	first := float64(expected) * busy * wait * cold * math.Exp(0.25*r.NormFloat64()) * (1 + (factor-1)*0.5)
 	c.Observe(Answer{Group: g, Endpoint: ep, Route: "r", Model: "m", Took: time.Duration(first), Expected: expected})
 	if r.IntN(2) == 0 {
-		pace := 35 * busy * factor * math.Exp(0.3*r.NormFloat64())
-		c.Observe(Answer{Group: g, Endpoint: ep, Route: "r", Model: "m", Took: time.Duration(pace * float64(time.Millisecond)), Pace: true})
+		pause := 35 * busy * factor * float64(time.Millisecond)
+		mean := pause * math.Exp(0.3*r.NormFloat64())
+		short := pause * math.Exp(0.15*r.NormFloat64())
+		c.Observe(Answer{Group: g, Endpoint: ep, Route: "r", Model: "m", Took: time.Duration(mean), Pace: true, ShortPause: time.Duration(short)})
 	}
 }
 
@@ -137,15 +148,11 @@
 // The operating curve, over 60 seeds each (go test -v prints it): a version as
 // good, or with empty caches, is never halted, alone or beside a crash; one
 // twice as slow in half of its answers may be; of those three times as slow and
-// more none moves on, and all but a few are halted within a hundred answers.
+// more none moves on, and all but a few are halted within a hundred answers; all
+// that also where a first share leaves the endpoints much emptier than the others.
 func TestASlowVersionIsFoundByComparison(t *testing.T) {
-	const seeds = 60
-	for _, tt := range []struct {
-		name                 string
-		load                 load
-		fewest, most, answer int // halted; answers until then, on average
-		moved                int // the most that move on
-	}{
+	const seeds = curveSeeds
+	rows := []curveRow{
 		{"as good", load{factor: 1, cold: 1}, 0, 0, 0, seeds},
 		{"as good, empty caches", load{factor: 1, cold: 1.3}, 0, 0, 0, seeds},
 		{"as good, a crash", load{factor: 1, cold: 1, crash: true}, 0, 0, 0, seeds},
@@ -157,7 +164,15 @@
 		{"5 times", load{factor: 5, cold: 1}, 58, seeds, 80, 0},
 		{"8 times", load{factor: 8, cold: 1}, 58, seeds, 70, 0},
 		{"4 times, a crash", load{factor: 4, cold: 1, crash: true}, 57, seeds, 90, 0},
-	} {
+	}
+	for _, emptier := range []float64{0.4, 0.25} {
+		for _, factor := range []float64{1, 1.3, 2, 3, 4, 5, 8} {
+			for _, allSlow := range []bool{false, true} {
+				rows = append(rows, emptierRow(emptier, factor, allSlow))
+			}
+		}
+	}
+	for _, tt := range rows {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			halted, total, most, moved := 0, 0, 0, 0
@@ -183,44 +198,68 @@
 	}
 }
 
-// With too few answers of the version in force there is nothing to compare with.
+// curveRow is what is asked for under a load.
+type curveRow struct {
+	name                 string
+	load                 load
+	fewest, most, answer int // halted; answers until then, on average
+	moved                int // the most that move on
+}
+
+// emptierRow is what is asked for where the endpoints of a first share are
+// emptier than the others.
+func emptierRow(emptier, factor float64, allSlow bool) curveRow {
+	row := curveRow{name: fmt.Sprintf("%v times, all slow: %v, %v as busy", factor, allSlow, emptier),
+		load: load{factor: factor, cold: 1, emptier: emptier, allSlow: allSlow}, most: curveSeeds, moved: curveSeeds}
+	switch {
+	case factor == 1:
+		row.most = 0
+	case factor == 3:
+		row.fewest, row.answer, row.moved = 57, 100, 0
+	case factor > 3:
+		row.fewest, row.answer, row.moved = 58, 90, 0
+	}
+	return row
+}
+
+// With too few answers of either group there is nothing to compare with.
 func TestNothingIsComparedWithoutAControlGroup(t *testing.T) {
 	is := is.New(t)
-	var c control
-	for i := range controlNeeds {
-		_, ok := c.rank(1)
-		is.True(!ok)
-		c.add(float64(i))
-	}
-	low, ok := c.rank(-1)
-	is.True(ok)
-	high, _ := c.rank(100)
-	is.True(low < 0.1 && high > 0.9)
-	for range 2 * controlSize {
-		c.add(50) // earlier answers are forgotten
+	e := newEvidence()
+	tell := func(group int, c Counts) {
+		for _, route := range comparedRoutes[pauses][group] {
+			e.take(Source{Route: route}, c, time.Time{})
+		}
 	}
-	rank, _ := c.rank(50)
-	is.Equal(rank, 0.5)
-	_, compared := newEvidence().slower()
+	tell(newGroup, Counts{Samples: 40, LogTime: 40 * logScale})
+	_, compared := e.slower()
+	is.True(!compared)
+	is.True(!e.maybeSlower(0.5))
+	tell(controlGroup, Counts{Samples: halfNeeds - 1})
+	_, compared = e.slower()
 	is.True(!compared)
-	is.True(!newEvidence().maybeSlower())
+	tell(controlGroup, Counts{Samples: halfNeeds})
+	c, compared := e.slower()
+	is.True(compared)
+	is.True(c.by > 0)
+	is.True(e.maybeSlower(0.5))
 }
 
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 // The sums that decide are those of the rows, however often and in whatever
 // order these are told.
-func TestRankSumsAreThoseOfTheRows(t *testing.T) {
+func TestComparedSumsAreThoseOfTheRows(t *testing.T) {
 	is := is.New(t)
 	e := newEvidence()
-	told := []Counts{{Samples: 2, Rank: 150}, {Samples: 1, Rank: 90}, {Samples: 5, Rank: 300}, {Samples: 5, Rank: 300}}
+	told := []Counts{{Samples: 2, LogTime: 150}, {Samples: 1, LogTime: 90}, {Samples: 5, LogTime: 300}, {Samples: 5, LogTime: 300}}
 	for _, entry := range []string{"i1", "i2"} {
 		for _, c := range told {
-			e.take(Source{Instance: entry, Route: rankRoutes[1][0]}, c, time.Time{})
+			e.take(Source{Instance: entry, Route: comparedRoutes[pauses][newGroup][0]}, c, time.Time{})
 		}
 	}
-	is.Equal(e.ranked[rankRoutes[1][0]], e.on(rankRoutes[1][0]))
-	is.Equal(e.ranked[rankRoutes[1][0]], Counts{Samples: 10, Rank: 600})
+	is.Equal(e.compared[comparedRoutes[pauses][newGroup][0]], e.on(comparedRoutes[pauses][newGroup][0]))
+	is.Equal(e.compared[comparedRoutes[pauses][newGroup][0]], Counts{Samples: 10, LogTime: 600})
 }
 
 // Symptom: a version four times as slow in half of its answers gets all requests.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -65,7 +65,8 @@
 	doubted  time.Time // when there was last doubt before that
 	lostTill time.Time // until when slowness says nothing: endpoints were lost
 	evidence *evidence
-	answers  int                // of the service, since the order
+	answers  int // of the service, since the order
+	inOrder  *trialOrder
 	copies   int                // sent to endpoints on trial
 	wanted   fleet.RolloutState // what should be recorded
 	wantedAt time.Time
@@ -128,14 +129,17 @@
 		return Choice{First: older}
 	}
 	share := c.shareLocked(t, r, len(older))
-	toNew := c.fallsToNewLocked(r, q, share)
-	if !toNew {
-		if len(older) == 0 {
-			return Choice{First: newer}
-		}
+	if c.fallsToNewLocked(r, q, share) {
+		return Choice{First: c.canaries(r, newer, len(older), share), Then: older}
+	}
+	if len(older) == 0 {
+		return Choice{First: newer}
+	}
+	if !t.movedOn.IsZero() || t.holding {
 		return Choice{First: older}
 	}
-	return Choice{First: c.canaries(r, newer, len(older), share), Then: older}
+	point := q.point(r.Target)
+	return t.trialOrderLocked(g).choose(point >= share && point < 2*share)
 }
 
 // shareLocked is the new version's share now. Once it has moved on it does not
@@ -147,7 +151,7 @@
 	sum := t.evidence.totals()
 	seen := sum.Samples
 	age := c.Clock.Since(t.seen)
-	doubt := t.evidence.doubt()
+	doubt := t.evidence.doubt(progress(age, r.Duration))
 	if doubt {
 		t.doubted = c.Clock.Now()
 	}
@@ -166,7 +170,7 @@
 		t.movedOn = latest
 	}
 	c.Log.Info("rollout: moving on from the first share.", "service", r.Service, "order", t.ordered, "seen", seen,
-		"failed", sum.Failed, "slow", sum.Slow, "slow_statistic", t.evidence.at(allRoutes).slow, "slower_by", slower, "age_ms", age.Milliseconds())
+		"failed", sum.Failed, "slow", sum.Slow, "slow_statistic", t.evidence.at(allRoutes).slow, "slower_by", slower.by, "age_ms", age.Milliseconds())
 	return ShareAfter(c.Clock.Since(t.movedOn), r.Duration)
 }
 
@@ -196,14 +200,19 @@
 // fallsToNewLocked decides by a hash that only grows with the share, so that
 // nothing goes back and forth.
 func (c *Controller) fallsToNewLocked(r *fleet.Rollout, q Request, share float64) bool {
-	if q.Session == "" {
-		return fraction(place.Hash(r.Target, q.ID)) < share
-	}
-	hash := sessionHash(q.Session)
-	if sessionShare(hash) >= share {
+	if q.point(r.Target) >= share {
 		return false
 	}
-	return share > smallShare || !c.sessions.underWay(hash, c.Clock.Now())
+	return q.Session == "" || share > smallShare || !c.sessions.underWay(sessionHash(q.Session), c.Clock.Now())
+}
+
+// point is where the request stands among all, in [0, 1): those below a share
+// are moved with it. All of a session stand at the same.
+func (q Request) point(target string) float64 {
+	if q.Session == "" {
+		return fraction(place.Hash(target, q.ID))
+	}
+	return sessionShare(sessionHash(q.Session))
 }
 
 // fraction maps a hash to [0, 1).
@@ -235,7 +244,7 @@
 // that share would keep as busy as the old ones are, but not one alone.
 // Those on trial are left out while there are enough others.
 func (c *Controller) canaries(r *fleet.Rollout, newer []fleet.Endpoint, older int, share float64) []fleet.Endpoint {
-	n := max(2, int(share*float64(older)+0.999))
+	n := firstEndpoints(older, share)
 	if n >= len(newer) {
 		return newer
 	}
@@ -277,6 +286,8 @@
 	// Pace: Took is the mean pause between the events of a stream instead. It
 	// varies less than first events do, and shows a slow version sooner.
 	Pace bool
+	// ShortPause is the second shortest of these pauses, 0: not known.
+	ShortPause time.Duration
 }
 
 // afterLoss is how long after an endpoint was lost the others, which take over
@@ -325,8 +336,8 @@
 	}
 	r := a.Group.Rollout
 	if r == nil || a.Endpoint.Version != r.Target || r.State == fleet.RolloutDone {
-		if r != nil && !a.Pace {
-			c.trackLocked(r).answers++
+		if r != nil && !final(r.State) {
+			c.observeOldLocked(u, a)
 		}
 		if a.Took > 0 && !a.Failed {
 			u.add(a.net(), a.Expected)
@@ -340,6 +351,7 @@
 	if !a.Pace {
 		t.answers++
 	}
+	c.compareLocked(t, u, a)
 	src := Source{Instance: c.Instance, Boot: c.Boot, Service: r.Service, Ordered: r.Ordered, Route: a.evidenceRoute()}
 	counts := t.evidence.rows[src]
 	counts.Samples++
@@ -356,26 +368,35 @@
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
-	if !a.Failed && a.Took > 0 && t.movedOn.IsZero() {
-		c.compareLocked(t, u, a)
-	}
 	t.evidence.take(src, counts, c.Clock.Now())
 	c.judgeLocked(a.Group, t)
 	return false
 }
 
+// observeOldLocked counts an answer of the version that is to be replaced.
+func (c *Controller) observeOldLocked(u *usual, a Answer) {
+	t := c.trackLocked(a.Group.Rollout)
+	if t.ordered != a.Group.Rollout.Ordered {
+		return
+	}
+	if !a.Pace {
+		t.answers++
+	}
+	c.compareLocked(t, u, a)
+}
+
 func (c *Controller) judgeLocked(g *fleet.Group, t *track) {
 	service := g.Rollout.Service
 	if t.halted {
 		return
 	}
 	route, bad := t.evidence.bad(aliveBits(g), c.Clock.Now())
-	slower, compared := t.evidence.slower()
+	slower, _ := t.evidence.slower()
 	switch {
 	case bad:
 	case !t.movedOn.IsZero(): // nothing is left to compare with
 		return
-	case compared && slower >= slowerLimit(progress(c.Clock.Since(t.seen), g.Rollout.Duration)):
+	case t.evidence.tooSlow(progress(c.Clock.Since(t.seen), g.Rollout.Duration)):
 		route = "(compared)"
 	default:
 		return
@@ -383,7 +404,7 @@
 	t.halted = true
 	sum, on := t.evidence.totals(), t.evidence.at(route)
 	c.Log.Warn("rollout: version answers badly; halting it.", "service", service, "order", t.ordered, "route", route,
-		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "slow_statistic", on.slow, "slower_by", slower,
+		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "slow_statistic", on.slow, "slower_by", slower.by,
 		"age_ms", c.Clock.Since(t.seen).Milliseconds())
 }
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -68,8 +68,9 @@
 // which were seen, and which answered badly.
 type Counts struct {
 	Samples, Failed, Slow int64
-	// Rank is the sum of the answers' ranks in hundredths, where they are ranked.
-	Rank      int64
+	// LogTime is the sum of the logarithms of the answers' times in parts of the
+	// usual, in hundredths, where versions are compared.
+	LogTime   int64
 	Seen, Bad uint64
 }
 
@@ -77,7 +78,7 @@
 	c.Samples += o.Samples
 	c.Failed += o.Failed
 	c.Slow += o.Slow
-	c.Rank += o.Rank
+	c.LogTime += o.LogTime
 	c.Seen |= o.Seen
 	c.Bad |= o.Bad
 }
@@ -109,13 +110,15 @@
 type evidence struct {
 	rows   map[Source]Counts
 	routes map[string]*routeEvidence
-	// ranked sums the rows of each rank route: it is read for each request, and a
-	// large fleet has thousands of rows.
-	ranked map[string]Counts
+	// compared sums the rows of each compared route: it is read for each request,
+	// and a large fleet has thousands of rows.
+	compared map[string]Counts
+	// spreads are how much the times of the old version vary, at this entry.
+	spreads [timeKinds]spread
 }
 
 func newEvidence() *evidence {
-	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}, ranked: map[string]Counts{}}
+	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}, compared: map[string]Counts{}}
 }
 
 // take brings a source's counts up to date; older ones change nothing.
@@ -125,11 +128,11 @@
 		return false
 	}
 	e.rows[s] = c
-	if rankRoute(s.Route) {
-		sum := e.ranked[s.Route]
+	if isComparedRoute[s.Route] {
+		sum := e.compared[s.Route]
 		sum.Samples += c.Samples - old.Samples
-		sum.Rank += c.Rank - old.Rank
-		e.ranked[s.Route] = sum
+		sum.LogTime += c.LogTime - old.LogTime
+		e.compared[s.Route] = sum
 		return true
 	}
 	samples, failed, slow := c.Samples-old.Samples, c.Failed-old.Failed, c.Slow-old.Slow
@@ -189,9 +192,10 @@
 	return "", false
 }
 
-// doubt reports whether the evidence is on its way to a halt.
-func (e *evidence) doubt() bool {
-	if e.trialDoubt() || e.maybeSlower() {
+// doubt reports whether the evidence is on its way to a halt when so much of the
+// order's time has passed.
+func (e *evidence) doubt(p float64) bool {
+	if e.trialDoubt() || e.maybeSlower(p) {
 		return true
 	}
 	for name, r := range e.routes {
@@ -218,7 +222,7 @@
 func (e *evidence) totals() Counts {
 	var t Counts
 	for s, c := range e.rows {
-		if trialRoute(s.Route) || rankRoute(s.Route) {
+		if trialRoute(s.Route) || isComparedRoute[s.Route] {
 			continue
 		}
 		t.add(c)
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -33,9 +33,8 @@
 // prompt's part, a version that is slow eight times over looked well on routes
 // with long prompts, and a long prompt looked slow on others.
 type usual struct {
-	mean    float64
-	n       int
-	control control
+	mean float64
+	n    int
 }
 
 func parts(took, expected time.Duration) float64 {
@@ -44,7 +43,6 @@
 
 func (u *usual) add(took, expected time.Duration) {
 	u.n++
-	u.control.add(parts(took, expected))
 	gain := max(usualGain, 1/float64(u.n))
 	u.mean += gain * (parts(took, expected) - u.mean)
 }
--- a/rollout/trial_test.go
+++ b/rollout/trial_test.go
@@ -132,7 +132,7 @@
 	sick := x.onTrial(0)
 	x.playStreams(12*time.Second, func(id fleet.EndpointID, nth, _ int) bool { return id == sick && nth%3 == 0 })
 	x.is.Equal(x.state(), fleet.RolloutRunning)
-	x.is.True(!x.all[0].tracks["s"].evidence.doubt())
+	x.is.True(!x.all[0].tracks["s"].evidence.doubt(0.5))
 	x.playStreams(14*time.Second, func(fleet.EndpointID, int, int) bool { return false }) // it is well again
 	x.is.Equal(x.state(), fleet.RolloutDone)
 }
