--- a/edge/module.go
+++ b/edge/module.go
@@ -39,10 +39,6 @@
 // memory.
 const requestsPerMB = 8
 
-// provenBad is how many bad answers prove a version bad to the platform's
-// operators.
-const provenBad = 50
-
 // boot is this run of the process; later runs have higher ones.
 type boot int64
 
@@ -115,8 +111,7 @@
 func newRollouts(s *Settings, b boot, c kv.Client, dec fleet.Decoder, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *rollout.Controller {
 	return rollout.New(rollout.Deps{Instance: s.Instance, Boot: int64(b), Store: c, Decoder: dec, View: f.View,
 		SessionLife: time.Duration(s.Bounds.SessionS * float64(time.Second)),
-		Exposure:    rollout.Exposure{Share: s.Bounds.ExposureShare, Slack: s.Bounds.ExposureSlack,
-			Proven: provenBad, Within: time.Duration(s.Bounds.RollbackMS) * time.Millisecond}, Clock: clock, Log: log})
+		Exposure:    rollout.Exposure{Share: s.Bounds.ExposureShare, Slack: s.Bounds.ExposureSlack}, Clock: clock, Log: log})
 }
 
 func newBudget(s *Settings, f *fleet.Follower, clock clockwork.Clock) *retry.Budget {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -57,9 +57,6 @@
 	// between the order and the end of its time, and some besides.
 	ExposureShare float64 `yaml:"exposure_share"`
 	ExposureSlack float64 `yaml:"exposure_slack"`
-	// RollbackMS is how long a version may still get requests after so many bad
-	// answers that it is proven bad.
-	RollbackMS int `yaml:"rollback_ms"`
 }
 
 // Grace is GraceS as a duration.
@@ -68,7 +65,7 @@
 // defaults hold where a setting is left out; the bounds are those of the
 // users' platform today.
 func defaults() *Settings {
-	return &Settings{MemoryMB: 128, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, RollbackMS: 5000}}
+	return &Settings{MemoryMB: 128, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20}}
 }
 
 // Load reads and checks a settings file.
@@ -154,9 +151,6 @@
 	if s.Bounds.ExposureShare < 0 || s.Bounds.ExposureShare > 1 {
 		add("bounds.exposure_share", "%v is not within 0 to 1", s.Bounds.ExposureShare)
 	}
-	if s.Bounds.RollbackMS < 0 {
-		add("bounds.rollback_ms", "%v is below 0", s.Bounds.RollbackMS)
-	}
 	if s.Bounds.ExposureSlack < 0 {
 		add("bounds.exposure_slack", "%v is below 0", s.Bounds.ExposureSlack)
 	}
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -266,15 +266,6 @@
 	return ok && c.by >= limit
 }
 
-// looksSlow reports whether the version stands nearer to one at the tolerated limit
-// than to one as good as the old. It gets no copies then: these are answered as
-// badly as callers' requests, and count as much. Of a version three times as slow
-// the copies were two thirds of the bad answers that proved it bad.
-func (e *evidence) looksSlow() bool {
-	c, ok := e.slower()
-	return ok && c.by >= c.good/2
-}
-
 // maybeSlower reports whether the comparison speaks against moving on.
 func (e *evidence) maybeSlower(p float64) bool {
 	c, ok := e.slower()
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -68,7 +68,6 @@
 	answers  int // of the service, since the order
 	inOrder  *trialOrder
 	copies   int                // sent to endpoints on trial
-	proven   time.Time          // when it may first have been proven bad, if it is
 	wanted   fleet.RolloutState // what should be recorded
 	wantedAt time.Time
 	written  time.Time
@@ -306,15 +305,12 @@
 	c.trackLocked(g.Rollout).lostTill = c.Clock.Now().Add(afterLoss)
 }
 
-// paceRoute is what the pace of streams is counted under.
-const paceRoute = "(pace)"
-
 // evidenceRoute is what the answer is counted under. The pace of streams is
 // evidence of its own, over all routes: a version may be slow in that only, and
 // among first events that are in time it would not show.
 func (a Answer) evidenceRoute() string {
 	if a.Pace {
-		return paceRoute
+		return "(pace)"
 	}
 	return a.Route
 }
@@ -400,7 +396,7 @@
 	case bad:
 	case !t.movedOn.IsZero(): // nothing is left to compare with
 		return
-	case t.evidence.tooSlow(c.dueLocked(t, g.Rollout)):
+	case t.evidence.tooSlow(progress(c.Clock.Since(t.seen), g.Rollout.Duration)):
 		route = "(compared)"
 	default:
 		return
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -115,8 +115,6 @@
 	compared map[string]Counts
 	// spreads are how much the times of the old version vary, at this entry.
 	spreads [timeKinds]spread
-	// callers is how many of the version's answers went to callers.
-	callers int64
 }
 
 func newEvidence() *evidence {
@@ -138,9 +136,6 @@
 		return true
 	}
 	samples, failed, slow := c.Samples-old.Samples, c.Failed-old.Failed, c.Slow-old.Slow
-	if !trialRoute(s.Route) && s.Route != paceRoute {
-		e.callers += samples
-	}
 	route, all := e.at(s.Route), e.at(allRoutes)
 	route.failed = failures.add(route.failed, samples, failed)
 	slowOn := []*routeEvidence{route, all}
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 	"strconv"
-	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
@@ -62,11 +61,6 @@
 type Exposure struct {
 	Share float64
 	Slack float64 // requests besides, of all entries together
-	// Proven is how many bad answers prove a version bad to the operators, and
-	// Within how long after them it may still get requests; zero: it is not
-	// bounded so.
-	Proven int
-	Within time.Duration
 }
 
 // The answers of copies are counted apart, by endpoint on trial: that they are
@@ -94,7 +88,7 @@
 	defer c.mu.Unlock()
 	t := c.trackLocked(r)
 	turn := c.turnLocked(t, r)
-	if turn < 0 || t.halted || !t.movedOn.IsZero() || t.late(r.Duration) || t.evidence.looksSlow() {
+	if turn < 0 || t.halted || !t.movedOn.IsZero() || t.late(r.Duration) {
 		return Trial{}, false
 	}
 	older, newer := split(g.Ready, r.Target)
--- a/rollout/trial_test.go
+++ b/rollout/trial_test.go
@@ -184,26 +184,3 @@
 		}
 	})
 }
-
-// Symptom: a bad version is proven bad, to the operators, by copies before it can be
-// told from a good one by callers' requests.
-// Events: its pauses are longer than the control group's; its endpoint would be
-// filled.
-func TestAVersionThatLooksSlowGetsNoCopies(t *testing.T) {
-	is := is.New(t)
-	e := newEvidence()
-	is.True(!e.looksSlow()) // nothing is known: it is tried
-	tell := func(group int, log float64) {
-		for _, route := range comparedRoutes[pauses][group] {
-			e.take(Source{Route: route}, Counts{Samples: 20, LogTime: int64(20 * log * logScale)}, time.Time{})
-		}
-	}
-	tell(controlGroup, 0)
-	tell(newGroup, 0)
-	is.True(!e.looksSlow())
-	slow := newEvidence()
-	e = slow
-	tell(controlGroup, 0)
-	tell(newGroup, 0.55) // three times as long, half of them
-	is.True(slow.looksSlow())
-}
