--- a/rollout/compare_test.go
+++ b/rollout/compare_test.go
@@ -28,6 +28,7 @@
 	emptier float64
 	until   float64 // how long it is played, in shares of the order's time; 0: the first share
 	allSlow bool    // all of its answers are slow, not half
+	copies  float64 // answers a second to copies for the trial under load
 }
 
 func (l load) end() float64 {
@@ -49,11 +50,22 @@
 	halted bool
 	held   bool // at the end of the first share it is in doubt
 	got    int  // requests until then
+	// pastBound: it was still answering when the operators' bound after its last
+	// proof had passed.
+	pastBound bool
 }
 
 // curveSeeds are played for each row of the operating curve.
 const curveSeeds = 60
 
+// What operators take as proof, and allow a bad version after it.
+const (
+	provenBad      = 50
+	rollbackWithin = 5 * time.Second
+	// badShare is the part of its answers that the version spoils.
+	badShare = 0.5
+)
+
 const (
 	oldPerSecond = 45
 	newPerSecond = 9
@@ -79,7 +91,8 @@
 	older = inTrialOrder(older, order.Ordered)
 	controls, others := older[:controlSize(len(older))], older[controlSize(len(older)):]
 	t := c.trackLocked(order)
-	got := 0
+	got, bad := 0, 0.0
+	var proven time.Time
 	const step = 100 * time.Millisecond
 	until := time.Duration(l.end() * float64(duration))
 	for age := time.Duration(0); age < until; age += step {
@@ -100,12 +113,21 @@
 			factor := 1.0
 			if (l.allSlow || r.IntN(2) == 0) && (!l.oneSlow || at == 0) {
 				factor = l.factor
+				bad++
 			}
 			answer(c, g, r, first[at], busy*l.busyness(), factor, l.cold)
 			got++
 		}
+		if l.copies > 0 {
+			sent := count(r, l.copies*step.Seconds())
+			t.copies += sent
+			bad += badShare * float64(sent)
+		}
+		if proven.IsZero() && bad >= provenBad {
+			proven = clock.Now()
+		}
 		if t.halted {
-			return outcome{halted: true, got: got}
+			return outcome{halted: true, got: got, pastBound: !proven.IsZero() && clock.Since(proven) > rollbackWithin}
 		}
 	}
 	return outcome{held: t.evidence.doubt(l.end()), got: got}
@@ -300,3 +322,36 @@
 	}
 	is.Equal(held, 0)
 }
+
+// Symptom: a bad version gets requests for some moments longer after its 50th bad
+// answer than the operators allow.
+// Events: copies for its trial under load are answered badly too, so that the 50th
+// comes early in the order's time; it is halted when its first share is nearly over.
+// Cause: when a version must be decided on went by the order's time alone.
+func TestAVersionIsDecidedOnWithinTheOperatorsBound(t *testing.T) {
+	for _, factor := range []float64{3, 4, 5, 8} {
+		t.Run(fmt.Sprint(factor, " times"), func(t *testing.T) {
+			is := is.New(t)
+			late, kept := 0, 0
+			for seed := range uint64(curveSeeds) {
+				o := play(load{factor: factor, cold: 1, emptier: 0.4, copies: 9, until: slowerBy}, seed)
+				if o.pastBound {
+					late++
+				}
+				if !o.halted {
+					kept++
+				}
+			}
+			t.Logf("halted too late %d, not at all %d of %d", late, kept, curveSeeds)
+			is.Equal(late, 0)
+		})
+	}
+	is := is.New(t)
+	halted := 0
+	for seed := range uint64(curveSeeds) {
+		if play(load{factor: 1, cold: 1.3, emptier: 0.4, copies: 9, until: canaryUntil}, seed).halted {
+			halted++
+		}
+	}
+	is.Equal(halted, 0)
+}
