--- a/drain/gate.go
+++ b/drain/gate.go
@@ -102,16 +102,31 @@
 	return now.Before(s.takesAll) || !now.Add(needs).After(s.end)
 }
 
-// Bound returns a context that also ends, with cause ErrCut, when the stop's
+// Bound returns a context that ends with ctx, and with cause ErrCut when the stop's
 // time is over.
+//
+// It is a child of the gate's, so that the stop ends it before the next step of the
+// stop is taken. Were it ended by a goroutine of its own, a request could still be
+// sent to an endpoint some moments after the end.
 func (g *Gate) Bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	if g.life.Err() != nil {
-		cancel(ErrCut) // at once: AfterFunc would do so some time after the return
-	}
-	unbind := context.AfterFunc(g.life, func() { cancel(ErrCut) })
-	return ctx, func() {
+	bound, cancel := context.WithCancelCause(withValues{g.life, ctx})
+	unbind := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	return bound, func() {
 		unbind()
 		cancel(nil)
 	}
 }
+
+// withValues is a context with the values of another.
+type withValues struct {
+	context.Context
+	values context.Context
+}
+
+// Value implements context.Context.
+func (w withValues) Value(key any) any {
+	if v := w.Context.Value(key); v != nil {
+		return v
+	}
+	return w.values.Value(key)
+}
