A slow version is told by both of its endpoints, and decided on by when it may be proven bad

The quicker endpoint alone was compared with the middle of the control group's, so that the version stood at the tolerated limit. And the limits went by the order's time, while copies bring the 50th bad answer early.

Ruled out: more pauses of a stream. They say the same again; what differs is engines.

Change: of both groups the middle of the two halves counts, the worse half up to what endpoints may be unlike. When the answers and copies so far could have proven the version bad, the limits reach their last values within the time that operators allow. Counts are summed by route as they are taken: totals were counted over thousands of rows for each request of a large fleet.

--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -2,6 +2,9 @@
 
 import (
 	"math"
+	"time"
+
+	"github.com/lovageweir/lovageweir/fleet"
 )
 
 // A version may be a few times slower than the one before. How much time an
@@ -29,8 +32,11 @@
 	// take.
 	tolerated = 1.45
 	// unlike is by which factor the endpoints of one version may be of unlike speed:
-	// the middle of the control group's is compared with, up to that. Two good new
-	// ones were 1.36 times as slow as the quicker of the control group.
+	// of either group the middle of the two halves is compared, up to that. Two good
+	// new ones were 1.36 times as slow as the quicker of the control group. Where a
+	// version was three times as slow in half of its answers, its two endpoints
+	// generated 1.6 and 3 times as slowly as the control group's: the quicker one
+	// alone would not tell that.
 	unlike = 1.3
 	// firstSpread is the standard deviation of the logarithm of a first event in
 	// parts of what is expected, pauseSpread that of a pause between events, as
@@ -74,6 +80,15 @@
 	// answers in doubt.
 	goodStands   = -3.0
 	slowerSurely = 1.5
+	// proofNeeds bad answers are what operators take as proof, spoiledPart is the part
+	// of its answers that a bad version is taken to spoil: one that spoils more is
+	// found sooner. decideWithin of the time that operators allow after the proof
+	// is used, as answers come some tenths of a second apart.
+	proofNeeds   = 50
+	spoiledPart  = 0.5
+	decideWithin = 0.85
+	// decisionNeeds answers and copies tell how fast they come.
+	decisionNeeds = 12
 )
 
 // The kinds of times that are compared.
@@ -210,37 +225,37 @@
 
 // slowerIn is slower for one kind of times, where either group has enough.
 func (e *evidence) slowerIn(kind int, earlier float64) (c comparison, ok bool) {
-	old, worse, oldN := e.betterHalf(comparedRoutes[kind][controlGroup])
-	newer, _, newN := e.betterHalf(comparedRoutes[kind][newGroup])
+	old, oldN := e.middle(comparedRoutes[kind][controlGroup])
+	newer, newN := e.middle(comparedRoutes[kind][newGroup])
 	if min(oldN, newN) < comparedNeeds {
 		return comparison{}, false
 	}
 	deviation := alike * e.spreads[kind].deviation(earlier) * math.Sqrt(1/oldN+1/newN)
 	good := -math.Log(tolerated) / deviation
-	old += min(worse, math.Log(unlike)) / 2
 	return comparison{by: (newer-old)/deviation + good, good: good}, true
 }
 
-// betterHalf is the mean logarithm of the better half of a group's endpoints, as
-// one endpoint in trouble is no slow group, and of how many answers a mean varies
-// as much; worse is by how much the other half is slower, as far as known. Where
+// middle is the mean logarithm of a group, and of how many answers a mean varies
+// as much. One endpoint in trouble is no slow group, so that the better half of the
+// endpoints counts, and the other half only as far as endpoints may be unlike. Where
 // few answers came from one half, the group is judged only if the other has so many
 // that it has the only endpoint.
-func (e *evidence) betterHalf(halves [2]string) (mean, worse, n float64) {
-	one, two := e.compared[halves[0]], e.compared[halves[1]]
+func (e *evidence) middle(halves [2]string) (mean, n float64) {
+	one, two := e.sums[halves[0]], e.sums[halves[1]]
 	if one.Samples < two.Samples {
 		one, two = two, one
 	}
 	if two.Samples < halfNeeds {
 		if one.Samples < alone*(two.Samples+1) {
-			return 0, 0, 0
+			return 0, 0
 		}
-		return one.meanLog(), 0, float64(one.Samples)
+		return one.meanLog(), float64(one.Samples)
 	}
 	if two.meanLog() < one.meanLog() {
 		one, two = two, one
 	}
-	return one.meanLog(), two.meanLog() - one.meanLog(), lowerOfTwo * float64(one.Samples)
+	worse := two.meanLog() - one.meanLog()
+	return one.meanLog() + min(worse, math.Log(unlike))/2, lowerOfTwo * float64(one.Samples)
 }
 
 // meanLog is the mean of the logarithms counted.
@@ -256,6 +271,22 @@
 	return halted, well
 }
 
+// decisionTimeLocked is how far the order's time is along for the comparison. Copies for
+// the trial under load are answered badly too, so that a bad version may be proven
+// bad before its callers alone would have shown it; the limits then reach their
+// last values sooner, when operators want it halted.
+func (c *Controller) decisionTimeLocked(t *track, r *fleet.Rollout) float64 {
+	age := c.Clock.Since(t.seen)
+	p := progress(age, r.Duration)
+	exposed := float64(t.evidence.totals().Samples) + float64(t.copies*max(1, len(c.View().Entries)))
+	if exposed < decisionNeeds || age <= 0 {
+		return p
+	}
+	proven := time.Duration(float64(age) * proofNeeds / (spoiledPart * exposed))
+	by := progress(proven+time.Duration(decideWithin*float64(c.haltWithin())), r.Duration)
+	return p * max(1, slowerBy/by)
+}
+
 // tooSlow reports whether the comparison halts the version.
 func (e *evidence) tooSlow(p float64) bool {
 	c, ok := e.slower()
--- a/rollout/compare_test.go
+++ b/rollout/compare_test.go
@@ -280,8 +280,12 @@
 			e.take(Source{Instance: entry, Route: comparedRoutes[pauses][newGroup][0]}, c, time.Time{})
 		}
 	}
-	is.Equal(e.compared[comparedRoutes[pauses][newGroup][0]], e.on(comparedRoutes[pauses][newGroup][0]))
-	is.Equal(e.compared[comparedRoutes[pauses][newGroup][0]], Counts{Samples: 10, LogTime: 600})
+	var rows Counts
+	for _, c := range e.rows {
+		rows.add(c)
+	}
+	is.Equal(e.on(comparedRoutes[pauses][newGroup][0]), rows)
+	is.Equal(rows, Counts{Samples: 10, LogTime: 600})
 }
 
 // Symptom: a version four times as slow in half of its answers gets all requests.
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -27,6 +27,16 @@
 	recordAgain = time.Second
 )
 
+// defaultHaltWithin holds where operators name no bound.
+const defaultHaltWithin = 5 * time.Second
+
+func (d Deps) haltWithin() time.Duration {
+	if d.HaltWithin <= 0 {
+		return defaultHaltWithin
+	}
+	return d.HaltWithin
+}
+
 // Deps is what a controller needs.
 type Deps struct {
 	Instance string
@@ -39,8 +49,11 @@
 	SessionLife time.Duration
 	// Exposure bounds the copies sent to a version on trial; zero: none are.
 	Exposure Exposure
-	Clock    clockwork.Clock
-	Log      *slog.Logger
+	// HaltWithin is how long after its proof a bad version may get requests;
+	// 0: defaultHaltWithin.
+	HaltWithin time.Duration
+	Clock      clockwork.Clock
+	Log        *slog.Logger
 }
 
 // Controller is one entry's part in all roll-outs. It is safe for concurrent
@@ -151,7 +164,7 @@
 	sum := t.evidence.totals()
 	seen := sum.Samples
 	age := c.Clock.Since(t.seen)
-	doubt := t.evidence.doubt(progress(age, r.Duration))
+	doubt := t.evidence.doubt(c.decisionTimeLocked(t, r))
 	if doubt {
 		t.doubted = c.Clock.Now()
 	}
@@ -396,7 +409,7 @@
 	case bad:
 	case !t.movedOn.IsZero(): // nothing is left to compare with
 		return
-	case t.evidence.tooSlow(progress(c.Clock.Since(t.seen), g.Rollout.Duration)):
+	case t.evidence.tooSlow(c.decisionTimeLocked(t, g.Rollout)):
 		route = "(compared)"
 	default:
 		return
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -83,6 +83,15 @@
 	c.Bad |= o.Bad
 }
 
+// since returns what came after earlier counts of the same source.
+func (c Counts) since(earlier Counts) Counts {
+	c.Samples -= earlier.Samples
+	c.Failed -= earlier.Failed
+	c.Slow -= earlier.Slow
+	c.LogTime -= earlier.LogTime
+	return c
+}
+
 // newer reports whether counts have more in them than others.
 func (c Counts) newer(than Counts) bool {
 	return c.Samples > than.Samples && c.Failed >= than.Failed && c.Slow >= than.Slow
@@ -110,32 +119,36 @@
 type evidence struct {
 	rows   map[Source]Counts
 	routes map[string]*routeEvidence
-	// compared sums the rows of each compared route: it is read for each request,
-	// and a large fleet has thousands of rows.
-	compared map[string]Counts
+	// sums are those of the rows by route, callers those of callers' requests: they
+	// are read for each request, and a large fleet has thousands of rows.
+	sums    map[string]Counts
+	callers Counts
 	// spreads are how much the times of the old version vary, at this entry.
 	spreads [timeKinds]spread
 }
 
 func newEvidence() *evidence {
-	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}, compared: map[string]Counts{}}
+	return &evidence{rows: map[Source]Counts{}, routes: map[string]*routeEvidence{}, sums: map[string]Counts{}}
 }
 
 // take brings a source's counts up to date; older ones change nothing.
-func (e *evidence) take(s Source, c Counts, now time.Time) (fresh bool) {
+func (e *evidence) take(s Source, c Counts, now time.Time) (isNew bool) {
 	old := e.rows[s]
 	if !c.newer(old) {
 		return false
 	}
 	e.rows[s] = c
+	fresh := c.since(old)
+	sum := e.sums[s.Route]
+	sum.add(fresh)
+	e.sums[s.Route] = sum
 	if isComparedRoute[s.Route] {
-		sum := e.compared[s.Route]
-		sum.Samples += c.Samples - old.Samples
-		sum.LogTime += c.LogTime - old.LogTime
-		e.compared[s.Route] = sum
 		return true
 	}
-	samples, failed, slow := c.Samples-old.Samples, c.Failed-old.Failed, c.Slow-old.Slow
+	if !trialRoute(s.Route) {
+		e.callers.add(fresh)
+	}
+	samples, failed, slow := fresh.Samples, fresh.Failed, fresh.Slow
 	route, all := e.at(s.Route), e.at(allRoutes)
 	route.failed = failures.add(route.failed, samples, failed)
 	slowOn := []*routeEvidence{route, all}
@@ -218,14 +231,8 @@
 	return seen <= 1 || bad >= max(fewestEndpoints, (seen+1)/2)
 }
 
-// totals sums the counts of callers' requests.
-func (e *evidence) totals() Counts {
-	var t Counts
-	for s, c := range e.rows {
-		if trialRoute(s.Route) || isComparedRoute[s.Route] {
-			continue
-		}
-		t.add(c)
-	}
-	return t
-}
+// totals are the counts of callers' requests.
+func (e *evidence) totals() Counts { return e.callers }
+
+// on are the counts of one route.
+func (e *evidence) on(route string) Counts { return e.sums[route] }
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -54,7 +54,7 @@
 	r := g.Rollout
 	older, _ := split(g.Ready, r.Target)
 	c.shareLocked(t, r, len(older)) // an entry without requests moves on here
-	return !t.movedOn.IsZero() && progress(c.Clock.Since(t.movedOn), r.Duration) >= settleFor && !t.evidence.doubt(progress(c.Clock.Since(t.seen), r.Duration))
+	return !t.movedOn.IsZero() && progress(c.Clock.Since(t.movedOn), r.Duration) >= settleFor && !t.evidence.doubt(c.decisionTimeLocked(t, r))
 }
 
 func hasVersion(all []fleet.Endpoint, version string) bool {
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -190,14 +190,3 @@
 	second := e.on(trialRoutes[1])
 	return second.Failed >= trialSuspect || second.Samples < trialDone
 }
-
-// on sums the counts of one route.
-func (e *evidence) on(route string) Counts {
-	var sum Counts
-	for s, c := range e.rows {
-		if s.Route == route {
-			sum.add(c)
-		}
-	}
-	return sum
-}
