--- a/fleet/items_test.go
+++ b/fleet/items_test.go
@@ -146,3 +146,35 @@
 	behind.Apply(c)
 	is.True(equal(state(behind), state(ahead)))
 }
+
+func stored(key string, rev kv.Revision) kv.Event {
+	return kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: key, ModRevision: rev}}
+}
+
+// Symptom: an entry that was never cut off goes on sending to an endpoint that has
+// left, four seconds after the store took its leaving.
+// Events: most entries lose power; an endpoint announces that it leaves, and leaves. An
+// entry that starts again reads everything, where the endpoint is no more. One that went
+// on, and had heard of neither, asks it for the changes that it lacks.
+// Cause: the one that started again knows of no removal before it read everything, but
+// answered as if there had been none.
+func TestAnEntryThatReadEverythingDoesNotAnswerForRemovalsBefore(t *testing.T) {
+	is := is.New(t)
+	behind := NewItems()
+	behind.Apply(Changes{Revision: 5, Whole: true, Events: []kv.Event{stored("servers/e1", 4), stored("servers/e2", 5)}})
+	for _, knew := range []Changes{
+		{},
+		{Revision: 3, Whole: true, Events: []kv.Event{stored("servers/e2", 2)}},
+	} {
+		started := NewItems()
+		started.Apply(knew)
+		// e1 said that it leaves at revision 6, and was gone at 7.
+		started.Apply(Changes{Revision: 8, Whole: true, Events: []kv.Event{stored("servers/e2", 5)}})
+		is.True(started.Since(5).Whole)
+		is.True(!started.Since(8).Whole)
+		told := NewItems()
+		told.Apply(behind.Since(0))
+		told.Apply(started.Since(5))
+		is.Equal(len(told.All()), 1)
+	}
+}
