An entry that read everything tells those that are behind everything too

Cause: entries that start again read the whole store and answer the others' exchanges. Of removals before that read they know none, yet answered an entry at an older revision with the changes since as if there had been none: that entry came to their revision without ever hearing that the endpoint had left, and nothing told it afterwards.

Change: a whole copy sets the revision from which removals are known; an entry behind it is told everything.

--- a/fleet/items.go
+++ b/fleet/items.go
@@ -51,6 +51,9 @@
 	var fresh []kv.Event
 	if c.Whole {
 		fresh = s.dropMissingLocked(c)
+		// What came and went before is not known: an entry that is behind, and was told
+		// of no removal, would keep sending to endpoints that have left.
+		s.floor = max(s.floor, c.Revision)
 	}
 	for _, e := range c.Events {
 		if s.applyLocked(e) {
