A version that fails under load is found: copies arrive while an endpoint is full, and one failed trial is not left undecided

The second endpoint was never filled: the bound on exposure had no copies left, and the version stayed in doubt until its time was over.

Ruled out: that what decides is the request itself (it fails or not at one load), or a load told late (failures come within 11 ms).

Change: copies pause while an eighth of the slots waits, and go on while the endpoint is full; a version that failed at one endpoint and was not shown to be well at another is rolled back at 0.8 of its time (red test rollout.TestAVersionThatFailedItsOnlyTrialIsRolledBack).

--- a/rollout/record.go
+++ b/rollout/record.go
@@ -26,6 +26,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.trackLocked(r)
+	c.giveUpTrialLocked(r, t)
 	now := c.Clock.Now()
 	want := fleet.RolloutRunning
 	switch {
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -27,11 +27,14 @@
 	trialTurn = 0.33
 	trialEnd  = canaryUntil
 	// trialLoad of its slots is how full an endpoint is made; full, it would
-	// refuse, which says nothing of its version. What waits counts only up to
-	// all slots: with some twenty streams a second to copy, and prompts that are
-	// read at about that pace, an endpoint of 64 slots is half full after three
-	// seconds, and a queue is there all the while.
+	// refuse, which says nothing of its version.
 	trialLoad = 0.95
+	// trialQueue of its slots may wait there. What waits arrived at an endpoint that
+	// was not full yet, and says nothing of a version that fails as it fills: with as
+	// many waiting as there were slots, 65 of 100 copies came within half a second
+	// at an endpoint with a third of its slots taken, and it was full for half a
+	// second more, in which a version that fails half of what comes then failed five.
+	trialQueue = 0.125
 	// trialCounts of the slots must run or wait for an answer to count: before,
 	// it says what the first share's answers say as well. A failure is told
 	// before what it found waiting has begun to run.
@@ -51,6 +54,10 @@
 	trialSuspect = 1
 	trialFailed  = 4
 	trialSecond  = 2
+	// trialGivenUp is when a version of which the first endpoint failed its trial, and no
+	// second one was shown to be well, is rolled back: there is no time left to bring it
+	// in, and left undecided it would keep its first callers for good.
+	trialGivenUp = 0.8
 	// trialDone answers on the second endpoint, and what the first did was its
 	// own trouble.
 	trialDone = 10
@@ -107,7 +114,8 @@
 // filled reports whether an endpoint is as full as a trial makes it.
 func filled(ep fleet.Endpoint, s place.Standing) bool {
 	slots := float64(ep.Slots)
-	return float64(s.Running) >= trialLoad*slots || s.Load >= slots
+	waiting := s.Load - float64(s.Running)
+	return float64(s.Running) >= trialLoad*slots || waiting >= max(1, trialQueue*slots)
 }
 
 // turnLocked is which endpoint is on trial now, by its place; -1: none.
@@ -181,6 +189,20 @@
 	return endpoints <= 1 || e.on(trialRoutes[1]).Failed >= trialSecond
 }
 
+// giveUpTrialLocked halts a version that failed at one endpoint when its time is nearly
+// over. Where traffic is thin, the copies that the bound on exposure allows are used up
+// by the first endpoint.
+func (c *Controller) giveUpTrialLocked(r *fleet.Rollout, t *track) {
+	first := t.evidence.on(trialRoutes[0])
+	if t.halted || !t.movedOn.IsZero() || first.Failed < trialFailed || !t.evidence.trialDoubt() ||
+		progress(c.Clock.Since(t.seen), r.Duration) < trialGivenUp {
+		return
+	}
+	t.halted = true
+	c.Log.Warn("rollout: version failed its trial at one endpoint and was not shown to be well at another; halting it.", "service", r.Service,
+		"order", t.ordered, "samples", first.Samples, "failed", first.Failed, "age_ms", c.Clock.Since(t.seen).Milliseconds())
+}
+
 // trialDoubt reports whether the first endpoint failed and the second has not
 // shown that it was that endpoint's own trouble.
 func (e *evidence) trialDoubt() bool {
--- a/rollout/trial_test.go
+++ b/rollout/trial_test.go
@@ -158,6 +158,27 @@
 	x.is.Equal(x.state(), fleet.RolloutRunning)
 }
 
+// Symptom: a version that fails under load is neither brought in nor rolled back.
+// Events: its first endpoint fails five of a hundred copies; traffic is thin, so that
+// the bound on exposure leaves no copies for a second one.
+// Cause: it was left in doubt until its time was over.
+func TestAVersionThatFailedItsOnlyTrialIsRolledBack(t *testing.T) {
+	x := newTrialFixture(t)
+	e := x.all[0]
+	x.play(8 * time.Second)
+	trial := Trial{Endpoint: fleet.Endpoint{ID: x.onTrial(0), Version: "v2", Slots: trialSlots}, route: trialRoutes[0]}
+	for i := range 100 {
+		e.ObserveTrial(e.group(), trial, trialSlots/2, i%20 == 0)
+	}
+	for i := range enoughSeen {
+		e.answer(6+i%6, false)
+	}
+	x.play(9 * time.Second)
+	x.is.Equal(x.state(), fleet.RolloutRunning) // a second endpoint may still tell
+	x.play(5 * time.Second)
+	x.is.Equal(x.state(), fleet.RolloutRolledBack)
+}
+
 // Whatever the load, copies and the first share together stay within the
 // operators' bound on what a bad version may get.
 func TestATrialKeepsTheBoundOnExposure(t *testing.T) {
