Exchanges of a large fleet stay in their domain; entries register with their first configuration

Cause: each entry draws one of all ten watchers three times a second, five in six of them in other domains, and hands over up to 256 rows of evidence either way. At a start each entry watches the store by itself until it finds itself among the others, 1.6 s, as it registers only a second after the configuration came (one entry's log); seven calls an entry are of the start.

Change: an entry draws its own domain's watchers, but for four times as many crossings a domain as one entry makes; it asks with its own evidence, as watchers have the others'. It registers with its first configuration and gathers changes for half a second until then.

--- a/edge/module.go
+++ b/edge/module.go
@@ -120,7 +120,7 @@
 }
 
 func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
-	return mesh.New(mesh.Deps{Instance: s.Instance, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Clock: clock, Log: log})
+	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Clock: clock, Log: log})
 }
 
 func newLoads(s *Settings, f *fleet.Follower, board *place.Board, clock clockwork.Clock, log *slog.Logger) *mesh.Loads {
--- a/edge/run.go
+++ b/edge/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -36,6 +37,9 @@
 	// seconds; renewing more often would cost the store more.
 	registrationLife = 10 * time.Minute
 	registrationTry  = time.Second
+	// registrationSpread keeps the registrations of hundreds that start together within
+	// what the store takes in a second.
+	registrationSpread = 200 * time.Millisecond
 )
 
 func runRegistration(lc fx.Lifecycle, s *Settings, b boot, c kv.Client, f *fleet.Follower, log *slog.Logger) {
@@ -53,7 +57,14 @@
 }
 
 func (r *registration) run(ctx context.Context) {
-	wait := time.Duration(0)
+	// With the first configuration, and not a second later: until an entry finds itself
+	// among those known it watches the store by itself, several calls a second.
+	select {
+	case <-r.fleet.Known():
+	case <-ctx.Done():
+		return
+	}
+	wait := time.Duration(rand.Float64() * float64(registrationSpread))
 	for {
 		select {
 		case <-time.After(wait):
@@ -61,7 +72,7 @@
 			return
 		}
 		wait = registrationTry
-		if r.fleet.StoreAway() || r.fleet.View().Config == nil {
+		if r.fleet.StoreAway() {
 			continue
 		}
 		if err := r.renew(ctx); err != nil {
--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -23,7 +26,9 @@
 	orders    map[string]Rollout  // by service
 	statuses  map[string]recordedStatus
 	entries   map[string]Entry
-	last      *View
+	// entriesChanged: the last view has other entries.
+	entriesChanged bool
+	last           *View
 }
 
 type recordedStatus struct {
@@ -57,6 +62,7 @@
 		var entry Entry
 		if err = json.Unmarshal(e.KV.Value, &entry); err == nil {
 			b.entries[name] = entry
+			b.entriesChanged = true
 		}
 	}
 	if err != nil {
@@ -145,6 +151,7 @@
 		delete(b.statuses, name)
 	case ItemEntry:
 		delete(b.entries, name)
+		b.entriesChanged = true
 	case ItemConfig, ItemOther:
 	}
 }
@@ -178,14 +185,20 @@
 		sort.Slice(g.Ready, func(i, j int) bool { return g.Ready[i].ID < g.Ready[j].ID })
 		sort.Slice(g.Lapsed, func(i, j int) bool { return g.Lapsed[i].ID < g.Lapsed[j].ID })
 	}
-	for _, e := range b.entries {
-		v.Entries = append(v.Entries, e)
+	v.Entries, v.watchers = b.last.Entries, b.last.watchers
+	if b.entriesChanged {
+		v.Entries = sortedEntries(b.entries)
+		v.watchers = watchersOf(v.Entries)
+		b.entriesChanged = false
 	}
-	sort.Slice(v.Entries, func(i, j int) bool { return v.Entries[i].Instance < v.Entries[j].Instance })
 	b.last = v
 	return v
 }
 
+func sortedEntries(byName map[string]Entry) []Entry {
+	return slices.SortedFunc(maps.Values(byName), func(a, b Entry) int { return cmp.Compare(a.Instance, b.Instance) })
+}
+
 func (b *builder) group(v *View, service string) *Group {
 	g := v.groups[service]
 	if g == nil {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -31,6 +31,10 @@
 	// next watch: a burst of them, as when a service is replaced, then costs a
 	// few calls instead of one each. A change is in force that much later.
 	gatherFor = 250 * time.Millisecond
+	// gatherAtStart takes its place until an entry knows itself to be among the others.
+	// When hundreds start together each hears of all others, in as many calls as it
+	// makes meanwhile.
+	gatherAtStart = 500 * time.Millisecond
 	// peerLife is how long after another entry whose knowledge was current last
 	// answered an entry relies on others. Exchanges are 0.3 s apart: three that
 	// fail in a row make it watch by itself, well within the two seconds in which
@@ -174,7 +178,7 @@
 func (f *Follower) Watching() bool { return !f.StoreAway() && f.onDuty() }
 
 // onDuty reports whether this entry is one that watches for all.
-func (f *Follower) onDuty() bool { return Watches(f.View().Entries, f.self) }
+func (f *Follower) onDuty() bool { return f.View().Watches(f.self.Instance) }
 
 // IsCurrent reports whether knowledge of an age is as young as it is where the
 // entries that watch the store hear it.
@@ -253,11 +257,18 @@
 	}
 	f.take(Changes{Revision: rev, Events: events}, 0)
 	if len(events) > 0 {
-		f.sleep(ctx, gatherFor)
+		f.sleep(ctx, f.gather())
 	}
 	return nil
 }
 
+func (f *Follower) gather() time.Duration {
+	if !f.View().Knows(f.self.Instance) {
+		return gatherAtStart
+	}
+	return gatherFor
+}
+
 func (f *Follower) watchWait() time.Duration {
 	if f.onDuty() {
 		return dutyWait
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -45,7 +45,8 @@
 	Config   *Config // nil: not known yet
 	Entries  []Entry
 
-	groups map[string]*Group
+	watchers watchers // of Entries
+	groups   map[string]*Group
 	// byHost are the routes of a host, longest prefix first.
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
@@ -81,6 +82,16 @@
 // Group returns a service's endpoints; nil: none are known.
 func (v *View) Group(service string) *Group { return v.groups[service] }
 
+// Watches reports whether an entry is one that watches the store for all; one that the
+// view does not know watches for itself.
+func (v *View) Watches(instance string) bool { return v.watchers.has(instance) }
+
+// Knows reports whether an entry is among those known.
+func (v *View) Knows(instance string) bool {
+	_, known := v.watchers[instance]
+	return known
+}
+
 // Groups returns all services that have endpoints or an order, sorted.
 func (v *View) Groups() []*Group {
 	out := make([]*Group, 0, len(v.groups))
--- a/fleet/watchers.go
+++ b/fleet/watchers.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -20,29 +23,35 @@
 // domains, hardly by that of entries.
 //
 // Entries that know different lists choose differently; then more watch than
-// need to, or an entry hears from no watcher and watches by itself.
-func Watches(entries []Entry, self Entry) bool {
-	mine := order(self)
-	before, beforeHere, here := 0, 0, 1
-	known := false
-	for _, e := range entries {
-		if e.Instance == self.Instance {
-			known = true
-			continue
-		}
-		near := e.Domain == self.Domain
-		if near {
-			here++
-		}
-		if order(e) >= mine {
-			continue
-		}
-		before++
-		if near {
-			beforeHere++
-		}
+// need to, or an entry hears from no watcher and watches by itself. One that is
+// not in the list watches.
+func Watches(entries []Entry, self Entry) bool { return watchersOf(entries).has(self.Instance) }
+
+// watchers are those of a list of entries, by instance: true for each that watches,
+// false for each that does not.
+type watchers map[string]bool
+
+func (w watchers) has(instance string) bool {
+	watches, known := w[instance]
+	return watches || !known
+}
+
+// watchersOf chooses the watchers of a list: once a list, as each entry asks of all
+// others several times a second.
+func watchersOf(entries []Entry) watchers {
+	ordered := slices.Clone(entries)
+	slices.SortFunc(ordered, func(a, b Entry) int { return cmp.Compare(order(a), order(b)) })
+	size := map[string]int{}
+	for _, e := range ordered {
+		size[e.Domain]++
+	}
+	w := make(watchers, len(ordered))
+	before := map[string]int{}
+	for i, e := range ordered {
+		w[e.Instance] = i < fewestWatchers || before[e.Domain] <= size[e.Domain]/perWatcher
+		before[e.Domain]++
 	}
-	return !known || beforeHere <= here/perWatcher || before < fewestWatchers
+	return w
 }
 
 func order(e Entry) uint64 { return xxhash.Sum64String(e.Instance) }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,11 +46,17 @@
 	deafFor = 5 * time.Second
 	// mostRows bounds the evidence told in one exchange.
 	mostRows = 256
+	// crossing times as many exchanges as one entry makes go from a failure domain to
+	// others, however many entries it has: bytes between domains are paid for, and what
+	// the watchers of a domain know they have from the others' watchers. With as few
+	// entries as this in a domain all may cross.
+	crossing = 4
 )
 
 // Deps is what a mesh needs.
 type Deps struct {
 	Instance string
+	Domain   string
 	// Address is where this entry serves its peers, IP:port.
 	Address  string
 	Seeds    []string
@@ -118,20 +125,27 @@
 }
 
 // draw picks another entry at random: one of those that watch the store and
-// lately heard it, if this one does not watch. Where there is none, as when all
-// are cut off from the store, and when what this one knows is old, it may be any:
-// of the others, those that reach the store have asked it by themselves.
+// lately heard it, if this one does not watch; in a large fleet mostly one of its own
+// failure domain. Where there is none, as when all are cut off from the store, and when
+// what this one knows is old, it may be any: of the others, those that reach the store
+// have asked it by themselves.
 func (m *Mesh) draw() (string, bool) {
 	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := map[string]bool{}
 	watchers := map[string]bool{}
-	entries := m.Fleet.View().Entries
-	for _, e := range entries {
+	nearWatchers := map[string]bool{}
+	here := 0
+	view := m.Fleet.View()
+	for _, e := range view.Entries {
 		known[e.Address] = true
-		if e.Address != m.Address && !now.Before(m.deaf[e.Address]) && fleet.Watches(entries, e) {
+		if e.Domain == m.Domain {
+			here++
+		}
+		if e.Address != m.Address && !now.Before(m.deaf[e.Address]) && view.Watches(e.Instance) {
 			watchers[e.Address] = true
+			nearWatchers[e.Address] = e.Domain == m.Domain
 		}
 	}
 	// Seeds may be stale; they count while the store has told of nobody.
@@ -159,7 +173,10 @@
 		}
 	}
 	if !m.Fleet.Watching() && m.Fleet.Current() {
-		if near := only(open, watchers); len(near) > 0 {
+		if all := only(open, watchers); len(all) > 0 {
+			open = all
+		}
+		if near := only(open, nearWatchers); len(near) > 0 && rand.Float64()*float64(here) >= crossing {
 			open = near
 		}
 	}
@@ -188,7 +205,7 @@
 	defer cancel()
 	client := meshpb.NewMeshProtobufClient("http://"+address, m.http)
 	asked := m.Clock.Now()
-	got, err := client.Exchange(ctx, m.message())
+	got, err := client.Exchange(ctx, m.question())
 	m.note(address, err)
 	if err == nil {
 		m.noteHearing(address, got)
@@ -233,10 +250,24 @@
 	}
 }
 
+// question is what this entry tells the one that it asks. Those that watch the store
+// hear from all the others: an entry that leaves watching to them tells them what it
+// has seen itself, and not what it heard from them.
+func (m *Mesh) question() *meshpb.ExchangeMessage {
+	told, rows, under := m.Rollouts.Tell()
+	if !m.Fleet.Watching() && m.Fleet.Current() {
+		rows = slices.DeleteFunc(rows, func(r rollout.Row) bool { return r.Instance != m.Instance })
+	}
+	return m.encode(told, rows, under)
+}
+
 // message is what this entry knows, without changes of the store. Watching is
 // told for entries that run another version of the program, which rely on it.
 func (m *Mesh) message() *meshpb.ExchangeMessage {
-	told, rows, under := m.Rollouts.Tell()
+	return m.encode(m.Rollouts.Tell())
+}
+
+func (m *Mesh) encode(told []rollout.Told, rows []rollout.Row, under []rollout.Session) *meshpb.ExchangeMessage {
 	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
 	if age, ok := m.Fleet.Age(); ok {
 		out.ConfirmedMs = age.Milliseconds()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -205,6 +205,69 @@
 	is.Equal(len(drawn(m)), len(all)-1)
 }
 
+// Symptom: entries' exchanges are most of the bytes between failure domains, and grow
+// with the fleet.
+// Events: 195 entries each ask one of ten that watch, drawn from all domains, three
+// times a second, and are told hundreds of rows of evidence.
+// Cause: the watchers of the own domain, which know the same, were not preferred.
+func TestExchangesOfALargeFleetStayInTheirDomain(t *testing.T) {
+	is := is.New(t)
+	const entries, domains, draws = 195, 6, 3000
+	var all []fleet.Entry
+	var events []kv.Event
+	for i := range entries {
+		e := fleet.Entry{Instance: fmt.Sprintf("i%d", i), Domain: fmt.Sprintf("d%d", i%domains), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i)}
+		all = append(all, e)
+		events = append(events, put(fleet.EntryPrefix+e.Instance, fmt.Sprintf(`{"instance":%q,"domain":%q,"address":%q}`, e.Instance, e.Domain, e.Address), kv.Revision(i+1)))
+	}
+	domainOf, watching := map[string]string{}, map[string]bool{}
+	var relying fleet.Entry
+	for _, e := range all {
+		domainOf[e.Address] = e.Domain
+		if fleet.Watches(all, e) {
+			watching[e.Address] = true
+		} else {
+			relying = e
+		}
+	}
+	clock := clockwork.NewFakeClock()
+	m := newEntry(t, relying.Instance)
+	m.Clock, m.Address, m.Domain = clock, relying.Address, relying.Domain
+	m.Fleet = fleet.NewFollower(relying, memkv.New(clock), platform.Values{}, time.Second, clock, quiet)
+	m.Fleet.SetSinceBoot(func() time.Duration { return clock.Since(time.Time{}) })
+	know(m, fleet.Changes{Revision: entries, Whole: true, Events: events})
+	crossed, met := 0, map[string]bool{}
+	for range draws {
+		address, ok := m.draw()
+		is.True(ok)
+		is.True(watching[address])
+		met[domainOf[address]] = true
+		if domainOf[address] != relying.Domain {
+			crossed++
+		}
+	}
+	// crossing exchanges of a domain's 32 entries together, each as likely to stay.
+	is.True(crossed < draws*2*crossing/(entries/domains))
+	is.Equal(len(met), domains) // what one domain has seen still reaches the others
+}
+
+// Symptom: as above.
+// An entry that leaves watching to others tells them what it has seen itself; what it
+// heard from them they know.
+func TestAnEntryTellsWatchersItsOwnEvidence(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m, _ := newRelying(t, clock)
+	m.Rollouts = rollout.New(rollout.Deps{Instance: m.Instance, Boot: 1, Decoder: platform.Values{}, View: m.Fleet.View, Clock: clock, Log: quiet})
+	know(m, fleet.Changes{Revision: 11, Events: []kv.Event{put("op/rollout/s", `{"service":"s","target":"v2","duration_s":60}`, 11)}})
+	row := rollout.Row{Source: rollout.Source{Instance: "another", Boot: 1, Service: "s", Ordered: 11, Route: "r"}, Counts: rollout.Counts{Samples: 3}}
+	m.Rollouts.Hear(nil, []rollout.Row{row}, nil)
+	is.Equal(len(m.question().Evidence), 0)
+	is.Equal(len(m.message().Evidence), 1) // whoever asks is told
+	clock.Advance(5 * time.Second)
+	is.Equal(len(m.question().Evidence), 1) // with old knowledge it may be asking one that knows less
+}
+
 // Symptom: while all that watch the store are cut off from it, every other
 // entry asks it for each change.
 // Events: an entry asks the store by itself, so that its knowledge is current;
