An address belongs to the latest registration

Cause: an engine that starts again has a new id at its old address; the old registration stands for three heartbeats, and both were taken for endpoints. A rejected send costs the fleet's budget a repeat.

Change: of the registrations that name one address the latest made counts. Two fixtures gave all their endpoints one address; they have one each now, and check what they did.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -97,6 +97,7 @@
 		b.log.Error("fleet: registration names no endpoint.", "key", item.Key, "revision", item.ModRevision, "error", err)
 		return
 	}
+	ep.Registered = item.CreateRevision
 	old, known := b.endpoints[name]
 	b.endpoints[name] = ep
 	delete(b.lapsed, name)
@@ -164,8 +165,9 @@
 	} else {
 		v.index()
 	}
+	holders := b.addressHolders()
 	for _, ep := range b.endpoints {
-		if !ep.Draining {
+		if !ep.Draining && holders[ep.Address] == ep.Registered {
 			g := b.group(v, ep.Service)
 			g.Ready = append(g.Ready, ep)
 		}
@@ -195,6 +197,20 @@
 	return v
 }
 
+// addressHolders are the registrations that the endpoints' addresses belong to: the
+// latest made for each. An endpoint that crashed and started again, or whose address was
+// given to another, is registered until its heartbeats have been missing for long.
+// Meanwhile a request for it reaches the one that has its address now, is rejected, and
+// costs a repeat: after a quarter of 124 endpoints had crashed, three hundred in two
+// seconds, and repeats were short for ten.
+func (b *builder) addressHolders() map[string]kv.Revision {
+	holders := make(map[string]kv.Revision, len(b.endpoints))
+	for _, ep := range b.endpoints {
+		holders[ep.Address] = max(holders[ep.Address], ep.Registered)
+	}
+	return holders
+}
+
 func sortedEntries(byName map[string]Entry) []Entry {
 	return slices.SortedFunc(maps.Values(byName), func(a, b Entry) int { return cmp.Compare(a.Instance, b.Instance) })
 }
--- a/fleet/follower_test.go
+++ b/fleet/follower_test.go
@@ -213,7 +213,7 @@
 func TestAnEntryOfAnotherWriterLeavesTheOtherEndpoints(t *testing.T) {
 	x := newFixture(t)
 	put := func(id string) (key string) {
-		e := platformtest.NewEngine(platformtest.EngineConfig{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "d1", Version: "v1"})
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: id, Service: "s", Address: "127.0.0.1:" + id[1:], Domain: "d1", Version: "v1"})
 		key, value := e.Registration(false)
 		_, err := x.store.Put(context.Background(), key, value, 0)
 		x.is.NoErr(err)
@@ -235,13 +235,43 @@
 	ready(2)
 }
 
+// Symptom: for seconds after endpoints crashed and started again, requests are rejected
+// by the one that has the address now, and each costs a repeat.
+// Events: an endpoint crashes and starts again, under another name at its address; its
+// earlier registration stands until its heartbeats have been missing for long.
+// Cause: both were taken for endpoints.
+func TestAnAddressBelongsToTheLatestRegistration(t *testing.T) {
+	x := newFixture(t)
+	put := func(id string, draining bool) {
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "d1", Version: "v1"})
+		key, value := e.Registration(draining)
+		_, err := x.store.Put(context.Background(), key, value, 0)
+		x.is.NoErr(err)
+	}
+	only := func(name string) {
+		x.until(t, func(v *fleet.View) bool {
+			g := v.Group("s")
+			return g != nil && len(g.Ready) == 1 && g.Ready[0].Name == name
+		})
+	}
+	put("e1", false)
+	x.run(t)
+	only("e1")
+	put("e2", false)
+	only("e2")
+	put("e1", false) // a heartbeat that was long on its way
+	x.config(2)
+	x.until(t, func(v *fleet.View) bool { return version(v) == 2 })
+	only("e2")
+}
+
 // Symptom: a store outage takes all endpoints away at once.
 // Events: registrations lapse, unannounced. For a short while they are a last
 // resort; an endpoint that announced its leaving is not.
 func TestLapsedRegistrationsAreALastResort(t *testing.T) {
 	x := newFixture(t)
 	put := func(id string, draining bool) {
-		e := platformtest.NewEngine(platformtest.EngineConfig{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: "d1", Version: "v1"})
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: id, Service: "s", Address: "127.0.0.1:" + id[1:], Domain: "d1", Version: "v1"})
 		key, value := e.Registration(draining)
 		_, err := x.store.Put(context.Background(), key, value, 0)
 		x.is.NoErr(err)
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -134,6 +134,9 @@
 	Version  string // of its software
 	Slots    int
 	Draining bool
+	// Registered is the revision at which its registration was made, however often it
+	// was written since.
+	Registered kv.Revision
 }
 
 // RolloutState is how far a roll-out has come.
