--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -61,7 +61,7 @@
 // Outlook is what a larger model's answer would take.
 type Outlook struct {
 	Elapsed   time.Duration // since the request came
-	Wait      time.Duration // for others, at the engine that would take it
+	Wait      time.Duration // for others, at the engine that would take it or as usual
 	First     time.Duration // from then to the larger model's first event
 	Objective time.Duration
 	// Busy is how many requests run and wait at the service's engines, in parts
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -260,6 +260,9 @@
 	if tokens > 0 {
 		a.Expected = s.Rates.First(model, tokens)
 	}
+	if tokens > 0 && took > 0 {
+		s.Board.Waited(x.target(), took-a.Expected)
+	}
 	usual := s.Rollouts.Observe(a)
 	if failed {
 		return
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -118,7 +118,7 @@
 	was := x.model
 	x.model = model
 	if _, best, ref := x.pick(); ref == nil {
-		o.Wait = best.Standing.Wait
+		o.Wait = max(best.Standing.Wait, x.server.Board.UsualWait(x.target()))
 		o.Busy = x.server.Board.Busy(x.target())
 		o.First = x.server.Rates.First(x.modelName(), x.facts.Usage.Prompt)
 	}
