--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -56,10 +56,9 @@
 	Log              *slog.Logger
 }
 
-// Loads tells other entries what work this one has outstanding at which
-// endpoint, what it heard of their load and how many repeats it makes, and takes what
-// they tell. Datagrams
-// fit: one that is lost or late is worth nothing a moment later.
+// Loads tells other entries what work this one has outstanding at which endpoint, what
+// endpoints told it of their load, and how many repeats it makes; and it takes what they
+// tell. Datagrams fit: one that is lost or late is worth nothing a moment later.
 type Loads struct {
 	LoadsDeps
 	conn  net.PacketConn
--- a/place/doc.go
+++ b/place/doc.go
@@ -8,4 +8,8 @@
 // So each request has a preferred engine, by a hash that all entries share,
 // which also finds the request's prompt in that engine's cache; it yields only
 // when that engine is busier than the others by more than the cache is worth.
+//
+// A large fleet has hundreds of entries with a few requests a second each. There an
+// entry knows of most engines only what others tell it (loads.go, share.go), and spreads
+// its choices over all that it cannot tell apart.
 package place
