--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -94,7 +94,7 @@
 
 // endpoint registers an endpoint; 0 slots: as many as the stand-in has.
 func (x *fixture) endpoint(i int, version string, slots int) {
-	e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("e%02d", i), Service: "s", Address: "127.0.0.1:1", Domain: "d", Version: version, Slots: slots})
+	e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("e%02d", i), Service: "s", Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), Domain: "d", Version: version, Slots: slots})
 	x.put(e.Registration(false))
 }
 
