--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -47,8 +47,8 @@
 	// mostRows bounds the evidence told in one exchange.
 	mostRows = 256
 	// crossing times as many exchanges as one entry makes go from a failure domain to
-	// others, however many entries it has: bytes between domains are paid for, and what
-	// the watchers of a domain know they have from the others' watchers. With as few
+	// others, however many entries it has: links between domains are shared by all, and
+	// what the watchers of a domain know they have from the others' watchers. With as few
 	// entries as this in a domain all may cross.
 	crossing = 4
 )
--- a/place/board.go
+++ b/place/board.go
@@ -94,7 +94,8 @@
 	byID    map[fleet.EndpointID]*record
 	told    map[string]told // by entry
 	domains map[string]*domainRecord
-	short   map[uint32]fleet.EndpointID
+	// short are the ids of byID by what entries call them among themselves.
+	short map[uint32]fleet.EndpointID
 	// services are what is known of all endpoints of each.
 	services map[string]*service
 	// random spreads choices among endpoints that cannot be told apart.
