--- a/retry/retry.go
+++ b/retry/retry.go
@@ -46,8 +46,8 @@
 // last failuresRecent buckets; quality leaves room for them. Failures come in bursts:
 // when half of the endpoints of a service had crashed, repeats for quality had taken up
 // what the failed requests needed a second later. A burst that is over says nothing more:
-// counted for the whole window, the failures of three seconds kept nine in ten doubted
-// answers for the next six, at endpoints that were idle.
+// counted for the whole window, the failures of three seconds kept half to nine in ten
+// doubted answers of each of the next six, at endpoints that were idle.
 const (
 	failuresAhead  = 1
 	failuresRecent = 3
