A decision that only tests still asked for lives in their file

Cause: Ladder.Worth was left without a caller when the request's line began to say why a doubted answer is kept; Judge decides since.

Change: the yes or no that the tests check is theirs; nothing that runs changes, and no check does. go test ./cascade passes before and after.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -96,10 +96,6 @@
 	return models - 1, true
 }
 
-// Worth reports whether the larger model is worth asking by the time there
-// is.
-func (l Ladder) Worth(confidence int, o Outlook) bool { return l.Judge(confidence, o) == Ask }
-
 // Judge decides whether the larger model is worth asking, by the time there is and how
 // busy the engines are.
 func (l Ladder) Judge(confidence int, o Outlook) Verdict {
--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -10,6 +10,9 @@
 	_ "github.com/lovageweir/lovageweir/internal/rapidseed"
 )
 
+// asks reports whether a larger model is asked.
+func (l Ladder) asks(confidence int, o Outlook) bool { return l.Judge(confidence, o) == Ask }
+
 func calm() Outlook {
 	return Outlook{First: 200 * time.Millisecond, Objective: 2 * time.Second}
 }
@@ -17,8 +20,8 @@
 func TestADoubtedAnswerIsDroppedOnACalmDay(t *testing.T) {
 	is := is.New(t)
 	l := Ladder{Doubt: DefaultDoubt}
-	is.True(l.Worth(DefaultDoubt-1, calm()))
-	is.True(!l.Worth(DefaultDoubt, calm()))
+	is.True(l.asks(DefaultDoubt-1, calm()))
+	is.True(!l.asks(DefaultDoubt, calm()))
 }
 
 // Symptom: on a day when half of the engines have crashed, all answers are late.
@@ -30,10 +33,10 @@
 	l := Ladder{Doubt: DefaultDoubt}
 	o := calm()
 	o.Busy = (easilyBusy + mostBusy) / 2
-	is.True(!l.Worth(DefaultDoubt-1, o))
-	is.True(l.Worth(DefaultDoubt/2-1, o))
+	is.True(!l.asks(DefaultDoubt-1, o))
+	is.True(l.asks(DefaultDoubt/2-1, o))
 	o.Busy = mostBusy
-	is.True(!l.Worth(0, o))
+	is.True(!l.asks(0, o))
 }
 
 // Neither more time taken, nor a longer wait, nor fuller engines ever make an
@@ -50,7 +53,7 @@
 		worse.Wait += ms("more_wait")
 		worse.Busy += rapid.Float64Range(0, 1).Draw(t, "more_busy")
 		confidence := rapid.IntRange(0, 100).Draw(t, "confidence")
-		if l.Worth(confidence, worse) && !l.Worth(confidence, o) {
+		if l.asks(confidence, worse) && !l.asks(confidence, o) {
 			t.Fatalf("dropped at %+v but not at %+v", worse, o)
 		}
 	})
