--- a/ingress/faults_test.go
+++ b/ingress/faults_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/rollout"
 )
 
 // Symptom: a reminder is sent twice.
@@ -212,3 +213,31 @@
 	}
 	is.Equal(len(w.engines[0].Runs()), 0)
 }
+
+// Symptom: a bad version gets requests long after every entry has halted it.
+// Events: the endpoints of a service are cut off from the store and their
+// registrations lapse, those of the halted version among them; entries fall back
+// on endpoints that lapsed of late.
+func TestTheLastResortIsNoHaltedVersion(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0)
+	w.addEngine(platformtest.EngineConfig{ID: "old", Service: service, Domain: "d1", Version: "v1"})
+	w.addEngine(platformtest.EngineConfig{ID: "new", Service: service, Domain: "d1", Version: "v2"})
+	w.put("op/rollout/"+service, []byte(`{"service":"`+service+`","target":"v2","duration_s":1000}`))
+	w.sync()
+	order := w.fleet.View().Group(service).Rollout.Ordered
+	w.orders.Hear([]rollout.Told{{Service: service, Ordered: order, Halted: true}}, nil, nil)
+	for _, e := range w.engines {
+		name, _ := e.Registration(false)
+		_, err := w.kv.Delete(context.Background(), name, false)
+		is.NoErr(err)
+	}
+	w.sync()
+	for range 10 {
+		w.do(http.MethodPost, "/post/x", "body").whole(is)
+	}
+	is.Equal(len(w.engines[0].Runs()), 10)
+	w.engines[0].FaultOf = func(*http.Request) platformtest.Fault { return platformtest.Refuse }
+	is.Equal(w.do(http.MethodPost, "/post/x", "body").status, http.StatusServiceUnavailable)
+	is.Equal(len(w.engines[1].Runs()), 0)
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -75,17 +75,22 @@
 	}
 	x.order()
 	for i := range entries {
-		log := slog.New(slog.NewTextHandler(io.Discard, nil))
-		e := &entry{store: &lossy{Client: x.store}}
-		e.fleet = fleet.NewFollower(fleet.Entry{}, x.store, platform.Values{}, time.Second, x.clock, log)
-		e.Controller = New(Deps{Instance: fmt.Sprintf("i%d", i), Boot: 1, Store: e.store, Decoder: platform.Values{}, View: e.fleet.View,
-			SessionLife: 5 * time.Second, Exposure: Exposure{Share: 0.15, Slack: 30}, Clock: x.clock, Log: log})
-		x.all = append(x.all, e)
+		x.all = append(x.all, x.newEntry(i))
 	}
 	x.sync()
 	return x
 }
 
+// newEntry returns an entry that has just started and knows nothing yet.
+func (x *fixture) newEntry(i int) *entry {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	e := &entry{store: &lossy{Client: x.store}}
+	e.fleet = fleet.NewFollower(fleet.Entry{}, x.store, platform.Values{}, time.Second, x.clock, log)
+	e.Controller = New(Deps{Instance: fmt.Sprintf("i%d", i), Boot: 1, Store: e.store, Decoder: platform.Values{}, View: e.fleet.View,
+		SessionLife: 5 * time.Second, Exposure: Exposure{Share: 0.15, Slack: 30}, Clock: x.clock, Log: log})
+	return e
+}
+
 func (x *fixture) put(key string, value []byte) {
 	x.is.Helper()
 	_, err := x.store.Put(context.Background(), key, value, 0)
@@ -98,8 +103,10 @@
 	x.put(e.Registration(false))
 }
 
-func (x *fixture) order() {
-	x.put("op/rollout/s", []byte(`{"service":"s","target":"v2","duration_s":24}`))
+func (x *fixture) order() { x.orderVersion("v2") }
+
+func (x *fixture) orderVersion(version string) {
+	x.put("op/rollout/s", []byte(`{"service":"s","target":"`+version+`","duration_s":24}`))
 }
 
 // sync makes the given entries, or all, know what the store holds.
