A version that was rolled back gets nothing under the next order

Cause: the halt belonged to its order. With the next order for the service known, every endpoint that is not of its target counted as old; those of the version just rolled back are registered for three seconds more, one that was cut off meanwhile for half a second seven seconds later, and empty, so that they rank first.

Change: versions that were rolled back, or replaced before they were decided on, are derived from order and record, recorded under a key of their own before the next state overwrites the record, and left out where views are built.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -25,6 +25,7 @@
 	lapsed    map[string]Lapsed   // by name
 	orders    map[string]Rollout  // by service
 	statuses  map[string]recordedStatus
+	withdrawn map[string]Withdrawn // by service, as recorded
 	entries   map[string]Entry
 	// entriesChanged: the last view has other entries.
 	entriesChanged bool
@@ -38,7 +39,7 @@
 
 func newBuilder(dec Decoder, lapsedFor time.Duration, log *slog.Logger) *builder {
 	return &builder{dec: dec, log: log, lapsedFor: lapsedFor, endpoints: map[string]Endpoint{}, lapsed: map[string]Lapsed{},
-		orders: map[string]Rollout{}, statuses: map[string]recordedStatus{}, entries: map[string]Entry{}, last: EmptyView()}
+		orders: map[string]Rollout{}, statuses: map[string]recordedStatus{}, withdrawn: map[string]Withdrawn{}, entries: map[string]Entry{}, last: EmptyView()}
 }
 
 // take notes one change.
@@ -58,6 +59,8 @@
 		err = b.takeOrder(name, e.KV)
 	case ItemRolloutStatus:
 		err = b.takeStatus(name, e.KV)
+	case ItemWithdrawn:
+		err = b.takeWithdrawn(name, e.KV)
 	case ItemEntry:
 		var entry Entry
 		if err = json.Unmarshal(e.KV.Value, &entry); err == nil {
@@ -150,6 +153,8 @@
 		delete(b.orders, name)
 	case ItemRolloutStatus:
 		delete(b.statuses, name)
+	case ItemWithdrawn:
+		delete(b.withdrawn, name)
 	case ItemEntry:
 		delete(b.entries, name)
 		b.entriesChanged = true
@@ -167,8 +172,8 @@
 	}
 	holders := b.addressHolders()
 	for _, ep := range b.endpoints {
-		if !ep.Draining && holders[ep.Address] == ep.Registered {
-			g := b.group(v, ep.Service)
+		g := b.group(v, ep.Service)
+		if !ep.Draining && holders[ep.Address] == ep.Registered && !g.Withdrawn.has(ep.Version) {
 			g.Ready = append(g.Ready, ep)
 		}
 	}
@@ -178,7 +183,9 @@
 			continue
 		}
 		g := b.group(v, l.Service)
-		g.Lapsed = append(g.Lapsed, l)
+		if !g.Withdrawn.has(l.Version) {
+			g.Lapsed = append(g.Lapsed, l)
+		}
 	}
 	for service, order := range b.orders {
 		b.group(v, service).Rollout = b.withStatus(order)
@@ -218,7 +225,8 @@
 func (b *builder) group(v *View, service string) *Group {
 	g := v.groups[service]
 	if g == nil {
-		g = &Group{Service: Service{Name: service}}
+		g = &Group{Service: Service{Name: service}, Withdrawn: b.withdrawnOf(service)}
+		b.noteWithdrawn(g.Withdrawn)
 		if b.config != nil {
 			if s, ok := b.config.Services[service]; ok {
 				g.Service = s
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -192,5 +192,6 @@
 	ItemEndpoint
 	ItemRollout
 	ItemRolloutStatus
+	ItemWithdrawn
 	ItemEntry
 )
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -28,13 +28,16 @@
 	Since time.Time // on the steady clock
 }
 
-// Group is the endpoints of one service.
+// Group is the endpoints of one service. Those of withdrawn versions are not among
+// them, so that no way of choosing an endpoint has to leave them out.
 type Group struct {
 	Service Service
 	// Ready take new requests, sorted by ID.
 	Ready []Endpoint
 	// Lapsed are a last resort while no endpoint is ready.
 	Lapsed []Lapsed
+	// Withdrawn are the versions that get no requests.
+	Withdrawn Withdrawn
 	// Rollout is the order in force for the service; nil: there is none.
 	Rollout *Rollout
 }
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
@@ -14,7 +15,7 @@
 		if g.Rollout == nil || final(g.Rollout.State) {
 			continue
 		}
-		if state, ok := c.due(v, g); ok {
+		if state, ok := c.due(v, g); ok && c.recordWithdrawn(ctx, g.Withdrawn) {
 			c.record(ctx, g.Rollout, state)
 		}
 	}
@@ -77,6 +78,31 @@
 	return mostTurns * turn
 }
 
+// recordWithdrawn records the withdrawn versions of a service, if what is recorded of
+// them is not the same, and reports whether it is now. It goes before the record of a
+// state: that overwrites the one of the order before, which may be all that tells that
+// its version was rolled back.
+func (c *Controller) recordWithdrawn(ctx context.Context, w fleet.Withdrawn) bool {
+	if !w.Changed() {
+		return true
+	}
+	value, err := json.Marshal(w)
+	if err != nil {
+		c.Log.Error("rollout: withdrawn versions cannot be encoded.", "service", w.Service, "versions", w.Versions, "error", err)
+		return false
+	}
+	ok, rev, _, err := c.Store.CompareAndPut(ctx, w.Key(), w.Recorded, value, 0)
+	switch {
+	case err != nil:
+		c.Log.Warn("rollout: withdrawn versions not confirmed by the store; will write them again.", "service", w.Service, "versions", w.Versions, "condition", w.Recorded, "error", err)
+	case !ok:
+		c.Log.Info("rollout: other withdrawn versions were recorded meanwhile.", "service", w.Service, "condition", w.Recorded)
+	default:
+		c.Log.Info("rollout: withdrawn versions recorded.", "service", w.Service, "versions", w.Versions, "revision", rev)
+	}
+	return err == nil && ok
+}
+
 // record writes a state, if what was recorded last still stands. Whatever
 // comes of it, the watch tells; a write whose answer was lost and that takes
 // effect later still meets its condition.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -44,11 +44,13 @@
 type lossy struct {
 	kv.Client
 	lose, away bool
+	wrote      []string // keys, in the order of the writes that were tried
 }
 
 var errLost = errors.New("answer lost")
 
 func (l *lossy) CompareAndPut(ctx context.Context, key string, expect kv.Revision, value []byte, lease kv.LeaseID) (bool, kv.Revision, *kv.KeyValue, error) {
+	l.wrote = append(l.wrote, key)
 	if l.away {
 		return false, 0, nil, kv.ErrUnavailable
 	}
--- a/rollout/withdrawn_test.go
+++ b/rollout/withdrawn_test.go
@@ -65,6 +65,12 @@
 // Events: the version is rolled back; the operator orders the next one at once,
 // while the bad one's endpoints are still registered; they are empty, so that
 // they are preferred to all others.
+// Cause: that a version was halted was known of the order only. Under the next order
+// every endpoint that is not of its target was an old one. Seen in the entries' logs:
+// all had halted the version and knew the record; each sent to it from the moment at
+// which it knew the next order until the endpoints left, three seconds later. One that
+// was cut off when the others left registered as ready again seven seconds after the
+// version had been proven bad, and got requests for half a second.
 func TestARolledBackVersionGetsNothingUnderTheNextOrder(t *testing.T) {
 	x := newFixture(t, 3)
 	x.rollBack()
@@ -76,7 +82,7 @@
 	x.onlyVersions("v1", "v3")
 }
 
-// Symptom and events as above, but the next order comes before the version was
+// Symptom, events and cause as above, but the next order comes before the version was
 // decided on: nobody vouches for it, and it would get all that falls to old
 // versions.
 func TestAVersionThatWasReplacedUndecidedGetsNothing(t *testing.T) {
@@ -88,3 +94,45 @@
 	x.play(2 * time.Second)
 	x.onlyVersions("v1", "v3")
 }
+
+// Symptom: as above, at an entry that has started since.
+// Events: the store takes no write, or loses its answers, when the first state of
+// the next order is recorded over that of the version that was rolled back.
+// What overwrites the last trace of it must come after its own record.
+func TestWithdrawnVersionsAreRecordedBeforeTheNextState(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	x.rollBack()
+	e.store.wrote = nil
+	x.next("v3", 12)
+	e.store.away = true
+	x.play(3 * time.Second)
+	for _, key := range e.store.wrote {
+		x.is.Equal(key, fleet.WithdrawnPrefix+"s") // the state waits for it
+	}
+	e.store.away, e.store.lose = false, true
+	x.play(3 * time.Second)
+	e.store.lose = false
+	x.play(3 * time.Second)
+	x.is.Equal(x.state(), fleet.RolloutRunning)
+	x.is.Equal(e.group().Withdrawn.Versions, []string{"v2"})
+	x.is.True(!e.group().Withdrawn.Changed())
+	x.onlyVersions("v1", "v3")
+}
+
+// A version that is ordered again is tried anew, and when it is done it is an old one
+// to the next order like any other.
+func TestAVersionThatIsOrderedAgainIsWithdrawnNoMore(t *testing.T) {
+	x := newFixture(t, 1)
+	x.rollBack()
+	x.next("v3", 12)
+	x.play(2 * time.Second)
+	x.orderVersion("v2")
+	x.sync()
+	x.onlyVersions("v1", "v2")
+	x.play(2 * time.Second)
+	x.is.Equal(x.all[0].group().Withdrawn.Versions, []string{"v3"})
+	x.put("status/rollout/s", []byte(`{"target":"v2","state":"done"}`))
+	x.next("v4", 18)
+	x.onlyVersions("v1", "v2", "v4")
+}
