The last resort is no halted version

Cause: when no endpoint of a service is ready, those that lapsed of late are drawn from, whatever their version; the choice of a version went over the ready ones only.

Change: the choice covers the last resort too; a request's line says that an endpoint it was sent to had lapsed. A version recorded as done is served whatever an entry thinks.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -42,6 +43,11 @@
 	Rollout *Rollout
 }
 
+// HasLapsed reports whether an endpoint is one whose registration lapsed.
+func (g *Group) HasLapsed(id EndpointID) bool {
+	return slices.ContainsFunc(g.Lapsed, func(l Lapsed) bool { return l.ID == id })
+}
+
 // View is one consistent state. It is never changed once built.
 type View struct {
 	Revision kv.Revision
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -62,6 +62,7 @@
 // attempt is what the log tells of one send.
 type attempt struct {
 	endpoint fleet.Endpoint
+	lapsed   bool // its registration had ended: it was the last resort
 	model    string
 	outcome  place.Outcome
 	status   int
@@ -169,7 +170,7 @@
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
 	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts), wait: best.Standing.Wait}
-	x.attempts = append(x.attempts, attempt{endpoint: ep, model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received)})
+	x.attempts = append(x.attempts, attempt{endpoint: ep, lapsed: group.HasLapsed(ep.ID), model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received)})
 	d := call.Directions{Endpoint: ep.Name, Remaining: x.left(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	d.Urgency, d.SetUrgency = x.urgency()
 	if x.customer != nil {
--- a/ingress/faults_test.go
+++ b/ingress/faults_test.go
@@ -218,6 +218,9 @@
 // Events: the endpoints of a service are cut off from the store and their
 // registrations lapse, those of the halted version among them; entries fall back
 // on endpoints that lapsed of late.
+// Cause: the choice of a version went over the ready endpoints only; the last resort
+// did not ask it. Seen in a request's line: the endpoint of the halted version that it
+// was sent to had lapsed a quarter of a second before, with the last of the old ones.
 func TestTheLastResortIsNoHaltedVersion(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 0)
@@ -237,6 +240,7 @@
 		w.do(http.MethodPost, "/post/x", "body").whole(is)
 	}
 	is.Equal(len(w.engines[0].Runs()), 10)
+	is.True(strings.Contains(w.logs.String(), `"sends":"old v1 lapsed at=`)) // the line says so
 	w.engines[0].FaultOf = func(*http.Request) platformtest.Fault { return platformtest.Refuse }
 	is.Equal(w.do(http.MethodPost, "/post/x", "body").status, http.StatusServiceUnavailable)
 	is.Equal(len(w.engines[1].Runs()), 0)
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -21,7 +21,7 @@
 		ranked = append(ranked, x.server.Board.Rank(choice.Then, w)...)
 	}
 	if len(ranked) == 0 {
-		ranked = x.server.Board.Rank(x.lapsed(group), w)
+		ranked = x.server.Board.Rank(x.lapsed(choice.LastResort), w)
 	}
 	if len(ranked) == 0 {
 		if len(x.tried) > 0 {
@@ -40,10 +40,10 @@
 }
 
 // lapsed are the endpoints whose registration ended a short while ago.
-func (x *exchange) lapsed(g *fleet.Group) []fleet.Endpoint {
+func (x *exchange) lapsed(all []fleet.Lapsed) []fleet.Endpoint {
 	var out []fleet.Endpoint
 	now := x.server.Clock.Now()
-	for _, l := range g.Lapsed {
+	for _, l := range all {
 		if now.Sub(l.Since) < x.server.LapsedFor {
 			out = append(out, l.Endpoint)
 		}
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -92,8 +92,8 @@
 	s.Log.LogAttrs(x.r.Context(), slog.LevelInfo, "ingress: request ended.", attrs...)
 }
 
-// sends tells the attempts: endpoint, version, model, when it was sent, when
-// the first event came, status and outcome.
+// sends tells the attempts: endpoint, version, whether its registration had lapsed,
+// model, when it was sent, when the first event came, status and outcome.
 func (x *exchange) sends() string {
 	var b []byte
 	for i, a := range x.attempts {
@@ -103,6 +103,9 @@
 		b = append(b, a.endpoint.ID...)
 		b = append(b, ' ')
 		b = append(b, a.endpoint.Version...)
+		if a.lapsed {
+			b = append(b, " lapsed"...)
+		}
 		if a.model != "" {
 			b = append(b, " model="...)
 			b = append(b, a.model...)
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -115,6 +115,10 @@
 	// First are the endpoints of the version that the request falls to, Then
 	// those that may take it when none of First can.
 	First, Then []fleet.Endpoint
+	// LastResort are those that lapsed and may be tried when neither can. A version
+	// that gets no requests gets none of these either: an endpoint that is cut off from
+	// the store answers its callers as badly as before.
+	LastResort []fleet.Lapsed
 }
 
 // Request is what the choice of a version needs to know.
@@ -123,21 +127,30 @@
 	Session string
 }
 
-// Choose splits a group's ready endpoints for one request.
+// Choose splits a group's endpoints for one request.
 func (c *Controller) Choose(g *fleet.Group, q Request) Choice {
 	r := g.Rollout
 	if r == nil {
-		return Choice{First: g.Ready}
+		return Choice{First: g.Ready, LastResort: g.Lapsed}
 	}
-	older, newer := split(g.Ready, r.Target)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.trackLocked(r)
+	older, newer := split(g.Ready, r.Target)
+	if r.State != fleet.RolloutDone && (t.halted || r.State == fleet.RolloutRolledBack) {
+		return Choice{First: older, LastResort: lapsedWithout(g.Lapsed, r.Target)}
+	}
+	choice := c.chooseLocked(g, t, q, older, newer)
+	choice.LastResort = g.Lapsed
+	return choice
+}
+
+// chooseLocked splits the ready endpoints while the version may get requests.
+func (c *Controller) chooseLocked(g *fleet.Group, t *track, q Request, older, newer []fleet.Endpoint) Choice {
+	r := g.Rollout
 	switch {
 	case r.State == fleet.RolloutDone:
 		return Choice{First: newer, Then: older}
-	case t.halted || r.State == fleet.RolloutRolledBack:
-		return Choice{First: older}
 	case len(newer) == 0:
 		return Choice{First: older}
 	}
@@ -155,6 +168,17 @@
 	return t.trialOrderLocked(g).choose(point >= share && point < 2*share)
 }
 
+// lapsedWithout returns the endpoints that are not of a version.
+func lapsedWithout(all []fleet.Lapsed, version string) []fleet.Lapsed {
+	var out []fleet.Lapsed
+	for _, l := range all {
+		if l.Version != version {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // shareLocked is the new version's share now. Once it has moved on it does not
 // go back, short of a halt: sessions would go to and fro.
 func (c *Controller) shareLocked(t *track, r *fleet.Rollout, older int) float64 {
--- a/rollout/withdrawn_test.go
+++ b/rollout/withdrawn_test.go
@@ -136,3 +136,19 @@
 	x.next("v4", 18)
 	x.onlyVersions("v1", "v2", "v4")
 }
+
+// Symptom: no endpoint is left for a service's requests.
+// Events: a roll-out is recorded as done, and an entry that was behind halts the
+// version by what it saw itself; the old version's endpoints have stopped.
+func TestAVersionThatIsDoneIsServedWhateverAnEntryThinks(t *testing.T) {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	x.play(time.Second)
+	for i := range 12 {
+		e.answer(6+i%2, true)
+	}
+	x.is.Equal(versions(e), map[string]bool{"v1": true})
+	x.put("status/rollout/s", []byte(`{"target":"v2","state":"done"}`))
+	x.sync()
+	x.is.Equal(e.Choose(e.group(), Request{ID: "q"}).First[0].Version, "v2")
+}
