Copies for a trial wait while callers' answers fail

Cause: copies for the trial under load are bounded by what the whole time of the order allows, and start before callers have shown a version that fails at any load. Where the next order follows the roll-back at once, the time ends there.

Change: none are sent while a caller's answer has failed of late and few good ones came since.

Left: a version that turns bad after its copies, with the next order right behind, may still be over the bound.

--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -58,6 +58,9 @@
 	// second one was shown to be well, is rolled back: there is no time left to bring it
 	// in, and left undecided it would keep its first callers for good.
 	trialGivenUp = 0.8
+	// trialPause is the statistic of callers' failures from which copies wait: one
+	// failure raises it there, and a handful of good answers bring it down again.
+	trialPause = 1.5
 	// trialDone answers on the second endpoint, and what the first did was its
 	// own trouble.
 	trialDone = 10
@@ -95,7 +98,7 @@
 	defer c.mu.Unlock()
 	t := c.trackLocked(r)
 	turn := c.turnLocked(t, r)
-	if turn < 0 || t.halted || !t.movedOn.IsZero() || t.late(r.Duration) {
+	if turn < 0 || t.halted || !t.movedOn.IsZero() || t.late(r.Duration) || t.evidence.failsCallers() {
 		return Trial{}, false
 	}
 	older, newer := split(g.Ready, r.Target)
@@ -111,6 +114,18 @@
 	return Trial{Endpoint: ep, route: trialRoutes[turn]}, true
 }
 
+// failsCallers reports whether callers' answers speak against the version of late. If it
+// fails at any load, its callers show that; copies would be failed as well, and use up
+// what it may get of all requests before it is halted.
+func (e *evidence) failsCallers() bool {
+	for name, r := range e.routes {
+		if !trialRoute(name) && r.failed >= trialPause {
+			return true
+		}
+	}
+	return false
+}
+
 // filled reports whether an endpoint is as full as a trial makes it.
 func filled(ep fleet.Endpoint, s place.Standing) bool {
 	slots := float64(ep.Slots)
--- a/rollout/trial_test.go
+++ b/rollout/trial_test.go
@@ -205,3 +205,28 @@
 		}
 	})
 }
+
+// Symptom: a version that fails some of its callers' answers gets more of all requests
+// than operators allow until it is rolled back, and the next order comes at once.
+// Events: callers' failures come one in a second or two; meanwhile an endpoint is
+// filled with copies, twice as many as the callers' requests.
+// Cause: copies went on beside the evidence of callers, which tells the same with fewer
+// requests. By the logs of a play with 141 requests where 127 were allowed, 81 were
+// copies.
+func TestCopiesWaitWhileCallersAreFailed(t *testing.T) {
+	x := newTrialFixture(t)
+	e := x.all[0]
+	for range 200 {
+		e.Observe(Answer{Group: e.group(), Endpoint: fleet.Endpoint{ID: "e00", Version: "v1"}, Route: "r", Took: time.Millisecond})
+	}
+	x.clock.Advance(duration / 4)
+	idle := func(fleet.EndpointID) place.Standing { return place.Standing{} }
+	copied := func() bool { _, ok := e.Trial(e.group(), idle); return ok }
+	x.is.True(copied())
+	e.answer(6, true)
+	x.is.True(!copied()) // one failure may be the first of many
+	for range 6 {
+		e.answer(6, false)
+	}
+	x.is.True(copied()) // it was one failure
+}
