--- /dev/null
+++ b/rollout/failures_test.go
@@ -0,0 +1,103 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+// The load of these tests: a service's requests come at an even pace, on two routes, by
+// one entry's sight.
+const (
+	requestEvery = 20 * time.Millisecond
+	// otherRoute has so much of the requests.
+	otherRoute = 0.28
+)
+
+// failing is which share of a version's answers fails, by route.
+type failing map[string]float64
+
+// failuresOutcome is what came of a roll-out.
+type failuresOutcome struct {
+	state           fleet.RolloutState
+	requests, toNew int
+}
+
+// playFailures plays a roll-out of v2 over the order's time.
+func playFailures(t *testing.T, seed uint64, older, newer failing) failuresOutcome {
+	x := newFixture(t, 1)
+	e := x.all[0]
+	r := rand.New(rand.NewPCG(seed, 1))
+	out := failuresOutcome{}
+	for i := range int(duration / requestEvery) {
+		x.clock.Advance(requestEvery)
+		route := "main"
+		if r.Float64() < otherRoute {
+			route = "other"
+		}
+		g := e.group()
+		first := e.Choose(g, Request{ID: fmt.Sprint(seed, "-", i)}).First
+		ep := first[r.IntN(len(first))]
+		fails := older[route]
+		out.requests++
+		if ep.Version == "v2" {
+			fails = newer[route]
+			out.toNew++
+		}
+		e.Observe(Answer{Group: g, Endpoint: ep, Route: route, Took: 50 * time.Millisecond, Failed: r.Float64() < fails})
+		if i%int(Interval/requestEvery) == 0 {
+			e.Tick(t.Context())
+			x.sync(e)
+		}
+	}
+	out.state = x.state()
+	return out
+}
+
+// playedSeeds roll-outs are played of each kind.
+const playedSeeds = 100
+
+// Symptom: a good version of a service is rolled back, in every second roll-out.
+// Events: one of the service's routes fails an eighth to a seventh of its requests,
+// whatever the version; the new version does so too.
+func TestAVersionThatFailsAsOftenAsTheOldOneIsBroughtIn(t *testing.T) {
+	for _, fails := range []float64{0, 0.01, 0.05, 0.14, 0.25} {
+		t.Run(fmt.Sprint(fails), func(t *testing.T) {
+			is := is.New(t)
+			rolledBack := 0
+			for seed := range uint64(playedSeeds) {
+				same := failing{"main": 0.003, "other": fails}
+				if playFailures(t, seed, same, same).state != fleet.RolloutDone {
+					rolledBack++
+				}
+			}
+			t.Logf("%d of %d rolled back", rolledBack, playedSeeds)
+			is.True(rolledBack <= 2*playedSeeds/100)
+		})
+	}
+}
+
+// Symptom: a bad version gets far more requests than operators allow.
+// Events: it fails a tenth of the answers on one route, or on all; the old version
+// fails hardly any.
+func TestAVersionThatFailsFewOfItsAnswersKeepsTheBoundOnExposure(t *testing.T) {
+	for _, newer := range []failing{{"other": 0.10}, {"other": 0.14}, {"other": 0.2}, {"main": 0.1, "other": 0.1}, {"main": 0.14, "other": 0.14}} {
+		t.Run(fmt.Sprint(newer), func(t *testing.T) {
+			is := is.New(t)
+			over := 0
+			for seed := range uint64(playedSeeds) {
+				out := playFailures(t, seed, failing{"main": 0.003, "other": 0.003}, newer)
+				if float64(out.toNew) > 0.15*float64(out.requests)+30 {
+					over++
+				}
+			}
+			t.Logf("%d of %d over the bound", over, playedSeeds)
+			is.True(over <= 2*playedSeeds/100)
+		})
+	}
+}
