--- a/rollout/failures_test.go
+++ b/rollout/failures_test.go
@@ -22,35 +22,43 @@
 // failing is which share of a version's answers fails, by route.
 type failing map[string]float64
 
-// failuresOutcome is what came of a roll-out.
-type failuresOutcome struct {
+// rolloutOutcome is what came of a roll-out.
+type rolloutOutcome struct {
 	state           fleet.RolloutState
 	requests, toNew int
 }
 
-// playFailures plays a roll-out of v2 over the order's time.
-func playFailures(t *testing.T, seed uint64, older, newer failing) failuresOutcome {
+// overBound reports whether a bad version got more requests than operators allow.
+func (o rolloutOutcome) overBound() bool { return float64(o.toNew) > 0.15*float64(o.requests)+30 }
+
+// answered is how an endpoint answers a request.
+type answered struct {
+	route  string
+	took   time.Duration
+	failed bool
+}
+
+// playRollout plays a roll-out of v2 over the order's time, with a request each so often
+// that an endpoint of a version answers.
+func playRollout(t *testing.T, seed uint64, each time.Duration, answer func(r *rand.Rand, version string) answered) rolloutOutcome {
 	x := newFixture(t, 1)
 	e := x.all[0]
 	r := rand.New(rand.NewPCG(seed, 1))
-	out := failuresOutcome{}
-	for i := range int(duration / requestEvery) {
-		x.clock.Advance(requestEvery)
-		route := "main"
-		if r.Float64() < otherRoute {
-			route = "other"
-		}
+	out := rolloutOutcome{}
+	nextTick := x.clock.Now()
+	for i := range int(duration / each) {
+		x.clock.Advance(each)
 		g := e.group()
 		first := e.Choose(g, Request{ID: fmt.Sprint(seed, "-", i)}).First
 		ep := first[r.IntN(len(first))]
-		fails := older[route]
+		a := answer(r, ep.Version)
 		out.requests++
 		if ep.Version == "v2" {
-			fails = newer[route]
 			out.toNew++
 		}
-		e.Observe(Answer{Group: g, Endpoint: ep, Route: route, Took: 50 * time.Millisecond, Failed: r.Float64() < fails})
-		if i%int(Interval/requestEvery) == 0 {
+		e.Observe(Answer{Group: g, Endpoint: ep, Route: a.route, Took: a.took, Failed: a.failed})
+		if !x.clock.Now().Before(nextTick) {
+			nextTick = x.clock.Now().Add(Interval)
 			e.Tick(t.Context())
 			x.sync(e)
 		}
@@ -59,6 +67,22 @@
 	return out
 }
 
+// playFailures plays a roll-out whose versions fail shares of their answers.
+func playFailures(t *testing.T, seed uint64, older, newer failing) rolloutOutcome {
+	return playRollout(t, seed, requestEvery, func(r *rand.Rand, version string) answered {
+		a := answered{route: "main", took: 50 * time.Millisecond}
+		if r.Float64() < otherRoute {
+			a.route = "other"
+		}
+		fails := older
+		if version == "v2" {
+			fails = newer
+		}
+		a.failed = r.Float64() < fails[a.route]
+		return a
+	})
+}
+
 // playedSeeds roll-outs are played of each kind: enough to tell one in a hundred that go
 // wrong from three.
 const playedSeeds = 300
@@ -90,8 +114,7 @@
 // requests than operators allow; the old version fails hardly any.
 func overExposed(t *testing.T, newer failing) (over int) {
 	for seed := range uint64(playedSeeds) {
-		out := playFailures(t, seed, failing{"main": 0.003, "other": 0.003}, newer)
-		if float64(out.toNew) > 0.15*float64(out.requests)+30 {
+		if playFailures(t, seed, failing{"main": 0.003, "other": 0.003}, newer).overBound() {
 			over++
 		}
 	}
