Slow answers of a plain service are judged against the old version's

What callers saw: a bad version of booking-app got a request 5,013 ms after its 50th bad answer, without any trouble beside: one of the users' reports. It took eight times as long for half of its answers.

Cause: a plain service has two requests a second on its first share. By then six or seven answers were slow; the mean of their logarithms beside the old version's has too wide a spread to tell, and the sequential test needs more than a quarter of the answers slow by three times and 100 ms. All requests moved for want of time, and nothing was left to compare with. The same class as for failures: a fixed bound, whatever the old version does.

Change: entries tell each other how many of the old version's answers were slow; a version of which more are than chance gives is held back, or halted if they come over seconds. Times of plain services are no longer compared by their mean, which rolled back good ones.

--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -126,7 +126,7 @@
 // groups.
 func (c *Controller) compareLocked(t *track, u *usual, a Answer) {
 	now := c.Clock.Now()
-	if a.Failed || a.Took <= 0 || !t.movedOn.IsZero() || !u.known() ||
+	if a.plain() || a.Failed || a.Took <= 0 || !t.movedOn.IsZero() || !u.known() ||
 		progress(now.Sub(t.seen), a.Group.Rollout.Duration) < comparedFrom {
 		return
 	}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -352,6 +352,10 @@
 	return a.Route
 }
 
+// plain reports whether a plain service gave the answer: how long one takes goes by no
+// prompt.
+func (a Answer) plain() bool { return a.Model == "" && a.Expected == 0 && !a.Pace }
+
 // net is the time without what it waited for others. What is known of that
 // grows with each request that a slow version keeps waiting, so that half of
 // the time counts in any case.
@@ -401,7 +405,7 @@
 		return false // slow or not, it says little now
 	case a.Pace && !u.known():
 		return false // it would count as well, whatever it is
-	case u.slow(a.net(), a.Expected, a.Pace, !t.movedOn.IsZero()):
+	case u.slow(a, !t.movedOn.IsZero()):
 		counts.Slow++
 		counts.Bad |= endpointBit(a.Endpoint.ID)
 	}
@@ -418,19 +422,22 @@
 	}
 	if !a.Pace {
 		t.answers++
-		c.countOldLocked(t, a)
+		c.countOldLocked(t, u, a)
 	}
 	c.compareLocked(t, u, a)
 }
 
-// countOldLocked counts whether an answer of the old version failed, as what the new
-// one's failures are judged against.
-func (c *Controller) countOldLocked(t *track, a Answer) {
-	src := Source{Instance: c.Instance, Boot: c.Boot, Service: a.Group.Rollout.Service, Ordered: a.Group.Rollout.Ordered, Route: oldRoute(a.Route)}
+// countOldLocked counts whether an answer of the old version failed or was slow, as what
+// the new one's are judged against.
+func (c *Controller) countOldLocked(t *track, u *usual, a Answer) {
+	src := Source{Instance: c.Instance, Boot: c.Boot, Service: a.Group.Rollout.Service, Ordered: a.Group.Rollout.Ordered, Route: a.oldRoute()}
 	counts := t.evidence.rows[src]
 	counts.Samples++
-	if a.Failed {
+	switch {
+	case a.Failed:
 		counts.Failed++
+	case u.slow(a, false):
+		counts.Slow++
 	}
 	t.evidence.take(src, counts, c.Clock.Now())
 }
@@ -442,13 +449,10 @@
 	}
 	route, bad := t.evidence.bad(aliveBits(g), c.Clock.Now())
 	slower, _ := t.evidence.slower()
-	switch {
-	case bad:
-	case !t.movedOn.IsZero(): // nothing is left to compare with
-		return
-	case t.evidence.tooSlow(c.decisionTimeLocked(t, g.Rollout)):
-		route = "(compared)"
-	default:
+	if !bad {
+		route, bad = c.slowBesideOldLocked(g, t)
+	}
+	if !bad {
 		return
 	}
 	t.halted = true
@@ -458,6 +462,18 @@
 		"age_ms", c.Clock.Since(t.seen).Milliseconds())
 }
 
+// slowBesideOldLocked reports whether the version is slow beside the old one, and on which
+// route.
+func (c *Controller) slowBesideOldLocked(g *fleet.Group, t *track) (route string, slow bool) {
+	if !t.movedOn.IsZero() {
+		return "", false // nothing is left to compare with
+	}
+	if t.evidence.tooSlow(c.decisionTimeLocked(t, g.Rollout)) {
+		return "(compared)", true
+	}
+	return t.evidence.slowOnPlain(aliveBits(g))
+}
+
 // State is a roll-out's row in the state dump.
 type State struct {
 	Service string `json:"service"`
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -99,13 +99,22 @@
 // slowPersists is how long slow answers must go on: a crash of some endpoints
 // slows the answers of the others for a second or two, a version that is bad
 // by slowness stays so.
-const slowPersists = 4 * time.Second
+const (
+	slowPersists = 4 * time.Second
+	slowSpell    = slowPersists / 2
+	// fewestSpells of slow answers take that long.
+	fewestSpells = 3
+)
 
 // routeEvidence is the evidence on one route.
 type routeEvidence struct {
 	failed, slow float64   // the tests' statistics
 	slowSince    time.Time // when slow was last zero
-	seen, bad    uint64
+	// spells are times at which there were slow answers, slowSpell apart or more;
+	// lastSpell is the latest.
+	spells    int
+	lastSpell time.Time
+	seen, bad uint64
 }
 
 // allRoutes pools what is slow on any route: that shows sooner, and few
@@ -147,7 +156,7 @@
 	}
 	samples, failed, slow := fresh.Samples, fresh.Failed, fresh.Slow
 	route, all := e.at(s.Route), e.at(allRoutes)
-	route.failed = failuresTest(e.sums[oldRoute(s.Route)]).add(route.failed, samples, failed)
+	route.failed = failuresTest(e.oldOn(s.Route)).add(route.failed, samples, failed)
 	slowOn := []*routeEvidence{route, all}
 	if trialRoute(s.Route) {
 		slowOn = slowOn[:1] // that copies are quick or slow says nothing of others
@@ -174,6 +183,10 @@
 		r.slowSince = now
 	}
 	r.slow = slowness.add(r.slow, samples, slow)
+	if slow > 0 && now.Sub(r.lastSpell) >= slowSpell {
+		r.spells++
+		r.lastSpell = now
+	}
 }
 
 // add takes new answers into a statistic, the log likelihood ratio of bad
@@ -195,7 +208,7 @@
 			continue // judged above
 		}
 		slow := r.slow >= slowThreshold && now.Sub(r.slowSince) >= slowPersists || r.slow >= slowAtOnce
-		failed := r.failed >= failedThreshold || e.failsMoreOn(name, chanceBad)
+		failed := r.failed >= failedThreshold || e.failsMore(name, chanceBad)
 		if (failed || slow) && r.widespread(alive) {
 			return name, true
 		}
@@ -213,7 +226,8 @@
 		if trialRoute(name) {
 			continue
 		}
-		if r.failed >= failedDoubt || r.slow >= slowDoubt || e.failsMoreOn(name, chanceDoubt) {
+		if r.failed >= failedDoubt || r.slow >= slowDoubt ||
+			e.failsMore(name, chanceDoubt) || e.slowMore(name, chanceSlow) {
 			return true
 		}
 	}
--- a/rollout/failures.go
+++ b/rollout/failures.go
@@ -12,12 +12,16 @@
 // sequential test finds a version that fails many of its answers within a dozen, also
 // one that turns bad late; a version that fails few shows in all answers since the order.
 const (
-	// oldPrefix marks the routes of the old version's answers among the counts told.
-	oldPrefix = "(old) "
+	// oldPrefix marks the routes of the old version's answers among the counts told,
+	// oldPlainPrefix where they are of a plain service.
+	oldPrefix      = "(old) "
+	oldPlainPrefix = "(old plain) "
 	// usualFailed is the share of answers that fail where nothing is known of the old
 	// version, usualWeight for how many of its answers that stands.
 	usualFailed = 0.05
 	usualWeight = 10
+	// usualDeviations above what the old version's answers tell may be usual as well.
+	usualDeviations = 1.5
 	// leastFailed is the least share that a good version is taken to fail, so that two
 	// failures by chance prove nothing.
 	leastFailed = 0.01
@@ -28,46 +32,56 @@
 	mostFailed = 0.95
 	// Were a version like the old one, it would have so many failures by a chance of
 	// chanceDoubt at the most where all requests wait to move to it, and of chanceBad
-	// where it is halted.
+	// where it is halted; chanceSlow is chanceDoubt for slow answers of a plain service,
+	// which come at less of a chance than failures.
 	chanceDoubt = 0.02
+	chanceSlow  = 0.05
 	chanceBad   = 3e-3
-	// fewestFails are the least that are no single ones.
-	fewestFails = 2
+	// fewestBad are the least that are no single ones.
+	fewestBad = 2
 )
 
-// oldRoute is what the old version's answers on a route are counted under.
-func oldRoute(route string) string { return oldPrefix + route }
+// oldRoute is what an answer of the old version is counted under.
+func (a Answer) oldRoute() string {
+	if a.plain() {
+		return oldPlainPrefix + a.Route
+	}
+	return oldPrefix + a.Route
+}
 
-func isOldRoute(route string) bool { return strings.HasPrefix(route, oldPrefix) }
+func isOldRoute(route string) bool {
+	return strings.HasPrefix(route, oldPrefix) || strings.HasPrefix(route, oldPlainPrefix)
+}
 
-// failedShare is the share of answers that fail, as far as counts tell, and how much
-// that may be off.
-func (c Counts) failedShare() (share, deviation float64) {
-	n := float64(c.Samples) + usualWeight
-	share = (float64(c.Failed) + usualFailed*usualWeight) / n
-	return share, math.Sqrt(share * (1 - share) / n)
+// oldOn are the old version's answers on a route.
+func (e *evidence) oldOn(route string) Counts {
+	old := e.sums[oldPlainPrefix+route]
+	old.add(e.sums[oldPrefix+route])
+	return old
 }
 
-// usual is the share of answers that may be taken to fail whatever the version: the less
-// is known of the old one, the more.
-func (c Counts) usual() float64 {
-	share, deviation := c.failedShare()
-	return max(leastFailed, share+deviation)
+// usualShare is the share of bad answers that may be taken to be usual where the old
+// version gave so many among its answers: the fewer these are, the more.
+func usualShare(bad, answers int64) float64 {
+	n := float64(answers) + usualWeight
+	share := (float64(bad) + usualFailed*usualWeight) / n
+	deviation := math.Sqrt(share * (1 - share) / n)
+	return max(leastFailed, share+usualDeviations*deviation)
 }
 
 // failuresTest is the sequential test of a version beside the old one's answers.
 func failuresTest(old Counts) test {
 	ok := usualFailed
 	if old.Samples > 0 {
-		ok = min(mostFailed-manyMore, max(ok, old.usual()))
+		ok = min(mostFailed-manyMore, max(ok, usualShare(old.Failed, old.Samples)))
 	}
 	return newTest(ok, max(manyFailed, ok+manyMore))
 }
 
-// failsMore reports whether a version fails more of its answers than the old one: so many
-// would fail by less than a chance, were it like that one.
-func failsMore(version, old Counts, chance float64) bool {
-	return version.Failed >= fewestFails && atLeast(version.Failed, old.usual()*float64(version.Samples)) < chance
+// moreThanUsual reports whether a version has more bad answers than the old one: so many
+// would come by less than a chance, were it like that one.
+func moreThanUsual(bad, answers int64, usual, chance float64) bool {
+	return bad >= fewestBad && atLeast(bad, usual*float64(answers)) < chance
 }
 
 // atLeast is the chance of n or more events where so many are expected, after Poisson.
@@ -81,7 +95,27 @@
 	return max(0, 1-fewer)
 }
 
-// failsMoreOn reports failsMore for one route.
-func (e *evidence) failsMoreOn(route string, chance float64) bool {
-	return failsMore(e.sums[route], e.sums[oldRoute(route)], chance)
+// failsMore reports whether the version fails more of its answers on a route than the old
+// one does.
+func (e *evidence) failsMore(route string, chance float64) bool {
+	version, old := e.sums[route], e.oldOn(route)
+	return moreThanUsual(version.Failed, version.Samples, usualShare(old.Failed, old.Samples), chance)
+}
+
+// slowMore reports the same of slow answers, where the route is of a plain service: its
+// answers take much the same time whatever came before, so that a few slow ones tell more
+// than the mean does. Where engines answer, the load decides, and times are compared.
+func (e *evidence) slowMore(route string, chance float64) bool {
+	version, old := e.sums[route], e.sums[oldPlainPrefix+route]
+	return old.Samples > 0 && moreThanUsual(version.Slow, version.Samples, usualShare(old.Slow, old.Samples), chance)
+}
+
+// slowOnPlain returns a route of a plain service on which the version is slow.
+func (e *evidence) slowOnPlain(alive uint64) (route string, slow bool) {
+	for name, r := range e.routes {
+		if r.spells >= fewestSpells && e.slowMore(name, chanceBad) && r.widespread(alive) {
+			return name, true
+		}
+	}
+	return "", false
 }
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -19,9 +19,11 @@
 	// before.
 	movedPaceFactor = 4.0
 	// slowSlack is added for first events, paceSlack for the pauses between
-	// events, as small times vary much by chance.
-	slowSlack = 100 * time.Millisecond
-	paceSlack = 20 * time.Millisecond
+	// events, as small times vary much by chance. plainSlack holds for plain services
+	// while old endpoints with the same load are there to compare with.
+	slowSlack  = 100 * time.Millisecond
+	paceSlack  = 20 * time.Millisecond
+	plainSlack = 20 * time.Millisecond
 	// usualGain is the weight of one answer in the usual time, usualNeeds how
 	// many make it known.
 	usualGain  = 0.05
@@ -51,18 +53,20 @@
 func (u *usual) known() bool { return u.n >= usualNeeds }
 
 // slow reports whether an answer took much longer than usual, without the
-// time that it waited for others.
-func (u *usual) slow(took, expected time.Duration, pace, moved bool) bool {
+// time that it waited for others; moved: all requests are on the new version.
+func (u *usual) slow(a Answer, moved bool) bool {
 	if !u.known() {
 		return false
 	}
 	factor, slack := slowFactor, slowSlack
 	switch {
-	case pace && moved:
+	case a.Pace && moved:
 		factor, slack = movedPaceFactor, paceSlack
-	case pace:
+	case a.Pace:
 		factor, slack = paceFactor, paceSlack
+	case a.plain() && !moved:
+		slack = plainSlack
 	}
-	limit := factor*u.mean*float64(max(expected, time.Millisecond)) + float64(slack)
-	return float64(took) > limit
+	limit := factor*u.mean*float64(max(a.Expected, time.Millisecond)) + float64(slack)
+	return float64(a.net()) > limit
 }
