A rolled-back version is told of as halted

What callers would see: requests fail at a halted version through one entry that is behind. Cause: exchanges left out orders whose state is final in the teller's view, so that an entry whose copy of the store is behind heard of the halt from nobody who knew the record, until its copy arrived. Change: a rolled-back order is told of, as halted and without counts.

--- a/rollout/tell.go
+++ b/rollout/tell.go
@@ -35,7 +35,13 @@
 	var rows []Row
 	for service, t := range c.tracks {
 		g := v.Group(service)
-		if g == nil || g.Rollout == nil || g.Rollout.Ordered != t.ordered || final(g.Rollout.State) {
+		if g == nil || g.Rollout == nil || g.Rollout.Ordered != t.ordered || g.Rollout.State == fleet.RolloutDone {
+			continue
+		}
+		if g.Rollout.State == fleet.RolloutRolledBack {
+			// An entry whose copy of the store is behind takes the order to be under way, and
+			// this one may never have halted the version itself.
+			told = append(told, Told{Service: service, Ordered: t.ordered, Age: c.Clock.Since(t.seen), Halted: true})
 			continue
 		}
 		told = append(told, Told{Service: service, Ordered: t.ordered, Age: c.Clock.Since(t.seen), Halted: t.halted,
--- a/rollout/withdrawn_test.go
+++ b/rollout/withdrawn_test.go
@@ -152,3 +152,21 @@
 	x.sync()
 	x.is.Equal(e.Choose(e.group(), Request{ID: "q"}).First[0].Version, "v2")
 }
+
+// Symptom: one entry goes on sending to a version that all others halted.
+// Events: its copy of the store is behind, so that the order is under way to it; the
+// others know that the version is rolled back, and exchange what they know with it.
+func TestAnEntryThatIsBehindHearsOfARolledBackVersion(t *testing.T) {
+	x := newFixture(t, 3)
+	behind, knows := x.all[1], x.all[2]
+	x.play(time.Second)
+	for i := range 12 {
+		x.all[0].answer(6+i%2, true)
+	}
+	x.play(3*time.Second, behind)
+	x.sync(knows)
+	x.is.Equal(knows.group().Rollout.State, fleet.RolloutRolledBack)
+	x.is.True(share(behind) > 0)
+	behind.Hear(knows.Tell())
+	x.is.Equal(share(behind), 0.0)
+}
