Bad answers of all routes together are judged beside the old version's

Cause: each route alone showed too few. Change: the comparison also goes over all routes together, for slow answers over those of plain services.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -208,7 +208,7 @@
 			continue // judged above
 		}
 		slow := r.slow >= slowThreshold && now.Sub(r.slowSince) >= slowPersists || r.slow >= slowAtOnce
-		failed := r.failed >= failedThreshold || e.failsMore(name, chanceBad)
+		failed := r.failed >= failedThreshold || e.besideOn(name).failsMore(chanceBad)
 		if (failed || slow) && r.widespread(alive) {
 			return name, true
 		}
@@ -219,15 +219,11 @@
 // doubt reports whether the evidence is on its way to a halt when so much of the
 // order's time has passed.
 func (e *evidence) doubt(p float64) bool {
-	if e.trialDoubt() || e.maybeSlower(p) {
+	if e.trialDoubt() || e.maybeSlower(p) || e.besideDoubt() {
 		return true
 	}
 	for name, r := range e.routes {
-		if trialRoute(name) {
-			continue
-		}
-		if r.failed >= failedDoubt || r.slow >= slowDoubt ||
-			e.failsMore(name, chanceDoubt) || e.slowMore(name, chanceSlow) {
+		if !trialRoute(name) && (r.failed >= failedDoubt || r.slow >= slowDoubt) {
 			return true
 		}
 	}
--- a/rollout/failures.go
+++ b/rollout/failures.go
@@ -55,8 +55,8 @@
 
 // oldOn are the old version's answers on a route.
 func (e *evidence) oldOn(route string) Counts {
-	old := e.sums[oldPlainPrefix+route]
-	old.add(e.sums[oldPrefix+route])
+	old := e.on(oldPlainPrefix + route)
+	old.add(e.on(oldPrefix + route))
 	return old
 }
 
@@ -95,25 +95,76 @@
 	return max(0, 1-fewer)
 }
 
-// failsMore reports whether the version fails more of its answers on a route than the old
-// one does.
-func (e *evidence) failsMore(route string, chance float64) bool {
-	version, old := e.sums[route], e.oldOn(route)
-	return moreThanUsual(version.Failed, version.Samples, usualShare(old.Failed, old.Samples), chance)
+// beside are a version's answers and the old one's, of the same routes.
+type beside struct{ version, old Counts }
+
+func (b *beside) add(o beside) {
+	b.version.add(o.version)
+	b.old.add(o.old)
+}
+
+// failsMore reports whether the version fails more of its answers than the old one does.
+func (b beside) failsMore(chance float64) bool {
+	return moreThanUsual(b.version.Failed, b.version.Samples, usualShare(b.old.Failed, b.old.Samples), chance)
+}
+
+// slowMore reports the same of slow answers.
+func (b beside) slowMore(chance float64) bool {
+	return b.old.Samples > 0 && moreThanUsual(b.version.Slow, b.version.Samples, usualShare(b.old.Slow, b.old.Samples), chance)
 }
 
-// slowMore reports the same of slow answers, where the route is of a plain service: its
+// besideOn are the answers on a route.
+func (e *evidence) besideOn(route string) beside {
+	return beside{version: e.on(route), old: e.oldOn(route)}
+}
+
+// onPlain are the answers on a route of a plain service, none if it is not of one. Its
 // answers take much the same time whatever came before, so that a few slow ones tell more
 // than the mean does. Where engines answer, the load decides, and times are compared.
-func (e *evidence) slowMore(route string, chance float64) bool {
-	version, old := e.sums[route], e.sums[oldPlainPrefix+route]
-	return old.Samples > 0 && moreThanUsual(version.Slow, version.Samples, usualShare(old.Slow, old.Samples), chance)
+func (e *evidence) onPlain(route string) beside {
+	old := e.on(oldPlainPrefix + route)
+	if old.Samples == 0 {
+		return beside{}
+	}
+	return beside{version: e.on(route), old: old}
+}
+
+// pooled are the answers on all routes that callers use, and those of plain services
+// among them: with few requests, what is bad on every route shows there first.
+func (e *evidence) pooled() (all, plain beside) {
+	for name := range e.routes {
+		if name == allRoutes || trialRoute(name) {
+			continue
+		}
+		all.add(e.besideOn(name))
+		plain.add(e.onPlain(name))
+	}
+	return all, plain
+}
+
+// besideDoubt reports whether the version has more bad answers beside the old one's than
+// it may have for all requests to move to it.
+func (e *evidence) besideDoubt() bool {
+	all, plain := e.pooled()
+	if all.failsMore(chanceDoubt) || plain.slowMore(chanceSlow) {
+		return true
+	}
+	for name := range e.routes {
+		if !trialRoute(name) && (e.besideOn(name).failsMore(chanceDoubt) || e.onPlain(name).slowMore(chanceSlow)) {
+			return true
+		}
+	}
+	return false
 }
 
 // slowOnPlain returns a route of a plain service on which the version is slow.
 func (e *evidence) slowOnPlain(alive uint64) (route string, slow bool) {
+	_, plain := e.pooled()
+	all := plain.slowMore(chanceBad)
 	for name, r := range e.routes {
-		if r.spells >= fewestSpells && e.slowMore(name, chanceBad) && r.widespread(alive) {
+		on := e.onPlain(name)
+		bad := on.slowMore(chanceBad) || all && on.version.Slow >= fewestBad
+		if bad && r.spells >= fewestSpells && r.widespread(alive) {
 			return name, true
 		}
 	}
