--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -20,9 +20,10 @@
 // whatever the load.
 //
 // Of a stream a short pause between events is taken, in which the engine read no
-// prompt. At endpoints with a first share's load the 90th percentile of the least
-// and of the median of five pauses was 1.1 to 1.4 times the 10th, that of their
-// mean 1.2 to 4.8 times. By mean pauses 6 of 24 good versions were halted.
+// prompt: it varies far less than the mean pause, by which good versions would be
+// halted.
+//
+// Answers of plain services are not among them: beside.go counts the slow ones.
 const (
 	// comparedFrom is when answers begin to count, in shares of the order's time:
 	// before, the control group's endpoints still have their earlier load, and
@@ -32,11 +33,8 @@
 	// take.
 	tolerated = 1.45
 	// unlike is by which factor the endpoints of one version may be of unlike speed:
-	// of either group the middle of the two halves is compared, up to that. Two good
-	// new ones were 1.36 times as slow as the quicker of the control group. Where a
-	// version was three times as slow in half of its answers, its two endpoints
-	// generated 1.6 and 3 times as slowly as the control group's: the quicker one
-	// alone would not tell that.
+	// of either group the middle of the two halves is compared, up to that. The
+	// quicker half alone would not tell a version that slows some of its answers.
 	unlike = 1.3
 	// firstSpread is the standard deviation of the logarithm of a first event in
 	// parts of what is expected, pauseSpread that of a pause between events, as
@@ -56,8 +54,8 @@
 	// comparedNeeds answers of either group are the least to judge by. How little
 	// few answers say is in the deviation of their mean.
 	comparedNeeds = 4
-	// halfNeeds answers of a half of the endpoints tell of it. With six, a version of
-	// which one endpoint got most requests was not judged for long.
+	// halfNeeds answers of a half of the endpoints tell of it: few, as one endpoint
+	// may get most requests.
 	halfNeeds = 3
 	// alone times as many answers of one half as of the other: it has the only
 	// endpoint that is chosen.
--- a/rollout/control.go
+++ b/rollout/control.go
@@ -5,7 +5,7 @@
 // The control group of a roll-out: endpoints of the old version that get the same
 // share of the requests as the new version's first ones do, so that both have the
 // same load. Compared with all old endpoints, which have several times as many
-// requests each, a version four times as slow looked as quick as the old one.
+// requests each, a slow version would look as quick as the old one.
 
 // controlApart is the least number of old endpoints of which some are kept for
 // the control group: with fewer, the others would be short of room, and all are
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -18,31 +18,26 @@
 	return test{stepBad: math.Log(badShare / okShare), stepGood: math.Log((1 - badShare) / (1 - okShare))}
 }
 
-// The test of slow answers; failures.go has those of failures. Slow answers are
+// The test of slow answers; beside.go has those of failures. Slow answers are
 // frequent from a version that is well: a crash elsewhere, or prompts that no
 // cache holds yet, slow many; but a version that is bad by slowness slows half
-// of its answers or more, and is found within some 50 of them by the higher
-// threshold. With 6, a good version was rolled back when a crash of a quarter
-// of the endpoints slowed 14 of 235 answers. A version that fails a third of
-// its answers is found after 15 of them on average, and one that is well is
-// halted once in thousands of answers (TestHaltRates).
+// of its answers or more, and is found within some dozens of them by the higher
+// threshold, which a crash of some endpoints does not reach.
 var slowness = newTest(0.15, 0.50)
 
 // Thresholds of the statistics.
 const (
 	failedThreshold = 6.0
 	slowThreshold   = 13.5
-	// slowAtOnce needs no time to prove itself: what a crash left behind never
-	// came near it.
+	// slowAtOnce needs no time to prove itself: what a crash leaves behind does not
+	// come near it.
 	slowAtOnce = 30.0
 	// slowDoubt and failedDoubt are reason to wait before all requests move.
 	slowDoubt   = 4.5
 	failedDoubt = 3.0
 	// doubtShare of all answers seen being slow is one as well, from doubtNeeds
-	// answers: the statistic forgets, and a version of which a fifth of the
-	// answers were slow has stood at zero the moment that it was asked. Versions
-	// that are well had up to 4 in 100 of 130, one that slows two in five of its
-	// answers 24 of 90.
+	// answers: the statistic forgets, and may stand at zero the moment that it is
+	// asked.
 	doubtShare = 0.12
 	doubtNeeds = 20
 )
--- a/rollout/latency.go
+++ b/rollout/latency.go
@@ -5,18 +5,15 @@
 // Judging an answer slow.
 const (
 	// slowFactor times the usual is a slow first event; versions that are bad by
-	// slowness are several times slower. The pause between events varies less
-	// (nine in ten within 1.6 times the mean), and a version that is slow for
-	// some slows all that run beside them: paceFactor.
+	// slowness are several times slower. The pause between events varies less,
+	// and a version that is slow for some slows all that run beside them:
+	// paceFactor.
 	slowFactor = 3.0
 	paceFactor = 2.2
 	// movedPaceFactor takes its place once all requests have moved. What is
 	// usual was learned from the old version before, on emptier endpoints, and
-	// there are no answers of it now to learn from: after five of twelve crashed
-	// and three were taken away, the pauses of a good version were three times
-	// the usual (median 126 ms, nine in ten under 204), and it was rolled back in
-	// five of eleven runs, with this factor in none of eight. A version that is eight times as slow is found as
-	// before.
+	// there are no answers of it now to learn from: after a crash of many, the
+	// pauses of a good version are some three times the usual.
 	movedPaceFactor = 4.0
 	// slowSlack is added for first events, paceSlack for the pauses between
 	// events, as small times vary much by chance. plainSlack holds for plain services
@@ -32,8 +29,8 @@
 
 // usual is how long answers of the versions in force take, in parts of what
 // is expected of each by its prompt, for one route and model. Without the
-// prompt's part, a version that is slow eight times over looked well on routes
-// with long prompts, and a long prompt looked slow on others.
+// prompt's part, a slow version would look well on routes with long prompts, and
+// a long prompt slow on others.
 type usual struct {
 	mean float64
 	n    int
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -56,7 +56,7 @@
 }
 
 // enoughSeen answers at the first share are enough to move on: a slow version
-// shows in fifty to eighty, a failing one in fifteen.
+// shows in fewer, a failing one in a dozen or two.
 const enoughSeen = 90
 
 // MayMoveOn reports whether more than the first share may go to the new
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -30,10 +30,8 @@
 	// refuse, which says nothing of its version.
 	trialLoad = 0.95
 	// trialQueue of its slots may wait there. What waits arrived at an endpoint that
-	// was not full yet, and says nothing of a version that fails as it fills: with as
-	// many waiting as there were slots, 65 of 100 copies came within half a second
-	// at an endpoint with a third of its slots taken, and it was full for half a
-	// second more, in which a version that fails half of what comes then failed five.
+	// was not full yet, and says nothing of a version that fails as it fills: with a
+	// long queue most copies would come before it is full.
 	trialQueue = 0.125
 	// trialCounts of the slots must run or wait for an answer to count: before,
 	// it says what the first share's answers say as well. A failure is told
@@ -46,11 +44,10 @@
 	// get is used up: the entries count apart, and the first share goes on.
 	exposureUse = 0.9
 	// trialSuspect failures among an endpoint's answers are a doubt, trialFailed
-	// are its failure, and trialSecond those of a second endpoint: versions that
-	// are well failed none of some ninety copies in each of eight roll-outs, one
-	// that fails under load one to nine. The tests for callers' answers do not
-	// fit: they weigh many good ones against few, and most of a trial's come
-	// before the endpoint is full.
+	// are its failure, and trialSecond those of a second endpoint: a version that
+	// is well fails hardly any copy. The tests for callers' answers do not fit:
+	// they weigh many good ones against few, and most of a trial's come before the
+	// endpoint is full.
 	trialSuspect = 1
 	trialFailed  = 4
 	trialSecond  = 2
