--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -117,17 +117,24 @@
 	Samples int64  `json:"samples"`
 	Failed  int64  `json:"failed"`
 	Slow    int64  `json:"slow"`
+	// Withdrawn are the versions that get no requests.
+	Withdrawn []string `json:"withdrawn,omitempty"`
 }
 
 // State returns the current dump.
 func (c *Controller) State() []State {
+	v := c.View()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := make([]State, 0, len(c.tracks))
 	for s, t := range c.tracks {
 		sum := t.evidence.totals()
-		out = append(out, State{Service: s, Order: int64(t.ordered), AgeMS: c.Clock.Since(t.seen).Milliseconds(), Halted: t.halted,
-			Samples: sum.Samples, Failed: sum.Failed, Slow: sum.Slow})
+		row := State{Service: s, Order: int64(t.ordered), AgeMS: c.Clock.Since(t.seen).Milliseconds(), Halted: t.halted,
+			Samples: sum.Samples, Failed: sum.Failed, Slow: sum.Slow}
+		if g := v.Group(s); g != nil {
+			row.Withdrawn = g.Withdrawn.Versions
+		}
+		out = append(out, row)
 	}
 	return out
 }
