The comparison beside the old version: names, a cheap first look, any number of answers

Read as a newcomer: names for what serves failures and slow answers alike; where no two answers were bad nothing is compared (asked for each request); beyond 100 expected events the normal distribution stands in, as Poisson's terms vanish (test).

--- a/rollout/beside.go
+++ b/rollout/beside.go
@@ -17,28 +17,28 @@
 	// oldPlainPrefix where they are of a plain service.
 	oldPrefix      = "(old) "
 	oldPlainPrefix = "(old plain) "
-	// usualFailed is the share of answers that fail where nothing is known of the old
-	// version, usualWeight for how many of its answers that stands.
-	usualFailed = 0.05
+	// usualBad is the share of answers that fail, or are slow, where nothing is known of
+	// the old version, usualWeight for how many of its answers that stands.
+	usualBad    = 0.05
 	usualWeight = 10
 	// usualDeviations above what the old version's answers tell may be usual as well.
 	usualDeviations = 1.5
-	// leastFailed is the least share that a good version is taken to fail, so that two
-	// failures by chance prove nothing.
-	leastFailed = 0.01
+	// leastBad is the least share that is taken to be usual, so that two bad answers by
+	// chance prove nothing.
+	leastBad = 0.01
 	// manyFailed is the least share of failures of a version that fails many, manyMore
 	// by how much it is more than the old version's, mostFailed less than all.
 	manyFailed = 0.30
 	manyMore   = 0.25
 	mostFailed = 0.95
-	// Were a version like the old one, it would have so many failures by a chance of
+	// Were a version like the old one, it would have so many bad answers by a chance of
 	// chanceDoubt at the most where all requests wait to move to it, and of chanceBad
-	// where it is halted; chanceSlow is chanceDoubt for slow answers of a plain service,
-	// which come at less of a chance than failures.
+	// where it is halted. chanceSlow takes the place of chanceDoubt for slow answers: to
+	// wait costs a plain service little, and it has few answers to tell by.
 	chanceDoubt = 0.02
 	chanceSlow  = 0.05
 	chanceBad   = 3e-3
-	// fewestBad are the least that are no single ones.
+	// fewestBad answers are the least that tell anything: a single one is chance.
 	fewestBad = 2
 )
 
@@ -65,14 +65,14 @@
 // version gave so many among its answers: the fewer these are, the more.
 func usualShare(bad, answers int64) float64 {
 	n := float64(answers) + usualWeight
-	share := (float64(bad) + usualFailed*usualWeight) / n
+	share := (float64(bad) + usualBad*usualWeight) / n
 	deviation := math.Sqrt(share * (1 - share) / n)
-	return max(leastFailed, share+usualDeviations*deviation)
+	return max(leastBad, share+usualDeviations*deviation)
 }
 
 // failuresTest is the sequential test of a version beside the old one's answers.
 func failuresTest(old Counts) test {
-	ok := usualFailed
+	ok := usualBad
 	if old.Samples > 0 {
 		ok = min(mostFailed-manyMore, max(ok, usualShare(old.Failed, old.Samples)))
 	}
@@ -85,8 +85,15 @@
 	return bad >= fewestBad && atLeast(bad, usual*float64(answers)) < chance
 }
 
-// atLeast is the chance of n or more events where so many are expected, after Poisson.
+// manyExpected events are as many as the normal distribution stands in for Poisson's,
+// whose terms would become too small to be told from nothing.
+const manyExpected = 100
+
+// atLeast is the chance of n or more events where so many are expected.
 func atLeast(n int64, expected float64) float64 {
+	if expected > manyExpected {
+		return math.Erfc((float64(n)-0.5-expected)/math.Sqrt(2*expected)) / 2
+	}
 	term := math.Exp(-expected)
 	fewer := 0.0
 	for k := range n {
@@ -104,7 +111,8 @@
 	b.old.add(o.old)
 }
 
-// failsMore reports whether the version fails more of its answers than the old one does.
+// failsMore reports whether the version fails more of its answers than the old one does;
+// chance is the least that a good version has to have so many.
 func (b beside) failsMore(chance float64) bool {
 	return moreThanUsual(b.version.Failed, b.version.Samples, usualShare(b.old.Failed, b.old.Samples), chance)
 }
@@ -146,6 +154,9 @@
 // besideDoubt reports whether the version has more bad answers beside the old one's than
 // it may have for all requests to move to it.
 func (e *evidence) besideDoubt() bool {
+	if e.callers.Failed < fewestBad && e.callers.Slow < fewestBad {
+		return false // asked for each request, and mostly there is nothing to tell
+	}
 	all, plain := e.pooled()
 	if all.failsMore(chanceDoubt) || plain.slowMore(chanceSlow) {
 		return true
@@ -160,6 +171,9 @@
 
 // slowOnPlain returns a route of a plain service on which the version is slow.
 func (e *evidence) slowOnPlain(alive uint64) (route string, slow bool) {
+	if e.callers.Slow < fewestBad {
+		return "", false
+	}
 	_, plain := e.pooled()
 	all := plain.slowMore(chanceBad)
 	for name, r := range e.routes {
--- a/rollout/beside_test.go
+++ b/rollout/beside_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,6 +20,19 @@
 	otherRoute = 0.28
 )
 
+// The chance of many events is told for any number of them.
+func TestChanceOfManyEvents(t *testing.T) {
+	is := is.New(t)
+	near := func(got, want float64) bool { return math.Abs(got-want) < 0.02 }
+	is.True(near(atLeast(1, 0.5), 0.393))
+	is.True(near(atLeast(2, 0.02), 0.0002))
+	for _, expected := range []float64{5, 99, 101, 2000, 1e6} {
+		is.True(near(atLeast(int64(expected), expected), 0.5) || expected < 10)
+		is.True(atLeast(int64(expected+6*math.Sqrt(expected)), expected) < 1e-4)
+		is.True(near(atLeast(0, expected), 1))
+	}
+}
+
 // failing is which share of a version's answers fails, by route.
 type failing map[string]float64
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -93,11 +93,11 @@
 
 // slowPersists is how long slow answers must go on: a crash of some endpoints
 // slows the answers of the others for a second or two, a version that is bad
-// by slowness stays so.
+// by slowness stays so. Where single answers count, fewestSpells of them, slowSpell
+// apart, take as long.
 const (
 	slowPersists = 4 * time.Second
 	slowSpell    = slowPersists / 2
-	// fewestSpells of slow answers take that long.
 	fewestSpells = 3
 )
 
@@ -203,7 +203,7 @@
 			continue // judged above
 		}
 		slow := r.slow >= slowThreshold && now.Sub(r.slowSince) >= slowPersists || r.slow >= slowAtOnce
-		failed := r.failed >= failedThreshold || e.besideOn(name).failsMore(chanceBad)
+		failed := r.failed >= failedThreshold || e.on(name).Failed >= fewestBad && e.besideOn(name).failsMore(chanceBad)
 		if (failed || slow) && r.widespread(alive) {
 			return name, true
 		}
