An unreadable record of withdrawn versions is overwritten

What operators would see: no state of a service's roll-outs recorded any more, once another writer has put something unreadable under its key: the next record's condition was the revision before. Found by reading; test red without the change (condition 0).

--- a/fleet/withdrawn.go
+++ b/fleet/withdrawn.go
@@ -59,14 +59,18 @@
 	return w
 }
 
+// takeWithdrawn takes a record. One that cannot be read leaves the versions as they were;
+// its revision counts all the same, as the next record is written under that condition,
+// and the states of the service's roll-outs wait for it.
 func (b *builder) takeWithdrawn(service string, item kv.KeyValue) error {
 	w := Withdrawn{}
-	if err := json.Unmarshal(item.Value, &w); err != nil {
-		return err
+	err := json.Unmarshal(item.Value, &w)
+	if err != nil {
+		w = b.withdrawn[service]
 	}
 	w.Service, w.Recorded = service, item.ModRevision
 	b.withdrawn[service] = w
-	return nil
+	return err
 }
 
 // withdrawnOf are a service's withdrawn versions: those recorded, and the one of the
--- a/fleet/withdrawn_test.go
+++ b/fleet/withdrawn_test.go
@@ -116,6 +116,17 @@
 	is.True(new(rolledOut).withdraw(record).order("v2").group(t, "v1").Withdrawn.Changed())
 }
 
+// Symptom: no state of a service's roll-outs is recorded any more.
+// Events: the record of its withdrawn versions was overwritten with what nobody can read;
+// the next one is written under the condition that the one before it stands.
+func TestAnUnreadableRecordIsOverwritten(t *testing.T) {
+	is := is.New(t)
+	g := new(rolledOut).withdraw(`not JSON`).order("v2").record("v2", fleet.RolloutRolledBack).order("v3").group(t, "v1")
+	is.Equal(g.Withdrawn.Versions, []string{"v2"})
+	is.True(g.Withdrawn.Changed())
+	is.Equal(g.Withdrawn.Recorded, kv.Revision(3)) // after two registrations
+}
+
 // The record does not grow with every version that ever failed.
 func TestTheOldestWithdrawnVersionsAreForgotten(t *testing.T) {
 	is := is.New(t)
