Lines of requests tell their fingerprint, and whether an endpoint crashed under them

The hypotheses differ in what the logs did not tell: which arrivals are the same request (ids are new each time) and whether an attempt that broke off took its endpoint with it or lost its connection only. The line of a request has the hash of customer, method, host, target and body; after an attempt that broke off, one connection to the endpoint tells whether it still listens (all requests that broke off there together share it). No decision uses either yet.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/upstream"
@@ -43,6 +44,8 @@
 	service  string
 	body     []byte
 	hasBody  bool
+	// fingerprint is of the request as its caller sent it; 0: its body was not read.
+	fingerprint quarantine.Fingerprint
 
 	tried map[fleet.EndpointID]bool
 	// runs counts sends that may have run, refused those that did not.
@@ -63,6 +66,7 @@
 type attempt struct {
 	endpoint fleet.Endpoint
 	lapsed   bool // its registration had ended: it was the last resort
+	crashed  bool // it ended under the request
 	model    string
 	outcome  place.Outcome
 	status   int
@@ -234,6 +238,7 @@
 		return errDeadline
 	default:
 		x.end(c, place.Broken, err.Error())
+		x.noteCrash(c, quarantine.Waiting)
 	}
 	x.runs++
 	return errMayHaveRun
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -80,6 +80,9 @@
 	if x.customer != nil {
 		attrs = append(attrs, slog.String("customer", x.customer.Name))
 	}
+	if x.fingerprint != 0 {
+		attrs = append(attrs, slog.String("fingerprint", x.fingerprint.String()))
+	}
 	if x.facts.Usage.Prompt > 0 {
 		attrs = append(attrs, slog.Int("prompt_tokens", x.facts.Usage.Prompt))
 	}
@@ -131,6 +134,9 @@
 		}
 		b = append(b, ' ')
 		b = append(b, a.outcome.String()...)
+		if a.crashed {
+			b = append(b, " crashed"...)
+		}
 		if a.why != "" {
 			b = append(b, " ("...)
 			b = append(b, a.why...)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,6 +12,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
@@ -65,6 +66,9 @@
 	Deps
 	metrics metrics
 	bodies  atomic.Int64
+	// checks of endpoints whose connections broke: all requests that were there wait for
+	// the same one.
+	checks singleflight.Group
 }
 
 // New returns a server.
@@ -100,6 +104,7 @@
 		return
 	}
 	defer s.bodies.Add(-int64(len(x.body)))
+	x.fingerprint = x.fingerprintOf()
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.left()), errDeadline)
 	defer cancel()
 	x.run(ctx)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -241,6 +242,11 @@
 		return errDeadline
 	}
 	x.end(c, place.Broken, err.Error())
+	stage := quarantine.Started
+	if x.attempts[c.index].events > 0 {
+		stage = quarantine.Running
+	}
+	x.noteCrash(c, stage)
 	return errMayHaveRun
 }
 
--- a/ingress/whole.go
+++ b/ingress/whole.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 )
 
@@ -99,6 +100,7 @@
 	}
 	if err != nil {
 		x.end(c, place.Broken, err.Error())
+		x.noteCrash(c, quarantine.Started)
 		return errMayHaveRun
 	}
 	if x.foreign(c) {
--- /dev/null
+++ b/quarantine/stage.go
@@ -0,0 +1,17 @@
+package quarantine
+
+// Stage is how far a request had come at an endpoint when that crashed.
+type Stage int
+
+// Stages.
+const (
+	// Waiting: nothing of its answer had come, so that it may not have begun to run.
+	Waiting Stage = iota
+	// Started: the head of its answer had come and nothing else, so that it had just
+	// begun to run.
+	Started
+	// Running: a part of its answer had come, so that the endpoint had run it for a while.
+	Running
+)
+
+func (s Stage) String() string { return [...]string{"waiting", "started", "running"}[s] }
