Requests that crash the endpoints that run them are quarantined

Callers saw engines of a service end one after the other and most requests for it fail. Cause: nothing was remembered of a request beyond its exchange. A break was held against the endpoint only, the request was repeated elsewhere, and its next arrival was new to whichever entry took it. The class: what one instance learned from an endpoint's end, the others act without.

A request's identity is the hash of customer, method, host, target and body. Each crash (the connection broke and nothing listens any more) is noted against all requests that were there, by how far each had come; entries tell each other; the ones with the most against them are guilty and explain the crashes for the others; a request that was answered is never guilty. Guilty ones are refused before every send, by all entries, and recorded in the store under a lease, so that entries that start later know them. A suspect is served, and nothing more of it is run than that takes: no larger model for quality, no copy for a trial.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -54,6 +54,8 @@
 	NoTime Verdict = "no time"
 	// NoRoom: it may be worth it, but not at engines as busy as they are.
 	NoRoom Verdict = "engines busy"
+	// Suspect: endpoints crashed while the request was there.
+	Suspect Verdict = "endpoints crashed under it"
 	// NoRepeat: the budget of repeats is used up, or all runs are.
 	NoRepeat Verdict = "no repeat"
 )
--- a/edge/module.go
+++ b/edge/module.go
@@ -21,6 +21,7 @@
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/platform"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -71,12 +72,13 @@
 			place.NewRates,
 			newLoads,
 			newBudget,
+			newQuarantine,
 			newMesh,
 			drain.NewGate,
 			newIngress,
 		),
 		fx.StopTimeout(o.Settings.Bounds.Grace()+stopSlack),
-		fx.Invoke(runFollower, runMesh, runLoads, runRollouts, runRegistration, runReload, serve),
+		fx.Invoke(runFollower, runMesh, runLoads, runRollouts, runQuarantine, runRegistration, runReload, serve),
 		fx.NopLogger,
 	)
 }
@@ -120,8 +122,12 @@
 	return retry.New(b, func() int { return len(f.View().Entries) }, clock)
 }
 
-func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
-	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Clock: clock, Log: log})
+func newQuarantine(s *Settings, c kv.Client, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *quarantine.Table {
+	return quarantine.New(quarantine.Deps{Instance: s.Instance, Store: c, View: f.View, Clock: clock, Log: log})
+}
+
+func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
+	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Clock: clock, Log: log})
 }
 
 func newLoads(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, clock clockwork.Clock, log *slog.Logger) *mesh.Loads {
@@ -129,9 +135,9 @@
 		Clock: clock, Log: log})
 }
 
-func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller,
+func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table,
 	gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
-	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r,
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q,
 		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: gate, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedFor: lapsedFor(s),
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -17,6 +17,7 @@
 	"github.com/lovageweir/lovageweir/internal/background"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/mesh"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rollout"
 )
 
@@ -30,6 +31,10 @@
 	background.Run(lc, background.Every(rollout.Interval, r.Tick), nil)
 }
 
+func runQuarantine(lc fx.Lifecycle, q *quarantine.Table) {
+	background.Run(lc, background.Every(quarantine.Interval, q.Tick), nil)
+}
+
 // Registration of this entry, by which the others find it.
 const (
 	// registrationLife is the longest that the store grants: the key of an
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -18,6 +18,7 @@
 	"github.com/lovageweir/lovageweir/internal/listen"
 	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/mesh"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -61,6 +62,7 @@
 	Fleet    *fleet.Follower
 	Mesh     *mesh.Mesh
 	Rollouts *rollout.Controller
+	Suspects *quarantine.Table
 	Metrics  *telemetry.Metrics
 	Log      *slog.Logger
 }
@@ -81,6 +83,8 @@
 	Services []ServiceDump   `json:"services"`
 	Rollouts []rollout.State `json:"rollouts"`
 	Mesh     mesh.State      `json:"mesh"`
+	// Quarantine is of requests that crash endpoints.
+	Quarantine quarantine.State `json:"quarantine"`
 }
 
 // ServiceDump is a service's part of the dump.
@@ -95,7 +99,7 @@
 	v := p.Fleet.View()
 	d := Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
 		InFlight: p.Gate.InFlight(), Revision: int64(v.Revision), AgeMS: -1, Away: p.Fleet.StoreAway(), Entries: v.Entries,
-		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State()}
+		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.Suspects.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
 	}
--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -27,6 +27,8 @@
 	statuses  map[string]recordedStatus
 	withdrawn map[string]Withdrawn // by service, as recorded
 	entries   map[string]Entry
+	// quarantine is replaced with each change.
+	quarantine *Quarantine
 	// entriesChanged: the last view has other entries.
 	entriesChanged bool
 	last           *View
@@ -61,6 +63,8 @@
 		err = b.takeStatus(name, e.KV)
 	case ItemWithdrawn:
 		err = b.takeWithdrawn(name, e.KV)
+	case ItemQuarantined:
+		err = b.takeQuarantined(name, e.KV)
 	case ItemEntry:
 		var entry Entry
 		if err = json.Unmarshal(e.KV.Value, &entry); err == nil {
@@ -155,6 +159,8 @@
 		delete(b.statuses, name)
 	case ItemWithdrawn:
 		delete(b.withdrawn, name)
+	case ItemQuarantined:
+		b.removeQuarantined(name)
 	case ItemEntry:
 		delete(b.entries, name)
 		b.entriesChanged = true
@@ -164,7 +170,7 @@
 
 // view builds the view at a revision.
 func (b *builder) view(rev kv.Revision, now time.Time) *View {
-	v := &View{Revision: rev, Config: b.config, groups: map[string]*Group{}}
+	v := &View{Revision: rev, Config: b.config, Quarantine: b.quarantine, groups: map[string]*Group{}}
 	if b.config == b.last.Config {
 		v.byHost, v.byKey = b.last.byHost, b.last.byKey
 	} else {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -193,5 +193,6 @@
 	ItemRollout
 	ItemRolloutStatus
 	ItemWithdrawn
+	ItemQuarantined
 	ItemEntry
 )
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -48,11 +48,18 @@
 	return slices.ContainsFunc(g.Lapsed, func(l Lapsed) bool { return l.ID == id })
 }
 
+// IsReady reports whether an endpoint takes new requests.
+func (g *Group) IsReady(id EndpointID) bool {
+	return slices.ContainsFunc(g.Ready, func(ep Endpoint) bool { return ep.ID == id })
+}
+
 // View is one consistent state. It is never changed once built.
 type View struct {
 	Revision kv.Revision
 	Config   *Config // nil: not known yet
 	Entries  []Entry
+	// Quarantine is the requests that are recorded as crashing endpoints.
+	Quarantine *Quarantine
 
 	watchers watchers // of Entries
 	groups   map[string]*Group
--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -5,18 +5,24 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
 
 const poison = "a body that crashes engines"
@@ -25,6 +31,7 @@
 type crashingFleet struct {
 	t       *testing.T
 	entries []*world
+	meshes  []*mesh.Mesh
 	engines []*platformtest.Process
 	starts  int
 	sent    int // requests so far
@@ -33,8 +40,15 @@
 func newCrashingFleet(t *testing.T, entries, engines int) *crashingFleet {
 	t.Helper()
 	f := &crashingFleet{t: t}
+	store := memkv.New(clockwork.NewRealClock())
 	for range entries {
-		f.entries = append(f.entries, newEmptyWorld(t))
+		e := newEntryBefore(t, store)
+		f.entries = append(f.entries, e)
+		m := mesh.New(mesh.Deps{Fleet: e.fleet, Rollouts: e.orders, Quarantine: e.quarantine, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler)})
+		srv := httptest.NewServer(meshpb.NewMeshServer(m))
+		t.Cleanup(srv.Close)
+		m.Address = strings.TrimPrefix(srv.URL, "http://")
+		f.meshes = append(f.meshes, m)
 	}
 	f.put("op/config", platformtest.EncodeConfig(testConfig()))
 	for range engines {
@@ -98,6 +112,17 @@
 	f.sync()
 }
 
+// gossip lets each entry exchange with all others.
+func (f *crashingFleet) gossip() {
+	for _, a := range f.meshes {
+		for _, b := range f.meshes {
+			if a != b {
+				a.ExchangeWith(context.Background(), b.Address)
+			}
+		}
+	}
+}
+
 func (f *crashingFleet) crashes() int {
 	n := 0
 	for _, p := range f.engines {
@@ -163,6 +188,7 @@
 				last = f.send(i%len(f.entries), path, poison)
 				is.True(failed() == 0 || f.crashes() > before)
 				f.recover()
+				f.gossip()
 			}
 			is.True(f.crashes() <= mostCrashes)
 			is.Equal(last.status, http.StatusServiceUnavailable) // it has not run
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -165,6 +165,9 @@
 // send sends the request to one endpoint and reads the head of its answer.
 // On an error, the attempt is ended and noted.
 func (x *exchange) send(ctx context.Context, resumeAfter string) (*sent, *refusal, error) {
+	if ref := x.quarantined(); ref != nil {
+		return nil, ref, nil
+	}
 	group, best, ref := x.pick()
 	if ref != nil {
 		return nil, ref, nil
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -25,6 +25,7 @@
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -59,16 +60,17 @@
 }
 
 type world struct {
-	t       *testing.T
-	kv      *memkv.Store
-	fleet   *fleet.Follower
-	engines []*platformtest.Engine
-	server  *ingress.Server
-	gate    *drain.Gate
-	stop    *clockwork.FakeClock // what the gate goes by
-	orders  *rollout.Controller
-	url     string
-	logs    *logBuffer
+	t          *testing.T
+	kv         *memkv.Store
+	fleet      *fleet.Follower
+	engines    []*platformtest.Engine
+	server     *ingress.Server
+	gate       *drain.Gate
+	stop       *clockwork.FakeClock // what the gate goes by
+	orders     *rollout.Controller
+	quarantine *quarantine.Table
+	url        string
+	logs       *logBuffer
 }
 
 // logBuffer keeps what is logged; it is safe for concurrent use.
@@ -103,20 +105,27 @@
 }
 
 func newEmptyWorld(t *testing.T) *world {
+	t.Helper()
+	return newEntryBefore(t, memkv.New(clockwork.NewRealClock()))
+}
+
+// newEntryBefore is an entry that knows nothing of its store yet.
+func newEntryBefore(t *testing.T, store *memkv.Store) *world {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	w := &world{t: t, kv: memkv.New(clock), logs: &logBuffer{}}
+	w := &world{t: t, kv: store, logs: &logBuffer{}}
 	log := slog.New(slog.NewJSONHandler(w.logs, nil))
 	w.fleet = fleet.NewFollower(fleet.Entry{Instance: "i1", Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
 	board := place.NewBoard(clock)
 	rollouts := rollout.New(rollout.Deps{Instance: "i1", Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
 		SessionLife: 5 * time.Second, Exposure: rollout.Exposure{Share: 0.15, Slack: 30}, Clock: clock, Log: log})
 	w.orders = rollouts
+	w.quarantine = quarantine.New(quarantine.Deps{Instance: "i1", Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
 	w.stop = clockwork.NewFakeClock()
 	w.gate = drain.NewGate(w.stop)
 	w.server = ingress.New(ingress.Deps{Instance: "i1", Domain: "d1", Fleet: w.fleet, Wire: platform.Headers{}, Board: board, Rates: place.NewRates(),
-		Budget: budget, Rollouts: rollouts, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
+		Budget: budget, Rollouts: rollouts, Quarantine: w.quarantine, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -45,7 +46,9 @@
 	Rates    *place.Rates
 	Budget   *retry.Budget
 	Rollouts *rollout.Controller
-	Ladder   cascade.Ladder
+	// Quarantine knows the requests that crash endpoints.
+	Quarantine *quarantine.Table
+	Ladder     cascade.Ladder
 	// Gate counts the requests, and at a planned stop says which are taken.
 	Gate *drain.Gate
 	// BodyMemory bounds the bytes of request bodies held at a time.
@@ -105,6 +108,10 @@
 	}
 	defer s.bodies.Add(-int64(len(x.body)))
 	x.fingerprint = x.fingerprintOf()
+	if ref := x.quarantined(); ref != nil {
+		x.refuse(ref)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.left()), errDeadline)
 	defer cancel()
 	x.run(ctx)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -98,6 +98,9 @@
 		return false
 	}
 	verdict := ladder.Judge(c.head.Confidence, x.outlook(next))
+	if verdict == cascade.Ask && x.suspect() {
+		verdict = cascade.Suspect
+	}
 	if verdict == cascade.Ask && !x.mayTryAgain(retry.ForQuality) {
 		verdict = cascade.NoRepeat
 	}
@@ -224,6 +227,7 @@
 		x.returnHead(c, -1)
 	}
 	x.outcome = "answered"
+	x.server.Quarantine.Served(x.fingerprint)
 	return nil
 }
 
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -65,9 +65,10 @@
 
 // mayCopy reports whether the request is one to copy: it may be repeated, with
 // a run left for a failure, and makes an endpoint busy by its answer. A process
-// that stops copies none: the copy would end with it.
+// that stops copies none: the copy would end with it. Nor is one copied that may have
+// crashed an endpoint.
 func (x *exchange) mayCopy() bool {
-	return !x.copied && !x.server.Gate.Stopping() && x.route.MayRepeat() && x.runs+2 < x.route.MaxAttempts && x.facts.ResumeAfter == "" &&
+	return !x.copied && !x.suspect() && !x.server.Gate.Stopping() && x.route.MayRepeat() && x.runs+2 < x.route.MaxAttempts && x.facts.ResumeAfter == "" &&
 		x.facts.Usage.Output >= trialOutput && x.server.Rates.Reading(x.trialModel(), x.facts.Usage.Prompt) <= trialPrompt
 }
 
--- a/ingress/whole.go
+++ b/ingress/whole.go
@@ -117,6 +117,7 @@
 		x.end(c, place.Failed, "endpoint failed")
 	} else {
 		x.end(c, place.Served, "")
+		x.server.Quarantine.Served(x.fingerprint)
 	}
 	x.outcome = "answered"
 	x.returnHead(c, int64(len(body)))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -14,6 +14,7 @@
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -62,8 +63,10 @@
 	Seeds    []string
 	Fleet    *fleet.Follower
 	Rollouts *rollout.Controller
-	Clock    clockwork.Clock
-	Log      *slog.Logger
+	// Quarantine is of requests that crash endpoints.
+	Quarantine *quarantine.Table
+	Clock      clockwork.Clock
+	Log        *slog.Logger
 }
 
 // Mesh is one entry's part. It is safe for concurrent use.
@@ -119,7 +122,7 @@
 			continue // the store is being read, and tells more for less
 		}
 		if address, ok := m.draw(); ok {
-			m.exchangeWith(ctx, address)
+			m.ExchangeWith(ctx, address)
 		}
 	}
 }
@@ -196,7 +199,8 @@
 	return out
 }
 
-func (m *Mesh) exchangeWith(ctx context.Context, address string) {
+// ExchangeWith exchanges once with the entry at an address.
+func (m *Mesh) ExchangeWith(ctx context.Context, address string) {
 	limit := callTimeout
 	if m.Fleet.View().Revision == 0 {
 		limit = wholeTimeout
@@ -287,6 +291,7 @@
 		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: int64(r.Ordered),
 			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.LogTime, Seen: r.Seen, Bad: r.Bad})
 	}
+	out.Suspects = m.suspects()
 	return out
 }
 
@@ -301,6 +306,7 @@
 // answers with what it lacks.
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
 	m.hearRollouts(in)
+	m.hearSuspects(in.Suspects)
 	out := m.message()
 	c := m.Fleet.Since(kv.Revision(in.Revision))
 	if c.Whole && !m.mayTellWhole() {
@@ -346,6 +352,7 @@
 		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond+took)
 	}
 	m.hearRollouts(got)
+	m.hearSuspects(got.Suspects)
 }
 
 func (m *Mesh) hearRollouts(in *meshpb.ExchangeMessage) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -19,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/platform"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
@@ -33,7 +34,8 @@
 	store := memkv.New(clock)
 	f := fleet.NewFollower(fleet.Entry{Instance: name}, store, platform.Values{}, time.Second, clock, quiet)
 	r := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: store, Decoder: platform.Values{}, View: f.View, Clock: clock, Log: quiet})
-	m := New(Deps{Instance: name, Seeds: seeds, Fleet: f, Rollouts: r, Clock: clock, Log: quiet})
+	q := quarantine.New(quarantine.Deps{Instance: name, View: f.View, Clock: clock, Log: quiet})
+	m := New(Deps{Instance: name, Seeds: seeds, Fleet: f, Rollouts: r, Quarantine: q, Clock: clock, Log: quiet})
 	srv := httptest.NewServer(meshpb.NewMeshServer(m))
 	t.Cleanup(srv.Close)
 	m.Address = strings.TrimPrefix(srv.URL, "http://")
@@ -56,13 +58,13 @@
 	b := newEntry(t, "b", a.Address)
 	address, ok := b.draw()
 	is.True(ok)
-	b.exchangeWith(context.Background(), address)
+	b.ExchangeWith(context.Background(), address)
 	is.Equal(b.Fleet.View().Config.Version, int64(3))
 	is.Equal(len(b.Fleet.View().Group("s").Ready), 1)
 	is.Equal(b.Fleet.View().Revision, kv.Revision(7))
 
 	know(a, fleet.Changes{Revision: 9, Events: []kv.Event{{Type: kv.EventDelete, KV: kv.KeyValue{Key: "servers/e", ModRevision: 9}}}})
-	b.exchangeWith(context.Background(), address)
+	b.ExchangeWith(context.Background(), address)
 	is.Equal(len(b.Fleet.View().Group("s").Ready), 0) // removals are told too
 }
 
@@ -71,7 +73,7 @@
 	is := is.New(t)
 	a, b := newEntry(t, "a"), newEntry(t, "b")
 	know(b, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{put("op/config", `{"version":3}`, 5)}})
-	b.exchangeWith(context.Background(), a.Address)
+	b.ExchangeWith(context.Background(), a.Address)
 	is.Equal(b.Fleet.View().Config.Version, int64(3))
 }
 
@@ -87,10 +89,10 @@
 	for i := range 20 {
 		a.Rollouts.Observe(rollout.Answer{Group: g, Endpoint: fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint(i % 2)), Version: "v2"}, Route: "r", Failed: true})
 	}
-	b.exchangeWith(context.Background(), a.Address)
+	b.ExchangeWith(context.Background(), a.Address)
 	is.Equal(b.Rollouts.State()[0].Samples, int64(20))
 	is.True(b.Rollouts.State()[0].Halted)
-	a.exchangeWith(context.Background(), b.Address)
+	a.ExchangeWith(context.Background(), b.Address)
 	is.Equal(a.Rollouts.State()[0].Samples, int64(20)) // what comes back is not counted twice
 }
 
@@ -103,7 +105,7 @@
 	gone.Address = strings.TrimPrefix(srv.URL, "http://")
 	srv.Close()
 	b := newEntry(t, "b", gone.Address)
-	b.exchangeWith(context.Background(), gone.Address)
+	b.ExchangeWith(context.Background(), gone.Address)
 	_, ok := b.draw()
 	is.True(!ok)
 	is.Equal(b.State().Failed, int64(1))
--- a/quarantine/stage.go
+++ b/quarantine/stage.go
@@ -15,3 +15,11 @@
 )
 
 func (s Stage) String() string { return [...]string{"waiting", "started", "running"}[s] }
+
+// weights are how much a crash at a stage says against a request. What crashes an
+// endpoint does so as it begins to run; most others wait there or are long under way.
+var weights = [...]int{Waiting: 2, Started: 3, Running: 1}
+
+// guiltyWeight makes a request guilty: two crashes as it had just begun, or three
+// wherever it was not under way.
+const guiltyWeight = 6
