Entries tell each other at once of a request that crashes endpoints

Each entry that had not heard lost two engines of its own. What weighs as much as a crash of a request that had just begun to run is now told to three others at once, and by those in turn. Test: mesh.TestARequestThatCrashesEndpointsIsToldAtOnce (no regular exchange is due).

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -40,6 +40,9 @@
 	// at once and ask the same few, copies told to all at a time would none of
 	// them arrive.
 	wholeEvery = 200 * time.Millisecond
+	// newsPartners are how many others hear at once of a request that crashes endpoints. It
+	// comes again at any entry within a second, and those that heard tell others in turn.
+	newsPartners = 3
 	// avoidFor is how long an entry that did not answer is left out.
 	avoidFor = 2 * time.Second
 	// deafFor is how long an entry whose knowledge was old, so that it does not
@@ -113,18 +116,34 @@
 			interval = awayInterval
 		}
 		jittered := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
+		partners := 1
 		select {
 		case <-m.Clock.After(jittered):
+		case <-m.Quarantine.News():
+			partners = newsPartners
 		case <-ctx.Done():
 			return
 		}
 		if m.Fleet.View().Revision == 0 && !m.Fleet.StoreAway() {
 			continue // the store is being read, and tells more for less
 		}
+		m.exchangeWithSome(ctx, partners)
+	}
+}
+
+// exchangeWithSome exchanges with so many others, side by side.
+func (m *Mesh) exchangeWithSome(ctx context.Context, partners int) {
+	addresses := map[string]bool{}
+	for range partners {
 		if address, ok := m.draw(); ok {
-			m.ExchangeWith(ctx, address)
+			addresses[address] = true
 		}
 	}
+	var all sync.WaitGroup
+	for address := range addresses {
+		all.Go(func() { m.ExchangeWith(ctx, address) })
+	}
+	all.Wait()
 }
 
 // draw picks another entry at random: one of those that watch the store and
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -96,6 +96,27 @@
 	is.Equal(a.Rollouts.State()[0].Samples, int64(20)) // what comes back is not counted twice
 }
 
+// Guards against a request that crashes endpoints getting through at entries that have not heard of it.
+func TestARequestThatCrashesEndpointsIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	a := newEntry(t, "a")
+	b := newEntry(t, "b", a.Address)
+	know(b, fleet.Changes{Revision: 7, Whole: true, Events: []kv.Event{put("op/config", `{"version":3}`, 5)}})
+	clock := clockwork.NewFakeClock() // no regular exchange is due
+	b.Clock = clock
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { b.Run(ctx); close(done) }()
+	is.NoErr(clock.BlockUntilContext(ctx, 1))
+	b.Quarantine.Crashed(1, "e1", quarantine.Started)
+	b.Quarantine.Crashed(1, "e2", quarantine.Started)
+	for !a.Quarantine.Check(1).Quarantined {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-done
+}
+
 // Symptom: exchanges stall on an entry that is gone.
 // One that does not answer is left out for a while.
 func TestAnEntryThatIsGoneIsLeftOut(t *testing.T) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -33,13 +33,15 @@
 	guilty   map[Fingerprint]time.Time // since when
 	// records is the record of guilty requests that they were judged by.
 	records *fleet.Quarantine
+	// news has room for one sign that others should hear at once of what is known.
+	news chan struct{}
 	// wrote is when this entry last tried to record a request.
 	wrote map[Fingerprint]time.Time
 }
 
 // New returns a table that suspects nothing.
 func New(d Deps) *Table {
-	return &Table{Deps: d, suspects: suspects{}, guilty: map[Fingerprint]time.Time{}, wrote: map[Fingerprint]time.Time{}}
+	return &Table{Deps: d, suspects: suspects{}, guilty: map[Fingerprint]time.Time{}, wrote: map[Fingerprint]time.Time{}, news: make(chan struct{}, 1)}
 }
 
 // Verdict is what is known of a request.
@@ -72,7 +74,9 @@
 	if t.served.has(f) {
 		return
 	}
-	if t.suspects.of(f).note(ep, crash{stage: stage, at: now, own: true}) {
+	s := t.suspects.of(f)
+	if s.note(ep, crash{stage: stage, at: now, own: true}) {
+		t.newsLocked(s)
 		t.judgeLocked()
 	}
 }
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -11,6 +11,9 @@
 	// tellFor is how long after its last crash a request is told of: several exchanges
 	// of each entry, so that all have heard of it.
 	tellFor = 4 * time.Second
+	// newsWeight against a request is told at once: it had just begun to run at a crash, or
+	// was at two.
+	newsWeight = 3
 	// mostTold bounds the requests told in one exchange.
 	mostTold = 32
 )
@@ -28,6 +31,21 @@
 	Age      time.Duration
 }
 
+// News tells when others should hear at once of what is known.
+func (t *Table) News() <-chan struct{} { return t.news }
+
+// newsLocked signs that there is much against a request. Many requests wait at an endpoint
+// that crashes, or are under way there, and of these the regular exchanges tell.
+func (t *Table) newsLocked(s *suspect) {
+	if s.weight(nil) < newsWeight {
+		return
+	}
+	select {
+	case t.news <- struct{}{}:
+	default: // others are about to be told
+	}
+}
+
 // Tell returns the suspects of late, those with the most against them first.
 func (t *Table) Tell() []Row {
 	t.mu.Lock()
@@ -69,7 +87,10 @@
 		s := t.suspects.of(r.Fingerprint)
 		for _, c := range r.Crashes {
 			stage := min(max(c.Stage, Waiting), Running)
-			news = s.note(c.Endpoint, crash{stage: stage, at: now.Add(-max(0, c.Age))}) || news
+			if s.note(c.Endpoint, crash{stage: stage, at: now.Add(-max(0, c.Age))}) {
+				news = true
+				t.newsLocked(s)
+			}
 		}
 	}
 	if news {
