Copies of a quarantined request that wait at an endpoint are stopped

Cause: a request that crashes endpoints comes again before it is found out; copies that another entry, or the same one, had sent by then waited at endpoints and crashed them as they began to run. A send is held until the first event or answer; when its request is found guilty, the call ends and its caller gets 502: it may have run. Test: ingress.TestACopyThatWaitsAtAnEndpointIsStopped (hung before: nothing ended the call).

--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -22,6 +22,7 @@
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
 
@@ -171,6 +172,27 @@
 	return err == nil && string(body) == platformtest.WholeStream(0, 5)
 }
 
+// Guards against an endpoint crashed by a copy of a request that still waits there when other copies are found out.
+func TestACopyThatWaitsAtAnEndpointIsStopped(t *testing.T) {
+	for _, path := range []string{"/resume/stream", "/get/x", "/post/x"} {
+		is := is.New(t)
+		w := newWorld(t, 2)
+		began := make(chan struct{}, 1)
+		for _, e := range w.engines {
+			e.FaultOf = func(*http.Request) platformtest.Fault { return platformtest.Hang }
+			e.OnRun = func(platformtest.Run) { began <- struct{}{} }
+		}
+		got := make(chan answer)
+		go func() { got <- w.do(http.MethodPost, path, poison) }()
+		<-began
+		of := quarantine.Of("cust", http.MethodPost, host, path, []byte(poison))
+		w.quarantine.Crashed(of, "x1", quarantine.Started)
+		w.quarantine.Crashed(of, "x2", quarantine.Started)
+		is.Equal((<-got).status, http.StatusBadGateway) // it may have run
+		is.Equal(len(w.runs()), 1)
+	}
+}
+
 // mostCrashes is how many engines a request may crash, all entries together: three until
 // it is known, and three more sends.
 const mostCrashes = 6
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -138,6 +138,7 @@
 	head      call.Answer
 	cancel    context.CancelFunc
 	watch     *watchdog
+	hold      *quarantine.Hold
 	streaming time.Time     // when the first event came
 	wait      time.Duration // for others, as far as known when it was sent
 	index     int           // into attempts
@@ -146,6 +147,7 @@
 // end closes the call and notes how it ended.
 func (x *exchange) end(c *sent, o place.Outcome, why string) {
 	c.watch.stop()
+	c.hold.Release()
 	if reason := c.watch.why(); reason != "" {
 		why = reason
 	}
@@ -184,6 +186,7 @@
 		d.Customer = x.customer.Name
 	}
 	c.watch = x.watch(c, cancel)
+	c.hold = s.Quarantine.Hold(x.fingerprint, cancel)
 	resp, err := upstream.Send(ctx, &upstream.Request{Address: ep.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: s.Wire.Forward(x.r.Header, d), Body: x.body, HasBody: x.hasBody, ConnectWithin: x.connectWithin()})
 	if err != nil {
@@ -231,6 +234,11 @@
 		return errCut
 	case x.r.Context().Err() != nil:
 		x.end(c, place.Abandoned, "caller left")
+	case c.hold.Stopped():
+		x.end(c, place.Abandoned, "quarantined")
+		if errors.As(err, &notSent) {
+			return errNotSent
+		}
 	case errors.As(err, &notSent):
 		x.end(c, place.Unreached, err.Error())
 		x.server.Rollouts.Lost(c.group, c.endpoint)
@@ -244,6 +252,9 @@
 		x.noteCrash(c, quarantine.Waiting)
 	}
 	x.runs++
+	if c.hold.Stopped() {
+		return errQuarantined
+	}
 	return errMayHaveRun
 }
 
@@ -252,7 +263,9 @@
 	errNotRun     = errors.New("request did not run")
 	errNotSent    = errors.New("request was not sent")
 	errMayHaveRun = errors.New("request may have run")
-	errCut        = errors.New("entry stops; request may have run")
+	// errQuarantined: other copies of the request have crashed endpoints.
+	errQuarantined = errors.New("request is quarantined")
+	errCut         = errors.New("entry stops; request may have run")
 )
 
 // cut reports whether a request's context ended with the planned stop's time,
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -144,6 +144,7 @@
 		}
 		if first {
 			first = false
+			c.hold.Release()
 			x.observe(c, false, c.ticket.First())
 			if !x.started {
 				x.returnHead(c, -1)
@@ -245,6 +246,10 @@
 		x.end(c, place.Abandoned, "deadline")
 		return errDeadline
 	}
+	if c.hold.Stopped() {
+		x.end(c, place.Abandoned, "quarantined")
+		return errQuarantined
+	}
 	x.end(c, place.Broken, err.Error())
 	stage := quarantine.Started
 	if x.attempts[c.index].events > 0 {
--- a/ingress/whole.go
+++ b/ingress/whole.go
@@ -61,7 +61,7 @@
 	case errors.Is(err, errDeadline) || errors.Is(context.Cause(ctx), errDeadline):
 		x.refuse(failDeadline)
 		return false
-	case x.mayTryAgain(retry.ForFailure):
+	case !errors.Is(err, errQuarantined) && x.mayTryAgain(retry.ForFailure):
 		return true
 	}
 	x.refuse(failBroken)
@@ -98,6 +98,10 @@
 		x.end(c, place.Abandoned, "entry stops")
 		return errCut
 	}
+	if err != nil && c.hold.Stopped() {
+		x.end(c, place.Abandoned, "quarantined")
+		return errQuarantined
+	}
 	if err != nil {
 		x.end(c, place.Broken, err.Error())
 		x.noteCrash(c, quarantine.Started)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,13 +35,15 @@
 	records *fleet.Quarantine
 	// news has room for one sign that others should hear at once of what is known.
 	news chan struct{}
+	// holds are the sends that may still be stopped.
+	holds map[Fingerprint]map[*Hold]struct{}
 	// wrote is when this entry last tried to record a request.
 	wrote map[Fingerprint]time.Time
 }
 
 // New returns a table that suspects nothing.
 func New(d Deps) *Table {
-	return &Table{Deps: d, suspects: suspects{}, guilty: map[Fingerprint]time.Time{}, wrote: map[Fingerprint]time.Time{}, news: make(chan struct{}, 1)}
+	return &Table{Deps: d, suspects: suspects{}, guilty: map[Fingerprint]time.Time{}, wrote: map[Fingerprint]time.Time{}, holds: map[Fingerprint]map[*Hold]struct{}{}, news: make(chan struct{}, 1)}
 }
 
 // Verdict is what is known of a request.
@@ -120,6 +122,7 @@
 			continue
 		}
 		t.guilty[f] = now
+		t.stopLocked(f)
 		attrs := []any{"fingerprint", f.String(), "recorded", t.records.Has(uint64(f))}
 		if s := t.suspects[f]; s != nil {
 			attrs = append(attrs, "endpoints", s.endpoints(), "weight", s.weight(nil))
