The OpenAI interface quarantines requests that crash its back ends

It asks the same table before each decision and each repeat; entries tell each other by gossip, at once where there is much against a request. Nothing is recorded in the KV: a guilty request is told as long as it is refused, and is forgotten when all entries end at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,7 @@
 	"github.com/lovageweir/lovageweir/kv/etcdv3"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rater"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
@@ -63,6 +64,7 @@
 			newGuard,
 			endpoints.NewTable,
 			newPoller,
+			newQuarantine,
 			newGossip,
 			newLedger,
 			newClaims,
@@ -71,7 +73,7 @@
 			drain.NewGate,
 			newGateway,
 		),
-		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runGossip, runRatings, serve),
+		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runQuarantine, runGossip, runRatings, serve),
 		fx.StopTimeout(stopTimeout(set)),
 		fx.NopLogger,
 	)
@@ -108,11 +110,15 @@
 	return endpoints.NewPoller(t, w.Table, members, s.Domain, int64(l), s.Instances, log.With("part", "endpoints"))
 }
 
+func newQuarantine(s *settings.Entry, clock clockwork.Clock, log *slog.Logger) *quarantine.Table {
+	return quarantine.New(quarantine.Deps{Instance: s.Instance, Clock: clock, Log: log.With("part", "quarantine")})
+}
+
 // newGossip puts together what entries tell each other.
-func newGossip(s *settings.Entry, members *peers.Table, dial peers.Dial, w *configwatch.Watcher, gd *guard.Guard, t *endpoints.Table, p *endpoints.Poller, log *slog.Logger) *peers.Gossip {
+func newGossip(s *settings.Entry, members *peers.Table, dial peers.Dial, w *configwatch.Watcher, gd *guard.Guard, t *endpoints.Table, p *endpoints.Poller, q *quarantine.Table, log *slog.Logger) *peers.Gossip {
 	seeds := func() []string { return append(p.Seeds(), s.Peers...) }
 	g := peers.NewGossip(members, seeds, dial, log.With("part", "peers"))
-	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t, w.Table, s.Domain))
+	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t, w.Table, s.Domain), suspects{q})
 	w.OnNews(g.Rumour)
 	gd.OnNews(g.Rumour)
 	return g
@@ -137,14 +143,14 @@
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
 func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
-	gd *guard.Guard, planner *cascade.Planner, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
+	gd *guard.Guard, q *quarantine.Table, planner *cascade.Planner, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
 	keys, err := s.Keyring()
 	if err != nil {
 		return nil, err
 	}
 	d := gateway.Deps{
 		Instance: s.Instance, Life: int64(l), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: bill, Claims: claims,
-		Guard: gd, Planner: planner, Gate: gate, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
+		Guard: gd, Quarantine: q, Planner: planner, Gate: gate, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
 		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
 	}
 	if s.Rater != "" {
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -20,6 +20,7 @@
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/orders"
 	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/settings"
 )
 
@@ -44,6 +45,11 @@
 	background.Run(lc, background.Every(housekeeping, persist), persist)
 }
 
+func runQuarantine(lc fx.Lifecycle, q *quarantine.Table, g *peers.Gossip) {
+	background.Run(lc, func(ctx context.Context) { suspects{q}.pass(ctx, g.Rumour) }, nil)
+	background.Run(lc, background.Every(quarantine.Interval, q.Tick), nil)
+}
+
 // runLedger flushes, copies to the holder and bills for dead entries. At a
 // planned stop everything not yet durable is written before the exit.
 func runLedger(lc fx.Lifecycle, s *settings.Entry, l *ledger.Ledger, members *peers.Table, dial peers.Dial, log *slog.Logger) {
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -14,6 +14,7 @@
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/route"
 )
 
@@ -26,6 +27,7 @@
 	rid    string
 	name   string // the model or cascade asked for
 	stream bool
+	body   []byte                     // as the caller sent it
 	fields map[string]json.RawMessage // the body, to be sent on
 	chat   openai.ChatRequest
 	// service is set for a call to a plain service; fields and chat are not.
@@ -34,6 +36,7 @@
 	route   route.Request
 
 	customer   string
+	print      quarantine.Fingerprint
 	opened     bool
 	mayHaveRun bool // a back end may have run it, wholly or in part
 	uses       []ledger.Use
@@ -82,7 +85,7 @@
 	if ref != nil {
 		return nil, ref
 	}
-	q := &request{c: c, release: func() {}}
+	q := &request{c: c, body: body, release: func() {}}
 	if err := json.Unmarshal(body, &q.fields); err != nil {
 		return nil, badRequest("body is not a chat completion request: " + err.Error())
 	}
@@ -130,7 +133,15 @@
 	if g.Guard != nil {
 		view.Halts = g.Guard
 	}
-	return q.table.Decide(q.route, view)
+	dec, ref := q.table.Decide(q.route, view)
+	if ref != nil {
+		return nil, ref
+	}
+	q.print = q.fingerprint(dec.Customer)
+	if ref := g.quarantined(q); ref != nil {
+		return nil, ref
+	}
+	return dec, nil
 }
 
 // held is a whole answer of a cascade's step that was not good enough; it is
--- /dev/null
+++ b/gateway/crash_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/standin/engine"
+)
+
+const poisonPrompt = "a prompt that crashes engines"
+
+// startCrashing starts an engine that ends when it runs the poison prompt.
+func startCrashing(t *testing.T, crashes *atomic.Int64) string {
+	t.Helper()
+	e := engine.New(engine.Settings{Model: "m", Version: "v1"}, slog.New(slog.DiscardHandler)).Handler()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{}
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body) // one that is cut off holds no poison
+		if bytes.Contains(body, []byte(poisonPrompt)) {
+			crashes.Add(1)
+			_ = srv.Close() // its connections are to be cut
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		e.ServeHTTP(w, r)
+	})
+	go func() { _ = srv.Serve(ln) }() // it ends with the server
+	t.Cleanup(func() { _ = srv.Close() })
+	return ln.Addr().String()
+}
+
+func prompt(t *testing.T, srv *httptest.Server, text string, stream bool) *http.Response {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"m","stream":%v,"max_tokens":4,"messages":[{"role":"user","content":%q}]}`, stream, text)
+	req, err := http.NewRequest(http.MethodPost, srv.URL+chatPath, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer k")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp
+}
+
+// Guards against a prompt that crashes the engines that run it being sent to one after the other.
+func TestARequestThatCrashesBackEndsIsQuarantined(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		is := is.New(t)
+		fc := clockwork.NewFakeClock()
+		var crashes atomic.Int64
+		var engines []backendSpec
+		for n := range 12 {
+			engines = append(engines, backendSpec{name: fmt.Sprintf("b%d", n), domain: "fd-1", kind: "engine", addr: startCrashing(t, &crashes)})
+		}
+		var servers []*httptest.Server
+		var tables []*quarantine.Table
+		for range 3 {
+			d := testDeps(oneModel(engines...), fc)
+			d.Quarantine = quarantine.New(quarantine.Deps{Clock: fc, Log: d.Log})
+			servers, tables = append(servers, serveGateway(t, d)), append(tables, d.Quarantine)
+		}
+		var last *http.Response
+		for i := range 12 {
+			last = prompt(t, servers[i%3], poisonPrompt, stream)
+			for _, from := range tables {
+				for _, to := range tables {
+					to.Hear(from.Tell())
+				}
+			}
+		}
+		is.True(crashes.Load() <= 6) // three until it is known, and three more
+		is.Equal(last.StatusCode, http.StatusServiceUnavailable)
+		is.True(last.Header.Get("Retry-After") != "")
+		is.Equal(prompt(t, servers[0], "hello", stream).StatusCode, http.StatusOK)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,9 +18,11 @@
 	"github.com/lovageweir/lovageweir/endpoints"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rater"
 	"github.com/lovageweir/lovageweir/route"
 	"github.com/lovageweir/lovageweir/session"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // Tables gives the table in force; configwatch.Watcher implements it.
@@ -79,16 +81,19 @@
 	Rater     rater.Rater      // optional: answers are not rated
 	Planner   *cascade.Planner // optional: every step of a cascade is tried
 	Gate      *drain.Gate      // optional: no stop is planned
-	Timeouts  Timeouts
-	Clock     clockwork.Clock
-	Log       *slog.Logger
-	Scope     tally.Scope
+	// Quarantine knows the requests that crash back ends; optional: none does.
+	Quarantine *quarantine.Table
+	Timeouts   Timeouts
+	Clock      clockwork.Clock
+	Log        *slog.Logger
+	Scope      tally.Scope
 }
 
 // Gateway serves the caller API.
 type Gateway struct {
 	Deps
 	lines   *lines
+	probes  upstream.Probes
 	budget  *retryBudget
 	ratings chan rating
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -80,12 +80,14 @@
 		}
 		if a.whole {
 			g.Endpoints.Answered(b.Name)
+			g.served(q)
 			q.mayHaveRun = true
 			return result{kind: gotWhole}
 		}
 		gone := q.c.Request.Context().Err() != nil // the caller left, or the entry stops: no fault of the back end
 		if !gone {
 			g.blame(b, a)
+			g.noteCrash(q, b, a)
 		}
 		if a.notRun && !gone {
 			g.Log.Info("gateway: back end did not take the request; trying the next.", "backend", b.Name, "request", q.rid, "error", a.err)
@@ -98,7 +100,7 @@
 		if a.started {
 			return result{kind: gotBroken, code: a.code}
 		}
-		if gone || !mayRepeat(b) || retries >= retriesPerRequest || !g.budget.take() {
+		if gone || g.quarantined(q) != nil || !mayRepeat(b) || retries >= retriesPerRequest || !g.budget.take() {
 			return result{kind: gotNothing}
 		}
 		retries++
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -40,7 +40,7 @@
 	if ref != nil {
 		return ref
 	}
-	q := &request{c: c, release: func() {}, name: c.Param("name"),
+	q := &request{c: c, body: body, release: func() {}, name: c.Param("name"),
 		service: &serviceCall{path: c.Param("path"), body: body, contentType: c.GetHeader("Content-Type")}}
 	if ref := g.begin(q); ref != nil {
 		return ref
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -1,13 +1,9 @@
 package ingress
 
 import (
-	"errors"
 	"net/http"
-	"syscall"
 
-	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/quarantine"
-	"github.com/lovageweir/lovageweir/upstream"
 )
 
 func (x *exchange) fingerprintOf() quarantine.Fingerprint {
@@ -22,7 +18,7 @@
 // has ended as planned.
 func (x *exchange) noteCrash(c *sent, stage quarantine.Stage) {
 	group := x.server.Fleet.View().Group(c.endpoint.Service)
-	if c.watch.why() != "" || group == nil || !group.IsReady(c.endpoint.ID) || !x.server.crashed(c.endpoint) {
+	if c.watch.why() != "" || group == nil || !group.IsReady(c.endpoint.ID) || !x.server.probes.Ended(c.endpoint.Address) {
 		return
 	}
 	x.attempts[c.index].crashed = true
@@ -42,10 +38,3 @@
 // suspect reports whether endpoints crashed while the request was there. It is served,
 // and nothing more of it is run than that takes.
 func (x *exchange) suspect() bool { return x.server.Quarantine.Check(x.fingerprint).Suspect }
-
-// crashed reports whether an endpoint whose connection broke has ended: nothing listens
-// at its address. One that only lost the connection accepts another.
-func (s *Server) crashed(ep fleet.Endpoint) bool {
-	_, err, _ := s.checks.Do(string(ep.ID), func() (any, error) { return nil, upstream.Check(ep.Address) })
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,7 +12,6 @@
 	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
@@ -22,6 +21,7 @@
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // Knowledge is what the server needs of the fleet; fleet.Follower
@@ -69,9 +69,7 @@
 	Deps
 	metrics metrics
 	bodies  atomic.Int64
-	// checks of endpoints whose connections broke: all requests that were there wait for
-	// the same one.
-	checks singleflight.Group
+	probes  upstream.Probes
 }
 
 // New returns a server.
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -46,14 +46,16 @@
 	}
 }
 
-// Tell returns the suspects of late, those with the most against them first.
+// Tell returns the suspects of late, and those that are guilty and not recorded, those
+// with the most against them first.
 func (t *Table) Tell() []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	fresh := suspects{}
 	for f, s := range t.suspects {
-		if now.Sub(s.latest) <= tellFor {
+		_, guilty := t.guilty[f]
+		if now.Sub(s.latest) <= tellFor || guilty && !t.records.Has(uint64(f)) {
 			fresh[f] = s
 		}
 	}
