--- a/call/call.go
+++ b/call/call.go
@@ -95,6 +95,9 @@
 	Load *Load
 	// Leaving: the endpoint takes no further request on the connection.
 	Leaving bool
+	// Limit is how many requests a second the endpoint takes from all entries together;
+	// 0: it names no limit.
+	Limit float64
 	// Confidence is the model's own opinion of its answer, 0 to 100; -1: not
 	// said.
 	Confidence int
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -71,6 +71,7 @@
 	outcome  place.Outcome
 	status   int
 	load     *call.Load // as the endpoint told it
+	limit    float64    // requests a second, as the endpoint named it; 0: none
 	// confidence is the model's own opinion of its answer; negative: not told.
 	confidence int
 	begun      time.Duration // since the request was received
@@ -196,6 +197,7 @@
 	c.head = s.Wire.Answer(resp.Status, resp.Header)
 	x.attempts[c.index].status = resp.Status
 	x.attempts[c.index].load = c.head.Load
+	x.attempts[c.index].limit = c.head.Limit
 	x.attempts[c.index].confidence = c.head.Confidence
 	c.ticket.Head(c.head.Load)
 	if c.head.Load != nil {
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -132,6 +132,9 @@
 		if a.load != nil {
 			b = fmt.Appendf(b, " load=%d+%d/%d", a.load.Running, a.load.Waiting, a.load.Slots)
 		}
+		if a.limit > 0 {
+			b = fmt.Appendf(b, " limit=%g/s", a.limit)
+		}
 		b = append(b, ' ')
 		b = append(b, a.outcome.String()...)
 		if a.crashed {
