--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -5,9 +5,7 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,41 +15,22 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
-	"github.com/lovageweir/lovageweir/fleet"
-	"github.com/lovageweir/lovageweir/kv"
-	"github.com/lovageweir/lovageweir/kv/memkv"
-	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 	"github.com/lovageweir/lovageweir/quarantine"
-	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
 
 const poison = "a body that crashes engines"
 
 // crashingFleet is several entries before engines that a poison request crashes.
 type crashingFleet struct {
-	t       *testing.T
-	entries []*world
-	meshes  []*mesh.Mesh
+	*entries
 	engines []*platformtest.Process
 	starts  int
-	sent    int // requests so far
 }
 
-func newCrashingFleet(t *testing.T, entries, engines int) *crashingFleet {
+func newCrashingFleet(t *testing.T, n, engines int) *crashingFleet {
 	t.Helper()
-	f := &crashingFleet{t: t}
-	store := memkv.New(clockwork.NewRealClock())
-	for range entries {
-		e := newEntryBefore(t, store)
-		f.entries = append(f.entries, e)
-		m := mesh.New(mesh.Deps{Fleet: e.fleet, Rollouts: e.orders, Quarantine: e.quarantine, Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler)})
-		srv := httptest.NewServer(meshpb.NewMeshServer(m))
-		t.Cleanup(srv.Close)
-		m.Address = strings.TrimPrefix(srv.URL, "http://")
-		f.meshes = append(f.meshes, m)
-	}
-	f.put("op/config", platformtest.EncodeConfig(testConfig()))
+	f := &crashingFleet{entries: newEntries(t, n, clockwork.NewRealClock())}
 	for range engines {
 		f.starts++
 		p, err := platformtest.StartProcess(platformtest.EngineConfig{ID: fmt.Sprintf("e%d", f.starts), Service: service, Domain: "d1", Version: "v1", Pause: time.Millisecond,
@@ -67,32 +46,6 @@
 	return f
 }
 
-// store is the platform's, which all entries know.
-func (f *crashingFleet) store() kv.Client { return f.entries[0].kv }
-
-func (f *crashingFleet) put(key string, value []byte) {
-	f.t.Helper()
-	if _, err := f.store().Put(context.Background(), key, value, 0); err != nil {
-		f.t.Fatal(err)
-	}
-}
-
-// sync makes all entries know what the store holds.
-func (f *crashingFleet) sync() {
-	f.t.Helper()
-	rev, items, err := f.store().Get(context.Background(), "", true)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	c := fleet.Changes{Revision: rev, Whole: true}
-	for _, i := range items {
-		c.Events = append(c.Events, kv.Event{Type: kv.EventPut, KV: i})
-	}
-	for _, e := range f.entries {
-		e.fleet.Merge("test", c, 0)
-	}
-}
-
 // recover starts the engines that crashed again, as other incarnations.
 func (f *crashingFleet) recover() {
 	f.t.Helper()
@@ -113,17 +66,6 @@
 	f.sync()
 }
 
-// gossip lets each entry exchange with all others.
-func (f *crashingFleet) gossip() {
-	for _, a := range f.meshes {
-		for _, b := range f.meshes {
-			if a != b {
-				a.ExchangeWith(context.Background(), b.Address)
-			}
-		}
-	}
-}
-
 func (f *crashingFleet) crashes() int {
 	n := 0
 	for _, p := range f.engines {
@@ -132,20 +74,13 @@
 	return n
 }
 
-// send sends a request to an entry, under an id of its own.
-func (f *crashingFleet) send(entry int, path, body string) answer {
-	f.t.Helper()
-	f.sent++
-	return f.entries[entry].do(http.MethodPost, path, body, "X-Attempt-Id", fmt.Sprintf("r%d", f.sent))
-}
-
 // lawful sends streams that crash nothing to all entries, the same ones each time. The
 // returned function waits for them and tells how many were not answered whole.
 func (f *crashingFleet) lawful(each int) (failed func() int) {
 	f.t.Helper()
 	var wg sync.WaitGroup
 	var n atomic.Int64
-	for i, e := range f.entries {
+	for i, e := range f.all {
 		for j := range each {
 			f.sent++
 			req := e.request(http.MethodPost, "/resume/stream", fmt.Sprintf("lawful %d of entry %d", j, i), "X-Attempt-Id", fmt.Sprintf("r%d", f.sent))
@@ -207,7 +142,7 @@
 			for i := range 16 {
 				before := f.crashes()
 				failed := f.lawful(2)
-				last = f.send(i%len(f.entries), path, poison)
+				last = f.send(i%len(f.all), path, poison)
 				is.True(failed() == 0 || f.crashes() > before)
 				f.recover()
 				f.gossip()
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -106,13 +106,13 @@
 
 func newEmptyWorld(t *testing.T) *world {
 	t.Helper()
-	return newEntryBefore(t, memkv.New(clockwork.NewRealClock()))
+	clock := clockwork.NewRealClock()
+	return newEntryBefore(t, memkv.New(clock), clock)
 }
 
 // newEntryBefore is an entry that knows nothing of its store yet.
-func newEntryBefore(t *testing.T, store *memkv.Store) *world {
+func newEntryBefore(t *testing.T, store *memkv.Store, clock clockwork.Clock) *world {
 	t.Helper()
-	clock := clockwork.NewRealClock()
 	w := &world{t: t, kv: store, logs: &logBuffer{}}
 	log := slog.New(slog.NewJSONHandler(w.logs, nil))
 	w.fleet = fleet.NewFollower(fleet.Entry{Instance: "i1", Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
--- /dev/null
+++ b/ingress/limit_test.go
@@ -0,0 +1,153 @@
+package ingress_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/lovageweir/lovageweir/platform/platformtest"
+)
+
+// limitedFleet is several entries before engines some of which name a limit, on a clock
+// that stands still while requests are served.
+type limitedFleet struct {
+	*entries
+	clock   *clockwork.FakeClock
+	engines []*platformtest.Engine
+	// arrivals at each engine, by step.
+	arrivals [][]int
+}
+
+// step is the time between two batches of requests.
+const step = 100 * time.Millisecond
+
+func newLimitedFleet(t *testing.T, n, engines int) *limitedFleet {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	f := &limitedFleet{entries: newEntries(t, n, clock), clock: clock}
+	for i := range engines {
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("e%d", i), Service: service, Domain: "d1", Version: "v1", HidesLoad: true})
+		srv := httptest.NewServer(e)
+		t.Cleanup(srv.Close)
+		e.Config.Address = strings.TrimPrefix(srv.URL, "http://")
+		f.put(e.Registration(false))
+		f.engines = append(f.engines, e)
+	}
+	f.arrivals = make([][]int, engines)
+	f.sync()
+	return f
+}
+
+// play sends so many requests a step, to the entries in turn, for a while, and returns
+// how many were answered and how many refused.
+func (f *limitedFleet) play(d time.Duration, each int) (answered, refused int) {
+	f.t.Helper()
+	for range int(d / step) {
+		before := make([]int, len(f.engines))
+		for i, e := range f.engines {
+			before[i] = len(e.Runs())
+		}
+		for range each {
+			got := f.send(f.sent%len(f.all), "/post/x", fmt.Sprintf("body %d", f.sent))
+			switch got.status {
+			case http.StatusOK:
+				answered++
+			case http.StatusServiceUnavailable:
+				refused++
+				if got.header.Get("Retry-After") == "" {
+					f.t.Error("a refusal does not tell when to come back")
+				}
+			default:
+				f.t.Errorf("request %d got %d", f.sent, got.status)
+			}
+		}
+		for i, e := range f.engines {
+			f.arrivals[i] = append(f.arrivals[i], len(e.Runs())-before[i])
+		}
+		f.clock.Advance(step)
+	}
+	return answered, refused
+}
+
+// most is the most requests that an engine got in so long, from a time on.
+func (f *limitedFleet) most(engine int, from, within time.Duration) int {
+	steps, most := f.arrivals[engine][from/step:], 0
+	n := int(within / step)
+	for i := 0; i+n <= len(steps); i++ {
+		most = max(most, sum(steps[i:i+n]))
+	}
+	return most
+}
+
+func sum(all []int) int {
+	total := 0
+	for _, n := range all {
+		total += n
+	}
+	return total
+}
+
+// What a limit allows within any limitWindow, from limitGrace after it was first named.
+const (
+	limitGrace  = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitOver   = 1.5
+	limitBeyond = 5
+)
+
+func mayGet(limit float64) int {
+	return int(limitOver*limit*limitWindow.Seconds()) + limitBeyond
+}
+
+// Guards against an endpoint that names a limit getting its limit from each entry, or more, instead of from all together.
+func TestAnEndpointsLimitIsKeptByAllEntries(t *testing.T) {
+	for _, limit := range []float64{0.4, 1.4, 6} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			is := is.New(t)
+			f := newLimitedFleet(t, 8, 4)
+			f.play(time.Second, 8)
+			f.engines[0].SetLimit(limit)
+			const lasts = 30 * time.Second
+			answered, refused := f.play(lasts, 8)
+			is.True(f.most(0, time.Second+limitGrace, limitWindow) <= mayGet(limit))
+			got := sum(f.arrivals[0][int(time.Second/step):])
+			is.True(float64(got) >= 0.9*limit*lasts.Seconds()) // all of it gets used
+			is.Equal(refused, 0)                               // the others have room
+			is.True(answered > 0)
+		})
+	}
+}
+
+// Guards against a limit kept after the endpoint names it no longer.
+func TestALimitEndsWhenItIsNoLongerNamed(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(t, 8, 2)
+	f.engines[0].SetLimit(1)
+	f.play(10*time.Second, 5)
+	f.engines[0].SetLimit(0)
+	f.play(10*time.Second, 5)
+	is.True(f.most(0, 15*time.Second, limitWindow) > mayGet(1))
+}
+
+// Guards against requests waiting for endpoints that are all at their limits, and against limits left unused then.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	const limit = 2.0
+	f := newLimitedFleet(t, 8, 2)
+	for _, e := range f.engines {
+		e.SetLimit(limit)
+	}
+	const lasts = 30 * time.Second
+	answered, refused := f.play(lasts, 8)
+	is.True(refused > 0)
+	for i := range f.engines {
+		is.True(f.most(i, limitGrace, limitWindow) <= mayGet(limit))
+	}
+	is.True(float64(answered) >= 0.9*2*limit*lasts.Seconds())
+}
