Limits that endpoints name are kept by all entries together

An engine that asked for relief got as many requests as before. Cause: the header was passed on and read by nobody; no entry knew of a limit, and none what the others send.

Each entry keeps a bucket for each limited endpoint, which leaks at the limit; entries tell each other with each request to one, and regularly, how many they have sent, so that all buckets hold about the same. An endpoint without room is left out of the choice; where none has room the request is refused at once, with when one has. Copies for a trial take from the limit as well, and a doubted answer is kept where no other endpoint would be asked. An entry that hears fewer than half of the others keeps to their part. Beyond 16 entries those of the endpoint's failure domain use it, as they tell each other; all learn of the limit in exchanges.

TestAnEndpointsLimitIsKeptByAllEntries: 94 to 104 requests in four seconds before, 2, 6 and 26 now (allowed 7, 13, 41), and 17, 46 and 183 of 12, 42 and 180 in 30 s: all of the limit is used. TestRequestsBeyondAllLimitsAreRefusedAtOnce failed before (nothing was refused).

--- a/edge/module.go
+++ b/edge/module.go
@@ -22,6 +22,7 @@
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -70,6 +71,7 @@
 			newRollouts,
 			place.NewBoard,
 			place.NewRates,
+			newLimits,
 			newLoads,
 			newBudget,
 			newQuarantine,
@@ -126,18 +128,22 @@
 	return quarantine.New(quarantine.Deps{Instance: s.Instance, Store: c, View: f.View, Clock: clock, Log: log})
 }
 
-func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
-	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Clock: clock, Log: log})
+func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
+	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: limits, Clock: clock, Log: log})
 }
 
-func newLoads(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, clock clockwork.Clock, log *slog.Logger) *mesh.Loads {
-	return mesh.NewLoads(mesh.LoadsDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Budget: budget,
+func newLimits(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *ratelimit.Limits {
+	return ratelimit.New(ratelimit.Deps{Instance: s.Instance, Domain: s.Domain, View: f.View, Clock: clock, Log: log})
+}
+
+func newLoads(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.Loads {
+	return mesh.NewLoads(mesh.LoadsDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Budget: budget, Limits: limits,
 		Clock: clock, Log: log})
 }
 
-func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table,
+func newIngress(s *Settings, f *fleet.Follower, wire call.Wire, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits,
 	gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
-	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q,
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, Wire: wire, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits,
 		Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: gate, BodyMemory: int64(s.MemoryMB) << 20 / bodyShare, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedFor: lapsedFor(s),
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -171,12 +171,15 @@
 	if ref := x.quarantined(); ref != nil {
 		return nil, ref, nil
 	}
+	s := x.server
 	group, best, ref := x.pick()
+	for ref == nil && !s.Limits.Take(best.Endpoint) {
+		group, best, ref = x.pick()
+	}
 	if ref != nil {
 		return nil, ref, nil
 	}
 	ep := best.Endpoint
-	s := x.server
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
 	c := &sent{group: group, endpoint: ep, ticket: s.Board.Begin(ep, s.Rates.Reading(x.modelName(), x.facts.Usage.Prompt)), cancel: cancel, index: len(x.attempts), wait: best.Standing.Wait}
@@ -199,6 +202,9 @@
 	x.attempts[c.index].load = c.head.Load
 	x.attempts[c.index].limit = c.head.Limit
 	x.attempts[c.index].confidence = c.head.Confidence
+	if c.head.Limit > 0 || c.head.Sealed {
+		s.Limits.Named(ep, c.head.Limit)
+	}
 	c.ticket.Head(c.head.Load)
 	if c.head.Load != nil {
 		s.Board.TookLoad(x.target(), *c.head.Load)
--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -31,15 +32,22 @@
 	t.Helper()
 	f := &entries{t: t}
 	store := memkv.New(clock)
-	for range n {
-		e := newEntryBefore(t, store, clock)
+	for i := range n {
+		e := newEntryBefore(t, store, clock, fmt.Sprintf("i%d", i))
 		f.all = append(f.all, e)
-		m := mesh.New(mesh.Deps{Fleet: e.fleet, Rollouts: e.orders, Quarantine: e.quarantine, Clock: clock, Log: slog.New(slog.DiscardHandler)})
+		m := mesh.New(mesh.Deps{Fleet: e.fleet, Rollouts: e.orders, Quarantine: e.quarantine, Limits: e.limits, Clock: clock, Log: slog.New(slog.DiscardHandler)})
 		srv := httptest.NewServer(meshpb.NewMeshServer(m))
 		t.Cleanup(srv.Close)
 		m.Address = strings.TrimPrefix(srv.URL, "http://")
 		f.meshes = append(f.meshes, m)
 	}
+	for i := range n {
+		self, err := json.Marshal(fleet.Entry{Instance: fmt.Sprintf("i%d", i), Domain: "d1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.put(fleet.EntryPrefix+fmt.Sprintf("i%d", i), self)
+	}
 	f.put("op/config", platformtest.EncodeConfig(testConfig()))
 	return f
 }
@@ -81,6 +89,20 @@
 	}
 }
 
+// tell lets one entry tell the others its loads.
+func (f *entries) tell(entry int) {
+	f.t.Helper()
+	raw, _, err := f.all[entry].loads.Datagram()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for i, e := range f.all {
+		if i != entry {
+			e.loads.Hear(raw)
+		}
+	}
+}
+
 // send sends a request to an entry, under an id of its own.
 func (f *entries) send(entry int, path, body string) answer {
 	f.t.Helper()
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -22,10 +22,12 @@
 	"github.com/lovageweir/lovageweir/ingress"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 )
@@ -69,6 +71,8 @@
 	stop       *clockwork.FakeClock // what the gate goes by
 	orders     *rollout.Controller
 	quarantine *quarantine.Table
+	limits     *ratelimit.Limits
+	loads      *mesh.Loads
 	url        string
 	logs       *logBuffer
 }
@@ -107,29 +111,31 @@
 func newEmptyWorld(t *testing.T) *world {
 	t.Helper()
 	clock := clockwork.NewRealClock()
-	return newEntryBefore(t, memkv.New(clock), clock)
+	return newEntryBefore(t, memkv.New(clock), clock, "i1")
 }
 
 // newEntryBefore is an entry that knows nothing of its store yet.
-func newEntryBefore(t *testing.T, store *memkv.Store, clock clockwork.Clock) *world {
+func newEntryBefore(t *testing.T, store *memkv.Store, clock clockwork.Clock, name string) *world {
 	t.Helper()
 	w := &world{t: t, kv: store, logs: &logBuffer{}}
 	log := slog.New(slog.NewJSONHandler(w.logs, nil))
-	w.fleet = fleet.NewFollower(fleet.Entry{Instance: "i1", Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
+	w.fleet = fleet.NewFollower(fleet.Entry{Instance: name, Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
 	board := place.NewBoard(clock)
-	rollouts := rollout.New(rollout.Deps{Instance: "i1", Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
+	rollouts := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
 		SessionLife: 5 * time.Second, Exposure: rollout.Exposure{Share: 0.15, Slack: 30}, Clock: clock, Log: log})
 	w.orders = rollouts
-	w.quarantine = quarantine.New(quarantine.Deps{Instance: "i1", Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
+	w.quarantine = quarantine.New(quarantine.Deps{Instance: name, Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
+	w.limits = ratelimit.New(ratelimit.Deps{Instance: name, Domain: "d1", View: w.fleet.View, Clock: clock, Log: log})
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
 	w.stop = clockwork.NewFakeClock()
 	w.gate = drain.NewGate(w.stop)
-	w.server = ingress.New(ingress.Deps{Instance: "i1", Domain: "d1", Fleet: w.fleet, Wire: platform.Headers{}, Board: board, Rates: place.NewRates(),
-		Budget: budget, Rollouts: rollouts, Quarantine: w.quarantine, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
+	w.server = ingress.New(ingress.Deps{Instance: name, Domain: "d1", Fleet: w.fleet, Wire: platform.Headers{}, Board: board, Rates: place.NewRates(),
+		Budget: budget, Rollouts: rollouts, Quarantine: w.quarantine, Limits: w.limits, Ladder: cascade.Ladder{Doubt: cascade.DefaultDoubt}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedFor: time.Second,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
 	w.url = srv.URL
+	w.loads = mesh.NewLoads(mesh.LoadsDeps{Instance: name, Domain: "d1", Fleet: w.fleet, Board: board, Budget: budget, Limits: w.limits, Clock: clock, Log: log})
 	return w
 }
 
--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -54,7 +54,13 @@
 			before[i] = len(e.Runs())
 		}
 		for range each {
-			got := f.send(f.sent%len(f.all), "/post/x", fmt.Sprintf("body %d", f.sent))
+			entry := f.sent % len(f.all)
+			got := f.send(entry, "/post/x", fmt.Sprintf("body %d", f.sent))
+			select {
+			case <-f.all[entry].limits.Sent():
+				f.tell(entry)
+			default:
+			}
 			switch got.status {
 			case http.StatusOK:
 				answered++
@@ -71,6 +77,9 @@
 			f.arrivals[i] = append(f.arrivals[i], len(e.Runs())-before[i])
 		}
 		f.clock.Advance(step)
+		for i := range f.all {
+			f.tell(i)
+		}
 	}
 	return answered, refused
 }
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"time"
+
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/rollout"
@@ -16,6 +18,16 @@
 	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session})
 	w := place.Want{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.facts.SharedTokens(), Affinity: x.affinity()}
 	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
+	opens := time.Duration(0) // when the first of those at their limits takes a request
+	if x.server.Limits.Any() {
+		w.Closed = func(ep fleet.Endpoint) bool {
+			wait := x.server.Limits.Wait(ep)
+			if wait > 0 && (opens == 0 || wait < opens) {
+				opens = wait
+			}
+			return wait > 0
+		}
+	}
 	ranked := x.server.Board.Rank(choice.First, w)
 	if len(ranked) == 0 || ranked[0].Standing.Ejected {
 		ranked = append(ranked, x.server.Board.Rank(choice.Then, w)...)
@@ -24,6 +36,9 @@
 		ranked = x.server.Board.Rank(x.lapsed(choice.LastResort), w)
 	}
 	if len(ranked) == 0 {
+		if opens > 0 {
+			return nil, place.Ranked{}, refuseLimited(opens)
+		}
 		if len(x.tried) > 0 {
 			return nil, place.Ranked{}, refuseFull
 		}
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -51,6 +51,15 @@
 	refuseDeadline   = &refusal{http.StatusServiceUnavailable, "deadline_before_start", 0}
 )
 
+// codeLimited is of refusals while all endpoints are at the limits that they name.
+const codeLimited = "endpoints_limited"
+
+func refuseLimited(again time.Duration) *refusal {
+	return &refusal{http.StatusServiceUnavailable, codeLimited, again}
+}
+
+func (r *refusal) limited() bool { return r != nil && r.code == codeLimited }
+
 // Failures: the request may have run.
 var (
 	failBroken   = &refusal{http.StatusBadGateway, "endpoint_broke_off", 0}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/upstream"
@@ -48,7 +49,9 @@
 	Rollouts *rollout.Controller
 	// Quarantine knows the requests that crash endpoints.
 	Quarantine *quarantine.Table
-	Ladder     cascade.Ladder
+	// Limits are those that endpoints name.
+	Limits *ratelimit.Limits
+	Ladder cascade.Ladder
 	// Gate counts the requests, and at a planned stop says which are taken.
 	Gate *drain.Gate
 	// BodyMemory bounds the bytes of request bodies held at a time.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -97,7 +97,11 @@
 	if !ok {
 		return false
 	}
-	verdict := ladder.Judge(c.head.Confidence, x.outlook(next))
+	outlook, ref := x.outlook(next)
+	verdict := ladder.Judge(c.head.Confidence, outlook)
+	if verdict == cascade.Ask && ref.limited() {
+		verdict = cascade.NoRoom
+	}
 	if verdict == cascade.Ask && x.suspect() {
 		verdict = cascade.Suspect
 	}
@@ -116,18 +120,20 @@
 	return true
 }
 
-// outlook is what an answer of another of the route's models would take.
-func (x *exchange) outlook(model int) cascade.Outlook {
+// outlook is what an answer of another of the route's models would take; a refusal, if no
+// endpoint would be asked.
+func (x *exchange) outlook(model int) (cascade.Outlook, *refusal) {
 	o := cascade.Outlook{Elapsed: x.server.Clock.Since(x.received), Objective: x.route.Objective}
 	was := x.model
 	x.model = model
-	if _, best, ref := x.pick(); ref == nil {
+	_, best, ref := x.pick()
+	if ref == nil {
 		o.Wait = max(best.Standing.Wait, x.server.Board.UsualWait(x.target()))
 		o.Busy = x.server.Board.Busy(x.target())
 		o.First = x.server.Rates.First(x.modelName(), x.facts.Usage.Prompt)
 	}
 	x.model = was
-	return o
+	return o, ref
 }
 
 // relayEvents passes the events on until the stream ends.
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -39,7 +39,7 @@
 	}
 	s := x.server
 	trial, ok := s.Rollouts.Trial(g, s.Board.Standing)
-	if !ok || x.tried[trial.Endpoint.ID] || !s.Budget.Take(x.target(), retry.ForTrial) {
+	if !ok || x.tried[trial.Endpoint.ID] || !s.Budget.Take(x.target(), retry.ForTrial) || !s.Limits.Take(trial.Endpoint) {
 		return
 	}
 	x.copied = true
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -40,9 +41,10 @@
 	mostTold = 96
 	// mostDatagram fits an Ethernet frame.
 	mostDatagram = 1400
-	// mostEndpoints and mostLoads fit a datagram together.
-	mostEndpoints = 80
-	mostLoads     = 60
+	// mostEndpoints, mostLoads and mostLimits fit a datagram together.
+	mostEndpoints = 70
+	mostLoads     = 50
+	mostLimits    = 25
 )
 
 // LoadsDeps is what the telling of loads needs.
@@ -52,13 +54,14 @@
 	Fleet            *fleet.Follower
 	Board            *place.Board
 	Budget           *retry.Budget
+	Limits           *ratelimit.Limits
 	Clock            clockwork.Clock
 	Log              *slog.Logger
 }
 
 // Loads tells other entries what work this one has outstanding at which endpoint, what
-// endpoints told it of their load, and how many repeats it makes; and it takes what they
-// tell. Datagrams fit: one that is lost or late is worth nothing a moment later.
+// endpoints told it of their load, how many repeats it makes, and how many requests it has
+// sent to endpoints that name a limit; and it takes what they tell. Datagrams fit: one that is lost or late is worth nothing a moment later.
 type Loads struct {
 	LoadsDeps
 	conn  net.PacketConn
@@ -97,6 +100,7 @@
 	select {
 	case <-l.Clock.After(time.Duration(float64(regular) * (0.9 + rand.Float64()/5))):
 	case <-l.Board.Grew():
+	case <-l.Limits.Sent():
 	case <-ctx.Done():
 		return false
 	}
@@ -154,7 +158,7 @@
 }
 
 func (l *Loads) tell(others []string) {
-	raw, empty, err := l.datagram()
+	raw, empty, err := l.Datagram()
 	if err != nil {
 		l.Log.Error("mesh: loads cannot be encoded.", "error", err)
 		return
@@ -172,7 +176,8 @@
 	}
 }
 
-func (l *Loads) datagram() (raw []byte, empty bool, err error) {
+// Datagram is what this entry tells others now; empty: it is nothing that they would miss.
+func (l *Loads) Datagram() (raw []byte, empty bool, err error) {
 	msg := &meshpb.Load{Instance: l.Instance}
 	for id, work := range l.Board.Outstanding() {
 		if len(msg.Endpoint) == mostEndpoints {
@@ -190,7 +195,13 @@
 		msg.Waiting = append(msg.Waiting, uint32(t.Waiting))
 		msg.LoadAgeMs = append(msg.LoadAgeMs, uint32(t.Age.Milliseconds()))
 	}
-	empty = len(msg.Endpoint)+len(msg.Loaded) == 0
+	for _, t := range l.limits() {
+		msg.Limited = append(msg.Limited, t.Endpoint)
+		msg.Limit = append(msg.Limit, thousandths(t.Limit))
+		msg.LimitAgeMs = append(msg.LimitAgeMs, uint32(t.Age.Milliseconds()))
+		msg.Sent = append(msg.Sent, t.Sent)
+	}
+	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited) == 0
 	for _, c := range l.Budget.Counts() {
 		msg.Service = append(msg.Service, c.Service)
 		msg.Requests = append(msg.Requests, uint32(c.Requests))
@@ -201,6 +212,16 @@
 	return raw, empty, err
 }
 
+// limits are those that fit a datagram, drawn anew each time if there are more.
+func (l *Loads) limits() []ratelimit.Told {
+	told := l.Limits.Tell()
+	if len(told) > mostLimits {
+		rand.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
+		told = told[:mostLimits]
+	}
+	return told
+}
+
 func (l *Loads) listen() {
 	buf := make([]byte, mostDatagram)
 	for {
@@ -211,11 +232,12 @@
 		if err != nil {
 			continue // an earlier datagram met a closed port
 		}
-		l.hear(buf[:n])
+		l.Hear(buf[:n])
 	}
 }
 
-func (l *Loads) hear(raw []byte) {
+// Hear takes a datagram of another entry.
+func (l *Loads) Hear(raw []byte) {
 	var msg meshpb.Load
 	if err := proto.Unmarshal(raw, &msg); err != nil || !even(&msg) {
 		l.Log.Debug("mesh: datagram is no load.", "bytes", len(raw))
@@ -238,12 +260,19 @@
 			Count: retry.Count{Requests: float64(msg.Requests[i]), Repeats: float64(msg.Repeats[i]), Failures: float64(msg.Failures[i])}})
 	}
 	l.Budget.Hear(msg.Instance, counts)
+	limits := make([]ratelimit.Told, 0, len(msg.Limited))
+	for i, id := range msg.Limited {
+		limits = append(limits, ratelimit.Told{Endpoint: id, Limit: float64(msg.Limit[i]) / limitUnit,
+			Age: time.Duration(msg.LimitAgeMs[i]) * time.Millisecond, Sent: msg.Sent[i]})
+	}
+	l.Limits.Hear(msg.Instance, limits)
 }
 
 // even reports whether the columns of a datagram are of equal length.
 func even(msg *meshpb.Load) bool {
-	loads, services := len(msg.Loaded), len(msg.Service)
+	loads, services, limits := len(msg.Loaded), len(msg.Service), len(msg.Limited)
 	return len(msg.Endpoint) == len(msg.WorkMs) &&
 		loads == len(msg.Running) && loads == len(msg.Waiting) && loads == len(msg.LoadAgeMs) &&
-		services == len(msg.Requests) && services == len(msg.Repeats) && services == len(msg.Failures)
+		services == len(msg.Requests) && services == len(msg.Repeats) && services == len(msg.Failures) &&
+		limits == len(msg.Limit) && limits == len(msg.LimitAgeMs) && limits == len(msg.Sent)
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -68,8 +69,10 @@
 	Rollouts *rollout.Controller
 	// Quarantine is of requests that crash endpoints.
 	Quarantine *quarantine.Table
-	Clock      clockwork.Clock
-	Log        *slog.Logger
+	// Limits are those that endpoints name.
+	Limits *ratelimit.Limits
+	Clock  clockwork.Clock
+	Log    *slog.Logger
 }
 
 // Mesh is one entry's part. It is safe for concurrent use.
@@ -311,6 +314,7 @@
 			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.LogTime, Seen: r.Seen, Bad: r.Bad})
 	}
 	out.Suspects = m.suspects()
+	out.Limits = m.limits()
 	return out
 }
 
@@ -326,6 +330,7 @@
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
 	m.hearRollouts(in)
 	m.hearSuspects(in.Suspects)
+	m.learnLimits(in.Limits)
 	out := m.message()
 	c := m.Fleet.Since(kv.Revision(in.Revision))
 	if c.Whole && !m.mayTellWhole() {
@@ -372,6 +377,7 @@
 	}
 	m.hearRollouts(got)
 	m.hearSuspects(got.Suspects)
+	m.learnLimits(got.Limits)
 }
 
 func (m *Mesh) hearRollouts(in *meshpb.ExchangeMessage) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
@@ -35,7 +36,7 @@
 	f := fleet.NewFollower(fleet.Entry{Instance: name}, store, platform.Values{}, time.Second, clock, quiet)
 	r := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: store, Decoder: platform.Values{}, View: f.View, Clock: clock, Log: quiet})
 	q := quarantine.New(quarantine.Deps{Instance: name, View: f.View, Clock: clock, Log: quiet})
-	m := New(Deps{Instance: name, Seeds: seeds, Fleet: f, Rollouts: r, Quarantine: q, Clock: clock, Log: quiet})
+	m := New(Deps{Instance: name, Seeds: seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: newLimits(), Clock: clock, Log: quiet})
 	srv := httptest.NewServer(meshpb.NewMeshServer(m))
 	t.Cleanup(srv.Close)
 	m.Address = strings.TrimPrefix(srv.URL, "http://")
@@ -133,6 +134,10 @@
 	is.Equal(b.State().Lost, []string{gone.Address})
 }
 
+func newLimits() *ratelimit.Limits {
+	return ratelimit.New(ratelimit.Deps{View: fleet.EmptyView, Clock: clockwork.NewFakeClock(), Log: quiet})
+}
+
 func newBudget() *retry.Budget {
 	return retry.New(retry.Bounds{Ratio: 0.9, Extra: 56, Window: 10 * time.Second}, func() int { return 8 }, clockwork.NewFakeClock())
 }
@@ -142,8 +147,8 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	budgets := []*retry.Budget{newBudget(), newBudget()}
-	a := NewLoads(LoadsDeps{Instance: "a", Board: place.NewBoard(clock), Budget: budgets[0], Log: quiet})
-	b := NewLoads(LoadsDeps{Instance: "b", Board: place.NewBoard(clock), Budget: budgets[1], Log: quiet})
+	a := NewLoads(LoadsDeps{Instance: "a", Board: place.NewBoard(clock), Budget: budgets[0], Limits: newLimits(), Log: quiet})
+	b := NewLoads(LoadsDeps{Instance: "b", Board: place.NewBoard(clock), Budget: budgets[1], Limits: newLimits(), Log: quiet})
 	take := func(b *retry.Budget) (n int) {
 		for b.Take("s", retry.ForFailure) {
 			n++
@@ -156,9 +161,9 @@
 		}
 	}
 	alone := take(budgets[1])
-	raw, _, err := a.datagram()
+	raw, _, err := a.Datagram()
 	is.NoErr(err)
-	b.hear(raw)
+	b.Hear(raw)
 	is.True(take(budgets[1]) > 0)
 	is.Equal(take(budgets[0]), alone) // it has heard of nobody
 }
@@ -168,18 +173,18 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	from, to := place.NewBoard(clock), place.NewBoard(clock)
-	a := NewLoads(LoadsDeps{Instance: "a", Board: from, Budget: newBudget(), Log: quiet})
-	b := NewLoads(LoadsDeps{Instance: "b", Board: to, Budget: newBudget(), Log: quiet})
-	_, empty, err := a.datagram()
+	a := NewLoads(LoadsDeps{Instance: "a", Board: from, Budget: newBudget(), Limits: newLimits(), Log: quiet})
+	b := NewLoads(LoadsDeps{Instance: "b", Board: to, Budget: newBudget(), Limits: newLimits(), Log: quiet})
+	_, empty, err := a.Datagram()
 	is.NoErr(err)
 	is.True(empty)
 	from.Begin(fleet.Endpoint{ID: "e1"}, 250*time.Millisecond)
-	raw, empty, err := a.datagram()
+	raw, empty, err := a.Datagram()
 	is.NoErr(err)
 	is.True(!empty)
 	is.True(len(raw) < 30)
-	b.hear([]byte("not a load"))
-	b.hear(raw)
+	b.Hear([]byte("not a load"))
+	b.Hear(raw)
 	is.Equal(to.Standing("e1").Wait, 250*time.Millisecond)
 }
 
@@ -196,7 +201,7 @@
 		}
 		know(m, fleet.Changes{Revision: 330, Whole: true, Events: events})
 		board := place.NewBoard(m.Clock)
-		l := NewLoads(LoadsDeps{Instance: "i000", Domain: "d0", Fleet: m.Fleet, Board: board, Log: quiet})
+		l := NewLoads(LoadsDeps{Instance: "i000", Domain: "d0", Fleet: m.Fleet, Board: board, Limits: newLimits(), Log: quiet})
 		is.Equal(len(l.others()), tt.told)
 		board.Begin(fleet.Endpoint{ID: "e1", Domain: "d1"}, time.Second)
 		is.Equal(len(l.others()), min(2*tt.told+1, mostTold)) // those that send to the same engine
@@ -229,16 +234,16 @@
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
 	from, to := place.NewBoard(clock), place.NewBoard(clock)
-	a := NewLoads(LoadsDeps{Instance: "a", Board: from, Budget: newBudget(), Log: quiet})
-	b := NewLoads(LoadsDeps{Instance: "b", Board: to, Budget: newBudget(), Log: quiet})
+	a := NewLoads(LoadsDeps{Instance: "a", Board: from, Budget: newBudget(), Limits: newLimits(), Log: quiet})
+	b := NewLoads(LoadsDeps{Instance: "b", Board: to, Budget: newBudget(), Limits: newLimits(), Log: quiet})
 	ep := fleet.Endpoint{ID: "e1", Service: "s", Slots: 12}
 	to.Rank([]fleet.Endpoint{ep}, place.Want{}) // it knows the endpoint
 	from.Begin(ep, 0).Head(&call.Load{Running: 9, Waiting: 2, Slots: 12})
 	clock.Advance(100 * time.Millisecond)
-	raw, empty, err := a.datagram()
+	raw, empty, err := a.Datagram()
 	is.NoErr(err)
 	is.True(!empty)
-	b.hear(raw)
+	b.Hear(raw)
 	is.Equal(to.Standing("e1").Running, 9)
 	is.Equal(to.Standing("e1").Load, 11.0)
 	is.Equal(len(to.Reports()), 0) // what is hearsay is not passed on as news
@@ -406,7 +411,7 @@
 	f.Add([]byte{})
 	f.Add([]byte{0x0a, 0x01, 'a'})
 	f.Fuzz(func(_ *testing.T, raw []byte) {
-		NewLoads(LoadsDeps{Board: place.NewBoard(clockwork.NewFakeClock()), Budget: newBudget(), Log: quiet}).hear(raw)
+		NewLoads(LoadsDeps{Board: place.NewBoard(clockwork.NewFakeClock()), Budget: newBudget(), Limits: newLimits(), Log: quiet}).Hear(raw)
 	})
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -53,6 +53,8 @@
 	Reading      time.Duration
 	// Tried are endpoints that had the request already.
 	Tried map[fleet.EndpointID]bool
+	// Closed reports endpoints that take no request now; nil: all do.
+	Closed func(fleet.Endpoint) bool
 }
 
 // Ranked is an endpoint with its score; lower is better.
@@ -62,17 +64,27 @@
 	Standing Standing
 }
 
+// open are the candidates that may get the request.
+func (w Want) open(candidates []fleet.Endpoint) []fleet.Endpoint {
+	out := make([]fleet.Endpoint, 0, len(candidates))
+	for _, ep := range candidates {
+		if w.Tried[ep.ID] || w.Closed != nil && w.Closed(ep) {
+			continue
+		}
+		out = append(out, ep)
+	}
+	return out
+}
+
 // Rank orders endpoints for a request, best first. Ejected ones come last,
-// those tried already are left out.
+// those tried already and closed ones are left out.
 func (b *Board) Rank(candidates []fleet.Endpoint, w Want) []Ranked {
 	now := b.clock.Now()
 	preferred := prefer(candidates, w)
+	open := w.open(candidates)
 	b.mu.Lock()
-	out := make([]Ranked, 0, len(candidates))
-	for _, ep := range candidates {
-		if w.Tried[ep.ID] {
-			continue
-		}
+	out := make([]Ranked, 0, len(open))
+	for _, ep := range open {
 		load := b.supposedLocked(ep, now)
 		s := b.standingLocked(ep.ID, now)
 		s.Ejected = s.Ejected || b.awayLocked(ep.Domain, now)
--- /dev/null
+++ b/ratelimit/tell.go
@@ -0,0 +1,78 @@
+package ratelimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Told is what an entry tells others of a limited endpoint.
+type Told struct {
+	Endpoint uint32 // as entries call it among themselves
+	// Limit is in requests a second; 0: the endpoint names none any more.
+	Limit float64
+	// Age is how long ago an answer said so.
+	Age time.Duration
+	// Sent is how many requests the entry has sent there since it knows of the limit.
+	Sent uint32
+}
+
+// Tell returns what others should know, in the order of the endpoints.
+func (l *Limits) Tell() []Told {
+	if !l.Any() {
+		return nil
+	}
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Told, 0, len(l.byID))
+	for id, e := range l.byID {
+		if age := now.Sub(e.named); age <= e.life() {
+			out = append(out, Told{Endpoint: id, Limit: e.limit, Age: age, Sent: e.sent})
+		}
+	}
+	slices.SortFunc(out, func(a, b Told) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Hear takes what another entry told, be it nothing.
+func (l *Limits) Hear(entry string, told []Told) {
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard[entry] = now
+	for _, t := range told {
+		l.learnLocked(t.Endpoint, t.Limit, now.Add(-max(0, t.Age)))
+		if e := l.byID[t.Endpoint]; e != nil {
+			l.leakLocked(e, now)
+			e.heard(entry, t.Sent)
+		}
+	}
+}
+
+// Learn takes the limits that another entry knows, without what it has sent: entries that
+// do not use an endpoint must know of its limit as well.
+func (l *Limits) Learn(told []Told) {
+	if len(told) == 0 {
+		return
+	}
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range told {
+		l.learnLocked(t.Endpoint, t.Limit, now.Add(-max(0, t.Age)))
+	}
+}
+
+// heard adds what an entry has sent since it last told. One that has started again
+// counts from zero.
+func (e *limited) heard(entry string, sent uint32) {
+	before := e.told[entry]
+	if sent < before {
+		before = 0
+	}
+	e.told[entry] = sent
+	if e.limit > 0 {
+		e.bucket.add(float64(sent-before), e.limit)
+	}
+}
