Requests that are little work leave room at endpoints that name a limit

Cause: a limit counts requests, whatever work they are.

All of the limit is still used (TestTheLimitIsKeptAndUsed draws both kinds).

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -50,10 +50,11 @@
 	tried map[fleet.EndpointID]bool
 	// runs counts sends that may have run, refused those that did not.
 	runs, refused int
-	paid          bool // the next repeat was taken from the budget already
-	unreached     int  // sends for which no connection was accepted
-	model         int  // index into the route's models
-	started       bool // something of an answer has reached the caller
+	leaves        float64 // how much room the next send leaves at endpoints that name a limit
+	paid          bool    // the next repeat was taken from the budget already
+	unreached     int     // sends for which no connection was accepted
+	model         int     // index into the route's models
+	started       bool    // something of an answer has reached the caller
 	status        int
 	outcome       string
 	attempts      []attempt
@@ -173,7 +174,7 @@
 	}
 	s := x.server
 	group, best, ref := x.pick()
-	for ref == nil && !s.Limits.Take(best.Endpoint) {
+	for ref == nil && !s.Limits.Take(best.Endpoint, x.leaves) {
 		group, best, ref = x.pick()
 	}
 	if ref != nil {
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -20,8 +20,9 @@
 	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
 	opens := time.Duration(0) // when the first of those at their limits takes a request
 	if x.server.Limits.Any() {
+		x.leaves = x.server.Limits.Leaves(x.target(), x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt))
 		w.Closed = func(ep fleet.Endpoint) bool {
-			wait := x.server.Limits.Wait(ep)
+			wait := x.server.Limits.Wait(ep, x.leaves)
 			if wait > 0 && (opens == 0 || wait < opens) {
 				opens = wait
 			}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -9,6 +9,7 @@
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/upstream"
@@ -39,7 +40,7 @@
 	}
 	s := x.server
 	trial, ok := s.Rollouts.Trial(g, s.Board.Standing)
-	if !ok || x.tried[trial.Endpoint.ID] || !s.Budget.Take(x.target(), retry.ForTrial) || !s.Limits.Take(trial.Endpoint) {
+	if !ok || x.tried[trial.Endpoint.ID] || !s.Budget.Take(x.target(), retry.ForTrial) || !s.Limits.Take(trial.Endpoint, ratelimit.LightLeaves) {
 		return
 	}
 	x.copied = true
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -32,9 +32,10 @@
 	b.level = min(b.level+n, capacity(limit)+1+limit*mostDebt.Seconds())
 }
 
-// wait is how long until there is room for a request.
-func (b *bucket) wait(limit, full float64) time.Duration {
-	over := b.level + 1 - capacity(full)
+// wait is how long until there is room for a request that leaves so much room. The bucket
+// leaks at limit, and its capacity is that of the full limit.
+func (b *bucket) wait(leaves, limit, full float64) time.Duration {
+	over := b.level + 1 + leaves - capacity(full)
 	if over <= 0 {
 		return 0
 	}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -44,8 +44,9 @@
 // concurrent use; its lock is never held across a call.
 type Limits struct {
 	Deps
-	known atomic.Int32 // endpoints in byID, so that nothing is looked up where there is none
-	sent  chan struct{}
+	known   atomic.Int32 // endpoints in byID, so that nothing is looked up where there is none
+	sent    chan struct{}
+	weights weights
 
 	mu sync.Mutex
 	// byID is by what entries call endpoints among themselves.
@@ -105,8 +106,9 @@
 	e.limit, e.named = limit, at
 }
 
-// Take takes a request from an endpoint's limit and reports whether there was room.
-func (l *Limits) Take(ep fleet.Endpoint) bool {
+// Take takes a request from an endpoint's limit, if that leaves so much room, and reports
+// whether it did.
+func (l *Limits) Take(ep fleet.Endpoint, leaves float64) bool {
 	if !l.Any() {
 		return true
 	}
@@ -117,7 +119,7 @@
 	if e == nil {
 		return true
 	}
-	if l.waitLocked(e, ep, now) > 0 {
+	if l.waitLocked(e, ep, leaves, now) > 0 {
 		return false
 	}
 	e.bucket.add(1, e.limit)
@@ -129,8 +131,9 @@
 	return true
 }
 
-// Wait is how long until an endpoint takes another request; 0: it does now.
-func (l *Limits) Wait(ep fleet.Endpoint) time.Duration {
+// Wait is how long until an endpoint takes another request that leaves so much room; 0: it
+// does now.
+func (l *Limits) Wait(ep fleet.Endpoint, leaves float64) time.Duration {
 	if !l.Any() {
 		return 0
 	}
@@ -141,7 +144,7 @@
 	if e == nil {
 		return 0
 	}
-	return l.waitLocked(e, ep, now)
+	return l.waitLocked(e, ep, leaves, now)
 }
 
 // currentLocked is an endpoint whose limit holds; nil: there is none.
@@ -172,13 +175,13 @@
 	return max(lapseAfter, time.Duration(lapseRequests/e.limit*float64(time.Second)))
 }
 
-func (l *Limits) waitLocked(e *limited, ep fleet.Endpoint, now time.Time) time.Duration {
+func (l *Limits) waitLocked(e *limited, ep fleet.Endpoint, leaves float64, now time.Time) time.Duration {
 	e.domain = ep.Domain
 	part := l.leakLocked(e, now)
 	if part <= 0 {
 		return otherDomainTakes
 	}
-	return e.bucket.wait(part*e.limit, e.limit)
+	return e.bucket.wait(leaves, part*e.limit, e.limit)
 }
 
 // leakLocked takes out of a bucket what has become free, and returns the part of the limit
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -24,8 +24,9 @@
 
 // group is entries that tell each other; domains are as many as given.
 type group struct {
-	clock *clockwork.FakeClock
-	all   []*Limits
+	clock  *clockwork.FakeClock
+	all    []*Limits
+	leaves float64 // of the requests that are played
 }
 
 func newGroup(t interface{ Fatal(...any) }, n, domains int) *group {
@@ -67,7 +68,7 @@
 		var news []int
 		count := 0
 		for i, l := range g.all {
-			if rng.Float64() < perStep/float64(len(g.all)) && l.Wait(ep) == 0 && l.Take(ep) {
+			if rng.Float64() < perStep/float64(len(g.all)) && l.Wait(ep, g.leaves) == 0 && l.Take(ep, g.leaves) {
 				count++
 				l.Named(ep, limit)
 				news = append(news, i)
@@ -119,6 +120,7 @@
 		limit := rapid.Float64Range(0.2, 20).Draw(t, "limit")
 		g := newGroup(t, rapid.IntRange(1, 16).Draw(t, "entries"), 1)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		g.leaves = rapid.SampledFrom([]float64{0, LightLeaves}).Draw(t, "leaves")
 		g.all[0].Named(ep, limit)
 		g.tell(0, everyone)
 		got := g.demand(40*time.Second, limit, demandFor(limit), rng, func(int, int) bool { return true })
@@ -178,12 +180,12 @@
 	g := newGroup(t, 2, 1)
 	l := g.all[0]
 	l.Named(ep, 0.5)
-	for l.Take(ep) {
+	for l.Take(ep, 0) {
 	}
-	is.True(l.Wait(ep) > 0)
+	is.True(l.Wait(ep, 0) > 0)
 	g.clock.Advance(l.byID[g.all[0].Tell()[0].Endpoint].life() + time.Millisecond)
 	for range 100 {
-		is.True(l.Take(ep))
+		is.True(l.Take(ep, 0))
 	}
 }
 
@@ -193,15 +195,15 @@
 	g := newGroup(t, 2, 1)
 	g.all[0].Named(ep, 0.5)
 	g.tell(0, everyone)
-	for g.all[1].Take(ep) {
+	for g.all[1].Take(ep, 0) {
 	}
 	g.clock.Advance(time.Millisecond)
 	g.all[0].Named(ep, 0)
-	is.Equal(g.all[0].Wait(ep), time.Duration(0))
+	is.Equal(g.all[0].Wait(ep, 0), time.Duration(0))
 	g.tell(1, everyone) // older news changes nothing
-	is.Equal(g.all[0].Wait(ep), time.Duration(0))
+	is.Equal(g.all[0].Wait(ep, 0), time.Duration(0))
 	g.tell(0, everyone)
-	is.Equal(g.all[1].Wait(ep), time.Duration(0))
+	is.Equal(g.all[1].Wait(ep, 0), time.Duration(0))
 	g.clock.Advance(endedFor + time.Second)
 	is.Equal(len(g.all[0].Tell()), 0)
 }
@@ -215,8 +217,8 @@
 	for _, l := range g.all {
 		l.Named(ep, limit)
 	}
-	is.True(g.all[0].Take(ep))  // of the endpoint's domain
-	is.True(!g.all[1].Take(ep)) // of another
+	is.True(g.all[0].Take(ep, 0))  // of the endpoint's domain
+	is.True(!g.all[1].Take(ep, 0)) // of another
 	got := g.demand(20*time.Second, limit, 1, rng, func(from, to int) bool { return from%4 == to%4 })
 	is.True(most(got) <= mayGet(limit))
 	is.True(float64(sum(got)) >= 0.9*limit*20)
@@ -233,3 +235,32 @@
 	is.Equal(l.byID[7].bucket.level >= 1, true)
 	is.True(l.byID[7].bucket.level < 40)
 }
+
+// Guards against a limit used up by requests that are little work, while the others that have no limit are late with long prompts.
+func TestLightRequestsLeaveRoomForHeavyOnes(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 1, 1)
+	l := g.all[0]
+	const limit = 2.0
+	l.Named(ep, limit)
+	heavy, light := 0, 0
+	for n := range 3000 { // 30 s
+		work := 10 * time.Millisecond
+		if n%20 == 0 {
+			work = 100 * time.Millisecond
+		}
+		leaves := l.Leaves("s", work)
+		if l.Take(ep, leaves) {
+			l.Named(ep, limit)
+			if leaves == 0 {
+				heavy++
+			} else {
+				light++
+			}
+		}
+		g.clock.Advance(10 * time.Millisecond)
+	}
+	is.True(float64(heavy+light) >= 0.9*limit*30) // all of it is used
+	is.True(heavy > 4*light)
+	is.Equal(l.Leaves("plain", 0), 0.0) // where nothing is known of their work all are alike
+}
