The quarantine outlives all entries: test with processes

e2e.TestEdgeQuarantineOutlivesAllEntries: three entries, six engines that a body crashes; all entries killed at once after the request was recorded; none of those that start again sends it. The state dump tells how many requests are recorded. Stand-in engine processes end on a body (--crash-on).

--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -81,11 +81,15 @@
 	registrationEvery = time.Second
 )
 
+// crashStatus is what a process that crashes ends with.
+const crashStatus = 3
+
 type platformEngine struct {
 	config    platformtest.EngineConfig
 	advertise string
 	store     string
 	faults    float64
+	crashOn   string // a body that ends the process
 	// servesOn is how long it still serves after it has announced that it leaves.
 	servesOn time.Duration
 }
@@ -104,6 +108,7 @@
 	cmd.Flag("events", "Events of a stream.").Default("20").IntVar(&e.config.Events)
 	cmd.Flag("pause", "Pause between events.").Default("20ms").DurationVar(&e.config.Pause)
 	cmd.Flag("faults", "Share of requests that meet a fault.").Default("0").Float64Var(&e.faults)
+	cmd.Flag("crash-on", "Body of a request that ends the process; none: no request does.").StringVar(&e.crashOn)
 	cmd.Flag("serves-on", "How long it serves after a planned stop began.").Default("2500ms").DurationVar(&e.servesOn)
 	cmd.Action(func(*kingpin.ParseContext) error { return e.run(*address) })
 }
@@ -114,7 +119,11 @@
 		e.config.Address = e.advertise
 	}
 	e.config.Confidence = confidence
+	if e.crashOn != "" {
+		e.config.CrashOn = func(body []byte) bool { return string(body) == e.crashOn }
+	}
 	engine := platformtest.NewEngine(e.config)
+	engine.OnCrash = func() { os.Exit(crashStatus) }
 	engine.FaultOf = e.faultOf
 	engine.OnRun = printRun
 	srv, err := listen(address, engine)
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -41,6 +41,7 @@
 	grace            time.Duration // between SIGTERM and SIGKILL
 	work             time.Duration // of an engine on a plain request
 	events           int           // of a stream, 50 ms apart
+	crashOn          string        // a body that crashes the engines
 }
 
 type edgeEntry struct {
@@ -64,7 +65,7 @@
 	c.configure(1)
 	for i := range o.engines {
 		c.engines = append(c.engines, start(t, ctl, "standin", "platform-engine", "--listen", freeAddr(t), "--store", c.address, "--id", fmt.Sprintf("e%d", i),
-			"--service", "svc", "--domain", "d1", "--events", strconv.Itoa(o.events), "--pause", "50ms", "--work", o.work.String(), "--faults", "0"))
+			"--service", "svc", "--domain", "d1", "--events", strconv.Itoa(o.events), "--pause", "50ms", "--work", o.work.String(), "--faults", "0", "--crash-on", o.crashOn))
 	}
 	for i := range o.entries {
 		e := &edgeEntry{callers: freeAddr(t), readiness: freeAddr(t), peers: freeAddr(t)}
@@ -119,7 +120,11 @@
 }
 
 func (e *edgeEntry) request(path string) (status int, body string, err error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+e.callers+path, strings.NewReader("body"))
+	return e.requestWith(path, "body")
+}
+
+func (e *edgeEntry) requestWith(path, content string) (status int, body string, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.callers+path, strings.NewReader(content))
 	if err != nil {
 		return 0, "", err
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -142,6 +142,7 @@
 // State is the table's part of the state dump.
 type State struct {
 	Suspects    int      `json:"suspects"`
+	Recorded    int      `json:"recorded"`
 	Quarantined []string `json:"quarantined,omitempty"`
 }
 
@@ -149,7 +150,8 @@
 func (t *Table) State() State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := State{Suspects: len(t.suspects)}
+	t.takeRecordsLocked()
+	s := State{Suspects: len(t.suspects), Recorded: t.records.Len()}
 	for f := range t.guilty {
 		s.Quarantined = append(s.Quarantined, f.String())
 	}
