--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -89,7 +89,8 @@
 	advertise string
 	store     string
 	faults    float64
-	crashOn   string // a body that ends the process
+	crashOn   string  // a body that ends the process
+	limit     float64 // requests a second that it names; 0: none
 	// servesOn is how long it still serves after it has announced that it leaves.
 	servesOn time.Duration
 }
@@ -109,6 +110,7 @@
 	cmd.Flag("pause", "Pause between events.").Default("20ms").DurationVar(&e.config.Pause)
 	cmd.Flag("faults", "Share of requests that meet a fault.").Default("0").Float64Var(&e.faults)
 	cmd.Flag("crash-on", "Body of a request that ends the process; none: no request does.").StringVar(&e.crashOn)
+	cmd.Flag("limit", "Requests a second that it names in its answers; 0: none.").Default("0").Float64Var(&e.limit)
 	cmd.Flag("serves-on", "How long it serves after a planned stop began.").Default("2500ms").DurationVar(&e.servesOn)
 	cmd.Action(func(*kingpin.ParseContext) error { return e.run(*address) })
 }
@@ -123,6 +125,7 @@
 		e.config.CrashOn = func(body []byte) bool { return string(body) == e.crashOn }
 	}
 	engine := platformtest.NewEngine(e.config)
+	engine.SetLimit(e.limit)
 	engine.OnCrash = func() { os.Exit(crashStatus) }
 	engine.FaultOf = e.faultOf
 	engine.OnRun = printRun
