The OpenAI interface keeps limits that its back ends name

A back end names X-Lovageweir-Rate-Limit, requests a second from all entries together. Entries of that interface hear of each other once a second only, too seldom to share a bucket, so that one entry of the back end's failure domain uses all of the limit; the others learn of it by gossip and leave the back end to it. Where no back end has room the request is refused at once, with when one has.

Limits take their entries from a function, so that both routers can use them.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/duty"
 	"github.com/lovageweir/lovageweir/endpoints"
+	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
@@ -26,6 +27,7 @@
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rater"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
@@ -65,6 +67,7 @@
 			endpoints.NewTable,
 			newPoller,
 			newQuarantine,
+			newLimits,
 			newGossip,
 			newLedger,
 			newClaims,
@@ -114,11 +117,17 @@
 	return quarantine.New(quarantine.Deps{Instance: s.Instance, Clock: clock, Log: log.With("part", "quarantine")})
 }
 
+// newLimits keeps limits for this entry alone: one entry uses each limited back end.
+func newLimits(s *settings.Entry, clock clockwork.Clock, log *slog.Logger) *ratelimit.Limits {
+	self := []fleet.Entry{{Instance: s.Instance, Domain: s.Domain}}
+	return ratelimit.New(ratelimit.Deps{Instance: s.Instance, Domain: s.Domain, Entries: func() []fleet.Entry { return self }, Clock: clock, Log: log.With("part", "ratelimit")})
+}
+
 // newGossip puts together what entries tell each other.
-func newGossip(s *settings.Entry, members *peers.Table, dial peers.Dial, w *configwatch.Watcher, gd *guard.Guard, t *endpoints.Table, p *endpoints.Poller, q *quarantine.Table, log *slog.Logger) *peers.Gossip {
+func newGossip(s *settings.Entry, members *peers.Table, dial peers.Dial, w *configwatch.Watcher, gd *guard.Guard, t *endpoints.Table, p *endpoints.Poller, q *quarantine.Table, rl *ratelimit.Limits, log *slog.Logger) *peers.Gossip {
 	seeds := func() []string { return append(p.Seeds(), s.Peers...) }
 	g := peers.NewGossip(members, seeds, dial, log.With("part", "peers"))
-	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t, w.Table, s.Domain), suspects{q})
+	g.Add(configwatch.NewTopic(w, dial), gd.Topic(members.Local), endpoints.NewTopic(t, w.Table, s.Domain), suspects{q}, limits{rl})
 	w.OnNews(g.Rumour)
 	gd.OnNews(g.Rumour)
 	return g
@@ -143,14 +152,14 @@
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
 func newGateway(s *settings.Entry, l life, w *configwatch.Watcher, t *endpoints.Table, bill *ledger.Ledger, claims *idem.Claims,
-	gd *guard.Guard, q *quarantine.Table, planner *cascade.Planner, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
+	gd *guard.Guard, q *quarantine.Table, rl *ratelimit.Limits, members *peers.Table, planner *cascade.Planner, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
 	keys, err := s.Keyring()
 	if err != nil {
 		return nil, err
 	}
 	d := gateway.Deps{
 		Instance: s.Instance, Life: int64(l), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: bill, Claims: claims,
-		Guard: gd, Quarantine: q, Planner: planner, Gate: gate, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
+		Guard: gd, Quarantine: q, Limits: rl, HoldsLimit: func(b string) bool { return members.Holds("limit/"+b, 1) }, Planner: planner, Gate: gate, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
 		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Whole: s.AnswerTimeout},
 	}
 	if s.Rater != "" {
--- a/edge/module.go
+++ b/edge/module.go
@@ -133,7 +133,7 @@
 }
 
 func newLimits(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *ratelimit.Limits {
-	return ratelimit.New(ratelimit.Deps{Instance: s.Instance, Domain: s.Domain, View: f.View, Clock: clock, Log: log})
+	return ratelimit.New(ratelimit.Deps{Instance: s.Instance, Domain: s.Domain, Entries: func() []fleet.Entry { return f.View().Entries }, Clock: clock, Log: log})
 }
 
 func newLoads(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.Loads {
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -35,15 +35,25 @@
 	table   *route.Table
 	route   route.Request
 
-	customer   string
-	print      quarantine.Fingerprint
-	opened     bool
+	customer string
+	print    quarantine.Fingerprint
+	opened   bool
+	// roomIn is when the first of the back ends left out by their limits has room; 0:
+	// none was.
+	roomIn     time.Duration
 	mayHaveRun bool // a back end may have run it, wholly or in part
 	uses       []ledger.Use
 	pins       map[string]string // the session's versions, by model
 	release    func()            // gives back its idempotency key
 }
 
+// leftOut notes that a back end has no room for so long.
+func (q *request) leftOut(wait time.Duration) {
+	if q.roomIn == 0 || wait < q.roomIn {
+		q.roomIn = wait
+	}
+}
+
 // promptBytes is the size of the prompt, which cascades learn by.
 func (q *request) promptBytes() int {
 	n := 0
@@ -297,6 +307,9 @@
 	if cutOff(q.c) {
 		return errDraining
 	}
+	if refused == nil && q.roomIn > 0 {
+		refused = limited(q.roomIn)
+	}
 	if refused == nil {
 		refused = &route.Refusal{Code: "no_capacity", Status: http.StatusServiceUnavailable, Message: "no back end of " + q.name + " took the request", RetryAfter: noCapacityRetry}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rater"
 	"github.com/lovageweir/lovageweir/route"
 	"github.com/lovageweir/lovageweir/session"
@@ -83,6 +84,11 @@
 	Gate      *drain.Gate      // optional: no stop is planned
 	// Quarantine knows the requests that crash back ends; optional: none does.
 	Quarantine *quarantine.Table
+	// Limits are those that back ends name; optional: they are not kept. HoldsLimit
+	// reports whether this entry is the one of its failure domain that uses a back end
+	// which names one.
+	Limits     *ratelimit.Limits
+	HoldsLimit func(backend string) bool
 	Timeouts   Timeouts
 	Clock      clockwork.Clock
 	Log        *slog.Logger
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -74,6 +74,10 @@
 	g.budget.earn()
 	retries := 0
 	for _, b := range dec.Candidates {
+		if wait := g.room(b); wait > 0 {
+			q.leftOut(wait)
+			continue
+		}
 		a := g.try(q, dec, b, s)
 		if a.tokens > 0 {
 			q.uses = append(q.uses, ledger.Use{Model: dec.Model, Version: dec.Version, Tokens: a.tokens})
@@ -237,6 +241,7 @@
 	if err != nil {
 		return nil, attempt{notRun: !wrote.Load(), err: err}
 	}
+	g.noteLimit(b, resp.Header)
 	if resp.StatusCode == http.StatusOK || q.service != nil && !refusedUnrun(resp.StatusCode, true) {
 		return resp, attempt{} // a service's own failure is its answer
 	}
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -125,7 +125,7 @@
 		SessionLife: 5 * time.Second, Exposure: rollout.Exposure{Share: 0.15, Slack: 30}, Clock: clock, Log: log})
 	w.orders = rollouts
 	w.quarantine = quarantine.New(quarantine.Deps{Instance: name, Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
-	w.limits = ratelimit.New(ratelimit.Deps{Instance: name, Domain: "d1", View: w.fleet.View, Clock: clock, Log: log})
+	w.limits = ratelimit.New(ratelimit.Deps{Instance: name, Domain: "d1", Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock, Log: log})
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
 	w.stop = clockwork.NewFakeClock()
 	w.gate = drain.NewGate(w.stop)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -135,7 +135,7 @@
 }
 
 func newLimits() *ratelimit.Limits {
-	return ratelimit.New(ratelimit.Deps{View: fleet.EmptyView, Clock: clockwork.NewFakeClock(), Log: quiet})
+	return ratelimit.New(ratelimit.Deps{Entries: func() []fleet.Entry { return nil }, Clock: clockwork.NewFakeClock(), Log: quiet})
 }
 
 func newBudget() *retry.Budget {
--- a/openai/types.go
+++ b/openai/types.go
@@ -91,6 +91,9 @@
 	HeaderRevision       = "X-Lovageweir-Config-Revision"
 	// HeaderDraining is set by a back end that refuses because it leaves.
 	HeaderDraining = "X-Draining"
+	// HeaderRateLimit is how many requests a second a back end takes from all entries
+	// together, on each of its answers for as long as it holds.
+	HeaderRateLimit = "X-Lovageweir-Rate-Limit"
 	// HeaderQuality is QualityBelow on an answer of a cascade that no step
 	// brought to its target.
 	HeaderQuality = "X-Lovageweir-Quality"
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -35,7 +35,7 @@
 type Deps struct {
 	Instance string
 	Domain   string
-	View     func() *fleet.View
+	Entries  func() []fleet.Entry // all that are known, this one among them
 	Clock    clockwork.Clock
 	Log      *slog.Logger
 }
@@ -86,11 +86,12 @@
 	l.learnLocked(place.ShortID(ep.ID), limit, now)
 }
 
-// learnLocked takes what is newer than what is known.
-func (l *Limits) learnLocked(id uint32, limit float64, at time.Time) {
+// learnLocked takes what is newer than what is known, and reports whether the limit is
+// another one.
+func (l *Limits) learnLocked(id uint32, limit float64, at time.Time) (changed bool) {
 	e := l.byID[id]
 	if e == nil && limit <= 0 {
-		return
+		return false
 	}
 	if e == nil {
 		e = &limited{bucket: bucket{at: l.Clock.Now()}, told: map[string]uint32{}}
@@ -98,12 +99,28 @@
 		l.known.Store(int32(len(l.byID)))
 	}
 	if !at.After(e.named) {
-		return
+		return false
 	}
-	if limit != e.limit {
+	changed = limit != e.limit
+	if changed {
 		l.Log.Info("ratelimit: endpoint names another limit.", "endpoint", id, "per_second", limit, "before", e.limit)
 	}
 	e.limit, e.named = limit, at
+	return changed
+}
+
+// Limit is the limit that an endpoint names, in requests a second; 0: none.
+func (l *Limits) Limit(ep fleet.Endpoint) float64 {
+	if !l.Any() {
+		return 0
+	}
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.currentLocked(place.ShortID(ep.ID), now); e != nil {
+		return e.limit
+	}
+	return 0
 }
 
 // Take takes a request from an endpoint's limit, if that leaves so much room, and reports
@@ -200,7 +217,7 @@
 // others are taken to be gone: less than half of them are cut off together, and keep to
 // their part.
 func (l *Limits) partLocked(domain string, now time.Time) float64 {
-	entries := l.View().Entries
+	entries := l.Entries()
 	sharing, heard, own := 0, 0, false
 	for _, e := range entries {
 		if len(entries) > shareAll && e.Domain != domain {
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -13,9 +12,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/lovageweir/lovageweir/fleet"
-	"github.com/lovageweir/lovageweir/kv"
-	"github.com/lovageweir/lovageweir/kv/memkv"
-	"github.com/lovageweir/lovageweir/platform"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
@@ -29,20 +25,15 @@
 	leaves float64 // of the requests that are played
 }
 
-func newGroup(t interface{ Fatal(...any) }, n, domains int) *group {
+func newGroup(n, domains int) *group {
 	g := &group{clock: clockwork.NewFakeClock()}
-	f := fleet.NewFollower(fleet.Entry{}, memkv.New(g.clock), platform.Values{}, time.Second, g.clock, quiet)
-	c := fleet.Changes{Revision: 1, Whole: true}
+	var entries []fleet.Entry
 	for i := range n {
-		e := fleet.Entry{Instance: fmt.Sprintf("i%d", i), Domain: fmt.Sprintf("d%d", i%domains)}
-		raw, err := json.Marshal(e)
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.Events = append(c.Events, kv.Event{KV: kv.KeyValue{Key: fleet.EntryPrefix + e.Instance, Value: raw, ModRevision: 1}})
-		g.all = append(g.all, New(Deps{Instance: e.Instance, Domain: e.Domain, View: f.View, Clock: g.clock, Log: quiet}))
+		entries = append(entries, fleet.Entry{Instance: fmt.Sprintf("i%d", i), Domain: fmt.Sprintf("d%d", i%domains)})
+	}
+	for _, e := range entries {
+		g.all = append(g.all, New(Deps{Instance: e.Instance, Domain: e.Domain, Entries: func() []fleet.Entry { return entries }, Clock: g.clock, Log: quiet}))
 	}
-	f.Merge("test", c, 0)
 	return g
 }
 
@@ -118,7 +109,7 @@
 func TestTheLimitIsKeptAndUsed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(0.2, 20).Draw(t, "limit")
-		g := newGroup(t, rapid.IntRange(1, 16).Draw(t, "entries"), 1)
+		g := newGroup(rapid.IntRange(1, 16).Draw(t, "entries"), 1)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		g.leaves = rapid.SampledFrom([]float64{0, LightLeaves}).Draw(t, "leaves")
 		g.all[0].Named(ep, limit)
@@ -137,7 +128,7 @@
 func TestALimitIsKeptWhileTellingIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(0.2, 20).Draw(t, "limit")
-		g := newGroup(t, rapid.IntRange(2, 16).Draw(t, "entries"), 1)
+		g := newGroup(rapid.IntRange(2, 16).Draw(t, "entries"), 1)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		g.all[0].Named(ep, limit)
 		g.tell(0, everyone)
@@ -152,7 +143,7 @@
 func TestEachSideOfAPartitionKeepsItsPart(t *testing.T) {
 	is := is.New(t)
 	const limit = 6.0
-	g := newGroup(t, 8, 1)
+	g := newGroup(8, 1)
 	rng := rand.New(rand.NewPCG(1, 1))
 	g.all[0].Named(ep, limit)
 	g.tell(0, everyone)
@@ -165,7 +156,7 @@
 func TestThePartOfLostEntriesIsUsed(t *testing.T) {
 	is := is.New(t)
 	const limit = 4.0
-	g := newGroup(t, 8, 1)
+	g := newGroup(8, 1)
 	rng := rand.New(rand.NewPCG(1, 1))
 	g.all[0].Named(ep, limit)
 	g.tell(0, everyone)
@@ -177,7 +168,7 @@
 // Guards against a limit that nobody names any more holding for ever.
 func TestALimitLapsesWithoutNews(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, 2, 1)
+	g := newGroup(2, 1)
 	l := g.all[0]
 	l.Named(ep, 0.5)
 	for l.Take(ep, 0) {
@@ -192,7 +183,7 @@
 // Guards against the news that a limit has ended reaching one entry only.
 func TestTheEndOfALimitIsTold(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, 2, 1)
+	g := newGroup(2, 1)
 	g.all[0].Named(ep, 0.5)
 	g.tell(0, everyone)
 	for g.all[1].Take(ep, 0) {
@@ -212,7 +203,7 @@
 func TestInALargeFleetEntriesOfTheEndpointsDomainUseItsLimit(t *testing.T) {
 	is := is.New(t)
 	const limit = 2.0
-	g := newGroup(t, 60, 4)
+	g := newGroup(60, 4)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for _, l := range g.all {
 		l.Named(ep, limit)
@@ -227,7 +218,7 @@
 // Guards against an entry that starts again counted as having taken what it took before.
 func TestAnEntryThatStartsAgainCountsFromZero(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, 2, 1)
+	g := newGroup(2, 1)
 	l := g.all[0]
 	l.Hear("i1", []Told{{Endpoint: 7, Limit: 1, Sent: 40}})
 	g.clock.Advance(time.Minute / 6)
@@ -239,7 +230,7 @@
 // Guards against a limit used up by requests that are little work, while the others that have no limit are late with long prompts.
 func TestLightRequestsLeaveRoomForHeavyOnes(t *testing.T) {
 	is := is.New(t)
-	g := newGroup(t, 1, 1)
+	g := newGroup(1, 1)
 	l := g.all[0]
 	const limit = 2.0
 	l.Named(ep, limit)
--- a/ratelimit/tell.go
+++ b/ratelimit/tell.go
@@ -51,17 +51,18 @@
 }
 
 // Learn takes the limits that another entry knows, without what it has sent: entries that
-// do not use an endpoint must know of its limit as well.
-func (l *Limits) Learn(told []Told) {
+// do not use an endpoint must know of its limit as well. It reports whether one was news.
+func (l *Limits) Learn(told []Told) (news bool) {
 	if len(told) == 0 {
-		return
+		return false
 	}
 	now := l.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range told {
-		l.learnLocked(t.Endpoint, t.Limit, now.Add(-max(0, t.Age)))
+		news = l.learnLocked(t.Endpoint, t.Limit, now.Add(-max(0, t.Age))) || news
 	}
+	return news
 }
 
 // heard adds what an entry has sent since it last told. One that has started again
