Requests to endpoints that name a limit are told at once

A datagram of limits alone goes to the entries that share the endpoint. Test: mesh.TestWhatIsSentToALimitedEndpointIsToldAtOnce.

--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// tellLimits lets one entry tell the others what it sent to endpoints that name a limit.
+func (f *entries) tellLimits(entry int) {
+	f.t.Helper()
+	raw, err := f.all[entry].loads.LimitsDatagram()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for i, e := range f.all {
+		if i != entry {
+			e.loads.Hear(raw)
+		}
+	}
+}
+
 // send sends a request to an entry, under an id of its own.
 func (f *entries) send(entry int, path, body string) answer {
 	f.t.Helper()
--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -58,7 +58,7 @@
 			got := f.send(entry, "/post/x", fmt.Sprintf("body %d", f.sent))
 			select {
 			case <-f.all[entry].limits.Sent():
-				f.tell(entry)
+				f.tellLimits(entry)
 			default:
 			}
 			switch got.status {
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -83,6 +83,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	go l.listen()
+	go l.runLimits(ctx)
 	for l.awaitTurn(ctx) {
 		others := l.others()
 		l.pace.sent(len(others))
@@ -100,7 +101,6 @@
 	select {
 	case <-l.Clock.After(time.Duration(float64(regular) * (0.9 + rand.Float64()/5))):
 	case <-l.Board.Grew():
-	case <-l.Limits.Sent():
 	case <-ctx.Done():
 		return false
 	}
@@ -167,6 +167,10 @@
 		return
 	}
 	l.quiet = empty
+	l.send(raw, others)
+}
+
+func (l *Loads) send(raw []byte, others []string) {
 	for _, address := range others {
 		to, err := net.ResolveUDPAddr("udp", address)
 		if err != nil {
@@ -195,12 +199,7 @@
 		msg.Waiting = append(msg.Waiting, uint32(t.Waiting))
 		msg.LoadAgeMs = append(msg.LoadAgeMs, uint32(t.Age.Milliseconds()))
 	}
-	for _, t := range l.limits() {
-		msg.Limited = append(msg.Limited, t.Endpoint)
-		msg.Limit = append(msg.Limit, thousandths(t.Limit))
-		msg.LimitAgeMs = append(msg.LimitAgeMs, uint32(t.Age.Milliseconds()))
-		msg.Sent = append(msg.Sent, t.Sent)
-	}
+	l.addLimits(msg)
 	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited) == 0
 	for _, c := range l.Budget.Counts() {
 		msg.Service = append(msg.Service, c.Service)
@@ -212,16 +211,6 @@
 	return raw, empty, err
 }
 
-// limits are those that fit a datagram, drawn anew each time if there are more.
-func (l *Loads) limits() []ratelimit.Told {
-	told := l.Limits.Tell()
-	if len(told) > mostLimits {
-		rand.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
-		told = told[:mostLimits]
-	}
-	return told
-}
-
 func (l *Loads) listen() {
 	buf := make([]byte, mostDatagram)
 	for {
@@ -243,6 +232,10 @@
 		l.Log.Debug("mesh: datagram is no load.", "bytes", len(raw))
 		return
 	}
+	l.hearLimits(&msg)
+	if msg.LimitsOnly {
+		return
+	}
 	work := make(map[uint32]time.Duration, len(msg.Endpoint))
 	for i, id := range msg.Endpoint {
 		work[id] = time.Duration(msg.WorkMs[i]) * time.Millisecond
@@ -260,12 +253,6 @@
 			Count: retry.Count{Requests: float64(msg.Requests[i]), Repeats: float64(msg.Repeats[i]), Failures: float64(msg.Failures[i])}})
 	}
 	l.Budget.Hear(msg.Instance, counts)
-	limits := make([]ratelimit.Told, 0, len(msg.Limited))
-	for i, id := range msg.Limited {
-		limits = append(limits, ratelimit.Told{Endpoint: id, Limit: float64(msg.Limit[i]) / limitUnit,
-			Age: time.Duration(msg.LimitAgeMs[i]) * time.Millisecond, Sent: msg.Sent[i]})
-	}
-	l.Limits.Hear(msg.Instance, limits)
 }
 
 // even reports whether the columns of a datagram are of equal length.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -443,3 +445,32 @@
 	clock.Advance(wholeEvery)
 	is.Equal(len(ask(0).Changes), 1)
 }
+
+// Guards against a limit exceeded because others hear of requests only when it is the turn of the loads.
+func TestWhatIsSentToALimitedEndpointIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	ep := fleet.Endpoint{ID: "e1", Domain: "d0"}
+	clock := clockwork.NewFakeClock() // no regular telling is due
+	m := newEntry(t, "a")
+	heard, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer heard.Close()
+	know(m, fleet.Changes{Revision: 1, Whole: true, Events: []kv.Event{
+		put(fleet.EntryPrefix+"b", fmt.Sprintf(`{"instance":"b","domain":"d0","loads":%q}`, heard.LocalAddr().String()), 1)}})
+	limits := ratelimit.New(ratelimit.Deps{Instance: "a", Domain: "d0", Entries: func() []fleet.Entry { return m.Fleet.View().Entries }, Clock: clock, Log: quiet})
+	l := NewLoads(LoadsDeps{Instance: "a", Domain: "d0", Address: "127.0.0.1:0", Fleet: m.Fleet, Board: place.NewBoard(clock), Budget: newBudget(), Limits: limits, Clock: clock, Log: quiet})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	limits.Named(ep, 2)
+	is.True(limits.Take(ep, 0))
+	buf := make([]byte, mostDatagram)
+	n, _, err := heard.ReadFrom(buf)
+	is.NoErr(err)
+	var msg meshpb.Load
+	is.NoErr(proto.Unmarshal(buf[:n], &msg))
+	is.True(msg.LimitsOnly)
+	is.Equal(msg.Sent, []uint32{1})
+	stop()
+	<-done
+}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -192,6 +192,10 @@
 	return max(lapseAfter, time.Duration(lapseRequests/e.limit*float64(time.Second)))
 }
 
+// Share reports whether an entry of one failure domain uses the limited endpoints of
+// another, where there are so many entries.
+func Share(entries int, of, endpoint string) bool { return entries <= shareAll || of == endpoint }
+
 func (l *Limits) waitLocked(e *limited, ep fleet.Endpoint, leaves float64, now time.Time) time.Duration {
 	e.domain = ep.Domain
 	part := l.leakLocked(e, now)
@@ -220,7 +224,7 @@
 	entries := l.Entries()
 	sharing, heard, own := 0, 0, false
 	for _, e := range entries {
-		if len(entries) > shareAll && e.Domain != domain {
+		if !Share(len(entries), e.Domain, domain) {
 			continue
 		}
 		sharing++
@@ -232,7 +236,7 @@
 		}
 	}
 	switch {
-	case len(entries) > shareAll && domain != l.Domain && sharing > 0:
+	case !Share(len(entries), l.Domain, domain) && sharing > 0:
 		return 0
 	case !own:
 		sharing++ // it is not registered yet
