--- a/agent/serve.go
+++ b/agent/serve.go
@@ -22,6 +22,7 @@
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/peers"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
 )
@@ -40,6 +41,7 @@
 	Ledger    *ledger.Ledger
 	Claims    *idem.Claims
 	Planner   *cascade.Planner
+	Suspects  *quarantine.Table
 	Metrics   *telemetry.Metrics
 	Log       *slog.Logger
 }
@@ -57,12 +59,13 @@
 	ClaimsPending int                           `json:"claims_to_release"`
 	Cascades      []cascade.StepState           `json:"cascades"`
 	Endpoints     endpoints.State               `json:"endpoints"`
+	Quarantine    quarantine.State              `json:"quarantine"`
 }
 
 func (p parts) dump() Dump {
 	return Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Draining: p.Gate.Stopping(), InFlight: p.Gate.InFlight(),
 		Config: p.Watcher.State(), Peers: p.Members.State(), Guard: p.Guard.State(), Ledger: p.Ledger.State(),
-		ClaimsPending: p.Claims.Pending(), Cascades: p.Planner.State(), Endpoints: p.Endpoints.Snapshot()}
+		ClaimsPending: p.Claims.Pending(), Cascades: p.Planner.State(), Endpoints: p.Endpoints.Snapshot(), Quarantine: p.Suspects.State()}
 }
 
 func (p parts) ready() bool { return !p.Gate.Stopping() && p.Watcher.Table() != nil }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -76,13 +76,23 @@
 	if t.served.has(f) {
 		return
 	}
-	s := t.suspects.of(f)
-	if s.note(ep, crash{stage: stage, at: now, own: true}) {
-		t.newsLocked(s)
+	if t.noteLocked(f, ep, crash{stage: stage, at: now, own: true}) {
 		t.judgeLocked()
 	}
 }
 
+// noteLocked notes a crash against a request, and reports whether that may change who is
+// guilty.
+func (t *Table) noteLocked(f Fingerprint, ep fleet.EndpointID, c crash) bool {
+	s := t.suspects.of(f)
+	if !s.note(ep, c) {
+		return false
+	}
+	t.newsLocked(s)
+	_, guilty := t.guilty[f]
+	return guilty || s.weight(nil) >= guiltyWeight
+}
+
 // Served notes that a request was answered whole: it crashes no endpoint.
 func (t *Table) Served(f Fingerprint) {
 	now := t.Clock.Now()
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -81,21 +81,17 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news := false
+	judge := false
 	for _, r := range rows {
 		if t.served.has(r.Fingerprint) {
 			continue
 		}
-		s := t.suspects.of(r.Fingerprint)
 		for _, c := range r.Crashes {
 			stage := min(max(c.Stage, Waiting), Running)
-			if s.note(c.Endpoint, crash{stage: stage, at: now.Add(-max(0, c.Age))}) {
-				news = true
-				t.newsLocked(s)
-			}
+			judge = t.noteLocked(r.Fingerprint, c.Endpoint, crash{stage: stage, at: now.Add(-max(0, c.Age))}) || judge
 		}
 	}
-	if news {
+	if judge {
 		t.judgeLocked()
 	}
 }
