--- a/agent/serve.go
+++ b/agent/serve.go
@@ -23,6 +23,7 @@
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
 	"github.com/lovageweir/lovageweir/settings"
 )
@@ -42,6 +43,7 @@
 	Claims    *idem.Claims
 	Planner   *cascade.Planner
 	Suspects  *quarantine.Table
+	Limits    *ratelimit.Limits
 	Metrics   *telemetry.Metrics
 	Log       *slog.Logger
 }
@@ -60,12 +62,13 @@
 	Cascades      []cascade.StepState           `json:"cascades"`
 	Endpoints     endpoints.State               `json:"endpoints"`
 	Quarantine    quarantine.State              `json:"quarantine"`
+	Limits        []ratelimit.EndpointState     `json:"limits"`
 }
 
 func (p parts) dump() Dump {
 	return Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Draining: p.Gate.Stopping(), InFlight: p.Gate.InFlight(),
 		Config: p.Watcher.State(), Peers: p.Members.State(), Guard: p.Guard.State(), Ledger: p.Ledger.State(),
-		ClaimsPending: p.Claims.Pending(), Cascades: p.Planner.State(), Endpoints: p.Endpoints.Snapshot(), Quarantine: p.Suspects.State()}
+		ClaimsPending: p.Claims.Pending(), Cascades: p.Planner.State(), Endpoints: p.Endpoints.Snapshot(), Quarantine: p.Suspects.State(), Limits: p.Limits.State()}
 }
 
 func (p parts) ready() bool { return !p.Gate.Stopping() && p.Watcher.Table() != nil }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -19,6 +19,7 @@
 	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -63,6 +64,7 @@
 	Mesh     *mesh.Mesh
 	Rollouts *rollout.Controller
 	Suspects *quarantine.Table
+	Limits   *ratelimit.Limits
 	Metrics  *telemetry.Metrics
 	Log      *slog.Logger
 }
@@ -85,6 +87,8 @@
 	Mesh     mesh.State      `json:"mesh"`
 	// Quarantine is of requests that crash endpoints.
 	Quarantine quarantine.State `json:"quarantine"`
+	// Limits are those that endpoints name.
+	Limits []ratelimit.EndpointState `json:"limits"`
 }
 
 // ServiceDump is a service's part of the dump.
@@ -99,7 +103,7 @@
 	v := p.Fleet.View()
 	d := Dump{Instance: p.Set.Instance, Domain: p.Set.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
 		InFlight: p.Gate.InFlight(), Revision: int64(v.Revision), AgeMS: -1, Away: p.Fleet.StoreAway(), Entries: v.Entries,
-		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.Suspects.State()}
+		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.Suspects.State(), Limits: p.Limits.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
 	}
--- /dev/null
+++ b/ratelimit/bench_test.go
@@ -0,0 +1,30 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+// BenchmarkWait is what each candidate that names a limit costs a choice, by the number of
+// entries.
+func BenchmarkWait(b *testing.B) {
+	for _, n := range []int{8, 72, 330} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := newGroup(n, 1).all[0]
+			l.Named(ep, 2)
+			for b.Loop() {
+				l.Wait(ep, 0)
+			}
+		})
+	}
+}
+
+// BenchmarkWaitWithoutLimits is what a choice costs where no endpoint names a limit.
+func BenchmarkWaitWithoutLimits(b *testing.B) {
+	l := newGroup(8, 1).all[0]
+	for b.Loop() {
+		l.Wait(fleet.Endpoint{ID: "e"}, 0)
+	}
+}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -56,12 +56,12 @@
 
 // limited is an endpoint that names a limit, or did a moment ago.
 type limited struct {
-	limit  float64   // requests a second; 0: it names none any more
-	named  time.Time // when the answer that said so came
-	bucket bucket
-	domain string            // of the endpoint; empty: not known
-	sent   uint32            // by this entry, since it knows of the limit
-	told   map[string]uint32 // the same of other entries, as they last told
+	limit    float64   // requests a second; 0: it names none any more
+	named    time.Time // when the answer that said so came
+	bucket   bucket
+	endpoint fleet.Endpoint    // empty: only others have used it
+	sent     uint32            // by this entry, since it knows of the limit
+	told     map[string]uint32 // the same of other entries, as they last told
 }
 
 // New returns limits that know of none.
@@ -83,18 +83,18 @@
 	now := l.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.learnLocked(place.ShortID(ep.ID), limit, now)
+	l.learnLocked(place.ShortID(ep.ID), ep, limit, now)
 }
 
 // learnLocked takes what is newer than what is known, and reports whether the limit is
 // another one.
-func (l *Limits) learnLocked(id uint32, limit float64, at time.Time) (changed bool) {
+func (l *Limits) learnLocked(id uint32, ep fleet.Endpoint, limit float64, at time.Time) (changed bool) {
 	e := l.byID[id]
 	if e == nil && limit <= 0 {
 		return false
 	}
 	if e == nil {
-		e = &limited{bucket: bucket{at: l.Clock.Now()}, told: map[string]uint32{}}
+		e = &limited{endpoint: ep, bucket: bucket{at: l.Clock.Now()}, told: map[string]uint32{}}
 		l.byID[id] = e
 		l.known.Store(int32(len(l.byID)))
 	}
@@ -103,7 +103,7 @@
 	}
 	changed = limit != e.limit
 	if changed {
-		l.Log.Info("ratelimit: endpoint names another limit.", "endpoint", id, "per_second", limit, "before", e.limit)
+		l.Log.Info("ratelimit: endpoint names another limit.", "endpoint", e.endpoint.ID, "short_id", id, "per_second", limit, "before", e.limit)
 	}
 	e.limit, e.named = limit, at
 	return changed
@@ -172,7 +172,7 @@
 	}
 	if now.Sub(e.named) > e.life() {
 		if e.limit > 0 {
-			l.Log.Info("ratelimit: limit lapses without news.", "endpoint", id, "per_second", e.limit)
+			l.Log.Info("ratelimit: limit lapses without news.", "endpoint", e.endpoint.ID, "short_id", id, "per_second", e.limit)
 		}
 		delete(l.byID, id)
 		l.known.Store(int32(len(l.byID)))
@@ -197,7 +197,7 @@
 func Share(entries int, of, endpoint string) bool { return entries <= shareAll || of == endpoint }
 
 func (l *Limits) waitLocked(e *limited, ep fleet.Endpoint, leaves float64, now time.Time) time.Duration {
-	e.domain = ep.Domain
+	e.endpoint = ep
 	part := l.leakLocked(e, now)
 	if part <= 0 {
 		return otherDomainTakes
@@ -209,8 +209,8 @@
 // that this entry and those that it hears may use.
 func (l *Limits) leakLocked(e *limited, now time.Time) float64 {
 	part := 1.0
-	if e.domain != "" {
-		part = l.partLocked(e.domain, now)
+	if e.endpoint.Domain != "" {
+		part = l.partLocked(e.endpoint.Domain, now)
 	}
 	e.bucket.leak(now, part*e.limit)
 	return part
--- a/ratelimit/tell.go
+++ b/ratelimit/tell.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/lovageweir/lovageweir/fleet"
 )
 
 // Told is what an entry tells others of a limited endpoint.
@@ -42,7 +44,7 @@
 	defer l.mu.Unlock()
 	l.heard[entry] = now
 	for _, t := range told {
-		l.learnLocked(t.Endpoint, t.Limit, now.Add(-max(0, t.Age)))
+		l.learnLocked(t.Endpoint, fleet.Endpoint{}, t.Limit, now.Add(-max(0, t.Age)))
 		if e := l.byID[t.Endpoint]; e != nil {
 			l.leakLocked(e, now)
 			e.heard(entry, t.Sent)
@@ -60,7 +62,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range told {
-		news = l.learnLocked(t.Endpoint, t.Limit, now.Add(-max(0, t.Age))) || news
+		news = l.learnLocked(t.Endpoint, fleet.Endpoint{}, t.Limit, now.Add(-max(0, t.Age))) || news
 	}
 	return news
 }
