Crashes under copies, and of endpoints whose registration has lapsed, are held against the request

Cause: a copy for a trial whose endpoint crashed was a copy that was not answered, and nothing more; and only endpoints registered as ready counted as crashed, though those that lapsed of late get requests while no other is left. An endpoint that leaves still ends as planned. Test: ingress.TestACrashUnderACopyIsHeldAgainstItsRequest (never ended before: no suspicion).

--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/quarantine"
 )
 
@@ -14,16 +15,23 @@
 	return quarantine.Of(customer, x.r.Method, x.r.Host, x.r.RequestURI, x.body)
 }
 
-// noteCrash notes that an attempt broke off, if its endpoint crashed. One that was leaving
-// has ended as planned.
+// noteCrash notes that an attempt broke off, if its endpoint crashed.
 func (x *exchange) noteCrash(c *sent, stage quarantine.Stage) {
-	group := x.server.Fleet.View().Group(c.endpoint.Service)
-	if c.watch.why() != "" || group == nil || !group.IsReady(c.endpoint.ID) || !x.server.probes.Ended(c.endpoint.Address) {
-		return
+	if c.watch.why() == "" {
+		x.attempts[c.index].crashed = x.server.noteCrash(x.facts.ID, x.fingerprint, c.endpoint, stage)
 	}
-	x.attempts[c.index].crashed = true
-	x.server.Quarantine.Crashed(x.fingerprint, c.endpoint.ID, stage)
-	x.server.Log.Info("ingress: endpoint crashed under a request.", "id", x.facts.ID, "fingerprint", x.fingerprint.String(), "endpoint", c.endpoint.ID, "stage", stage.String())
+}
+
+// noteCrash notes that an endpoint's answer broke off and reports whether the endpoint
+// crashed. One that was leaving has ended as planned.
+func (s *Server) noteCrash(id string, of quarantine.Fingerprint, ep fleet.Endpoint, stage quarantine.Stage) bool {
+	group := s.Fleet.View().Group(ep.Service)
+	if group == nil || !group.IsReady(ep.ID) && !group.HasLapsed(ep.ID) || !s.probes.Ended(ep.Address) {
+		return false
+	}
+	s.Quarantine.Crashed(of, ep.ID, stage)
+	s.Log.Info("ingress: endpoint crashed under a request.", "id", id, "fingerprint", of.String(), "endpoint", ep.ID, "stage", stage.String())
+	return true
 }
 
 // quarantined refuses a request that crashes endpoints.
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
@@ -57,10 +59,10 @@
 			cancel()
 		}
 	})
-	id := x.facts.ID
+	id, of := x.facts.ID, x.fingerprint
 	go func() {
 		defer cancel()
-		s.runCopy(ctx, id, g, trial, req)
+		s.runCopy(ctx, id, of, g, trial, req)
 	}()
 }
 
@@ -81,13 +83,14 @@
 	return x.route.Models[len(x.route.Models)-1]
 }
 
-func (s *Server) runCopy(ctx context.Context, id string, g *fleet.Group, trial rollout.Trial, req *upstream.Request) {
+func (s *Server) runCopy(ctx context.Context, id string, of quarantine.Fingerprint, g *fleet.Group, trial rollout.Trial, req *upstream.Request) {
 	ep := trial.Endpoint
 	begun := s.Clock.Now()
 	ticket := s.Board.Begin(ep, 0)
 	resp, err := upstream.Send(ctx, req)
 	if err != nil {
 		ticket.End(place.Abandoned)
+		s.noteCopyCrash(ctx, id, of, ep, err, quarantine.Waiting)
 		s.Log.Info("ingress: copy not answered.", "id", id, "endpoint", ep.ID, "version", ep.Version, "error", err, "ms", s.Clock.Since(begun).Milliseconds())
 		return
 	}
@@ -101,8 +104,23 @@
 	if !head.NotRun && !head.WrongEndpoint {
 		s.Rollouts.ObserveTrial(g, trial, load.Running+load.Waiting, head.Status >= http.StatusInternalServerError)
 	}
-	_, err = io.Copy(io.Discard, resp.Body)
+	read, err := io.Copy(io.Discard, resp.Body)
 	ticket.End(place.Abandoned)
+	stage := quarantine.Started
+	if read > 0 {
+		stage = quarantine.Running
+	}
+	s.noteCopyCrash(ctx, id, of, ep, err, stage)
 	s.Log.Info("ingress: copy ended.", "id", id, "endpoint", ep.ID, "version", ep.Version, "status", resp.Status, "not_run", head.NotRun,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "whole", err == nil, "ms", s.Clock.Since(begun).Milliseconds())
 }
+
+// noteCopyCrash notes that a copy broke off, if its endpoint crashed. One whose caller left
+// was ended here.
+func (s *Server) noteCopyCrash(ctx context.Context, id string, of quarantine.Fingerprint, ep fleet.Endpoint, err error, stage quarantine.Stage) {
+	var notSent *upstream.NotSentError
+	if err == nil || ctx.Err() != nil || errors.As(err, &notSent) {
+		return
+	}
+	s.noteCrash(id, of, ep, stage)
+}
--- a/ingress/trial_test.go
+++ b/ingress/trial_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/rollout"
 )
 
@@ -107,3 +108,34 @@
 	is.True(<-gone != nil)
 	ran(w.engines[1], 1, func(r platformtest.Run) bool { return r.Left })
 }
+
+// Guards against a request that crashes engines being unknown because its copy was the first to crash one.
+func TestACrashUnderACopyIsHeldAgainstItsRequest(t *testing.T) {
+	is := is.New(t)
+	w := newTrialWorld(t)
+	w.engines[0].Config.Events, w.engines[0].Config.Pause = 500, 20*time.Millisecond
+	trial, err := platformtest.StartProcess(platformtest.EngineConfig{ID: "new", Service: service, Domain: "d1", Version: "v2", Slots: 64,
+		CrashOn: func([]byte) bool { return true }})
+	is.NoErr(err)
+	t.Cleanup(trial.Close)
+	w.put(trial.Engine().Registration(false)) // takes the place of the one that is well
+	w.sync()
+	ctx, leave := context.WithCancel(context.Background())
+	req := w.request(http.MethodPost, "/sized/stream", poison, trialHeaders...).WithContext(ctx)
+	gone := make(chan error)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close() // it is broken off
+		}
+		gone <- err
+	}()
+	of := quarantine.Of("cust", http.MethodPost, host, "/sized/stream", []byte(poison))
+	for !w.quarantine.Check(of).Suspect {
+		runtime.Gosched()
+	}
+	leave()
+	is.True(<-gone != nil)
+	is.Equal(trial.Crashes(), 1)
+}
