--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -25,6 +25,7 @@
 	cmd.Flag("engines", "Engine processes at the start.").Default("4").IntVar(&o.Engines)
 	cmd.Flag("callers", "Callers, each with connections of its own.").Default("24").IntVar(&o.Callers)
 	cmd.Flag("series", "Stop entries in series that overlap, instead of single faults of every kind on them.").BoolVar(&o.Series)
+	cmd.Flag("fragile", "Send a request that crashes the engines that run it.").BoolVar(&o.Fragile)
 	cmd.Flag("edge", "The lovageweir program; default: beside this one.").StringVar(&o.Edge)
 	logs := cmd.Flag("logs", "Where logs of seeds that failed are kept.").Default(os.TempDir()).String()
 	cmd.Action(func(*kingpin.ParseContext) error { return run(o, *seeds, *logs) })
@@ -63,7 +64,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	fmt.Printf("seed %d: %d requests, %d faults, %d planned stops, %d findings, %v\n", r.Seed, r.Requests, len(r.Faults), r.Stops, len(r.Findings), time.Since(begun).Round(time.Second))
+	fmt.Printf("seed %d: %d requests, %d faults, %d planned stops, %d engines crashed, %d findings, %v\n", r.Seed, r.Requests, len(r.Faults), r.Stops, r.Crashes, len(r.Findings), time.Since(begun).Round(time.Second))
 	if !r.Failed() {
 		return trace.ConvertSystemError(os.RemoveAll(dir))
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -40,9 +40,10 @@
 
 // callers send requests over connections that they keep, until ctx ends.
 type callers struct {
-	c      *cluster
-	seed   uint64
-	series bool // some callers keep long streams open, some open a connection a request
+	c       *cluster
+	seed    uint64
+	fragile bool // requests go to the fragile service, and one crashes its engines
+	series  bool // some callers keep long streams open, some open a connection a request
 
 	mu       sync.Mutex
 	all      []seen
@@ -92,7 +93,7 @@
 	version := s.c.newest()
 	ctx, cancel := context.WithTimeout(context.Background(), limitOf(kind)+requestSlack)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+pathOf(kind, version), strings.NewReader("body of "+id))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.callers+pathOf(kind, version), strings.NewReader(bodyOf(id, kind)))
 	if err != nil {
 		s.found("%s: %v", id, err)
 		return
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -90,8 +91,9 @@
 	client  *platform.Store
 	direct  string
 	entries []*entry
-	mu      sync.Mutex // guards engines and version
+	mu      sync.Mutex // guards engines, fragile and version
 	engines []*engine
+	fragile []*engine // of the fragile service
 	version int64
 	all     []*process
 	ctl     string
@@ -198,7 +200,10 @@
 	long.Timeout = longLimit
 	long.Targets = []fleet.Target{{Service: slowService, Weight: 1}}
 	call.Targets = long.Targets
-	cfg.Routes = append(cfg.Routes, long, call)
+	cfg.Services[fragileService] = fleet.Service{Name: fragileService}
+	fragile := route(kindFragile, fleet.Streaming, 3, true)
+	fragile.Targets = []fleet.Target{{Service: fragileService, Weight: 1}}
+	cfg.Routes = append(cfg.Routes, long, call, fragile)
 	_, err := c.client.Put(context.Background(), "op/config", platformtest.EncodeConfig(cfg), 0)
 	for try := 0; err != nil && try < 50; try++ { // the store may only just start
 		time.Sleep(100 * time.Millisecond)
@@ -233,7 +238,7 @@
 // runs are the runs that engines have printed, by request.
 func (c *cluster) runs() (*ran, error) {
 	out := &ran{times: map[string]int{}, left: map[string]time.Time{}}
-	for _, e := range c.engines {
+	for _, e := range append(slices.Clone(c.engines), c.fragile...) {
 		f, err := os.Open(e.log)
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/soak/fragile.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lovageweir/lovageweir/platform/platformtest"
+)
+
+// The fragile service: a request crashes its engines, which come back. Its engines have no proxies before them: one would accept connections
+// for a process that has ended.
+const (
+	fragileService = "fragile"
+	fragileEngines = 5
+	fragileFrom    = 70 // number of the first of its engines
+	poisonBody     = "a body that crashes engines"
+	// poisonEvery: one request of the kind in so many is the one that crashes engines.
+	poisonEvery = 6
+	// backAfter is how long an engine that crashed is gone.
+	backAfter = time.Second
+	// crashesKnown is how many crashes make a request known, crashesMore how many may
+	// follow later than stable after these: the users' bounds.
+	crashesKnown = 3
+	crashesMore  = 3
+)
+
+// fragileArgs are what a fragile engine is started with besides.
+func fragileArgs() []string {
+	return []string{"--crash-on", poisonBody, "--pause", "2ms"}
+}
+
+// addFragile starts a fragile engine. It is not among those that the cluster ends.
+func (c *cluster) addFragile(number int) (*engine, error) {
+	name := fmt.Sprintf("engine-%d-v1-%d", number, time.Now().UnixNano())
+	args := append([]string{c.ctl, "standin", "platform-engine", "--listen", freeAddress(), "--store", c.direct, "--id", name, "--service", fragileService,
+		"--domain", fmt.Sprintf("d%d", number%2), "--events", strconv.Itoa(streamEvents)}, fragileArgs()...)
+	e := &engine{log: c.log(name), service: fragileService, process: &process{name: name, args: args}}
+	c.mu.Lock()
+	c.fragile = append(c.fragile, e)
+	c.mu.Unlock()
+	return e, e.start(e.log)
+}
+
+// supervisor keeps the fragile engines running until its context ends.
+type supervisor struct {
+	c  *cluster
+	f  *faults
+	wg sync.WaitGroup
+}
+
+func (s *supervisor) run(ctx context.Context, engines int) {
+	for i := range engines {
+		s.wg.Go(func() { s.keep(ctx, fragileFrom+i) })
+	}
+}
+
+// keep starts an engine, and another in its place whenever it has crashed.
+func (s *supervisor) keep(ctx context.Context, number int) {
+	for ctx.Err() == nil {
+		e, err := s.c.addFragile(number)
+		if err != nil {
+			s.f.note("%s does not start: %v", e.name, err)
+			return
+		}
+		crashed := make(chan struct{})
+		go func() {
+			defer close(crashed)
+			_ = e.cmd.Wait() // how it ended is the request's doing
+		}()
+		select {
+		case <-crashed:
+			s.f.ended(e.name)
+		case <-ctx.Done():
+			e.signal(syscall.SIGKILL)
+			<-crashed
+			return
+		}
+		select {
+		case <-time.After(backAfter):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// ended notes that an engine has just ended, with all that ran there.
+func (f *faults) ended(engine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.disturbed[engine] = append(f.disturbed[engine], span{now.Add(-backAfter), now.Add(backAfter)})
+}
+
+// crashes are when runs crashed their engines, in order.
+func (r *ran) crashes() []time.Time {
+	var out []time.Time
+	for _, one := range r.all {
+		if one.fault == string(platformtest.Crash) {
+			out = append(out, one.at)
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// crashedTooOften says whether the request that crashes engines reached them after it was
+// known; "": it did not.
+func (r *ran) crashedTooOften() string {
+	crashes := r.crashes()
+	if len(crashes) <= crashesKnown {
+		return ""
+	}
+	known := crashes[crashesKnown-1].Add(stable)
+	late := 0
+	for _, at := range crashes {
+		if at.After(known) {
+			late++
+		}
+	}
+	if late <= crashesMore {
+		return ""
+	}
+	return fmt.Sprintf("a request that crashes engines reached %d of them later than %v after the third, %d in all", late, stable, len(crashes))
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,8 @@
 	// Series: entries meet planned stops in series that overlap instead of
 	// single faults of every kind.
 	Series bool
+	// Fragile: requests go to a service that one of them crashes the engines of.
+	Fragile bool
 }
 
 // Report is what a soak came to.
@@ -31,6 +33,7 @@
 	Requests int
 	Answered map[string]int // by kind and status
 	Stops    int            // planned stops of entries
+	Crashes  int            // engines that a request crashed
 	Faults   []string
 	Findings []string
 }
@@ -56,8 +59,15 @@
 	}
 	defer c.stop()
 	time.Sleep(settle)
-	s := &callers{c: c, seed: o.Seed, series: o.Series, marks: map[string]int64{}}
+	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, marks: map[string]int64{}}
 	f := &faults{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, disturbed: map[string][]span{}}
+	supervising, stopEngines := context.WithCancel(context.Background())
+	defer stopEngines()
+	sup := &supervisor{c: c, f: f}
+	if o.Fragile {
+		sup.run(supervising, fragileEngines)
+		time.Sleep(settle)
+	}
 	faulty, stopFaults := context.WithTimeout(context.Background(), o.For)
 	defer stopFaults()
 	calling, stopCalls := context.WithCancel(context.Background())
@@ -70,6 +80,8 @@
 	time.Sleep(settle)
 	stopCalls()
 	<-ended
+	stopEngines()
+	sup.wg.Wait()
 	return s.report(f)
 }
 
@@ -100,6 +112,10 @@
 	for _, late := range runs.afterLeaving(f.deaf) {
 		s.found("%s: ran at %s %v after the store took that it leaves", late.id, late.engine, late.at.Sub(runs.left[late.engine]))
 	}
+	r.Crashes = len(runs.crashes())
+	if why := runs.crashedTooOften(); why != "" {
+		s.found("%s", why)
+	}
 	sort.Strings(s.findings)
 	r.Findings = s.findings
 	return r, nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,3 +69,16 @@
 	is.True(r.Requests > 0)
 	is.True(r.Stops > 2) // over half of the entries
 }
+
+// Guards against a request that crashes engines while entries and links meet faults.
+func TestSeededSoakOfAFragileService(t *testing.T) {
+	edge, ctl := programs(t)
+	is := is.New(t)
+	r, err := soak.Run(soak.Options{Seed: 9001, For: 6 * time.Second, Edge: edge, Ctl: ctl, Dir: t.TempDir(), Entries: 3, Engines: 4, Callers: 12, Fragile: true})
+	is.NoErr(err)
+	t.Logf("%d requests, %d faults, %d engines crashed: %v", r.Requests, len(r.Faults), r.Crashes, r.Answered)
+	for _, f := range r.Findings {
+		t.Error(f)
+	}
+	is.True(r.Crashes > 0)
+}
