--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -25,7 +25,7 @@
 	cmd.Flag("engines", "Engine processes at the start.").Default("4").IntVar(&o.Engines)
 	cmd.Flag("callers", "Callers, each with connections of its own.").Default("24").IntVar(&o.Callers)
 	cmd.Flag("series", "Stop entries in series that overlap, instead of single faults of every kind on them.").BoolVar(&o.Series)
-	cmd.Flag("fragile", "Send a request that crashes the engines that run it.").BoolVar(&o.Fragile)
+	cmd.Flag("fragile", "Send a request that crashes the engines that run it, to engines of which one names a limit.").BoolVar(&o.Fragile)
 	cmd.Flag("edge", "The lovageweir program; default: beside this one.").StringVar(&o.Edge)
 	logs := cmd.Flag("logs", "Where logs of seeds that failed are kept.").Default(os.TempDir()).String()
 	cmd.Action(func(*kingpin.ParseContext) error { return run(o, *seeds, *logs) })
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -83,6 +83,7 @@
 	proxy   *Proxy
 	log     string
 	service string
+	limited bool // it names a limit
 }
 
 type cluster struct {
--- a/soak/fragile.go
+++ b/soak/fragile.go
@@ -12,7 +12,8 @@
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
-// The fragile service: a request crashes its engines, which come back. Its engines have no proxies before them: one would accept connections
+// The fragile service: a request crashes its engines, which come back, and one of them
+// names a limit. Its engines have no proxies before them: one would accept connections
 // for a process that has ended.
 const (
 	fragileService = "fragile"
@@ -27,19 +28,29 @@
 	// follow later than stable after these: the users' bounds.
 	crashesKnown = 3
 	crashesMore  = 3
+	// namedLimit is what the first fragile engine names, in requests a second; in any
+	// limitWindow it may get limitOver times that and limitMore.
+	namedLimit  = 4
+	limitWindow = 4 * time.Second
+	limitOver   = 1.5
+	limitMore   = 5
 )
 
 // fragileArgs are what a fragile engine is started with besides.
-func fragileArgs() []string {
-	return []string{"--crash-on", poisonBody, "--pause", "2ms"}
+func fragileArgs(number int) []string {
+	args := []string{"--crash-on", poisonBody, "--pause", "2ms"}
+	if number == fragileFrom {
+		args = append(args, "--limit", strconv.Itoa(namedLimit))
+	}
+	return args
 }
 
 // addFragile starts a fragile engine. It is not among those that the cluster ends.
 func (c *cluster) addFragile(number int) (*engine, error) {
 	name := fmt.Sprintf("engine-%d-v1-%d", number, time.Now().UnixNano())
 	args := append([]string{c.ctl, "standin", "platform-engine", "--listen", freeAddress(), "--store", c.direct, "--id", name, "--service", fragileService,
-		"--domain", fmt.Sprintf("d%d", number%2), "--events", strconv.Itoa(streamEvents)}, fragileArgs()...)
-	e := &engine{log: c.log(name), service: fragileService, process: &process{name: name, args: args}}
+		"--domain", fmt.Sprintf("d%d", number%2), "--events", strconv.Itoa(streamEvents)}, fragileArgs(number)...)
+	e := &engine{log: c.log(name), service: fragileService, limited: number == fragileFrom, process: &process{name: name, args: args}}
 	c.mu.Lock()
 	c.fragile = append(c.fragile, e)
 	c.mu.Unlock()
@@ -126,3 +137,61 @@
 	}
 	return fmt.Sprintf("a request that crashes engines reached %d of them later than %v after the third, %d in all", late, stable, len(crashes))
 }
+
+// overLimit says whether an engine that names a limit got more than that, where no entry
+// met a fault; "": none did.
+func (r *ran) overLimit(engines []*engine, disturbed []span) string {
+	for _, e := range engines {
+		var at []time.Time
+		for _, one := range r.all {
+			if one.engine == e.name && e.limited {
+				at = append(at, one.at)
+			}
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		if why := overLimit(at, disturbed); why != "" {
+			return e.name + ": " + why
+		}
+	}
+	return ""
+}
+
+func overLimit(at []time.Time, disturbed []span) string {
+	const most = int(limitOver*namedLimit*limitWindow/time.Second) + limitMore
+	for i, from := range at {
+		if from.Sub(at[0]) < stable || anyMeets(disturbed, from.Add(-stable), from.Add(limitWindow)) {
+			continue
+		}
+		n := 0
+		for _, t := range at[i:] {
+			if t.Sub(from) < limitWindow {
+				n++
+			}
+		}
+		if n > most {
+			return fmt.Sprintf("names %d requests a second and got %d in %v, %d allowed", namedLimit, n, limitWindow, most)
+		}
+	}
+	return ""
+}
+
+func anyMeets(all []span, from, to time.Time) bool {
+	for _, s := range all {
+		if s.meets(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// ofEntries is when entries met faults, planned stops among them.
+func (f *faults) ofEntries() []span {
+	var out []span
+	for _, e := range f.c.entries {
+		out = append(out, f.disturbed[e.name]...)
+	}
+	for _, s := range f.stops {
+		out = append(out, s.span)
+	}
+	return out
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,7 +23,8 @@
 	// Series: entries meet planned stops in series that overlap instead of
 	// single faults of every kind.
 	Series bool
-	// Fragile: requests go to a service that one of them crashes the engines of.
+	// Fragile: requests go to a service that one of them crashes the engines of, and whose
+	// first engine names a limit.
 	Fragile bool
 }
 
@@ -116,6 +117,9 @@
 	if why := runs.crashedTooOften(); why != "" {
 		s.found("%s", why)
 	}
+	if why := runs.overLimit(s.c.fragile, f.ofEntries()); why != "" {
+		s.found("%s", why)
+	}
 	sort.Strings(s.findings)
 	r.Findings = s.findings
 	return r, nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,7 +70,7 @@
 	is.True(r.Stops > 2) // over half of the entries
 }
 
-// Guards against a request that crashes engines while entries and links meet faults.
+// Guards against a request that crashes engines, and a limit that one names, while entries and links meet faults.
 func TestSeededSoakOfAFragileService(t *testing.T) {
 	edge, ctl := programs(t)
 	is := is.New(t)
