--- a/ingress/trial_test.go
+++ b/ingress/trial_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// started sends a request; the channel tells how reading its answer ended.
+func started(req *http.Request) <-chan error {
+	ended := make(chan error)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close() // it is broken off
+		}
+		ended <- err
+	}()
+	return ended
+}
+
 // A copy of a stream fills the new version's endpoint; the caller has its
 // answer from the old one, at once.
 func TestACopyGoesToTheEndpointOnTrial(t *testing.T) {
@@ -93,16 +107,7 @@
 	w := newTrialWorld(t)
 	w.engines[0].Config.Events, w.engines[0].Config.Pause = 500, 20*time.Millisecond
 	ctx, leave := context.WithCancel(context.Background())
-	req := w.request(http.MethodPost, "/sized/stream", "body", trialHeaders...).WithContext(ctx)
-	gone := make(chan error)
-	go func() {
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close() // it is broken off
-		}
-		gone <- err
-	}()
+	gone := started(w.request(http.MethodPost, "/sized/stream", "body", trialHeaders...).WithContext(ctx))
 	ran(w.engines[1], 1, func(platformtest.Run) bool { return true })
 	leave()
 	is.True(<-gone != nil)
@@ -121,16 +126,7 @@
 	w.put(trial.Engine().Registration(false)) // takes the place of the one that is well
 	w.sync()
 	ctx, leave := context.WithCancel(context.Background())
-	req := w.request(http.MethodPost, "/sized/stream", poison, trialHeaders...).WithContext(ctx)
-	gone := make(chan error)
-	go func() {
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close() // it is broken off
-		}
-		gone <- err
-	}()
+	gone := started(w.request(http.MethodPost, "/sized/stream", poison, trialHeaders...).WithContext(ctx))
 	of := quarantine.Of("cust", http.MethodPost, host, "/sized/stream", []byte(poison))
 	for !w.quarantine.Check(of).Suspect {
 		runtime.Gosched()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -313,7 +313,7 @@
 		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: int64(r.Ordered),
 			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.LogTime, Seen: r.Seen, Bad: r.Bad})
 	}
-	out.Suspects = m.suspects()
+	out.Suspects = m.Quarantine.Message()
 	out.Limits = m.limits()
 	return out
 }
@@ -329,7 +329,7 @@
 // answers with what it lacks.
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
 	m.hearRollouts(in)
-	m.hearSuspects(in.Suspects)
+	m.Quarantine.HearMessage(in.Suspects)
 	m.learnLimits(in.Limits)
 	out := m.message()
 	c := m.Fleet.Since(kv.Revision(in.Revision))
@@ -376,7 +376,7 @@
 		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond+took)
 	}
 	m.hearRollouts(got)
-	m.hearSuspects(got.Suspects)
+	m.Quarantine.HearMessage(got.Suspects)
 	m.learnLimits(got.Limits)
 }
 
