--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -12,31 +11,6 @@
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
 
-// limitUnit is in which parts of a request a second limits are told.
-const limitUnit = 1000
-
-// thousandths is a limit as it is told: no limit is told as none.
-func thousandths(limit float64) uint32 {
-	return uint32(min(math.MaxUint32, math.Ceil(limit*limitUnit)))
-}
-
-// limits are those that endpoints name, as told in an exchange.
-func (m *Mesh) limits() []*meshpb.Limit {
-	var out []*meshpb.Limit
-	for _, t := range m.Limits.Tell() {
-		out = append(out, &meshpb.Limit{Endpoint: t.Endpoint, Thousandths: thousandths(t.Limit), AgeMs: uint32(t.Age.Milliseconds())})
-	}
-	return out
-}
-
-func (m *Mesh) learnLimits(told []*meshpb.Limit) {
-	limits := make([]ratelimit.Told, 0, len(told))
-	for _, t := range told {
-		limits = append(limits, ratelimit.Told{Endpoint: t.Endpoint, Limit: float64(t.Thousandths) / limitUnit, Age: time.Duration(t.AgeMs) * time.Millisecond})
-	}
-	m.Limits.Learn(limits)
-}
-
 // runLimits tells the entries that use the same endpoints of each request sent to one that
 // names a limit, until ctx ends. It does not wait for its turn among the tellings of loads:
 // these are many where there is much work, and what is not heard of is sent once more by
@@ -85,7 +59,7 @@
 	}
 	for _, t := range told {
 		msg.Limited = append(msg.Limited, t.Endpoint)
-		msg.Limit = append(msg.Limit, thousandths(t.Limit))
+		msg.Limit = append(msg.Limit, ratelimit.Thousandths(t.Limit))
 		msg.LimitAgeMs = append(msg.LimitAgeMs, uint32(t.Age.Milliseconds()))
 		msg.Sent = append(msg.Sent, t.Sent)
 	}
@@ -94,7 +68,7 @@
 func (l *Loads) hearLimits(msg *meshpb.Load) {
 	limits := make([]ratelimit.Told, 0, len(msg.Limited))
 	for i, id := range msg.Limited {
-		limits = append(limits, ratelimit.Told{Endpoint: id, Limit: float64(msg.Limit[i]) / limitUnit,
+		limits = append(limits, ratelimit.Told{Endpoint: id, Limit: ratelimit.OfThousandths(msg.Limit[i]),
 			Age: time.Duration(msg.LimitAgeMs[i]) * time.Millisecond, Sent: msg.Sent[i]})
 	}
 	l.Limits.Hear(msg.Instance, limits)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -314,7 +314,7 @@
 			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.LogTime, Seen: r.Seen, Bad: r.Bad})
 	}
 	out.Suspects = m.Quarantine.Message()
-	out.Limits = m.limits()
+	out.Limits = m.Limits.Message()
 	return out
 }
 
@@ -330,7 +330,7 @@
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
 	m.hearRollouts(in)
 	m.Quarantine.HearMessage(in.Suspects)
-	m.learnLimits(in.Limits)
+	m.Limits.LearnMessage(in.Limits)
 	out := m.message()
 	c := m.Fleet.Since(kv.Revision(in.Revision))
 	if c.Whole && !m.mayTellWhole() {
@@ -377,7 +377,7 @@
 	}
 	m.hearRollouts(got)
 	m.Quarantine.HearMessage(got.Suspects)
-	m.learnLimits(got.Limits)
+	m.Limits.LearnMessage(got.Limits)
 }
 
 func (m *Mesh) hearRollouts(in *meshpb.ExchangeMessage) {
