--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -7,6 +7,7 @@
 	"github.com/lovageweir/lovageweir/quarantine"
 )
 
+// fingerprintOf identifies what is asked for and by whom, whichever attempt it is.
 func (x *exchange) fingerprintOf() quarantine.Fingerprint {
 	customer := ""
 	if x.customer != nil {
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -20,14 +20,7 @@
 	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
 	opens := time.Duration(0) // when the first of those at their limits takes a request
 	if x.server.Limits.Any() {
-		x.leaves = x.server.Limits.Leaves(x.target(), x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt))
-		w.Closed = func(ep fleet.Endpoint) bool {
-			wait := x.server.Limits.Wait(ep, x.leaves)
-			if wait > 0 && (opens == 0 || wait < opens) {
-				opens = wait
-			}
-			return wait > 0
-		}
+		w.Closed = x.closed(&opens)
 	}
 	ranked := x.server.Board.Rank(choice.First, w)
 	if len(ranked) == 0 || ranked[0].Standing.Ejected {
@@ -55,6 +48,20 @@
 	return group, best, nil
 }
 
+// closed reports endpoints that have no room for the request within their limits, and notes
+// when the first of them has.
+func (x *exchange) closed(opens *time.Duration) func(fleet.Endpoint) bool {
+	limits := x.server.Limits
+	x.leaves = limits.Leaves(x.target(), x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt))
+	return func(ep fleet.Endpoint) bool {
+		wait := limits.Wait(ep, x.leaves)
+		if wait > 0 && (*opens == 0 || wait < *opens) {
+			*opens = wait
+		}
+		return wait > 0
+	}
+}
+
 // lapsed are the endpoints whose registration ended a short while ago.
 func (x *exchange) lapsed(all []fleet.Lapsed) []fleet.Endpoint {
 	var out []fleet.Endpoint
--- a/place/choose.go
+++ b/place/choose.go
@@ -64,14 +64,15 @@
 	Standing Standing
 }
 
-// open are the candidates that may get the request.
-func (w Want) open(candidates []fleet.Endpoint) []fleet.Endpoint {
-	out := make([]fleet.Endpoint, 0, len(candidates))
-	for _, ep := range candidates {
-		if w.Tried[ep.ID] || w.Closed != nil && w.Closed(ep) {
-			continue
-		}
-		out = append(out, ep)
+// closed tells which candidates take no request now; nil: all do. It is asked without the
+// board's lock, as what answers has its own.
+func (w Want) closed(candidates []fleet.Endpoint) []bool {
+	if w.Closed == nil {
+		return nil
+	}
+	out := make([]bool, len(candidates))
+	for i, ep := range candidates {
+		out[i] = w.Closed(ep)
 	}
 	return out
 }
@@ -81,10 +82,13 @@
 func (b *Board) Rank(candidates []fleet.Endpoint, w Want) []Ranked {
 	now := b.clock.Now()
 	preferred := prefer(candidates, w)
-	open := w.open(candidates)
+	closed := w.closed(candidates)
 	b.mu.Lock()
-	out := make([]Ranked, 0, len(open))
-	for _, ep := range open {
+	out := make([]Ranked, 0, len(candidates))
+	for i, ep := range candidates {
+		if w.Tried[ep.ID] || closed != nil && closed[i] {
+			continue
+		}
 		load := b.supposedLocked(ep, now)
 		s := b.standingLocked(ep.ID, now)
 		s.Ejected = s.Ejected || b.awayLocked(ep.Domain, now)
