Where all endpoints name a limit nobody leaves room for heavier requests

Cause: requests that are little work leave room at limited endpoints, and others serve them; where there is no other they were hardly served.

--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -160,3 +160,29 @@
 	}
 	is.True(float64(answered) >= 0.9*2*limit*lasts.Seconds())
 }
+
+// Guards against requests that are little work refused for good while all endpoints name a limit.
+func TestWhereAllEndpointsNameALimitEveryKindIsServed(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(t, 4, 2)
+	for _, e := range f.engines {
+		e.SetLimit(2)
+	}
+	served := map[string]int{}
+	usages := []string{"10000,10", "100,10", "100,10", "100,10"}
+	for n := range 300 { // 30 s
+		for i := range usages {
+			usage := usages[(n+i)%len(usages)]
+			f.sent++
+			entry := f.sent % len(f.all)
+			got := f.all[entry].do(http.MethodPost, "/post/x", "body", "X-Attempt-Id", fmt.Sprint("r", f.sent), "X-Token-Usage", usage)
+			if got.status == http.StatusOK {
+				served[usage]++
+			}
+			f.tellLimits(entry)
+		}
+		f.clock.Advance(step)
+	}
+	is.True(served["10000,10"] > 0)
+	is.True(served["100,10"] >= served["10000,10"]) // three in four requests
+}
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
@@ -20,7 +21,7 @@
 	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
 	opens := time.Duration(0) // when the first of those at their limits takes a request
 	if x.server.Limits.Any() {
-		w.Closed = x.closed(&opens)
+		w.Closed = x.closed(choice, &opens)
 	}
 	ranked := x.server.Board.Rank(choice.First, w)
 	if len(ranked) == 0 || ranked[0].Standing.Ejected {
@@ -49,10 +50,15 @@
 }
 
 // closed reports endpoints that have no room for the request within their limits, and notes
-// when the first of them has.
-func (x *exchange) closed(opens *time.Duration) func(fleet.Endpoint) bool {
+// when the first of them has. Where all name a limit, no request leaves room for others: those
+// that do would hardly be served at all.
+func (x *exchange) closed(choice rollout.Choice, opens *time.Duration) func(fleet.Endpoint) bool {
 	limits := x.server.Limits
 	x.leaves = limits.Leaves(x.target(), x.server.Rates.Reading(x.modelName(), x.facts.Usage.Prompt))
+	unlimited := func(ep fleet.Endpoint) bool { return limits.Limit(ep) == 0 }
+	if !slices.ContainsFunc(choice.First, unlimited) && !slices.ContainsFunc(choice.Then, unlimited) {
+		x.leaves = 0
+	}
 	return func(ep fleet.Endpoint) bool {
 		wait := limits.Wait(ep, x.leaves)
 		if wait > 0 && (*opens == 0 || wait < *opens) {
