--- a/agent/agent.go
+++ b/agent/agent.go
@@ -114,7 +114,7 @@
 }
 
 func newQuarantine(s *settings.Entry, clock clockwork.Clock, log *slog.Logger) *quarantine.Table {
-	return quarantine.New(quarantine.Deps{Instance: s.Instance, Clock: clock, Log: log.With("part", "quarantine")})
+	return quarantine.New(quarantine.Deps{Clock: clock, Log: log.With("part", "quarantine")})
 }
 
 // newLimits keeps limits for this entry alone: one entry uses each limited back end.
--- a/edge/module.go
+++ b/edge/module.go
@@ -125,7 +125,7 @@
 }
 
 func newQuarantine(s *Settings, c kv.Client, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *quarantine.Table {
-	return quarantine.New(quarantine.Deps{Instance: s.Instance, Store: c, View: f.View, Clock: clock, Log: log})
+	return quarantine.New(quarantine.Deps{Store: c, View: f.View, Clock: clock, Log: log})
 }
 
 func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -124,7 +124,7 @@
 	rollouts := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
 		SessionLife: 5 * time.Second, Exposure: rollout.Exposure{Share: 0.15, Slack: 30}, Clock: clock, Log: log})
 	w.orders = rollouts
-	w.quarantine = quarantine.New(quarantine.Deps{Instance: name, Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
+	w.quarantine = quarantine.New(quarantine.Deps{Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
 	w.limits = ratelimit.New(ratelimit.Deps{Instance: name, Domain: "d1", Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock, Log: log})
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
 	w.stop = clockwork.NewFakeClock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -37,7 +37,7 @@
 	store := memkv.New(clock)
 	f := fleet.NewFollower(fleet.Entry{Instance: name}, store, platform.Values{}, time.Second, clock, quiet)
 	r := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: store, Decoder: platform.Values{}, View: f.View, Clock: clock, Log: quiet})
-	q := quarantine.New(quarantine.Deps{Instance: name, View: f.View, Clock: clock, Log: quiet})
+	q := quarantine.New(quarantine.Deps{View: f.View, Clock: clock, Log: quiet})
 	m := New(Deps{Instance: name, Seeds: seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: newLimits(), Clock: clock, Log: quiet})
 	srv := httptest.NewServer(meshpb.NewMeshServer(m))
 	t.Cleanup(srv.Close)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -13,7 +13,6 @@
 
 // Deps is what a table is made of.
 type Deps struct {
-	Instance string
 	// Store is where guilty requests are recorded; nil: they are not.
 	Store kv.Client
 	// View is what the store is known to hold; nil: nothing.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -35,7 +35,7 @@
 func newEntry(t *testing.T, clock *clockwork.FakeClock, store *memkv.Store) *entry {
 	t.Helper()
 	f := fleet.NewFollower(fleet.Entry{Instance: "i"}, store, platform.Values{}, time.Second, clock, quiet)
-	return &entry{Table: New(Deps{Instance: "i", Store: store, View: f.View, Clock: clock, Log: quiet}), fleet: f, clock: clock, store: store, t: t}
+	return &entry{Table: New(Deps{Store: store, View: f.View, Clock: clock, Log: quiet}), fleet: f, clock: clock, store: store, t: t}
 }
 
 func alone(t *testing.T) *entry {
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -31,7 +31,6 @@
 type suspect struct {
 	crashes map[fleet.EndpointID]crash
 	latest  time.Time // of its crashes
-	guilty  time.Time // since when it is taken for guilty; zero: it is not
 }
 
 // note adds a crash and reports whether it says more than was known. Copies of a request
