Limits of endpoints that are gone are forgotten; a limit is the same as others know it

Cause: what was known of an endpoint was dropped only when that was chosen among again; one that is gone never is, and each choice looked for limits from then on. A limit with more than three digits behind the point changed with each answer from its own value to that which others told, with a line each. Tests named for both, which failed before.

--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -90,7 +90,8 @@
 // another one.
 func (l *Limits) learnLocked(id uint32, ep fleet.Endpoint, limit float64, at time.Time) (changed bool) {
 	e := l.byID[id]
-	if e == nil && limit <= 0 {
+	limit = OfThousandths(Thousandths(max(0, limit))) // as others know it
+	if e == nil && limit == 0 {
 		return false
 	}
 	if e == nil {
@@ -171,11 +172,7 @@
 		return nil
 	}
 	if now.Sub(e.named) > e.life() {
-		if e.limit > 0 {
-			l.Log.Info("ratelimit: limit lapses without news.", "endpoint", e.endpoint.ID, "short_id", id, "per_second", e.limit)
-		}
-		delete(l.byID, id)
-		l.known.Store(int32(len(l.byID)))
+		l.forgetLocked(id, e)
 		return nil
 	}
 	if e.limit <= 0 {
@@ -184,6 +181,15 @@
 	return e
 }
 
+// forgetLocked forgets an endpoint of which there was no news for long.
+func (l *Limits) forgetLocked(id uint32, e *limited) {
+	if e.limit > 0 {
+		l.Log.Info("ratelimit: limit lapses without news.", "endpoint", e.endpoint.ID, "short_id", id, "per_second", e.limit)
+	}
+	delete(l.byID, id)
+	l.known.Store(int32(len(l.byID)))
+}
+
 // life is how long what is known of the limit holds without news.
 func (e *limited) life() time.Duration {
 	if e.limit <= 0 {
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -255,3 +255,28 @@
 	is.True(heavy > 4*light)
 	is.Equal(l.Leaves("plain", 0), 0.0) // where nothing is known of their work all are alike
 }
+
+// Guards against limits of endpoints that are gone kept, and looked up, for ever.
+func TestALimitOfAnEndpointThatIsGoneIsForgotten(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 1)
+	l := g.all[0]
+	l.Named(ep, 2)
+	l.Hear("i1", nil)
+	g.clock.Advance(lapseAfter + time.Second)
+	is.Equal(len(l.Tell()), 0)
+	is.True(!l.Any())
+	is.Equal(len(l.heard), 0)
+}
+
+// Guards against a log line with each answer because others know a limit in thousandths.
+func TestALimitIsTheSameAsOthersKnowIt(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 1)
+	g.all[0].Named(ep, 1.23456789)
+	is.True(g.all[1].LearnMessage(g.all[0].Message()))
+	is.Equal(g.all[0].Limit(ep), g.all[1].Limit(ep))
+	g.clock.Advance(time.Millisecond)
+	g.all[1].Named(ep, 1.23456789)
+	is.True(!g.all[0].LearnMessage(g.all[1].Message()))
+}
--- a/ratelimit/tell.go
+++ b/ratelimit/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,7 +20,8 @@
 	Sent uint32
 }
 
-// Tell returns what others should know, in the order of the endpoints.
+// Tell returns what others should know, in the order of the endpoints. It forgets endpoints
+// that are gone, of which there is no news, and entries that have not told for long.
 func (l *Limits) Tell() []Told {
 	if !l.Any() {
 		return nil
@@ -29,10 +31,14 @@
 	defer l.mu.Unlock()
 	out := make([]Told, 0, len(l.byID))
 	for id, e := range l.byID {
-		if age := now.Sub(e.named); age <= e.life() {
-			out = append(out, Told{Endpoint: id, Limit: e.limit, Age: age, Sent: e.sent})
+		age := now.Sub(e.named)
+		if age > e.life() {
+			l.forgetLocked(id, e)
+			continue
 		}
+		out = append(out, Told{Endpoint: id, Limit: e.limit, Age: age, Sent: e.sent})
 	}
+	maps.DeleteFunc(l.heard, func(_ string, at time.Time) bool { return now.Sub(at) > toldLife })
 	slices.SortFunc(out, func(a, b Told) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return out
 }
