A record of the quarantine that cannot be read counts by its key

Cause: taken for missing, it would be written again each second, and refused by its condition. Test: fleet.TestARecordOfTheQuarantineThatCannotBeReadCounts, which failed before.

--- a/fleet/quarantine.go
+++ b/fleet/quarantine.go
@@ -51,18 +51,17 @@
 	return maps.All(q.crashed)
 }
 
-// takeQuarantined takes a record.
+// takeQuarantined takes a record. Of one whose value cannot be read the key says enough:
+// taken for missing, it would be written again and again in vain.
 func (b *builder) takeQuarantined(name string, item kv.KeyValue) error {
 	fingerprint, err := strconv.ParseUint(name, 16, 64)
 	if err != nil {
 		return err
 	}
 	var q Quarantined
-	if err := json.Unmarshal(item.Value, &q); err != nil {
-		return err
-	}
+	err = json.Unmarshal(item.Value, &q)
 	b.changeQuarantine(func(crashed map[uint64][]EndpointID) { crashed[fingerprint] = q.Crashed })
-	return nil
+	return err
 }
 
 // removeQuarantined forgets a record that has lapsed.
