--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -35,9 +35,9 @@
 	table   *route.Table
 	route   route.Request
 
-	customer string
-	print    quarantine.Fingerprint
-	opened   bool
+	customer    string
+	fingerprint quarantine.Fingerprint
+	opened      bool
 	// roomIn is when the first of the back ends left out by their limits has room; 0:
 	// none was.
 	roomIn     time.Duration
@@ -147,7 +147,7 @@
 	if ref != nil {
 		return nil, ref
 	}
-	q.print = q.fingerprint(dec.Customer)
+	q.fingerprint = q.fingerprintFor(dec.Customer)
 	if ref := g.quarantined(q); ref != nil {
 		return nil, ref
 	}
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -13,8 +13,8 @@
 // crashes of one within this time are the same.
 const restartTakes = 10 * time.Second
 
-// fingerprint identifies what a customer asks for, whichever attempt it is.
-func (q *request) fingerprint(customer string) quarantine.Fingerprint {
+// fingerprintFor identifies what a customer asks for, whichever attempt it is.
+func (q *request) fingerprintFor(customer string) quarantine.Fingerprint {
 	path := chatPath
 	if q.service != nil {
 		path = ServicePrefix + q.name + q.service.path
@@ -27,7 +27,7 @@
 	if g.Quarantine == nil {
 		return nil
 	}
-	v := g.Quarantine.Check(q.print)
+	v := g.Quarantine.Check(q.fingerprint)
 	if !v.Quarantined {
 		return nil
 	}
@@ -40,8 +40,8 @@
 		return
 	}
 	epoch := g.Clock.Now().Truncate(restartTakes).UnixMilli()
-	g.Log.Warn("gateway: back end crashed under a request.", "backend", b.Name, "request", q.rid, "fingerprint", q.print.String(), "stage", a.stage().String())
-	g.Quarantine.Crashed(q.print, fleet.IncarnationID(b.Name, epoch), a.stage())
+	g.Log.Warn("gateway: back end crashed under a request.", "backend", b.Name, "request", q.rid, "fingerprint", q.fingerprint.String(), "stage", a.stage().String())
+	g.Quarantine.Crashed(q.fingerprint, fleet.IncarnationID(b.Name, epoch), a.stage())
 }
 
 // stage is how far a failed try had come.
@@ -58,6 +58,6 @@
 // served notes that a request was answered whole.
 func (g *Gateway) served(q *request) {
 	if g.Quarantine != nil {
-		g.Quarantine.Served(q.print)
+		g.Quarantine.Served(q.fingerprint)
 	}
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -24,9 +24,3 @@
 
 // String returns the fingerprint as in logs and keys of the store.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
-
-// Parse reads what String returned.
-func Parse(s string) (Fingerprint, error) {
-	n, err := strconv.ParseUint(s, 16, 64)
-	return Fingerprint(n), err
-}
