--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -13,8 +13,8 @@
 
 // runLimits tells the entries that use the same endpoints of each request sent to one that
 // names a limit, until ctx ends. It does not wait for its turn among the tellings of loads:
-// these are many where there is much work, and what is not heard of is sent once more by
-// others. Requests to endpoints that name a limit are few by the limit.
+// these are paced, and others would take the same room meanwhile. Requests to endpoints that
+// name a limit are few, by the limit.
 func (l *Loads) runLimits(ctx context.Context) {
 	for {
 		select {
