--- a/edge/serve.go
+++ b/edge/serve.go
@@ -205,9 +205,8 @@
 	p.Log.Info("edge: stopped.", "in_flight", inFlight, "busy_connections", busy, "took_ms", took.Milliseconds())
 }
 
-// stages are those of a stop that has so long until the kill. Streams go on as
-// long as can be: with an end 300 ms sooner, 561 to 578 instead of 457 to 490 of
-// them were cut off while 80 entries stopped in turn, twice, 0.25 s apart.
+// stages are those of a stop that has so long until the kill. Streams go on as long as
+// can be.
 func stages(grace time.Duration) drain.Times {
 	return drain.Times{
 		TakesAll: min(takesAll, grace/3),
--- a/fleet/withdrawn.go
+++ b/fleet/withdrawn.go
@@ -7,13 +7,9 @@
 	"github.com/lovageweir/lovageweir/kv"
 )
 
-// A version that was rolled back, or replaced by a later order before it was
-// decided on, still has endpoints: they leave some seconds later, and one that was
-// cut off meanwhile registers as ready once more. The record of a roll-out holds
-// the latest order only. Without a record of its own the version would count as
-// one of the old ones as soon as the next order is known, to entries that have
-// halted it as to those that start later, and would be preferred, as its endpoints
-// are empty.
+// A version that was rolled back still has endpoints when the next order is known, and the
+// record of a roll-out holds the latest order only. Without a record of its own the version
+// would count as one of the old ones.
 
 // WithdrawnPrefix is where the withdrawn versions of a service are recorded.
 const WithdrawnPrefix = "lovageweir/withdrawn/"
--- a/fleet/withdrawn_test.go
+++ b/fleet/withdrawn_test.go
@@ -61,9 +61,7 @@
 	return x.f.View().Group("s")
 }
 
-// Symptom: a bad version's endpoints get requests, or a good one's get none.
-// Events: orders for one service follow each other; what is recorded of the earlier
-// one is all that an entry that reads it later can go by.
+// Guards against endpoints of a bad version getting requests, or those of a good one none, after orders that follow each other.
 func TestWithdrawnVersionsGetNothing(t *testing.T) {
 	const (
 		running, done, rolledBack = fleet.RolloutRunning, fleet.RolloutDone, fleet.RolloutRolledBack
@@ -105,8 +103,7 @@
 	}
 }
 
-// A record that holds what is withdrawn is not written again; one that lacks a
-// version, or has one that is ordered again, is.
+// Guards against records written again though they hold what is withdrawn, or not written though they do not.
 func TestWithdrawnVersionsAreRecordedOnce(t *testing.T) {
 	is := is.New(t)
 	record := `{"service":"s","versions":["v2"]}`
@@ -116,9 +113,7 @@
 	is.True(new(rolledOut).withdraw(record).order("v2").group(t, "v1").Withdrawn.Changed())
 }
 
-// Symptom: no state of a service's roll-outs is recorded any more.
-// Events: the record of its withdrawn versions was overwritten with what nobody can read;
-// the next one is written under the condition that the one before it stands.
+// Guards against roll-outs whose state is recorded no more because a record before it cannot be read.
 func TestAnUnreadableRecordIsOverwritten(t *testing.T) {
 	is := is.New(t)
 	g := new(rolledOut).withdraw(`not JSON`).order("v2").record("v2", fleet.RolloutRolledBack).order("v3").group(t, "v1")
--- a/ingress/faults_test.go
+++ b/ingress/faults_test.go
@@ -214,13 +214,7 @@
 	is.Equal(len(w.engines[0].Runs()), 0)
 }
 
-// Symptom: a bad version gets requests long after every entry has halted it.
-// Events: the endpoints of a service are cut off from the store and their
-// registrations lapse, those of the halted version among them; entries fall back
-// on endpoints that lapsed of late.
-// Cause: the choice of a version went over the ready endpoints only; the last resort
-// did not ask it. Seen in a request's line: the endpoint of the halted version that it
-// was sent to had lapsed a quarter of a second before, with the last of the old ones.
+// Guards against a halted version getting requests when only endpoints are left whose registration has lapsed.
 func TestTheLastResortIsNoHaltedVersion(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 0)
--- a/rollout/beside.go
+++ b/rollout/beside.go
@@ -5,13 +5,9 @@
 	"strings"
 )
 
-// Bad answers of a version are judged beside those of the version that is to be
-// replaced, on the same routes, since the order. Some services fail a share of a route's
-// requests whatever their version, and by a fixed bound good versions of them are rolled
-// back; where the old version fails none, one that fails a tenth must not pass for a good
-// one. A sequential test finds a version that fails many of its answers within a dozen,
-// also one that turns bad late; a version that fails few, or is slow where a service has
-// few requests, shows in all answers since the order.
+// Bad answers of a version are judged beside those of the version that is to be replaced:
+// some services fail a share of a route's requests whatever their version. A sequential
+// test finds versions that fail many answers, the sum since the order those that fail few.
 const (
 	// oldPrefix marks the routes of the old version's answers among the counts told,
 	// oldPlainPrefix where they are of a plain service.
--- a/rollout/beside_test.go
+++ b/rollout/beside_test.go
@@ -101,11 +101,7 @@
 // wrong from three.
 const playedSeeds = 300
 
-// Symptom: a good version of a service is rolled back, in every second roll-out.
-// Events: one of the service's routes fails a share of its requests, whatever the
-// version; the new version does so too.
-// Cause: failures were judged by a fixed bound, within which chance brings such a route
-// to the threshold in every second roll-out.
+// Guards against a good version rolled back because a route fails a share of its requests whatever the version.
 func TestAVersionThatFailsAsOftenAsTheOldOneIsBroughtIn(t *testing.T) {
 	for _, fails := range []float64{0, 0.01, 0.05, 0.14, 0.25} {
 		t.Run(fmt.Sprint(fails), func(t *testing.T) {
@@ -136,9 +132,7 @@
 	return over
 }
 
-// Symptom: a bad version gets far more requests than operators allow.
-// Events: it fails a tenth of the answers on one route, or on all; the old version
-// fails hardly any.
+// Guards against a version that fails a tenth of its answers, on one route or all, getting more requests than operators allow.
 func TestAVersionThatFailsFewOfItsAnswersKeepsTheBoundOnExposure(t *testing.T) {
 	for _, newer := range []failing{{"other": 0.10}, {"other": 0.14}, {"other": 0.2}, {"main": 0.1, "other": 0.1}, {"main": 0.14, "other": 0.14}} {
 		t.Run(fmt.Sprint(newer), func(t *testing.T) {
@@ -149,9 +143,7 @@
 	}
 }
 
-// Symptom, events as above, where it fails more, or a tenth on all routes.
-// Cause: between the two fixed shares that the test told apart, as at a tenth, its
-// statistic had no drift, and the version neither was halted nor held back.
+// Guards against the same where it fails more on one route, or a tenth on all.
 func TestAVersionThatFailsATenthOfAllAnswersKeepsTheBoundOnExposure(t *testing.T) {
 	for _, newer := range []failing{{"other": 0.2}, {"main": 0.1, "other": 0.1}, {"main": 0.14, "other": 0.14}} {
 		t.Run(fmt.Sprint(newer), func(t *testing.T) {
--- a/rollout/plain_test.go
+++ b/rollout/plain_test.go
@@ -38,10 +38,7 @@
 	})
 }
 
-// Symptom: a bad version of a plain service gets more requests than operators allow,
-// and gets them seconds after it was proven bad.
-// Events: it takes eight times as long for a part of its answers. The service has few
-// requests, so that its first share shows a few slow answers only.
+// Guards against a slow version of a service with few requests getting more of them than operators allow.
 func TestASlowVersionOfAPlainServiceKeepsTheBoundOnExposure(t *testing.T) {
 	for _, slow := range []float64{0.3, 0.5, 0.7} {
 		t.Run(fmt.Sprint(slow), func(t *testing.T) {
