ingress: a log line for an answer that broke off at an endpoint that did not crash

Entries logged the crashes they noted, not those that they took for a lost connection, so that the log could not tell a probe that was wrong from an endpoint unknown, or from a judgement that came late. Change: the other outcome of noteCrash is logged, with whether the endpoint was leaving.

--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -27,7 +27,9 @@
 // crashed. One that was leaving has ended as planned.
 func (s *Server) noteCrash(id string, of quarantine.Fingerprint, ep fleet.Endpoint, stage quarantine.Stage) bool {
 	group := s.Fleet.View().Group(ep.Service)
-	if group == nil || !group.IsReady(ep.ID) && !group.HasLapsed(ep.ID) || !s.probes.Ended(ep.Address) {
+	known := group != nil && (group.IsReady(ep.ID) || group.HasLapsed(ep.ID))
+	if !known || !s.probes.Ended(ep.Address) {
+		s.Log.Info("ingress: answer broke off, endpoint did not crash.", "id", id, "fingerprint", of.String(), "endpoint", ep.ID, "stage", stage.String(), "leaving", !known)
 		return false
 	}
 	s.Quarantine.Crashed(of, ep.ID, stage)
