upstream: a red test for an endpoint that is ending but still accepts connections

Cause: when a process ends, the kernel closes its connections before its listener. The probe of an endpoint whose answer broke off connects in between, is accepted, and the crash counts as a lost connection: nothing is held against the request, which goes on.

--- /dev/null
+++ b/upstream/probes_test.go
@@ -0,0 +1,52 @@
+package upstream
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a crash taken for a lost connection, as a process that ends still accepts connections for a moment.
+func TestProbesTellAnEndpointThatIsEnding(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_ = ln.Close()
+		_ = conn.Close()
+	}()
+	var probes Probes
+	is.True(probes.Ended(ln.Addr().String()))
+}
+
+// Guards against the loss of a connection taken for a crash.
+func TestProbesTellAnEndpointThatOnlyLostAConnection(t *testing.T) {
+	for name, keep := range map[string]bool{"keeps the next one": true, "loses the next one too": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					if keep {
+						defer func() { _ = conn.Close() }()
+						continue
+					}
+					_ = conn.Close()
+				}
+			}()
+			var probes Probes
+			is.True(!probes.Ended(ln.Addr().String()))
+		})
+	}
+}
