upstream: a probe watches an endpoint that accepts it for its end

Seen: up to six engines ended under one request before it was quarantined, where three may. Cause: a process that ends loses its connections before its listener. A probe in between was accepted and closed at once, the crash counted as a lost connection, and nothing was held against the request. If the endpoint closes it, the next one asks again, until one is refused (ended) or kept (lives). Only endpoints that live pay the wait, once for all requests that broke off there. Conclusion: why this holds: refusal is only believed in when it comes, and an endpoint that lives keeps an idle connection.

--- a/upstream/probes_test.go
+++ b/upstream/probes_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -20,7 +21,7 @@
 		_ = ln.Close()
 		_ = conn.Close()
 	}()
-	var probes Probes
+	probes := Probes{Within: time.Minute}
 	is.True(probes.Ended(ln.Addr().String()))
 }
 
@@ -45,7 +46,7 @@
 					_ = conn.Close()
 				}
 			}()
-			var probes Probes
+			probes := Probes{Within: 10 * time.Millisecond}
 			is.True(!probes.Ended(ln.Addr().String()))
 		})
 	}
