rollout: a first share is drawn from the routes by what is to be learned on each

Cause: a version that fails a tenth of the answers of a route with a quarter of the traffic has given some 17 answers there when all requests move to it, and 1.7 failures. Change: the first share and the half are drawn from routes by the root of their part of the requests, those with failures three times as much, at most 0.35 of a route; the sum of the share is as before. Sessions are left out, as they may use several routes. A wider margin over usual failures: 2 deviations for 1.5, for failures only. What is left lacks a test for few failures.

--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -16,7 +16,7 @@
 	if group == nil {
 		return nil, place.Ranked{}, refuseNoEndpoint
 	}
-	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session})
+	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.facts.ID, Session: x.facts.Session, Route: x.route.Name})
 	w := place.Want{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.facts.SharedTokens(), Affinity: x.affinity()}
 	w.Reading = x.server.Rates.Reading(x.modelName(), w.SharedTokens)
 	opens := time.Duration(0) // when the first of those at their limits takes a request
--- a/rollout/beside.go
+++ b/rollout/beside.go
@@ -17,8 +17,10 @@
 	// the old version, usualWeight for how many of its answers that stands.
 	usualBad    = 0.05
 	usualWeight = 10
-	// usualDeviations above what the old version's answers tell may be usual as well.
-	usualDeviations = 1.5
+	// failedDeviations and slowDeviations above what the old version's answers tell may be
+	// usual as well.
+	failedDeviations = 2.0
+	slowDeviations   = 1.5
 	// leastBad is the least share that is taken to be usual, so that two bad answers by
 	// chance prove nothing.
 	leastBad = 0.01
@@ -59,18 +61,18 @@
 
 // usualShare is the share of bad answers that may be taken to be usual where the old
 // version gave so many among its answers: the fewer these are, the more.
-func usualShare(bad, answers int64) float64 {
+func usualShare(bad, answers int64, deviations float64) float64 {
 	n := float64(answers) + usualWeight
 	share := (float64(bad) + usualBad*usualWeight) / n
 	deviation := math.Sqrt(share * (1 - share) / n)
-	return max(leastBad, share+usualDeviations*deviation)
+	return max(leastBad, share+deviations*deviation)
 }
 
 // failuresTest is the sequential test of a version beside the old one's answers.
 func failuresTest(old Counts) test {
 	ok := usualBad
 	if old.Samples > 0 {
-		ok = min(mostFailed-manyMore, max(ok, usualShare(old.Failed, old.Samples)))
+		ok = min(mostFailed-manyMore, max(ok, usualShare(old.Failed, old.Samples, failedDeviations)))
 	}
 	return newTest(ok, max(manyFailed, ok+manyMore))
 }
@@ -110,12 +112,12 @@
 // failsMore reports whether the version fails more of its answers than the old one does;
 // chance is the least that a good version has to have so many.
 func (b beside) failsMore(chance float64) bool {
-	return moreThanUsual(b.version.Failed, b.version.Samples, usualShare(b.old.Failed, b.old.Samples), chance)
+	return moreThanUsual(b.version.Failed, b.version.Samples, usualShare(b.old.Failed, b.old.Samples, failedDeviations), chance)
 }
 
 // slowMore reports the same of slow answers.
 func (b beside) slowMore(chance float64) bool {
-	return b.old.Samples > 0 && moreThanUsual(b.version.Slow, b.version.Samples, usualShare(b.old.Slow, b.old.Samples), chance)
+	return b.old.Samples > 0 && moreThanUsual(b.version.Slow, b.version.Samples, usualShare(b.old.Slow, b.old.Samples, slowDeviations), chance)
 }
 
 // besideOn are the answers on a route.
@@ -137,14 +139,38 @@
 // pooled are the answers on all routes that callers use, and those of plain services
 // among them: with few requests, what is bad on every route shows there first.
 func (e *evidence) pooled() (all, plain beside) {
+	var routes, plainRoutes []beside
 	for name := range e.routes {
 		if name == allRoutes || trialRoute(name) {
 			continue
 		}
-		all.add(e.besideOn(name))
-		plain.add(e.onPlain(name))
+		routes = append(routes, e.besideOn(name))
+		plainRoutes = append(plainRoutes, e.onPlain(name))
 	}
-	return all, plain
+	return pool(routes), pool(plainRoutes)
+}
+
+// pool sums the answers of routes. A version's first share has other parts of the routes
+// than the old version's answers, which are weighed as the version's are: on routes that
+// fail often it would fail more by that alone.
+func pool(routes []beside) beside {
+	var out beside
+	for _, r := range routes {
+		out.add(r)
+	}
+	failed, slow := 0.0, 0.0
+	for _, r := range routes {
+		old := r.old
+		if old.Samples == 0 {
+			old = out.old
+		}
+		part := float64(r.version.Samples) / float64(max(1, out.version.Samples))
+		failed += part * float64(old.Failed) / float64(max(1, old.Samples))
+		slow += part * float64(old.Slow) / float64(max(1, old.Samples))
+	}
+	out.old.Failed = int64(math.Round(failed * float64(out.old.Samples)))
+	out.old.Slow = int64(math.Round(slow * float64(out.old.Samples)))
+	return out
 }
 
 // besideDoubt reports whether the version has more bad answers beside the old one's than
--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -22,6 +22,7 @@
 type Request struct {
 	ID      string
 	Session string
+	Route   string
 }
 
 // Choose splits a group's endpoints for one request.
@@ -51,9 +52,10 @@
 	case len(newer) == 0:
 		return Choice{First: older}
 	}
-	share := c.shareLocked(t, r, len(older))
+	ofAll := c.shareLocked(t, r, len(older))
+	share := t.strataShare(q, ofAll)
 	if c.fallsToNewLocked(r, q, share) {
-		return Choice{First: c.canaries(r, newer, len(older), share), Then: older}
+		return Choice{First: c.canaries(r, newer, len(older), ofAll), Then: older}
 	}
 	if len(older) == 0 {
 		return Choice{First: newer}
@@ -149,6 +151,16 @@
 	return sessionShare(sessionHash(q.Session))
 }
 
+// strataShare is the share of a request's route in a share of all. A session may use
+// several routes, and must not go back and forth between versions.
+func (t *track) strataShare(q Request, share float64) float64 {
+	if q.Session != "" || q.Route == "" || t.holding {
+		return share
+	}
+	t.strata.note(q.Route)
+	return t.strata.share(q.Route, share, t.evidence.failing)
+}
+
 // fraction maps a hash to [0, 1).
 func fraction(h uint64) float64 { return float64(h>>11) / (1 << 53) }
 
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -78,6 +78,7 @@
 	lostTill time.Time // until when slowness says nothing: endpoints were lost
 	evidence *evidence
 	answers  int // of the service, since the order
+	strata   strata
 	inOrder  *trialOrder
 	copies   int                // sent to endpoints on trial
 	wanted   fleet.RolloutState // what should be recorded
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -234,6 +234,12 @@
 	return seen <= 1 || bad >= max(fewestEndpoints, (seen+1)/2)
 }
 
+// failing reports whether answers of a route speak against the version.
+func (e *evidence) failing(route string) bool {
+	r := e.routes[route]
+	return r != nil && r.failed > 0
+}
+
 // totals are the counts of callers' requests.
 func (e *evidence) totals() Counts { return e.callers }
 
