rollout: few failures close together tell a version that fails a tenth of a route

Cause: the test of failures weighs 5 against 30 in 100, and has no drift in between; the sum since the order needs five or six of some sixty answers, which is about what a tenth gives before the bound on exposure is reached. Change: where the old version fails hardly any answers of a route (by its answers there, 100 or more, and on all), the latest failures are weighed by how close together they are, against a share higher by 0.09. A hint makes the route give more of the first share and holds the move until 0.8 of the order's time; from then on it takes more to hold it. The halt needs failures from half as many endpoints as there are failures.

--- a/rollout/beside_test.go
+++ b/rollout/beside_test.go
@@ -148,7 +148,7 @@
 
 // Guards against the same where it fails more on one route, or a tenth on all.
 func TestAVersionThatFailsATenthOfAllAnswersKeepsTheBoundOnExposure(t *testing.T) {
-	for _, newer := range []failing{{"other": 0.2}, {"main": 0.1, "other": 0.1}, {"main": 0.14, "other": 0.14}} {
+	for _, newer := range []failing{{"other": 0.14}, {"other": 0.2}, {"main": 0.1, "other": 0.1}, {"main": 0.14, "other": 0.14}} {
 		t.Run(fmt.Sprint(newer), func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -158,7 +158,7 @@
 		return share
 	}
 	t.strata.note(q.Route)
-	return t.strata.share(q.Route, share, t.evidence.failing)
+	return t.strata.share(q.Route, share, func(route string) bool { return t.evidence.failsFew(route) >= fewDoubt })
 }
 
 // fraction maps a hash to [0, 1).
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -103,7 +103,8 @@
 
 // routeEvidence is the evidence on one route.
 type routeEvidence struct {
-	failed, slow float64   // the tests' statistics
+	failed, slow float64 // the tests' statistics
+	recent       recentFailures
 	slowSince    time.Time // when slow was last zero
 	// spells are times at which there were slow answers, slowSpell apart or more;
 	// lastSpell is the latest.
@@ -124,6 +125,7 @@
 	// are read for each request, and a large fleet has thousands of rows.
 	sums    map[string]Counts
 	callers Counts
+	older   Counts // of the old version, on all routes
 	// spreads are how much the times of the old version vary, at this entry.
 	spreads [timeKinds]spread
 }
@@ -143,6 +145,9 @@
 	sum := e.sums[s.Route]
 	sum.add(fresh)
 	e.sums[s.Route] = sum
+	if isOldRoute(s.Route) {
+		e.older.add(fresh)
+	}
 	if isOldRoute(s.Route) || isComparedRoute[s.Route] {
 		return true
 	}
@@ -152,6 +157,7 @@
 	samples, failed, slow := fresh.Samples, fresh.Failed, fresh.Slow
 	route, all := e.at(s.Route), e.at(allRoutes)
 	route.failed = failuresTest(e.oldOn(s.Route)).add(route.failed, samples, failed)
+	route.recent.add(samples, failed)
 	slowOn := []*routeEvidence{route, all}
 	if trialRoute(s.Route) {
 		slowOn = slowOn[:1] // that copies are quick or slow says nothing of others
@@ -207,6 +213,9 @@
 		if (failed || slow) && r.widespread(alive) {
 			return name, true
 		}
+		if e.fewBad(name, alive) {
+			return name, true
+		}
 	}
 	return "", false
 }
@@ -218,7 +227,7 @@
 		return true
 	}
 	for name, r := range e.routes {
-		if !trialRoute(name) && (r.failed >= failedDoubt || r.slow >= slowDoubt) {
+		if !trialRoute(name) && (r.failed >= failedDoubt || e.fewDoubted(name, p) || r.slow >= slowDoubt) {
 			return true
 		}
 	}
@@ -234,12 +243,6 @@
 	return seen <= 1 || bad >= max(fewestEndpoints, (seen+1)/2)
 }
 
-// failing reports whether answers of a route speak against the version.
-func (e *evidence) failing(route string) bool {
-	r := e.routes[route]
-	return r != nil && r.failed > 0
-}
-
 // totals are the counts of callers' requests.
 func (e *evidence) totals() Counts { return e.callers }
 
--- /dev/null
+++ b/rollout/strata_test.go
@@ -0,0 +1,35 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a share of failures on a few routes taken for that of all requests.
+func TestAFirstShareIsAsLargeAsItIsDrawnFromAnyRoutes(t *testing.T) {
+	for name, requests := range map[string]map[string]int{
+		"one":               {"a": 100},
+		"two":               {"a": 72, "b": 28},
+		"one hardly used":   {"a": 990, "b": 9, "c": 1},
+		"many":              {"a": 50, "b": 20, "c": 10, "d": 10, "e": 5, "f": 5},
+		"one that is rare ": {"a": 500, "b": 500, "c": 20},
+	} {
+		for _, of := range []float64{largeShare, mediumShare, smallShare, halfShare} {
+			for _, doubt := range []string{"", "a", "b"} {
+				is := is.New(t)
+				s := strata{requests: requests}
+				for _, n := range requests {
+					s.all += n
+				}
+				sum := 0.0
+				for route, share := range s.draw(of, func(route string) bool { return route == doubt }) {
+					is.True(share > 0 && share <= 1)
+					sum += share * s.part(route)
+				}
+				t.Log(name, of, doubt, sum)
+				is.True(sum > of-1e-9 && sum < of+1e-9) // no more and no less is drawn
+			}
+		}
+	}
+}
