rollout: an entry knows the routes' parts of the requests before an order comes

Cause: an entry counted the requests by route from the order on. Change: requests are counted for each service at all times, halved at 4,096; 20 are enough.

--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -28,11 +28,12 @@
 // Choose splits a group's endpoints for one request.
 func (c *Controller) Choose(g *fleet.Group, q Request) Choice {
 	r := g.Rollout
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.strataLocked(g.Service.Name).note(q)
 	if r == nil {
 		return Choice{First: g.Ready, LastResort: g.Lapsed}
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	t := c.trackLocked(r)
 	older, newer := split(g.Ready, r.Target)
 	if r.State != fleet.RolloutDone && (t.halted || r.State == fleet.RolloutRolledBack) {
@@ -53,7 +54,7 @@
 		return Choice{First: older}
 	}
 	ofAll := c.shareLocked(t, r, len(older))
-	share := t.strataShare(q, ofAll)
+	share := c.strataShareLocked(t, q, g.Service.Name, ofAll)
 	if c.fallsToNewLocked(r, q, share) {
 		return Choice{First: c.canaries(r, newer, len(older), ofAll), Then: older}
 	}
@@ -151,14 +152,22 @@
 	return sessionShare(sessionHash(q.Session))
 }
 
-// strataShare is the share of a request's route in a share of all. A session may use
-// several routes, and must not go back and forth between versions.
-func (t *track) strataShare(q Request, share float64) float64 {
-	if q.Session != "" || q.Route == "" || t.holding {
+// strataShareLocked is the share of a request's route in a share of all.
+func (c *Controller) strataShareLocked(t *track, q Request, service string, share float64) float64 {
+	if t.holding {
 		return share
 	}
-	t.strata.note(q.Route)
-	return t.strata.share(q.Route, share, func(route string) bool { return t.evidence.failsFew(route) >= fewDoubt })
+	return c.strataLocked(service).share(q, share, func(route string) bool { return t.evidence.failsFew(route) >= fewDoubt })
+}
+
+// strataLocked returns the strata of a service.
+func (c *Controller) strataLocked(service string) *strata {
+	s := c.strata[service]
+	if s == nil {
+		s = &strata{requests: map[string]int{}}
+		c.strata[service] = s
+	}
+	return s
 }
 
 // fraction maps a hash to [0, 1).
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -64,6 +64,7 @@
 	tracks   map[string]*track // by service
 	usual    map[usualKey]*usual
 	sessions *sessions
+	strata   map[string]*strata // by service
 }
 
 // track is what the entry knows of one order.
@@ -78,7 +79,6 @@
 	lostTill time.Time // until when slowness says nothing: endpoints were lost
 	evidence *evidence
 	answers  int // of the service, since the order
-	strata   strata
 	inOrder  *trialOrder
 	copies   int                // sent to endpoints on trial
 	wanted   fleet.RolloutState // what should be recorded
@@ -96,7 +96,7 @@
 
 // New returns a controller.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, tracks: map[string]*track{}, usual: map[usualKey]*usual{}, sessions: newSessions(d.SessionLife)}
+	return &Controller{Deps: d, tracks: map[string]*track{}, usual: map[usualKey]*usual{}, sessions: newSessions(d.SessionLife), strata: map[string]*strata{}}
 }
 
 // trackLocked returns the track of a group's order, a new one for a new order.
--- a/rollout/strata.go
+++ b/rollout/strata.go
@@ -16,8 +16,11 @@
 const (
 	// strataNeed are the requests from which on the routes' parts of them are known,
 	// strataEvery how many more there are until the shares are worked out anew.
-	strataNeed  = 40
+	strataNeed  = 20
 	strataEvery = 8
+	// mostStrata requests are counted; then all counts are halved, so that they follow
+	// what is asked for.
+	mostStrata = 4096
 	// mostStratum bounds the share of one route's requests, in a first share.
 	mostStratum = 0.35
 	// doubtedWeight is how much more a route gives on which the version is in doubt: that
@@ -25,24 +28,40 @@
 	doubtedWeight = 3
 )
 
-func (s *strata) note(route string) {
-	if s.requests == nil {
-		s.requests = map[string]int{}
+func (s *strata) note(q Request) {
+	if !q.stratified() {
+		return
 	}
-	s.requests[route]++
+	s.requests[q.Route]++
 	s.all++
+	if s.all < mostStrata {
+		return
+	}
+	s.all = 0
+	for route, n := range s.requests {
+		if n /= 2; n == 0 {
+			delete(s.requests, route)
+			continue
+		}
+		s.requests[route] = n
+		s.all += n
+	}
 }
 
-// share is that of a route's requests in a share of all; doubted tells the routes on which
+// stratified reports whether a request is drawn by its route. A session may use several
+// routes, and must not go back and forth between versions.
+func (q Request) stratified() bool { return q.Session == "" && q.Route != "" }
+
+// share is that of a request's route in a share of all; doubted tells the routes on which
 // the version is in doubt.
-func (s *strata) share(route string, of float64, doubted func(route string) bool) float64 {
-	if s.all < strataNeed || of >= 1 {
+func (s *strata) share(q Request, of float64, doubted func(route string) bool) float64 {
+	if !q.stratified() || s.all < strataNeed || of >= 1 {
 		return of
 	}
-	if s.sharesOf != of || s.all-s.sharesAt >= strataEvery || s.shares[route] == 0 {
+	if s.sharesOf != of || s.shares[q.Route] == 0 || s.all < s.sharesAt || s.all-s.sharesAt >= strataEvery {
 		s.shares, s.sharesOf, s.sharesAt = s.draw(of, doubted), of, s.all
 	}
-	return s.shares[route]
+	return s.shares[q.Route]
 }
 
 // draw works out the share of each route's requests. Routes that are used less give more,
