rollout: a first share that is small is not divided by route

Cause: at a plain service with 18 requests a second the first share comes to some 20 answers. Divided among the routes, no route had the three spells of slow answers that halt a slow version. Change: a first share is drawn by route only where it comes to 20 answers or more for each, by the old version's answers since the order.

--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -54,7 +54,7 @@
 		return Choice{First: older}
 	}
 	ofAll := c.shareLocked(t, r, len(older))
-	share := c.strataShareLocked(t, q, g.Service.Name, ofAll)
+	share := c.strataShareLocked(t, q, g, ofAll)
 	if c.fallsToNewLocked(r, q, share) {
 		return Choice{First: c.canaries(r, newer, len(older), ofAll), Then: older}
 	}
@@ -152,12 +152,23 @@
 	return sessionShare(sessionHash(q.Session))
 }
 
-// strataShareLocked is the share of a request's route in a share of all.
-func (c *Controller) strataShareLocked(t *track, q Request, service string, share float64) float64 {
-	if t.holding {
+// strataShareLocked is the share of a request's route in a first share of all.
+func (c *Controller) strataShareLocked(t *track, q Request, g *fleet.Group, share float64) float64 {
+	s := c.strataLocked(g.Service.Name)
+	if t.holding || !t.movedOn.IsZero() || c.firstAnswersLocked(t, g.Rollout, share) < leastOfRoute*float64(len(s.requests)) {
 		return share
 	}
-	return c.strataLocked(service).share(q, share, func(route string) bool { return t.evidence.failsFew(route) >= fewDoubt })
+	return s.share(q, share, func(route string) bool { return t.evidence.failsFew(route) >= fewDoubt })
+}
+
+// firstAnswersLocked is how many answers a first share comes to, at the rate at which the
+// old version gives them.
+func (c *Controller) firstAnswersLocked(t *track, r *fleet.Rollout, share float64) float64 {
+	passed := progress(c.Clock.Since(t.seen), r.Duration)
+	if passed <= 0 {
+		return 0
+	}
+	return share * canaryUntil / passed * float64(t.evidence.older.Samples) / (1 - share)
 }
 
 // strataLocked returns the strata of a service.
--- a/rollout/strata.go
+++ b/rollout/strata.go
@@ -21,7 +21,11 @@
 	// mostStrata requests are counted; then all counts are halved, so that they follow
 	// what is asked for.
 	mostStrata = 4096
-	// mostStratum bounds the share of one route's requests, in a first share.
+	// leastOfRoute answers of a first share for each route are worth drawing it by route:
+	// of a service with few requests it is too small to be divided, and what is bad on all
+	// routes shows sooner on those used most.
+	leastOfRoute = 20
+	// mostStratum bounds the share of one route's requests.
 	mostStratum = 0.35
 	// doubtedWeight is how much more a route gives on which the version is in doubt: that
 	// ends sooner, whether the version is well or not.
@@ -55,7 +59,7 @@
 // share is that of a request's route in a share of all; doubted tells the routes on which
 // the version is in doubt.
 func (s *strata) share(q Request, of float64, doubted func(route string) bool) float64 {
-	if !q.stratified() || s.all < strataNeed || of >= 1 {
+	if !q.stratified() || s.all < strataNeed || of >= mostStratum {
 		return of
 	}
 	if s.sharesOf != of || s.shares[q.Route] == 0 || s.all < s.sharesAt || s.all-s.sharesAt >= strataEvery {
@@ -68,10 +72,6 @@
 // as the others show what they are like when all requests move; one that would have to give
 // too much gives what it may, and the others the rest.
 func (s *strata) draw(of float64, doubted func(route string) bool) map[string]float64 {
-	most := mostStratum
-	if of > most {
-		most = 1
-	}
 	weights := make(map[string]float64, len(s.requests))
 	for route := range s.requests {
 		weights[route] = 1 / math.Sqrt(s.part(route))
@@ -88,15 +88,15 @@
 		full := false
 		for route, w := range weights {
 			shares[route] = rest * w / sum / s.part(route)
-			full = full || shares[route] > most
+			full = full || shares[route] > mostStratum
 		}
 		if !full {
 			break
 		}
 		for route := range weights {
-			if shares[route] > most {
-				shares[route] = most
-				rest -= most * s.part(route)
+			if shares[route] > mostStratum {
+				shares[route] = mostStratum
+				rest -= mostStratum * s.part(route)
 				delete(weights, route)
 			}
 		}
