rollout: the halt's line has the statistic of few failures

The log could not tell a halt by few failures from one by the sum since the order. Change: few_statistic in 'version answers badly; halting it.'. No change of behaviour.

--- a/rollout/observe.go
+++ b/rollout/observe.go
@@ -157,7 +157,7 @@
 	t.halted = true
 	sum, on, beside := t.evidence.totals(), t.evidence.at(route), t.evidence.besideOn(route)
 	c.Log.Warn("rollout: version answers badly; halting it.", "service", service, "order", t.ordered, "route", route,
-		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "slow_statistic", on.slow, "slower_by", slower.by,
+		"samples", sum.Samples, "failed", sum.Failed, "slow", sum.Slow, "failed_statistic", on.failed, "few_statistic", t.evidence.failsFew(route), "slow_statistic", on.slow, "slower_by", slower.by,
 		"route_samples", beside.version.Samples, "route_failed", beside.version.Failed, "route_slow", beside.version.Slow,
 		"old_samples", beside.old.Samples, "old_failed", beside.old.Failed, "old_slow", beside.old.Slow,
 		"age_ms", c.Clock.Since(t.seen).Milliseconds())
