ratelimit: overshoot of limits in log, metrics and state dump

'ratelimit: limit overshot.' says by how much the requests of another entry overfill a bucket, and how many of them its bound left uncounted (counters overshot_requests and uncounted_requests); the state dump has level and capacity. mesh counts the limits that did not fit a datagram (limits_left_out).

--- a/edge/module.go
+++ b/edge/module.go
@@ -134,13 +134,14 @@
 	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: limits, Clock: clock, Log: log})
 }
 
-func newLimits(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *ratelimit.Limits {
-	return ratelimit.New(ratelimit.Deps{Instance: s.Instance, Domain: s.Domain, Entries: func() []fleet.Entry { return f.View().Entries }, Clock: clock, Log: log})
+func newLimits(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ratelimit.Limits {
+	return ratelimit.New(ratelimit.Deps{Instance: s.Instance, Domain: s.Domain, Entries: func() []fleet.Entry { return f.View().Entries }, Clock: clock, Log: log,
+		Scope: m.Scope.SubScope("ratelimit")})
 }
 
-func newLoadExchange(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.LoadExchange {
+func newLoadExchange(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *mesh.LoadExchange {
 	return mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Budget: budget, Limits: limits,
-		Clock: clock, Log: log})
+		Clock: clock, Log: log, Scope: m.Scope.SubScope("mesh")})
 }
 
 func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits,
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -55,6 +55,7 @@
 	limits := l.Limits.Reports()
 	if len(limits) > maxLimits {
 		rand.Shuffle(len(limits), func(i, j int) { limits[i], limits[j] = limits[j], limits[i] })
+		l.Scope.Counter("limits_left_out").Inc(int64(len(limits) - maxLimits))
 		limits = limits[:maxLimits]
 	}
 	for _, r := range limits {
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lovageweir/lovageweir/fleet"
@@ -57,6 +58,7 @@
 	Limits           *ratelimit.Limits
 	Clock            clockwork.Clock
 	Log              *slog.Logger
+	Scope            tally.Scope // nil: no metrics
 }
 
 // LoadExchange publishes this entry's outstanding work by endpoint, the loads that endpoints
@@ -71,7 +73,12 @@
 }
 
 // NewLoadExchange returns a LoadExchange; Run starts it.
-func NewLoadExchange(d LoadExchangeDeps) *LoadExchange { return &LoadExchange{LoadExchangeDeps: d} }
+func NewLoadExchange(d LoadExchangeDeps) *LoadExchange {
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
+	return &LoadExchange{LoadExchangeDeps: d}
+}
 
 // Run publishes and receives until ctx ends.
 func (l *LoadExchange) Run(ctx context.Context) {
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -28,11 +28,17 @@
 	b.at = now
 }
 
-// add raises the level by n requests, up to the maximum overfill.
-func (b *bucket) add(n, limit float64) {
-	b.level = min(b.level+n, capacity(limit)+1+limit*maxDebt.Seconds())
+// add raises the level by n requests, up to the maximum overfill. It returns how many requests
+// were not counted because of that maximum.
+func (b *bucket) add(n, limit float64) (uncounted float64) {
+	level := b.level + n
+	b.level = min(level, capacity(limit)+1+limit*maxDebt.Seconds())
+	return level - b.level
 }
 
+// overfill returns by how many requests the level exceeds the capacity.
+func (b *bucket) overfill(limit float64) float64 { return max(0, b.level-capacity(limit)) }
+
 // wait returns how long until the bucket has room for one more request and leaves headroom
 // unused. The bucket drains at limit; its capacity is that of the full limit.
 func (b *bucket) wait(headroom, limit, full float64) time.Duration {
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
@@ -39,6 +40,7 @@
 	Entries  func() []fleet.Entry // all known entries, including this one
 	Clock    clockwork.Clock
 	Log      *slog.Logger
+	Scope    tally.Scope // nil: no metrics
 }
 
 // Limits holds the rate limits announced by endpoints. It is safe for concurrent use; its lock is
@@ -67,6 +69,9 @@
 
 // New returns Limits without any limited endpoint.
 func New(d Deps) *Limits {
+	if d.Scope == nil {
+		d.Scope = tally.NoopScope
+	}
 	return &Limits{Deps: d, sent: make(chan struct{}, 1), byID: map[uint32]*limitedEndpoint{}, heard: map[string]time.Time{}}
 }
 
--- a/ratelimit/reports.go
+++ b/ratelimit/reports.go
@@ -53,7 +53,7 @@
 		l.mergeLocked(r.Endpoint, fleet.Endpoint{}, r.Limit, now.Add(-max(0, r.Age)))
 		if e := l.byID[r.Endpoint]; e != nil {
 			l.drainLocked(e, now)
-			e.heard(entry, r.Sent)
+			l.countPeerLocked(e, entry, r.Sent)
 		}
 	}
 }
@@ -73,15 +73,22 @@
 	return changed
 }
 
-// heard adds the requests an entry has sent since its last report. The count of an entry that
-// has restarted begins at zero.
-func (e *limitedEndpoint) heard(entry string, sent uint32) {
+// countPeerLocked adds the requests an entry has sent since its last report. The count of an entry
+// that has restarted begins at zero.
+func (l *Limits) countPeerLocked(e *limitedEndpoint, entry string, sent uint32) {
 	before := e.peerSent[entry]
 	if sent < before {
 		before = 0
 	}
 	e.peerSent[entry] = sent
-	if e.limit > 0 {
-		e.bucket.add(float64(sent-before), e.limit)
+	if e.limit <= 0 || sent == before {
+		return
+	}
+	overfill := e.bucket.overfill(e.limit)
+	uncounted := e.bucket.add(float64(sent-before), e.limit)
+	if over := e.bucket.overfill(e.limit); over > overfill || uncounted > 0 {
+		l.Scope.Counter("overshot_requests").Inc(int64(over - overfill + uncounted))
+		l.Scope.Counter("uncounted_requests").Inc(int64(uncounted))
+		l.Log.Warn("ratelimit: limit overshot.", "endpoint", e.endpoint.ID, "entry", entry, "per_second", e.limit, "requests", sent-before, "over", over, "uncounted", uncounted)
 	}
 }
--- a/ratelimit/state.go
+++ b/ratelimit/state.go
@@ -6,14 +6,24 @@
 	PerSecond float64 `json:"per_second"` // 0: no longer limited
 	AgeMS     int64   `json:"age_ms"`     // since an answer announced it
 	Sent      uint32  `json:"sent"`       // requests sent by this entry
+	Level     float64 `json:"level"`      // requests that the bucket holds
+	Capacity  float64 `json:"capacity"`   // requests that fit the bucket
 }
 
 // State returns the current limits for the state dump.
 func (l *Limits) State() []EndpointState {
 	reports := l.Reports()
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	out := make([]EndpointState, 0, len(reports))
 	for _, r := range reports {
-		out = append(out, EndpointState{r.Endpoint, r.Limit, r.Age.Milliseconds(), r.Sent})
+		s := EndpointState{Endpoint: r.Endpoint, PerSecond: r.Limit, AgeMS: r.Age.Milliseconds(), Sent: r.Sent}
+		if e := l.byID[r.Endpoint]; e != nil && e.limit > 0 {
+			l.drainLocked(e, now)
+			s.Level, s.Capacity = e.bucket.level, capacity(e.limit)
+		}
+		out = append(out, s)
 	}
 	return out
 }
