--- a/ingress/cluster_test.go
+++ b/ingress/cluster_test.go
@@ -29,11 +29,17 @@
 }
 
 func newCluster(t *testing.T, n int, clock clockwork.Clock) *cluster {
+	t.Helper()
+	return newClusterIn(t, n, 1, clock)
+}
+
+// newClusterIn spreads the entries over failure domains d1, d2 and so on.
+func newClusterIn(t *testing.T, n, domains int, clock clockwork.Clock) *cluster {
 	t.Helper()
 	f := &cluster{t: t}
 	store := memkv.New(clock)
 	for i := range n {
-		e := newEnvWithStore(t, store, clock, fmt.Sprintf("i%d", i))
+		e := newEnvInDomain(t, store, clock, fmt.Sprintf("i%d", i), domainOf(i, domains))
 		f.all = append(f.all, e)
 		m := mesh.New(mesh.Deps{Fleet: e.fleet, Rollouts: e.rolloutController, Quarantine: e.quarantine, Limits: e.limits, Clock: clock, Log: slog.New(slog.DiscardHandler)})
 		srv := httptest.NewServer(meshpb.NewMeshServer(m))
@@ -42,7 +48,7 @@
 		f.meshes = append(f.meshes, m)
 	}
 	for i := range n {
-		self, err := json.Marshal(fleet.Entry{Instance: fmt.Sprintf("i%d", i), Domain: "d1"})
+		self, err := json.Marshal(fleet.Entry{Instance: fmt.Sprintf("i%d", i), Domain: domainOf(i, domains)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -52,6 +58,8 @@
 	return f
 }
 
+func domainOf(i, domains int) string { return fmt.Sprintf("d%d", i%domains+1) }
+
 // store returns the store that all entries share.
 func (f *cluster) store() kv.Client { return f.all[0].kv }
 
@@ -89,7 +97,7 @@
 	}
 }
 
-// broadcastLoads sends the loads that one entry knows to the others.
+// broadcastLoads sends the loads that one entry knows to the others of its failure domain.
 func (f *cluster) broadcastLoads(entry int) {
 	f.t.Helper()
 	raw, _, err := f.all[entry].loads.Datagram()
@@ -97,14 +105,14 @@
 		f.t.Fatal(err)
 	}
 	for i, e := range f.all {
-		if i != entry {
+		if i != entry && e.loads.Domain == f.all[entry].loads.Domain {
 			e.loads.Receive(raw)
 		}
 	}
 }
 
-// broadcastLimits sends to the other entries how many requests one entry sent to endpoints
-// with a limit.
+// broadcastLimits sends to the other entries of a failure domain how many requests one entry sent
+// to endpoints with a limit.
 func (f *cluster) broadcastLimits(entry int) {
 	f.t.Helper()
 	raw, err := f.all[entry].loads.LimitsDatagram()
@@ -112,7 +120,7 @@
 		f.t.Fatal(err)
 	}
 	for i, e := range f.all {
-		if i != entry {
+		if i != entry && e.loads.Domain == f.all[entry].loads.Domain {
 			e.loads.Receive(raw)
 		}
 	}
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -116,26 +116,32 @@
 
 // newEnvWithStore starts an entry that has not read its store yet.
 func newEnvWithStore(t *testing.T, store *memkv.Store, clock clockwork.Clock, name string) *testEnv {
+	t.Helper()
+	return newEnvInDomain(t, store, clock, name, "d1")
+}
+
+// newEnvInDomain is newEnvWithStore for an entry of a failure domain.
+func newEnvInDomain(t *testing.T, store *memkv.Store, clock clockwork.Clock, name, domain string) *testEnv {
 	t.Helper()
 	w := &testEnv{t: t, kv: store, logs: &logBuffer{}}
 	log := slog.New(slog.NewJSONHandler(w.logs, nil))
-	w.fleet = fleet.NewFollower(fleet.Entry{Instance: name, Domain: "d1"}, w.kv, platform.Values{}, time.Second, clock, log)
+	w.fleet = fleet.NewFollower(fleet.Entry{Instance: name, Domain: domain}, w.kv, platform.Values{}, time.Second, clock, log)
 	board := place.NewBoard(clock)
 	rollouts := rollout.New(rollout.Deps{Instance: name, Boot: 1, Store: w.kv, Decoder: platform.Values{}, View: w.fleet.View,
 		SessionLife: 5 * time.Second, Exposure: rollout.Exposure{Share: 0.15, Slack: 30}, Clock: clock, Log: log})
 	w.rolloutController = rollouts
 	w.quarantine = quarantine.New(quarantine.Deps{Store: w.kv, View: w.fleet.View, Clock: clock, Log: log})
-	w.limits = ratelimit.New(ratelimit.Deps{Instance: name, Domain: "d1", Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock, Log: log})
+	w.limits = ratelimit.New(ratelimit.Deps{Instance: name, Domain: domain, Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock, Log: log})
 	budget := retry.New(retry.Bounds{Ratio: 0.9, Extra: 50, Window: 10 * time.Second}, func() int { return 1 }, clock)
 	w.gateClock = clockwork.NewFakeClock()
 	w.gate = drain.NewGate(w.gateClock)
-	w.server = ingress.New(ingress.Deps{Instance: name, Domain: "d1", Fleet: w.fleet, HeaderCodec: platform.Headers{}, Board: board, Rates: place.NewRates(),
+	w.server = ingress.New(ingress.Deps{Instance: name, Domain: domain, Fleet: w.fleet, HeaderCodec: platform.Headers{}, Board: board, Rates: place.NewRates(),
 		Budget: budget, Rollouts: rollouts, Quarantine: w.quarantine, Limits: w.limits, EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedGrace: time.Second,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
 	w.url = srv.URL
-	w.loads = mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: name, Domain: "d1", Fleet: w.fleet, Board: board, Budget: budget, Limits: w.limits, Clock: clock, Log: log})
+	w.loads = mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: name, Domain: domain, Fleet: w.fleet, Board: board, Budget: budget, Limits: w.limits, Clock: clock, Log: log})
 	return w
 }
 
--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -22,17 +22,24 @@
 	engines []*platformtest.Engine
 	// arrivals at each engine, by step.
 	arrivals [][]int
+	// lateReports delivers the reports between entries at the end of the step only.
+	lateReports bool
 }
 
 // step is the time between two batches of requests.
 const step = 100 * time.Millisecond
 
 func newLimitedFleet(t *testing.T, n, engines int) *limitedFleet {
+	t.Helper()
+	return newLimitedFleetIn(t, n, engines, 1)
+}
+
+func newLimitedFleetIn(t *testing.T, n, engines, domains int) *limitedFleet {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
-	f := &limitedFleet{cluster: newCluster(t, n, clock), clock: clock}
+	f := &limitedFleet{cluster: newClusterIn(t, n, domains, clock), clock: clock}
 	for i := range engines {
-		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("e%d", i), Service: service, Domain: "d1", Version: "v1", OmitLoad: true})
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("e%d", i), Service: service, Domain: domainOf(i, domains), Version: "v1", OmitLoad: true})
 		srv := httptest.NewServer(e)
 		t.Cleanup(srv.Close)
 		e.Config.Address = strings.TrimPrefix(srv.URL, "http://")
@@ -48,7 +55,8 @@
 // returns how many were answered and how many refused.
 func (f *limitedFleet) run(d time.Duration, perStep int) (answered, refused int) {
 	f.t.Helper()
-	for range int(d / step) {
+	for n := range int(d / step) {
+		var late []int // entries whose reports are under way
 		before := make([]int, len(f.engines))
 		for i, e := range f.engines {
 			before[i] = len(e.Runs())
@@ -58,7 +66,11 @@
 			got := f.send(entry, "/post/x", fmt.Sprintf("body %d", f.sent))
 			select {
 			case <-f.all[entry].limits.Sent():
-				f.broadcastLimits(entry)
+				if f.lateReports {
+					late = append(late, entry)
+				} else {
+					f.broadcastLimits(entry)
+				}
 			default:
 			}
 			switch got.status {
@@ -77,8 +89,13 @@
 			f.arrivals[i] = append(f.arrivals[i], len(e.Runs())-before[i])
 		}
 		f.clock.Advance(step)
+		for _, entry := range late {
+			f.broadcastLimits(entry)
+		}
 		for i := range f.all {
-			f.broadcastLoads(i)
+			if !f.lateReports || n%10 == i%10 { // large fleets publish loads once a second
+				f.broadcastLoads(i)
+			}
 		}
 	}
 	return answered, refused
@@ -186,3 +203,31 @@
 	is.True(served["10000,10"] > 0)
 	is.True(served["100,10"] >= served["10000,10"]) // three in four requests
 }
+
+// Guards against the entries of a failure domain sending at the same moment, in a fleet where reports take time.
+func TestEndpointLimitsHoldInALargeFleet(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleetIn(t, 72, 112, 5)
+	f.lateReports = true
+	limitOf := func(engine int) float64 { return []float64{0, 0.4, 0, 1.4}[engine/5%4] }
+	for i, e := range f.engines {
+		e.SetLimit(limitOf(i))
+		e.Config.OmitLoad = false
+		if limitOf(i) == 0 {
+			e.Config.Busy = e.Config.Slots // the others are less loaded, as they get fewer requests
+		}
+	}
+	const duration = 12 * time.Second
+	answered, refused := f.run(duration, 80)
+	over := 0
+	for i := range f.engines {
+		limit := limitOf(i)
+		if got := f.maxArrivals(i, limitGrace, limitWindow); limit > 0 && got > maxAllowed(limit) {
+			t.Logf("engine %d of %g a second: %d in four seconds, %d allowed", i, limit, got, maxAllowed(limit))
+			over++
+		}
+	}
+	is.Equal(over, 0)
+	is.Equal(refused, 0) // the other engines have room
+	is.True(answered > 0)
+}
