Red: an endpoint that says in an answer that it leaves gets requests

Three entries, three engines; one says Server-Leaving, and its registration stays ready, as while the store is away. Two seconds later it gets 22 more requests (3 where it refuses them), from entries that got the answer and from others. The stand-in engine says it in all its answers.

--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -107,6 +107,11 @@
 	return answered, refused
 }
 
+// faultAt injects a fault into all requests of one engine.
+func (f *limitedFleet) faultAt(engine int, fault platformtest.Fault) {
+	f.engines[engine].FaultOf = func(*http.Request) platformtest.Fault { return fault }
+}
+
 // maxArrivals returns the most requests that an engine got within a window, from a time on.
 func (f *limitedFleet) maxArrivals(engine int, from, window time.Duration) int {
 	steps, maxArrivals := f.arrivals[engine][from/step:], 0
