fleet: an endpoint's own word that it leaves counts, at all entries

Cause: leaving was known from the store only; Server-Leaving was read nowhere. The class is that of LIMIT: an endpoint says something in an answer and the entry, or the others, act without.

Now an answer with Server-Leaving, on any way to the endpoint, adds a departure to the fleet's view, and exchanges tell it to the other entries, as the store may be unreachable for them too. It belongs to one incarnation, outlives new registrations and lapsed ones, and is forgotten a minute after the endpoint is gone. Everything that chooses an endpoint takes it from the view, so that sends, retries, resumed streams, larger models and copies follow. An endpoint that leaves is a last resort for the time that a lapsed one is, from its first such answer; after that, where all leave, requests are refused at once. Connection: close no longer reads as leaving: engines send it in other answers too, and nothing used it. The OpenAI interface took X-Draining from refusals only, told nobody, and tried candidates that had begun to drain since the decision: mended in the same way, for ten seconds as before, since its back ends keep their names.

--- a/call/call.go
+++ b/call/call.go
@@ -94,7 +94,7 @@
 	ID string
 	// Load is nil if the endpoint does not report it.
 	Load *Load
-	// Leaving: the endpoint accepts no further request on the connection.
+	// Leaving: the endpoint is shutting down and wants no further requests.
 	Leaving bool
 	// Limit is how many requests a second the endpoint accepts from all entries
 	// together; 0: unlimited.
--- a/endpoints/poll.go
+++ b/endpoints/poll.go
@@ -115,7 +115,7 @@
 	}
 	p.table.RecordReport(b.Name, r)
 	if l.Draining {
-		p.table.Draining(b.Name)
+		p.table.Draining(b.Name, 0)
 	}
 }
 
--- a/endpoints/table.go
+++ b/endpoints/table.go
@@ -76,7 +76,7 @@
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.leaving[b.Name] || now.Before(t.draining[b.Name]) {
+	if !t.acceptsLocked(b.Name, now) {
 		return 0, false
 	}
 	load = t.inFlight[b.Name]
@@ -126,12 +126,31 @@
 	t.mu.Unlock()
 }
 
-// Draining records b's own notice that it accepts no new requests.
-func (t *Table) Draining(b string) {
+// Draining records b's own notice, of the given age, that it wants no new requests. It
+// reports whether b was not known to be draining.
+func (t *Table) Draining(b string, age time.Duration) (changed bool) {
 	now := t.clock.Now()
 	t.mu.Lock()
-	t.draining[b] = now.Add(drainingTTL)
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	until := now.Add(drainingTTL - max(0, age))
+	if !until.After(now) || !until.After(t.draining[b]) {
+		return false
+	}
+	changed = !now.Before(t.draining[b])
+	t.draining[b] = until
+	return changed
+}
+
+// Accepts reports whether b wants new requests, by its own notices and the instance list.
+func (t *Table) Accepts(b string) bool {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.acceptsLocked(b, now)
+}
+
+func (t *Table) acceptsLocked(b string, now time.Time) bool {
+	return !t.leaving[b] && !now.Before(t.draining[b])
 }
 
 // RecordReport stores b's report. Reports of one poller are ordered by
--- a/endpoints/table_test.go
+++ b/endpoints/table_test.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,7 +10,9 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/lovageweir/lovageweir/internal/rapidseed"
+	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/route"
+	"github.com/lovageweir/lovageweir/rpc/peerpb"
 )
 
 var engineB = &route.BackendInfo{Name: "b", Model: "m", Version: "v1"}
@@ -94,7 +97,7 @@
 		end := table.Begin(b)
 		table.RecordReport(b, Report{Load: 1, Incarnation: 1, Seq: 1})
 		table.Failed(b)
-		table.Draining(b)
+		table.Draining(b, 0)
 		if b != "busy" {
 			end()
 		}
@@ -106,3 +109,21 @@
 	is.Equal(left["busy"].InFlight, 1) // until its request has ended
 	is.Equal(len(left), 2)
 }
+
+// Guards against a draining back end getting requests from entries that got no answer saying so.
+func TestDrainingNoticeReachesOtherEntries(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	noConfig := func() *route.Table { return nil }
+	from, to := NewTable(clock), NewTable(clock)
+	is.True(from.Draining("b", 0))
+	clock.Advance(drainingTTL / 2)
+	var d peerpb.Digest
+	NewTopic(from, noConfig, "fd-1").Fill(&d, false)
+	topic := NewTopic(to, noConfig, "fd-1")
+	is.True(topic.Merge(context.Background(), peers.Received{Digest: &d}))
+	is.True(!to.Accepts("b"))
+	is.True(!topic.Merge(context.Background(), peers.Received{Digest: &d})) // nothing new
+	clock.Advance(drainingTTL / 2)
+	is.True(to.Accepts("b")) // not prolonged by passing it on
+}
--- a/endpoints/topic.go
+++ b/endpoints/topic.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/lovageweir/lovageweir/peers"
 	"github.com/lovageweir/lovageweir/route"
@@ -34,6 +35,13 @@
 	for b := range p.t.leaving {
 		d.Leaving = append(d.Leaving, b)
 	}
+	now := p.t.clock.Now()
+	for b, until := range p.t.draining {
+		if now.Before(until) {
+			d.Draining = append(d.Draining, b)
+			d.DrainingAgeMs = append(d.DrainingAgeMs, uint32((drainingTTL - until.Sub(now)).Milliseconds()))
+		}
+	}
 	p.t.mu.Unlock()
 	// Polls are PollInterval apart, two gossip rounds, so every second digest
 	// is enough.
@@ -75,14 +83,20 @@
 }
 
 // Merge implements peers.Topic. It reports whether the instance list is
-// newer; loads change all the time and are not worth passing on at once.
+// newer or a back end drains that was not known to; loads change all the time and are not worth passing on at once.
 func (p *Topic) Merge(_ context.Context, d peers.Received) bool {
 	if t := p.currentTable(); t != nil && int64(t.Revision) == d.ConfigRevision {
 		for _, l := range d.Loads {
 			p.mergeLoads(l, t.Engines(p.domain))
 		}
 	}
-	return p.t.ApplyInstanceList(d.ListRevision, d.Leaving)
+	changed := p.t.ApplyInstanceList(d.ListRevision, d.Leaving)
+	for i, b := range d.Draining {
+		if i < len(d.DrainingAgeMs) {
+			changed = p.t.Draining(b, time.Duration(d.DrainingAgeMs[i])*time.Millisecond) || changed
+		}
+	}
+	return changed
 }
 
 func (p *Topic) mergeLoads(l *peerpb.Loads, engines []route.BackendInfo) {
--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -23,7 +23,8 @@
 	config    *Config
 	endpoints map[string]Endpoint // by name
 	lapsed    map[string]Lapsed   // by name
-	orders    map[string]Rollout  // by service
+	departures
+	orders    map[string]Rollout // by service
 	statuses  map[string]recordedStatus
 	withdrawn map[string]Withdrawn // by service, as recorded
 	entries   map[string]Entry
@@ -40,7 +41,7 @@
 }
 
 func newBuilder(dec Decoder, lapsedTTL time.Duration, log *slog.Logger) *builder {
-	return &builder{dec: dec, log: log, lapsedTTL: lapsedTTL, endpoints: map[string]Endpoint{}, lapsed: map[string]Lapsed{},
+	return &builder{dec: dec, log: log, lapsedTTL: lapsedTTL, endpoints: map[string]Endpoint{}, lapsed: map[string]Lapsed{}, departures: departures{},
 		orders: map[string]Rollout{}, statuses: map[string]recordedStatus{}, withdrawn: map[string]Withdrawn{}, entries: map[string]Entry{}, last: EmptyView()}
 }
 
@@ -170,6 +171,7 @@
 // view builds the view at a revision.
 func (b *builder) view(rev kv.Revision, now time.Time) *View {
 	v := &View{Revision: rev, Config: b.config, Quarantine: b.quarantine, groups: map[string]*Group{}}
+	b.pruneDepartures(now)
 	if b.config == b.last.Config {
 		v.byHost, v.byKey = b.last.byHost, b.last.byKey
 	} else {
@@ -178,15 +180,26 @@
 	owners := b.addressOwners()
 	for _, ep := range b.endpoints {
 		g := b.group(v, ep.Service)
-		if !ep.Draining && owners[ep.Address] == ep.Registered && !g.Withdrawn.has(ep.Version) {
-			g.Ready = append(g.Ready, ep)
+		if ep.Draining || owners[ep.Address] != ep.Registered || g.Withdrawn.has(ep.Version) {
+			continue
+		}
+		if d, leaves := b.departures[ep.ID]; leaves {
+			g.Lapsed = append(g.Lapsed, Lapsed{Endpoint: ep, Since: d.since, Leaving: true})
+			continue
 		}
+		g.Ready = append(g.Ready, ep)
 	}
 	for name, l := range b.lapsed {
 		if now.Sub(l.Since) > b.lapsedTTL {
 			delete(b.lapsed, name)
 			continue
 		}
+		if d, leaves := b.departures[l.ID]; leaves {
+			l.Leaving = true
+			if d.since.Before(l.Since) {
+				l.Since = d.since
+			}
+		}
 		g := b.group(v, l.Service)
 		if !g.Withdrawn.has(l.Version) {
 			g.Lapsed = append(g.Lapsed, l)
@@ -209,6 +222,21 @@
 	return v
 }
 
+// pruneDepartures forgets the departures of endpoints that are gone.
+func (b *builder) pruneDepartures(now time.Time) {
+	if len(b.departures) == 0 {
+		return
+	}
+	registered := make(map[EndpointID]bool, len(b.endpoints)+len(b.lapsed))
+	for _, ep := range b.endpoints {
+		registered[ep.ID] = true
+	}
+	for _, l := range b.lapsed {
+		registered[l.ID] = true
+	}
+	b.departures.prune(func(id EndpointID) bool { return registered[id] }, now)
+}
+
 // addressOwners returns the registration that owns each address: the latest one made. An
 // endpoint that crashed and restarted, or whose address was reassigned, stays registered
 // until it has missed heartbeats for long. Until then a request for it reaches the new
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -155,7 +155,12 @@
 	for _, e := range fresh {
 		f.viewBuilder.apply(e, now)
 	}
-	v := f.viewBuilder.view(c.Revision, now)
+	f.publishLocked(c.Revision, now)
+}
+
+// publishLocked publishes a view at a revision.
+func (f *Follower) publishLocked(rev kv.Revision, now time.Time) {
+	v := f.viewBuilder.view(rev, now)
 	first := v.Config != nil && f.View().Config == nil
 	f.view.Store(v)
 	if first {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,11 +22,13 @@
 // EntryPrefix is the prefix under which entries register.
 const EntryPrefix = "lovageweir/entries/"
 
-// Lapsed is an endpoint whose registration ended without notice. It has crashed, or it
-// is alive but could not reach the store in time to renew its registration.
+// Lapsed is an endpoint whose registration ended without notice, or that said in an answer that
+// it leaves. In the first case it has crashed, or it is alive but could not reach the store in
+// time to renew its registration.
 type Lapsed struct {
 	Endpoint
-	Since time.Time // on the monotonic clock
+	Since   time.Time // on the monotonic clock
+	Leaving bool      // it said that it leaves
 }
 
 // Group is the endpoints of one service. It does not contain endpoints of withdrawn
@@ -43,9 +45,9 @@
 	Rollout *Rollout
 }
 
-// HasLapsed reports whether an endpoint is one whose registration lapsed.
+// HasLapsed reports whether an endpoint is one whose registration lapsed without notice.
 func (g *Group) HasLapsed(id EndpointID) bool {
-	return slices.ContainsFunc(g.Lapsed, func(l Lapsed) bool { return l.ID == id })
+	return slices.ContainsFunc(g.Lapsed, func(l Lapsed) bool { return l.ID == id && !l.Leaving })
 }
 
 // IsReady reports whether an endpoint takes new requests.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -75,6 +75,9 @@
 	g.budget.deposit()
 	retries := 0
 	for _, b := range dec.Candidates {
+		if !g.Endpoints.Accepts(b.Name) {
+			continue // since the decision
+		}
 		if wait := g.acquireLimit(q.c.Request.Context(), b); wait > 0 {
 			q.noteRateLimited(wait)
 			continue
@@ -119,8 +122,7 @@
 // recordFailure updates the state of the back end of a failed attempt.
 func (g *Gateway) recordFailure(b route.BackendInfo, a attempt) {
 	if a.draining {
-		g.Endpoints.Draining(b.Name)
-		return
+		return // recorded with the answer
 	}
 	g.Endpoints.Failed(b.Name)
 	if a.timedOut {
@@ -243,11 +245,15 @@
 		return nil, attempt{notRun: !wrote.Load(), err: err}
 	}
 	g.recordLimit(b, resp.Header)
+	draining := resp.Header.Get(openai.HeaderDraining) != ""
+	if draining {
+		g.Endpoints.Draining(b.Name, 0)
+	}
 	if resp.StatusCode == http.StatusOK || q.service != nil && !rejectedBeforeStart(resp.StatusCode, true) {
 		return resp, attempt{} // an error status of a service is its answer
 	}
 	resp.Body.Close()
-	return nil, attempt{notRun: rejectedBeforeStart(resp.StatusCode, q.service != nil), draining: resp.Header.Get(openai.HeaderDraining) != "",
+	return nil, attempt{notRun: rejectedBeforeStart(resp.StatusCode, q.service != nil), draining: draining,
 		err: fmt.Errorf("back end answered %d", resp.StatusCode)}
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -221,6 +221,9 @@
 	if head.Limit > 0 || head.Sealed {
 		s.Limits.Observe(ep, head.Limit)
 	}
+	if head.Leaving {
+		s.Fleet.AddDepartures(s.Instance, []fleet.Departure{{Endpoint: ep.ID}})
+	}
 	return head
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -34,6 +34,8 @@
 	ConfigKnown() <-chan struct{}
 	// StoreUnreachable reports whether the store is known not to answer.
 	StoreUnreachable() bool
+	// AddDepartures records that endpoints leave.
+	AddDepartures(from string, reports []fleet.Departure) bool
 }
 
 // Deps are the dependencies and settings of a Server.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -314,6 +314,9 @@
 	}
 	out.Suspects = m.Quarantine.Message()
 	out.Limits = m.Limits.Message()
+	for _, d := range m.Fleet.Departures() {
+		out.Departures = append(out.Departures, &meshpb.Departure{Endpoint: string(d.Endpoint), AgeMs: uint32(d.Age.Milliseconds())})
+	}
 	return out
 }
 
@@ -332,6 +335,7 @@
 	m.mergeRollouts(in)
 	m.Quarantine.MergeMessage(in.Suspects)
 	m.Limits.MergeMessage(in.Limits)
+	m.mergeDepartures(in)
 	out := m.response()
 	c := m.Fleet.Since(kv.Revision(in.Revision))
 	if c.Whole && !m.allowSnapshot() {
@@ -378,6 +382,15 @@
 	m.mergeRollouts(got)
 	m.Quarantine.MergeMessage(got.Suspects)
 	m.Limits.MergeMessage(got.Limits)
+	m.mergeDepartures(got)
+}
+
+func (m *Mesh) mergeDepartures(in *meshpb.ExchangeMessage) {
+	reports := make([]fleet.Departure, 0, len(in.Departures))
+	for _, d := range in.Departures {
+		reports = append(reports, fleet.Departure{Endpoint: fleet.EndpointID(d.Endpoint), Age: time.Duration(d.AgeMs) * time.Millisecond})
+	}
+	m.Fleet.AddDepartures(in.Instance, reports)
 }
 
 func (m *Mesh) mergeRollouts(in *meshpb.ExchangeMessage) {
--- a/openai/types.go
+++ b/openai/types.go
@@ -88,7 +88,8 @@
 	HeaderVersion        = "X-Lovageweir-Version"
 	HeaderBackend        = "X-Lovageweir-Backend"
 	HeaderRevision       = "X-Lovageweir-Config-Revision"
-	// HeaderDraining is set by a back end that refuses because it is draining.
+	// HeaderDraining is set in its answers by a back end that is draining, which refuses
+	// requests or will soon.
 	HeaderDraining = "X-Draining"
 	// HeaderRateLimit is how many requests per second a back end accepts from all entries
 	// together. It is set on each answer for as long as the limit applies.
