place, ingress: an endpoint that asks for a rest gets none until it is over

Cause: Retry-After of an endpoint was read by nobody; a refusal lowered its rank for 150 ms, and as it runs nothing it ranked first again.

Now it is closed to this entry until its time is over, for sends, retries, resumed streams, larger models and copies, and what is known of it is not forgotten meanwhile. The rest belongs to the incarnation and is not told to other entries: the endpoint asked this one. Where all rest, requests are refused at once (endpoints_resting) with the earliest end. The OpenAI interface does the same (route.Resting).

--- a/endpoints/table.go
+++ b/endpoints/table.go
@@ -57,17 +57,21 @@
 	reports      map[string]Report
 	backoffs     map[string]backoff
 	draining     map[string]time.Time // back end -> expiry of its draining notice
+	rests        map[string]time.Time // back end -> until when it wants no requests from this entry
 	listRevision int64
 	leaving      map[string]bool // from the instance list of listRevision
 }
 
-var _ route.Endpoints = (*Table)(nil)
+var (
+	_ route.Endpoints = (*Table)(nil)
+	_ route.Resting   = (*Table)(nil)
+)
 
 // NewTable returns an empty table.
 func NewTable(clock clockwork.Clock) *Table {
 	return &Table{
 		clock: clock, inFlight: map[string]int{}, reports: map[string]Report{}, backoffs: map[string]backoff{},
-		draining: map[string]time.Time{}, leaving: map[string]bool{},
+		draining: map[string]time.Time{}, rests: map[string]time.Time{}, leaving: map[string]bool{},
 	}
 }
 
@@ -141,7 +145,8 @@
 	return changed
 }
 
-// Accepts reports whether b wants new requests, by its own notices and the instance list.
+// Accepts reports whether b wants new requests from this entry, by its own notices and the instance
+// list.
 func (t *Table) Accepts(b string) bool {
 	now := t.clock.Now()
 	t.mu.Lock()
@@ -150,7 +155,25 @@
 }
 
 func (t *Table) acceptsLocked(b string, now time.Time) bool {
-	return !t.leaving[b] && !now.Before(t.draining[b])
+	return !t.leaving[b] && !now.Before(t.draining[b]) && !now.Before(t.rests[b])
+}
+
+// Rest records that b wants no requests from this entry for some time.
+func (t *Table) Rest(b string, d time.Duration) {
+	until := t.clock.Now().Add(d)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until.After(t.rests[b]) {
+		t.rests[b] = until
+	}
+}
+
+// Resting implements route.Resting.
+func (t *Table) Resting(b string) time.Duration {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.rests[b].Sub(now))
 }
 
 // RecordReport stores b's report. Reports of one poller are ordered by
@@ -194,6 +217,7 @@
 	maps.DeleteFunc(t.inFlight, func(b string, n int) bool { return n == 0 && gone(b) })
 	maps.DeleteFunc(t.reports, func(b string, _ Report) bool { return gone(b) })
 	maps.DeleteFunc(t.backoffs, func(b string, _ backoff) bool { return gone(b) })
+	maps.DeleteFunc(t.rests, func(b string, _ time.Time) bool { return gone(b) })
 	maps.DeleteFunc(t.draining, func(b string, _ time.Time) bool { return gone(b) })
 }
 
--- a/gateway/draining_test.go
+++ b/gateway/notices_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -40,3 +41,24 @@
 	}
 	is.True(drainingGot.Load() <= 1)
 }
+
+// Guards against requests to a back end that asked this entry for a rest, and against a Retry-After that ends before it.
+func TestRestingBackEndGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	fc := clockwork.NewFakeClock()
+	var got atomic.Int64
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		got.Add(1)
+		w.Header().Set("Retry-After", "30")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(back.Close)
+	srv := serveGateway(t, testDeps(oneModelConfig(backendSpec{name: "b0", domain: "fd-1", kind: "engine", addr: strings.TrimPrefix(back.URL, "http://")}), fc))
+	postPrompt(t, srv, "prompt", false)
+	for range 5 {
+		fc.Advance(5 * time.Second)
+		is.Equal(postPrompt(t, srv, "prompt", false).StatusCode, http.StatusServiceUnavailable)
+	}
+	is.Equal(got.Load(), int64(1))
+	is.Equal(postPrompt(t, srv, "prompt", false).Header.Get("Retry-After"), "5")
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/lovageweir/lovageweir/config"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
+	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/route"
 )
 
@@ -249,6 +250,10 @@
 	if draining {
 		g.Endpoints.Draining(b.Name, 0)
 	}
+	if rest := retry.ParseAfter(resp.Header.Get("Retry-After")); rest > 0 && resp.StatusCode == http.StatusServiceUnavailable {
+		g.Endpoints.Rest(b.Name, rest)
+		g.Log.Info("gateway: back end asks for a rest.", "backend", b.Name, "ms", rest.Milliseconds())
+	}
 	if resp.StatusCode == http.StatusOK || q.service != nil && !rejectedBeforeStart(resp.StatusCode, true) {
 		return resp, attempt{} // an error status of a service is its answer
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -175,8 +175,7 @@
 	}
 	s := x.server
 	group, best, ref := x.pick()
-	for ref == nil && !s.Limits.Take(ctx, best.Endpoint, x.headroom) {
-		x.denied++
+	for ref == nil && !x.mayUse(ctx, best.Endpoint) {
 		group, best, ref = x.pick()
 	}
 	if ref != nil {
@@ -212,6 +211,16 @@
 	return c, nil, nil
 }
 
+// mayUse takes a request from the limit of an endpoint, if it has one. The endpoint may have asked for
+// a rest since it was picked.
+func (x *exchange) mayUse(ctx context.Context, ep fleet.Endpoint) bool {
+	if !x.server.Limits.Take(ctx, ep, x.headroom) {
+		x.denied++
+		return false
+	}
+	return x.server.Board.Resting(ep.ID) == 0
+}
+
 // readHead decodes the head of an endpoint's answer, and records what the endpoint says of itself.
 func (s *Server) readHead(ep fleet.Endpoint, resp *upstream.Response) call.ResponseMetadata {
 	head := s.HeaderCodec.Answer(resp.Status, resp.Header)
@@ -221,6 +230,10 @@
 	if head.Limit > 0 || head.Sealed {
 		s.Limits.Observe(ep, head.Limit)
 	}
+	if head.Rest > 0 && head.NotRun {
+		s.Board.Rest(ep, head.Rest)
+		s.Log.Info("ingress: endpoint asks for a rest.", "endpoint", ep.ID, "ms", head.Rest.Milliseconds())
+	}
 	if head.Leaving {
 		s.Fleet.AddDepartures(s.Instance, []fleet.Departure{{Endpoint: ep.ID}})
 	}
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -39,12 +39,15 @@
 			f := newLimitedFleet(t, 3, 3)
 			f.faultAt(0, fault)
 			f.engines[0].SetLeaving(true)
-			f.sendToAll(3)
+			for entry := range f.all {
+				for before := f.engines[0].Arrivals(); f.engines[0].Arrivals() == before; {
+					f.send(entry, "/post/x", "body")
+				}
+			}
 			f.clock.Advance(leavingBound)
 			f.put(f.engines[0].Registration(false)) // it still counts as ready in the store
 			f.sync()
 			before := f.engines[0].Arrivals()
-			is.True(before > 0)
 			is.Equal(f.sendToAll(5), 0) // the others serve
 			is.Equal(f.engines[0].Arrivals(), before)
 		})
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -31,13 +31,7 @@
 		ranked = x.server.Board.Rank(x.recentlyLapsed(choice.LastResort), req)
 	}
 	if len(ranked) == 0 {
-		if opensIn > 0 {
-			return nil, place.Ranked{}, refuseLimited(opensIn)
-		}
-		if len(x.tried) > 0 {
-			return nil, place.Ranked{}, refuseEndpointsFull
-		}
-		return nil, place.Ranked{}, refuseNoEndpoint
+		return nil, place.Ranked{}, x.refuseUnavailable(choice, opensIn)
 	}
 	best := ranked[0]
 	for _, r := range ranked {
@@ -49,6 +43,34 @@
 	return group, best, nil
 }
 
+// refuseUnavailable returns the refusal for a request that no endpoint takes now; limitOpensIn is when
+// the first of those at their limits does, 0 if there is none.
+func (x *exchange) refuseUnavailable(choice rollout.Choice, limitOpensIn time.Duration) *refusal {
+	restEndsIn := x.restEndsIn(choice)
+	switch {
+	case limitOpensIn > 0 && (restEndsIn == 0 || limitOpensIn <= restEndsIn):
+		return refuseLimited(limitOpensIn)
+	case restEndsIn > 0:
+		return refuseResting(restEndsIn)
+	case len(x.tried) > 0:
+		return refuseEndpointsFull
+	}
+	return refuseNoEndpoint
+}
+
+// restEndsIn returns when the first of the endpoints that asked for a rest may be used; 0: none did.
+func (x *exchange) restEndsIn(choice rollout.Choice) time.Duration {
+	first := time.Duration(0)
+	for _, endpoints := range [][]fleet.Endpoint{choice.Preferred, choice.Fallback} {
+		for _, ep := range endpoints {
+			if rest := x.server.Board.Resting(ep.ID); rest > 0 && (first == 0 || rest < first) {
+				first = rest
+			}
+		}
+	}
+	return first
+}
+
 const (
 	// maxDenied is how many endpoints without room are asked for one request; each takes a round trip.
 	maxDenied = 3
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -60,6 +60,11 @@
 
 func (r *refusal) limited() bool { return r != nil && r.code == codeLimited }
 
+// refuseResting is the refusal while all endpoints have asked for a rest.
+func refuseResting(retryAfter time.Duration) *refusal {
+	return &refusal{http.StatusServiceUnavailable, "endpoints_resting", retryAfter}
+}
+
 // Failures: the request may have run.
 var (
 	failBroken   = &refusal{http.StatusBadGateway, "endpoint_broke_off", 0}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -42,7 +42,7 @@
 	}
 	s := x.server
 	trial, ok := s.Rollouts.Trial(g, s.Board.Standing)
-	if !ok || x.tried[trial.Endpoint.ID] || s.Limits.Wait(trial.Endpoint, ratelimit.LightHeadroom) > 0 || !s.Budget.Take(x.target(), retry.ForTrial) {
+	if !ok || x.tried[trial.Endpoint.ID] || s.Board.Resting(trial.Endpoint.ID) > 0 || s.Limits.Wait(trial.Endpoint, ratelimit.LightHeadroom) > 0 || !s.Budget.Take(x.target(), retry.ForTrial) {
 		return
 	}
 	x.copied = true
--- a/place/board.go
+++ b/place/board.go
@@ -78,7 +78,8 @@
 	ejectedUntil        time.Time
 	ejection            time.Duration
 	fullUntil           time.Time
-	latency             float64 // mean time to the first event, in seconds
+	restsUntil          time.Time // by its own request
+	latency             float64   // mean time to the first event, in seconds
 	lastUsed            time.Time
 	lastChecked         time.Time // when reachability was last checked
 	// unreachableAt is when the endpoint was found unreachable; requests sent before are lost.
@@ -149,7 +150,7 @@
 	}
 	b.lastSweep = now
 	for id, r := range b.byID {
-		if r.inFlight == 0 && now.Sub(r.lastUsed) > evictAfter {
+		if r.inFlight == 0 && now.Sub(r.lastUsed) > evictAfter && !now.Before(r.restsUntil) {
 			delete(b.byID, id)
 			delete(b.byShortID, ShortID(id))
 		}
@@ -383,6 +384,29 @@
 	return s
 }
 
+// Rest records that an endpoint wants no requests from this entry for some time.
+func (b *Board) Rest(ep fleet.Endpoint, d time.Duration) {
+	now := b.clock.Now()
+	until := now.Add(d)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.endpointStatsLocked(ep, now); until.After(r.restsUntil) {
+		r.restsUntil = until
+	}
+}
+
+// Resting returns how much longer an endpoint wants no requests from this entry; 0: it takes them.
+func (b *Board) Resting(id fleet.EndpointID) time.Duration {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.byID[id]
+	if r == nil {
+		return 0
+	}
+	return max(0, r.restsUntil.Sub(now))
+}
+
 // MayCheck reports whether the reachability of an endpoint may be checked now, and if so starts a new
 // interval: one check per interval is enough.
 func (b *Board) MayCheck(id fleet.EndpointID, interval time.Duration) bool {
--- a/place/choose.go
+++ b/place/choose.go
@@ -77,8 +77,8 @@
 	return out
 }
 
-// Rank orders endpoints for a request, best first. Ejected ones come last; endpoints already tried and
-// closed ones are left out.
+// Rank orders endpoints for a request, best first. Ejected ones come last; endpoints already tried,
+// closed and resting ones are left out.
 func (b *Board) Rank(candidates []fleet.Endpoint, req Request) []Ranked {
 	now := b.clock.Now()
 	preferred := preferredEndpoint(candidates, req)
@@ -86,7 +86,7 @@
 	b.mu.Lock()
 	out := make([]Ranked, 0, len(candidates))
 	for i, ep := range candidates {
-		if req.Tried[ep.ID] || closed != nil && closed[i] {
+		if req.Tried[ep.ID] || closed != nil && closed[i] || b.restsLocked(ep.ID, now) {
 			continue
 		}
 		load := b.sampledLoadLocked(ep, now)
@@ -107,6 +107,11 @@
 	return out
 }
 
+func (b *Board) restsLocked(id fleet.EndpointID, now time.Time) bool {
+	r := b.byID[id]
+	return r != nil && now.Before(r.restsUntil)
+}
+
 // score returns the expected wait at an endpoint with the given load, plus penalties and less the
 // value of a cached prompt.
 func score(ep fleet.Endpoint, s Standing, load float64, req Request, preferred bool) time.Duration {
--- a/route/decide.go
+++ b/route/decide.go
@@ -85,6 +85,12 @@
 	State(b *BackendInfo) (load int, usable bool)
 }
 
+// Resting is implemented by Endpoints that know when back ends want no requests.
+type Resting interface {
+	// Resting returns how much longer a back end wants no requests; 0: it takes them.
+	Resting(backend string) time.Duration
+}
+
 // Halts reports whether a version was halted for too many bad answers.
 type Halts interface {
 	Halted(subject string) bool
@@ -122,8 +128,12 @@
 			Message: fmt.Sprintf("%s@%s is nearly full; what is left is kept for higher priorities", r.Model, version)}
 	}
 	if len(cands) == 0 {
+		retryAfter := noBackendRetry
+		if rest := t.restEndsIn(r.Model, version, view); rest > 0 {
+			retryAfter = rest
+		}
 		return nil, &Refusal{Code: CodeNoBackend, Status: http.StatusServiceUnavailable,
-			Message: fmt.Sprintf("no back end serves %s@%s now", r.Model, version), RetryAfter: noBackendRetry}
+			Message: fmt.Sprintf("no back end serves %s@%s now", r.Model, version), RetryAfter: retryAfter}
 	}
 	return &Decision{Customer: cust, Model: r.Model, Version: version, Priority: c.Priority, Candidates: cands}, nil
 }
@@ -217,6 +227,24 @@
 	return out, least
 }
 
+// restEndsIn returns when the first back end of a version that asked for a rest may be used; 0: none did.
+func (t *Table) restEndsIn(model, version string, view View) time.Duration {
+	vb := t.backends[modelVersion{model, version}]
+	eps, ok := view.Endpoints.(Resting)
+	if vb == nil || !ok {
+		return 0
+	}
+	first := time.Duration(0)
+	for _, list := range vb.byDomain {
+		for i := range list {
+			if rest := eps.Resting(list[i].info.Name); rest > 0 && (first == 0 || rest < first) {
+				first = rest
+			}
+		}
+	}
+	return first
+}
+
 type scored struct {
 	info     *BackendInfo // points into the Table
 	local    bool
