--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -18,6 +18,7 @@
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/retry"
 )
 
 func registerPlatform(parent *kingpin.CmdClause) {
@@ -91,6 +92,9 @@
 	faults    float64
 	crashOn   string  // body of a request that ends the process; "": none
 	limit     float64 // requests a second that it reports as its limit; 0: none
+	// announceDelay is how long it serves after a planned stop began before it tells the store; its
+	// answers say at once that it leaves.
+	announceDelay time.Duration
 	// drainTime is how long it keeps serving after it has announced that it leaves.
 	drainTime time.Duration
 }
@@ -111,7 +115,9 @@
 	cmd.Flag("faults", "Share of requests that meet a fault.").Default("0").Float64Var(&e.faults)
 	cmd.Flag("crash-on", "Body of a request that ends the process; none: no request does.").StringVar(&e.crashOn)
 	cmd.Flag("limit", "Requests a second that it names in its answers; 0: none.").Default("0").Float64Var(&e.limit)
-	cmd.Flag("serves-on", "How long it serves after a planned stop began.").Default("2500ms").DurationVar(&e.drainTime)
+	cmd.Flag("retry-after", "Retry-After of its refusals, in seconds; none: none.").StringVar(&e.config.RetryAfter)
+	cmd.Flag("announces-after", "How long after a planned stop began it tells the store that it leaves.").Default("0s").DurationVar(&e.announceDelay)
+	cmd.Flag("serves-on", "How long it serves after that.").Default("2500ms").DurationVar(&e.drainTime)
 	cmd.Action(func(*kingpin.ParseContext) error { return e.run(*address) })
 }
 
@@ -129,6 +135,7 @@
 	engine.OnCrash = func() { os.Exit(crashExitCode) }
 	engine.FaultOf = e.faultOf
 	engine.OnRun = printRun
+	engine.OnRefuse = e.printRefusal
 	srv, err := listen(address, engine)
 	if err != nil {
 		return err
@@ -137,6 +144,8 @@
 	defer cancel()
 	go e.register(ctx, engine)
 	waitForSignal()
+	engine.SetLeaving(true)
+	time.Sleep(e.announceDelay)
 	cancel()
 	e.announceLeaving(engine)
 	time.Sleep(e.drainTime)
@@ -209,16 +218,27 @@
 // accepted that the engine leaves.
 type EngineLine struct {
 	Engine string `json:"engine"`
-	ID     string `json:"id,omitempty"`      // request that runs
-	AtMS   int64  `json:"at_ms,omitempty"`   // start of the run, Unix time
-	Fault  string `json:"fault,omitempty"`   // what the engine does instead of a normal answer
-	LeftMS int64  `json:"left_ms,omitempty"` // time of leaving, Unix time
+	ID     string `json:"id,omitempty"`    // request that runs
+	AtMS   int64  `json:"at_ms,omitempty"` // start of the run, Unix time
+	Fault  string `json:"fault,omitempty"` // what the engine does instead of a normal answer
+	// Leaving: the answer says that the engine leaves.
+	Leaving bool `json:"leaving,omitempty"`
+	// RestMS is how long the engine asks for a rest; the request, which it refuses, does not run.
+	RestMS int64 `json:"rest_ms,omitempty"`
+	LeftMS int64 `json:"left_ms,omitempty"` // time of leaving, Unix time
 }
 
 // printRun prints a run when it starts, before its response, so that no run is lost
 // if the process ends.
 func printRun(run platformtest.Run) {
-	printLine(EngineLine{Engine: run.Engine, ID: run.ID, AtMS: run.At.UnixMilli(), Fault: string(run.Fault)})
+	printLine(EngineLine{Engine: run.Engine, ID: run.ID, AtMS: run.At.UnixMilli(), Fault: string(run.Fault), Leaving: run.Leaving})
+}
+
+// printRefusal prints a request that is refused with a rest.
+func (e *platformEngine) printRefusal(id string) {
+	if rest := retry.ParseAfter(e.config.RetryAfter); rest > 0 {
+		printLine(EngineLine{Engine: e.config.ID, ID: id, AtMS: time.Now().UnixMilli(), RestMS: rest.Milliseconds()})
+	}
 }
 
 func printLine(p EngineLine) {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -42,6 +42,7 @@
 type callers struct {
 	c       *cluster
 	seed    uint64
+	notices bool // requests that follow an engine's notices are checked
 	fragile bool // most requests go to the fragile service, and one kind crashes its engines
 	series  bool // some callers keep long streams open, some use a new connection for each request
 
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -156,7 +156,7 @@
 	name := fmt.Sprintf("engine-%d-%s-%d", i, version, time.Now().UnixNano())
 	e := &engine{proxy: proxy, logPath: c.logPath(name), service: service, process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
 		"--advertise", proxy.Address, "--store", c.storeAddress, "--id", name, "--service", service, "--domain", fmt.Sprintf("d%d", i%2), "--software", version,
-		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", eventPause(service).String(), "--work", callWork.String(), "--serves-on", drainTime.String()}}}
+		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", eventPause(service).String(), "--work", callWork.String(), "--serves-on", drainTime.String(), "--retry-after", fmt.Sprint(restTime.Seconds()), "--announces-after", announceDelayOf(i).String()}}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engines = append(c.engines, e)
@@ -250,9 +250,13 @@
 			if json.Unmarshal(lines.Bytes(), &line) != nil {
 				continue
 			}
+			if line.RestMS > 0 {
+				out.refused = append(out.refused, run{id: line.ID, engine: line.Engine, at: time.UnixMilli(line.AtMS), rest: time.Duration(line.RestMS) * time.Millisecond})
+				continue
+			}
 			if line.ID != "" {
 				out.counts[line.ID]++
-				out.runs = append(out.runs, run{id: line.ID, engine: line.Engine, at: time.UnixMilli(line.AtMS), fault: line.Fault})
+				out.runs = append(out.runs, run{id: line.ID, engine: line.Engine, at: time.UnixMilli(line.AtMS), fault: line.Fault, leaving: line.Leaving})
 			}
 			if line.LeftMS > 0 {
 				out.leftAt[line.Engine] = time.UnixMilli(line.LeftMS)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,9 +30,12 @@
 	disconnected []interval    // when some entry could not learn of changes
 	stops        []plannedStop // planned stops of entries
 	// faulted is when a process, or its link through a proxy, had any other fault.
-	faulted  map[string][]interval
-	engine   int // engines started so far to replace others
-	rollouts int
+	faulted map[string][]interval
+	// interrupted is when a process was paused or restarted, linkFaults when the link to it was
+	// impaired.
+	interrupted, linkFaults map[string][]interval
+	engine                  int // engines started so far to replace others
+	rollouts                int
 }
 
 func (f *faultInjector) record(format string, args ...any) {
@@ -130,17 +133,21 @@
 
 // trackFault records that a process, or its link through a proxy, has a fault, from
 // now until the returned function is called.
-func (f *faultInjector) trackFault(name string) (over func()) {
+func (f *faultInjector) trackFault(name string) (over func()) { return f.track(f.faulted, name) }
+
+// track records in intervals, from now until the returned function is called.
+func (f *faultInjector) track(intervals map[string][]interval, name string) (over func()) {
 	started := time.Now()
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.faulted[name] = append(f.faulted[name], interval{started, time.Now()})
+		intervals[name] = append(intervals[name], interval{started, time.Now()})
 	}
 }
 
 func (f *faultInjector) impairLink(name string, p *Proxy, m Mode, d time.Duration) {
 	f.record("link to %s in mode %d for %v", name, m, d)
+	defer f.track(f.linkFaults, name)()
 	p.Set(m)
 	time.Sleep(d)
 	p.Set(Pass)
@@ -148,6 +155,7 @@
 
 func (f *faultInjector) pause(p *process, d time.Duration) {
 	f.record("%s paused for %v", p.name, d)
+	defer f.track(f.interrupted, p.name)()
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	p.signal(syscall.SIGCONT)
@@ -155,6 +163,7 @@
 
 func (f *faultInjector) restart(p *process, s syscall.Signal) {
 	f.record("%s gets %v and starts again", p.name, s)
+	defer f.track(f.interrupted, p.name)()
 	p.signal(s)
 	p.wait(f.c.grace)
 	if err := p.start(f.c.logPath(p.name)); err != nil {
@@ -177,7 +186,7 @@
 		s = syscall.SIGTERM
 	}
 	g.signal(s)
-	g.wait(drainTime + exitSlack)
+	g.wait(announceDelay + drainTime + exitSlack)
 }
 
 func (f *faultInjector) writeConfig() {
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -28,14 +28,18 @@
 type run struct {
 	id, engine string
 	at         time.Time
-	fault      string // what the engine did instead of a normal answer; "": none
+	fault      string        // what the engine did instead of a normal answer; "": none
+	leaving    bool          // the answer said that the engine leaves
+	rest       time.Duration // the engine refused the request and asked for a rest; 0: it did not
 }
 
 // runLog is what the engines ran, according to their logs.
 type runLog struct {
 	counts map[string]int // by request
 	runs   []run
-	leftAt map[string]time.Time // when the store accepted that an engine leaves, by engine
+	// refused are requests that an engine refused with a rest.
+	refused []run
+	leftAt  map[string]time.Time // when the store accepted that an engine leaves, by engine
 }
 
 // runsAfterLeaving returns the runs that started too long after the store accepted
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -26,6 +26,9 @@
 	// Fragile: most requests go to the fragile service, one kind of them crashes its engines,
 	// and its first engine reports a rate limit.
 	Fragile bool
+	// IgnoreNotices: requests after an engine said that it leaves or rests are no finding, as some
+	// entries are of a build that does not read that.
+	IgnoreNotices bool
 }
 
 // Report is the result of a soak.
@@ -60,8 +63,8 @@
 	}
 	defer c.stop()
 	time.Sleep(settle)
-	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, served: map[string]int64{}}
-	f := &faultInjector{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, faulted: map[string][]interval{}}
+	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, notices: !o.IgnoreNotices, served: map[string]int64{}}
+	f := &faultInjector{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, faulted: map[string][]interval{}, interrupted: map[string][]interval{}, linkFaults: map[string][]interval{}}
 	engineCtx, stopEngines := context.WithCancel(context.Background())
 	defer stopEngines()
 	sup := &supervisor{c: c, f: f}
@@ -113,6 +116,11 @@
 	for _, late := range engineRuns.runsAfterLeaving(f.disconnected) {
 		s.addFinding("%s: ran at %s %v after the store took that it leaves", late.id, late.engine, late.at.Sub(engineRuns.leftAt[late.engine]))
 	}
+	if s.notices {
+		for _, finding := range engineRuns.checkNotices(s.noticeContext(f)) {
+			s.addFinding("%s", finding)
+		}
+	}
 	r.Crashes = len(engineRuns.crashTimes())
 	if finding := engineRuns.checkCrashes(); finding != "" {
 		s.addFinding("%s", finding)
