ingress: a larger model's place is taken before the smaller one's answer is dropped

Since an entry that does not own a limit learns only by asking that it has no room, the estimate for a larger model said yes, the answer was dropped, and then there was no room. Now the endpoint is reserved, and its limit taken, before the answer is dropped; if there is none, the answer is kept.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -53,9 +53,10 @@
 	headroom      float64 // what the next send leaves unused of the endpoint's limit, in requests
 	denied        int     // endpoints whose limits had no room when they were asked
 	retryReserved bool    // the next retry was already taken from the budget
-	unreached     int     // sends for which no connection was accepted
-	model         int     // index into the route's models
-	started       bool    // a part of the answer was sent to the caller
+	reserved      *reservation
+	unreached     int  // sends for which no connection was accepted
+	model         int  // index into the route's models
+	started       bool // a part of the answer was sent to the caller
 	status        int
 	outcome       string
 	attempts      []attempt
@@ -174,10 +175,7 @@
 		return nil, ref, nil
 	}
 	s := x.server
-	group, best, ref := x.pick()
-	for ref == nil && !x.mayUse(ctx, best.Endpoint) {
-		group, best, ref = x.pick()
-	}
+	group, best, ref := x.acquire(ctx)
 	if ref != nil {
 		return nil, ref, nil
 	}
@@ -211,6 +209,34 @@
 	return c, nil, nil
 }
 
+// acquire returns the endpoint for the next send, and takes the request from its limit.
+func (x *exchange) acquire(ctx context.Context) (*fleet.Group, place.Ranked, *refusal) {
+	if r := x.reserved; r != nil {
+		x.reserved = nil
+		return r.group, r.best, nil
+	}
+	group, best, ref := x.pick()
+	for ref == nil && !x.mayUse(ctx, best.Endpoint) {
+		group, best, ref = x.pick()
+	}
+	return group, best, ref
+}
+
+// reservation is an endpoint that the next send goes to.
+type reservation struct {
+	group *fleet.Group
+	best  place.Ranked
+}
+
+// reserve acquires the endpoint for the next send. It reports whether there was one.
+func (x *exchange) reserve(ctx context.Context) bool {
+	group, best, ref := x.acquire(ctx)
+	if ref == nil {
+		x.reserved = &reservation{group, best}
+	}
+	return ref == nil
+}
+
 // mayUse takes a request from the limit of an endpoint, if it has one. The endpoint may have asked for
 // a rest since it was picked.
 func (x *exchange) mayUse(ctx context.Context, ep fleet.Endpoint) bool {
--- a/ingress/limit_test.go
+++ b/ingress/limit_test.go
@@ -247,3 +247,32 @@
 	is.Equal(refused, 0)                 // the other engines have room
 	is.True(answered > 0)
 }
+
+// Guards against an answer dropped for a larger model that no endpoint has room for.
+func TestAnswerIsKeptWhereLimitsHaveNoRoomForALargerModel(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(t, 3, 1)
+	for i := range f.all {
+		f.broadcastLoads(i)
+	}
+	f.engines[0].Config.Confidence = func(string, string) int { return 0 }
+	f.engines[0].SetLimit(2)
+	const rounds, interval = 40, 500 * time.Millisecond // one request fits the limit in each
+	answered := 0
+	for range rounds {
+		for entry := range f.all {
+			f.sent++
+			got := f.all[entry].do(http.MethodPost, "/sized/stream", "body", "X-Attempt-Id", fmt.Sprint("r", f.sent), "X-Model", "*")
+			if got.status == http.StatusOK {
+				answered++
+			} else {
+				is.Equal(got.status, http.StatusServiceUnavailable)
+			}
+		}
+		f.clock.Advance(interval)
+		for i := range f.all {
+			f.broadcastLoads(i)
+		}
+	}
+	is.True(answered >= 0.9*rounds)
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
@@ -57,7 +58,7 @@
 		x.end(c, place.Broken, "answer is not this request's")
 		return lastID, errMayHaveRun
 	}
-	if x.escalate(c) {
+	if x.escalate(ctx, c) {
 		return lastID, errRetry
 	}
 	return x.relayEvents(ctx, c, lastID)
@@ -88,11 +89,11 @@
 
 // escalate drops an answer of low confidence and selects a larger model, if nothing
 // has been forwarded yet and the larger model may be asked.
-func (x *exchange) escalate(c *upstreamCall) bool {
+func (x *exchange) escalate(ctx context.Context, c *upstreamCall) bool {
 	if x.started || x.modelName() == "" {
 		return false
 	}
-	policy := x.server.EscalationPolicy
+	policy, previous := x.server.EscalationPolicy, x.model
 	next, ok := policy.Next(len(x.route.Models), x.model, c.head.Confidence)
 	if !ok {
 		return false
@@ -108,18 +109,35 @@
 	if verdict == cascade.Escalate && !x.mayRetry(retry.ForQuality) {
 		verdict = cascade.NoRetry
 	}
+	if verdict == cascade.Escalate && !x.reserveModel(ctx, next, c.endpoint.ID) {
+		x.retryReserved = true // for a failure of this answer
+		verdict = cascade.EnginesBusy
+	}
 	if verdict != cascade.Escalate {
 		x.attempts[c.attemptIndex].keepReason = verdict
 		return false
 	}
+	x.model = previous
 	x.observe(c, false, c.ticket.FirstEvent())
 	x.end(c, place.Served, "confidence "+strconv.Itoa(c.head.Confidence))
 	x.model = next
-	// The larger model may run on the same endpoint.
-	delete(x.tried, c.endpoint.ID)
 	return true
 }
 
+// reserveModel reserves an endpoint for another model before an answer is dropped for it. It may be
+// the endpoint of that answer. If there is none, the request is as before.
+func (x *exchange) reserveModel(ctx context.Context, model int, answered fleet.EndpointID) bool {
+	previous := x.model
+	x.model = model
+	delete(x.tried, answered)
+	if x.reserve(ctx) {
+		return true
+	}
+	x.model = previous
+	x.tried[answered] = true
+	return false
+}
+
 // estimate predicts how long another of the route's models would take to answer. It
 // returns a refusal if no endpoint is available for it.
 func (x *exchange) estimate(model int) (cascade.Estimate, *refusal) {
