ingress: endpoints without room are counted by version

A request that asked three endpoints of a new version in vain was refused though those of the old one had room.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -50,9 +50,9 @@
 	tried map[fleet.EndpointID]bool
 	// runs counts the sends that may have run, refused those that did not run.
 	runs, refused int
-	headroom      float64 // what the next send leaves unused of the endpoint's limit, in requests
-	denied        int     // endpoints whose limits had no room when they were asked
-	retryReserved bool    // the next retry was already taken from the budget
+	headroom      float64        // what the next send leaves unused of the endpoint's limit, in requests
+	denied        map[string]int // endpoints whose limits had no room when asked, by version
+	retryReserved bool           // the next retry was already taken from the budget
 	reserved      *reservation
 	unreached     int  // sends for which no connection was accepted
 	model         int  // index into the route's models
@@ -241,7 +241,10 @@
 // a rest since it was picked.
 func (x *exchange) mayUse(ctx context.Context, ep fleet.Endpoint) bool {
 	if !x.server.Limits.Take(ctx, ep, x.headroom) {
-		x.denied++
+		if x.denied == nil {
+			x.denied = map[string]int{}
+		}
+		x.denied[ep.Version]++
 		return false
 	}
 	return x.server.Board.Resting(ep.ID) == 0
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -72,7 +72,8 @@
 }
 
 const (
-	// maxDenied is how many endpoints without room are asked for one request; each takes a round trip.
+	// maxDenied is how many endpoints of a version are asked in vain for one request; each takes a
+	// round trip.
 	maxDenied = 3
 	// deniedDelay is when a caller may retry whose request asked that many in vain.
 	deniedDelay = 100 * time.Millisecond
@@ -90,7 +91,7 @@
 	}
 	return func(ep fleet.Endpoint) bool {
 		wait := limits.Wait(ep, x.headroom)
-		if wait == 0 && x.denied >= maxDenied && limits.Limit(ep) > 0 {
+		if wait == 0 && x.denied[ep.Version] >= maxDenied && limits.Limit(ep) > 0 {
 			wait = deniedDelay
 		}
 		if wait > 0 && (*opensIn == 0 || wait < *opensIn) {
