ratelimit: callers that leave and entries of other domains, as owners are asked

Read in the diff: a question cut off because its caller left counted as one that the owner left unanswered, five of which make a silent owner look gone; an entry of another failure domain could take itself for the owner of a limit that it may not use. Tests for both.

--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -74,9 +74,13 @@
 	if q == nil {
 		return taken
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	v, err := l.Owners.TakeLimit(ctx, q.owner, q.Ask)
+	v, err := l.Owners.TakeLimit(askCtx, q.owner, q.Ask)
+	if err != nil && ctx.Err() != nil {
+		l.abandon(q)
+		return false
+	}
 	l.settle(q, v, err)
 	return err == nil && v.Granted
 }
@@ -106,6 +110,13 @@
 		Limit: e.limit, Age: now.Sub(e.updatedAt), Headroom: headroom}}
 }
 
+// abandon ends a question whose caller has left, which says nothing about the owner.
+func (l *Limits) abandon(q *question) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q.endpoint.asking--
+}
+
 // settle applies an owner's answer.
 func (l *Limits) settle(q *question, v Verdict, err error) {
 	now := l.Clock.Now()
@@ -113,10 +124,9 @@
 	defer l.mu.Unlock()
 	e := q.endpoint
 	e.asking--
-	p := l.heard[q.owner.Instance]
-	if err == nil {
+	if p, known := l.heard[q.owner.Instance]; err == nil {
 		l.heard[q.owner.Instance] = peer{at: now, asks: true}
-	} else {
+	} else if known {
 		p.unanswered++
 		l.heard[q.owner.Instance] = p
 	}
@@ -161,7 +171,7 @@
 		e.endpoint = fleet.Endpoint{ID: a.ID, Domain: a.Domain}
 	}
 	l.determineOwnerLocked(a.Endpoint, e, now)
-	if e.owner.Instance != l.Instance {
+	if e.owner.Instance != l.Instance || e.share <= 0 {
 		l.Scope.Counter("owner_disputed").Inc(1)
 		return Verdict{Wait: disputedDelay}
 	}
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -344,3 +344,40 @@
 	is.True(float64(got) <= 1.1*(limit-other)*60+2)
 	is.True(float64(got) >= 0.9*(limit-other)*60)
 }
+
+// silentOwners never answers.
+type silentOwners struct{}
+
+func (silentOwners) TakeLimit(ctx context.Context, _ fleet.Entry, _ Ask) (Verdict, error) {
+	<-ctx.Done()
+	return Verdict{}, ctx.Err()
+}
+
+// Guards against callers that leave making the owner of a limit look gone.
+func TestCallersThatLeaveSayNothingAboutTheOwner(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 1)
+	for i, l := range g.all {
+		l.Observe(ep, 1)
+		l.begin(ep, 0)
+		if l.byID[place.ShortID(ep.ID)].owner.Instance == l.Instance {
+			continue
+		}
+		l.byID[place.ShortID(ep.ID)].asking = 0
+		l.Owners = silentOwners{}
+		left, leave := context.WithCancel(ctx)
+		leave()
+		for range 2 * minUnanswered {
+			is.True(!l.Take(left, ep, 0))
+		}
+		is.Equal(l.heard[g.all[1-i].Instance].unanswered, 0)
+		is.Equal(l.Wait(ep, 0), time.Duration(0)) // the next caller may ask
+	}
+}
+
+// Guards against an entry of another failure domain granting requests.
+func TestEntryOfAnotherDomainGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(60, 4)
+	is.True(!g.all[1].Grant(Ask{Entry: "i0", Endpoint: place.ShortID(ep.ID), ID: ep.ID, Domain: ep.Domain, Limit: 2}).Granted)
+}
