ratelimit: a silent owner is asked once, not once for each endpoint that it owns

A frozen entry of a domain owns several limits; a request that prefers its endpoints waited 250 ms for each. Red before: TestSilentOwnerIsAskedAboutOneEndpointAtATime.

--- a/ratelimit/owner.go
+++ b/ratelimit/owner.go
@@ -15,7 +15,7 @@
 	// askTimeout bounds a question to an owner; a slow entry answers within some tens of
 	// milliseconds.
 	askTimeout = 250 * time.Millisecond
-	// unansweredDelay is how long an endpoint is not used after its owner gave no answer.
+	// unansweredDelay is how long the endpoints of an owner that gave no answer are not used.
 	unansweredDelay = 300 * time.Millisecond
 	// disputedDelay is the wait returned by an entry that takes another one for the owner; views
 	// agree again once both have heard from the same entries.
@@ -128,6 +128,7 @@
 		l.heard[q.owner.Instance] = peer{at: now, asks: true}
 	} else if known {
 		p.unanswered++
+		p.askAgainAt = now.Add(unansweredDelay)
 		l.heard[q.owner.Instance] = p
 	}
 	switch {
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -75,8 +75,10 @@
 	// asks: it asks the owners of limits, and grants requests as an owner. The requests of any
 	// other entry are counted as it reports them.
 	asks bool
-	// unanswered counts the questions to it that got no answer since.
+	// unanswered counts the questions to it that got no answer since; it is not asked before
+	// askAgainAt.
 	unanswered int
+	askAgainAt time.Time
 }
 
 // mayOwn reports whether an entry is taken for alive, to own limits. Reports may be lost, so that a
@@ -231,10 +233,15 @@
 		return l.bucketWaitLocked(e, headroom, now)
 	case e.asking > int(e.limit*burstTime.Seconds()):
 		return askTimeout // questions enough are under way
-	case headroom > 0:
-		return max(0, e.lightOpensAt.Sub(now))
 	}
-	return max(0, e.opensAt.Sub(now))
+	opensAt := e.opensAt
+	if headroom > 0 {
+		opensAt = e.lightOpensAt
+	}
+	if p := l.heard[e.owner.Instance]; p.askAgainAt.After(opensAt) {
+		opensAt = p.askAgainAt
+	}
+	return max(0, opensAt.Sub(now))
 }
 
 // shareLocked returns the share of a limit that this entry and the entries it hears from may use
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -381,3 +381,27 @@
 	g := newGroup(60, 4)
 	is.True(!g.all[1].Grant(Ask{Entry: "i0", Endpoint: place.ShortID(ep.ID), ID: ep.ID, Domain: ep.Domain, Limit: 2}).Granted)
 }
+
+// Guards against a request that waits for an owner that is silent, once for each endpoint that it owns.
+func TestSilentOwnerIsAskedAboutOneEndpointAtATime(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 1)
+	l := g.all[0]
+	var owned []fleet.Endpoint // by the other entry
+	for i := 0; len(owned) < 3; i++ {
+		e := fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Domain: "d0"}
+		l.Observe(e, 1)
+		if _, q := l.begin(e, 0); q != nil {
+			owned = append(owned, e)
+			l.abandon(q)
+		}
+	}
+	_, q := l.begin(owned[0], 0)
+	l.settle(q, Verdict{}, errUnreachable)
+	for _, e := range owned {
+		is.True(l.Wait(e, 0) > 0)
+	}
+	g.clock.Advance(unansweredDelay)
+	is.Equal(l.Wait(owned[1], 0), time.Duration(0))
+	is.Equal(l.heard["i1"].unanswered, 1)
+}
