fleet: departures of endpoints that are gone are told no more

Entries forget them at different times and would tell each other of them forever. One that is a minute old is told and taken only while its endpoint is registered. Red before: TestDepartureOfAnEndpointThatIsGoneIsToldNoMore.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -227,14 +227,22 @@
 	if len(b.departures) == 0 {
 		return
 	}
-	registered := make(map[EndpointID]bool, len(b.endpoints)+len(b.lapsed))
+	b.departures.prune(b.registered, now)
+}
+
+// registered reports whether an endpoint is registered, or was until recently.
+func (b *builder) registered(id EndpointID) bool {
 	for _, ep := range b.endpoints {
-		registered[ep.ID] = true
+		if ep.ID == id {
+			return true
+		}
 	}
 	for _, l := range b.lapsed {
-		registered[l.ID] = true
+		if l.ID == id {
+			return true
+		}
 	}
-	b.departures.prune(func(id EndpointID) bool { return registered[id] }, now)
+	return false
 }
 
 // addressOwners returns the registration that owns each address: the latest one made. An
--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -65,6 +65,9 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, r := range reports {
+		if r.Age >= departureTTL && !f.viewBuilder.registered(r.Endpoint) {
+			continue // gone; entries would tell each other of it forever
+		}
 		if f.viewBuilder.departures.add(r.Endpoint, now.Add(-max(0, r.Age)), now) {
 			changed = true
 			f.log.Info("fleet: endpoint says that it leaves.", "endpoint", r.Endpoint, "from", from, "age_ms", r.Age.Milliseconds())
@@ -76,13 +79,16 @@
 	return changed
 }
 
-// Departures returns the known departures, latest first.
+// Departures returns the departures to tell to other entries, latest first.
 func (f *Follower) Departures() []Departure {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	out := make([]Departure, 0, len(f.viewBuilder.departures))
 	for id, d := range f.viewBuilder.departures {
+		if now.Sub(d.since) >= departureTTL && !f.viewBuilder.registered(id) {
+			continue
+		}
 		out = append(out, Departure{Endpoint: id, Age: now.Sub(d.since)})
 	}
 	slices.SortFunc(out, func(a, b Departure) int {
--- a/fleet/departures_test.go
+++ b/fleet/departures_test.go
@@ -53,3 +53,14 @@
 	write(kv.EventPut, "servers/f", registration("f", "127.0.0.1:2", "v2"))
 	is.Equal(len(x.f.Departures()), 0)
 }
+
+// Guards against entries that tell each other of a departure long after the endpoint has gone.
+func TestDepartureOfAnEndpointThatIsGoneIsToldNoMore(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	is.True(x.f.AddDepartures("peer", []fleet.Departure{{Endpoint: "gone", Age: time.Second}}))
+	is.Equal(len(x.f.Departures()), 1)
+	x.clock.Advance(time.Minute)
+	is.Equal(len(x.f.Departures()), 0)
+	is.True(!x.f.AddDepartures("peer", []fleet.Departure{{Endpoint: "other", Age: time.Minute}}))
+}
