--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -227,22 +227,19 @@
 	if len(b.departures) == 0 {
 		return
 	}
-	b.departures.prune(b.registered, now)
+	b.departures.prune(b.registered(), now)
 }
 
-// registered reports whether an endpoint is registered, or was until recently.
-func (b *builder) registered(id EndpointID) bool {
+// registered returns the endpoints that are registered, or were until recently.
+func (b *builder) registered() map[EndpointID]bool {
+	out := make(map[EndpointID]bool, len(b.endpoints)+len(b.lapsed))
 	for _, ep := range b.endpoints {
-		if ep.ID == id {
-			return true
-		}
+		out[ep.ID] = true
 	}
 	for _, l := range b.lapsed {
-		if l.ID == id {
-			return true
-		}
+		out[l.ID] = true
 	}
-	return false
+	return out
 }
 
 // addressOwners returns the registration that owns each address: the latest one made. An
--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -44,10 +44,10 @@
 }
 
 // prune removes the departures of endpoints that have not been registered for departureTTL.
-func (d departures) prune(registered func(EndpointID) bool, now time.Time) {
+func (d departures) prune(registered map[EndpointID]bool, now time.Time) {
 	for id, known := range d {
 		switch {
-		case registered(id):
+		case registered[id]:
 			known.knownAt = now
 			d[id] = known
 		case now.Sub(known.knownAt) > departureTTL:
@@ -64,8 +64,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	var registered map[EndpointID]bool
 	for _, r := range reports {
-		if r.Age >= departureTTL && !f.viewBuilder.registered(r.Endpoint) {
+		if r.Age >= departureTTL && registered == nil {
+			registered = f.viewBuilder.registered()
+		}
+		if r.Age >= departureTTL && !registered[r.Endpoint] {
 			continue // gone; entries would tell each other of it forever
 		}
 		if f.viewBuilder.departures.add(r.Endpoint, now.Add(-max(0, r.Age)), now) {
@@ -83,10 +87,14 @@
 func (f *Follower) Departures() []Departure {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.viewBuilder.departures) == 0 {
+		return nil
+	}
 	now := f.clock.Now()
+	registered := f.viewBuilder.registered()
 	out := make([]Departure, 0, len(f.viewBuilder.departures))
 	for id, d := range f.viewBuilder.departures {
-		if now.Sub(d.since) >= departureTTL && !f.viewBuilder.registered(id) {
+		if now.Sub(d.since) >= departureTTL && !registered[id] {
 			continue
 		}
 		out = append(out, Departure{Endpoint: id, Age: now.Sub(d.since)})
