ingress: full endpoints are retried before another one's rest ends

Where one endpoint rests and the others refused without asking for that, a caller was sent away for the whole rest. Red before: TestFullEndpointsAreRetriedBeforeARestEnds (5.00 instead of 0.25). A 503 with Retry-After counts as a rest whether or not it is marked as not run.

--- a/call/call.go
+++ b/call/call.go
@@ -99,8 +99,8 @@
 	// Limit is how many requests a second the endpoint accepts from all entries
 	// together; 0: unlimited.
 	Limit float64
-	// Rest is how long the endpoint, which did not run the request, wants no further ones from
-	// this entry; 0: it does not say.
+	// Rest is how long the endpoint, which turned the request away, wants no further ones from this
+	// entry; 0: it does not say.
 	Rest time.Duration
 	// Confidence is the model's own rating of its answer, 0 to 100; -1: not
 	// given.
--- a/endpoints/topic.go
+++ b/endpoints/topic.go
@@ -82,8 +82,9 @@
 	return out
 }
 
-// Merge implements peers.Topic. It reports whether the instance list is
-// newer or a back end drains that was not known to; loads change all the time and are not worth passing on at once.
+// Merge implements peers.Topic. It reports whether the instance list is newer, or
+// a back end is draining that was not known to be; loads change all the time and are
+// not worth passing on at once.
 func (p *Topic) Merge(_ context.Context, d peers.Received) bool {
 	if t := p.currentTable(); t != nil && int64(t.Revision) == d.ConfigRevision {
 		for _, l := range d.Loads {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -259,7 +259,7 @@
 	if head.Limit > 0 || head.Sealed {
 		s.Limits.Observe(ep, head.Limit)
 	}
-	if head.Rest > 0 && head.NotRun {
+	if head.Rest > 0 {
 		s.Board.Rest(ep, head.Rest)
 		s.Log.Info("ingress: endpoint asks for a rest.", "endpoint", ep.ID, "ms", head.Rest.Milliseconds())
 	}
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -46,11 +46,11 @@
 // refuseUnavailable returns the refusal for a request that no endpoint takes now; limitOpensIn is when
 // the first of those at their limits does, 0 if there is none.
 func (x *exchange) refuseUnavailable(choice rollout.Choice, limitOpensIn time.Duration) *refusal {
-	restEndsIn := x.restEndsIn(choice)
+	restEndsIn, full := x.restEndsIn(choice)
 	switch {
 	case limitOpensIn > 0 && (restEndsIn == 0 || limitOpensIn <= restEndsIn):
 		return refuseLimited(limitOpensIn)
-	case restEndsIn > 0:
+	case restEndsIn > 0 && !full:
 		return refuseResting(restEndsIn)
 	case len(x.tried) > 0:
 		return refuseEndpointsFull
@@ -58,17 +58,19 @@
 	return refuseNoEndpoint
 }
 
-// restEndsIn returns when the first of the endpoints that asked for a rest may be used; 0: none did.
-func (x *exchange) restEndsIn(choice rollout.Choice) time.Duration {
-	first := time.Duration(0)
+// restEndsIn returns when the first of the endpoints that asked for a rest may be used, 0 if none did;
+// full reports whether one that was tried did not ask for any.
+func (x *exchange) restEndsIn(choice rollout.Choice) (first time.Duration, full bool) {
 	for _, endpoints := range [][]fleet.Endpoint{choice.Preferred, choice.Fallback} {
 		for _, ep := range endpoints {
-			if rest := x.server.Board.Resting(ep.ID); rest > 0 && (first == 0 || rest < first) {
+			rest := x.server.Board.Resting(ep.ID)
+			full = full || rest == 0 && x.tried[ep.ID]
+			if rest > 0 && (first == 0 || rest < first) {
 				first = rest
 			}
 		}
 	}
-	return first
+	return first, full
 }
 
 const (
--- a/ingress/rest_test.go
+++ b/ingress/rest_test.go
@@ -74,3 +74,19 @@
 	f.sync()
 	is.Equal(f.send(0, "/get/x", "body").status, 200)
 }
+
+// Guards against callers being sent away for the time of one endpoint's rest while others are merely full.
+func TestFullEndpointsAreRetriedBeforeARestEnds(t *testing.T) {
+	is := is.New(t)
+	f := newLimitedFleet(t, 1, 2)
+	for i := range f.engines {
+		f.faultAt(i, platformtest.Refuse)
+	}
+	f.engines[0].Config.RetryAfter = "5"
+	for f.engines[0].Arrivals() == 0 {
+		f.send(0, "/get/x", "body")
+	}
+	got := f.send(0, "/get/x", "body")
+	is.Equal(got.status, 503)
+	is.Equal(got.header.Get("Retry-After"), "0.25")
+}
