Red: evacuated domains get requests, cold endpoints more than they bear

At 60 entries, 90 engines in 4 failure domains: 400 requests more reach two evacuated domains; 19 to 94 requests reach a cold engine in a second, 18 allowed.

--- a/fleet/types.go
+++ b/fleet/types.go
@@ -72,6 +72,11 @@
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdFor is how long an endpoint is cold after its start, or after it turned cold again.
+	ColdFor time.Duration
+	// ColdPerSecond is how many requests a second a cold endpoint accepts from all entries
+	// together; 0: cold endpoints are used like others.
+	ColdPerSecond float64
 }
 
 // Engine is the configuration of a service's model engines.
