fleet, ingress: endpoints of an evacuated failure domain get no requests

Cause: nothing read the operators' evacuations. They are items of the store like the configuration, so that they reach an entry by its watch, by the watchers' exchanges, and by any entry if the store turns it away. Views leave the domain's endpoints out where they are built, lapsed ones included, so that no way of choosing an endpoint (sends, retries, resumed streams, larger models, copies, sessions, last resort) has to. An order whose value cannot be decoded counts. Where all domains are evacuated, requests are refused at once. After the order ends, a service's endpoints count as cold for its cold time: they may have turned cold meanwhile and register only every heartbeat.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -24,6 +24,7 @@
 	endpoints map[string]Endpoint // by name
 	lapsed    map[string]Lapsed   // by name
 	departures
+	evacuations
 	orders    map[string]Rollout // by service
 	statuses  map[string]recordedStatus
 	withdrawn map[string]Withdrawn // by service, as recorded
@@ -41,7 +42,7 @@
 }
 
 func newBuilder(dec Decoder, lapsedTTL time.Duration, log *slog.Logger) *builder {
-	return &builder{dec: dec, log: log, lapsedTTL: lapsedTTL, endpoints: map[string]Endpoint{}, lapsed: map[string]Lapsed{}, departures: departures{},
+	return &builder{dec: dec, log: log, lapsedTTL: lapsedTTL, endpoints: map[string]Endpoint{}, lapsed: map[string]Lapsed{}, departures: departures{}, evacuations: newEvacuations(),
 		orders: map[string]Rollout{}, statuses: map[string]recordedStatus{}, withdrawn: map[string]Withdrawn{}, entries: map[string]Entry{}, last: EmptyView()}
 }
 
@@ -57,7 +58,7 @@
 	case ItemConfig:
 		err = b.applyConfig(e.KV)
 	case ItemEndpoint:
-		b.applyEndpoint(name, e.KV)
+		b.applyEndpoint(name, e.KV, now)
 	case ItemRollout:
 		err = b.applyOrder(name, e.KV)
 	case ItemRolloutStatus:
@@ -66,6 +67,9 @@
 		err = b.applyWithdrawn(name, e.KV)
 	case ItemQuarantined:
 		err = b.applyQuarantined(name, e.KV)
+	case ItemEvacuation:
+		b.evacuations.order(name)
+		b.log.Info("fleet: evacuation ordered; its endpoints get no requests.", "domain", name, "revision", e.KV.ModRevision)
 	case ItemEntry:
 		var entry Entry
 		if err = json.Unmarshal(e.KV.Value, &entry); err == nil {
@@ -94,8 +98,8 @@
 	return nil
 }
 
-func (b *builder) applyEndpoint(name string, item kv.KeyValue) {
-	ep, err := b.dec.Endpoint(name, item.Value)
+func (b *builder) applyEndpoint(name string, item kv.KeyValue, now time.Time) {
+	r, err := b.dec.Endpoint(name, item.Value)
 	if err != nil {
 		// Written by another writer: it names no endpoint, and the previous registration
 		// is overwritten. A live endpoint registers again with its next heartbeat.
@@ -104,19 +108,30 @@
 		b.log.Error("fleet: registration is invalid; endpoint removed.", "key", item.Key, "revision", item.ModRevision, "error", err)
 		return
 	}
+	ep := r.Endpoint
 	ep.Registered = item.CreateRevision
+	if r.Cold > 0 {
+		// The time of the write is not known: the endpoint is warm by then at the latest.
+		ep.ColdUntil = now.Add(r.Cold)
+	}
 	old, known := b.endpoints[name]
 	b.endpoints[name] = ep
 	delete(b.lapsed, name)
 	if known && old.ID != ep.ID {
 		b.log.Warn("fleet: endpoint restarted under the same name.", "before", old.ID, "endpoint", ep.ID, "revision", item.ModRevision)
 	}
-	if !known || old != ep {
+	if wasCold := !old.ColdUntil.IsZero(); !known || !sameButCold(old, ep) || r.Cold > 0 && !wasCold {
 		b.log.Info("fleet: endpoint known.", "endpoint", ep.ID, "service", ep.Service, "domain", ep.Domain, "version", ep.Version,
-			"draining", ep.Draining, "revision", item.ModRevision)
+			"draining", ep.Draining, "cold_ms", r.Cold.Milliseconds(), "revision", item.ModRevision)
 	}
 }
 
+// sameButCold reports whether two registrations differ in nothing but how long the endpoint is cold.
+func sameButCold(a, b Endpoint) bool {
+	a.ColdUntil, b.ColdUntil = time.Time{}, time.Time{}
+	return a == b
+}
+
 func (b *builder) applyOrder(service string, item kv.KeyValue) error {
 	r, err := b.dec.Rollout(item.Value)
 	if err != nil {
@@ -164,13 +179,16 @@
 	case ItemEntry:
 		delete(b.entries, name)
 		b.entriesChanged = true
+	case ItemEvacuation:
+		b.evacuations.takeBack(name, now)
+		b.log.Info("fleet: evacuation taken back.", "domain", name, "revision", rev)
 	case ItemConfig, ItemOther:
 	}
 }
 
 // view builds the view at a revision.
 func (b *builder) view(rev kv.Revision, now time.Time) *View {
-	v := &View{Revision: rev, Config: b.config, Quarantine: b.quarantine, groups: map[string]*Group{}}
+	v := &View{Revision: rev, Config: b.config, Quarantine: b.quarantine, Evacuated: b.evacuations.ordered(), groups: map[string]*Group{}}
 	b.pruneDepartures(now)
 	if b.config == b.last.Config {
 		v.byHost, v.byKey = b.last.byHost, b.last.byKey
@@ -183,6 +201,11 @@
 		if ep.Draining || owners[ep.Address] != ep.Registered || g.Withdrawn.has(ep.Version) {
 			continue
 		}
+		if v.IsEvacuated(ep.Domain) {
+			g.Evacuated = append(g.Evacuated, ep)
+			continue
+		}
+		ep.ColdUntil = b.coldUntil(ep, g.Service)
 		if d, leaves := b.departures[ep.ID]; leaves {
 			g.Lapsed = append(g.Lapsed, Lapsed{Endpoint: ep, Since: d.since, Leaving: true})
 			continue
@@ -201,7 +224,8 @@
 			}
 		}
 		g := b.group(v, l.Service)
-		if !g.Withdrawn.has(l.Version) {
+		if !g.Withdrawn.has(l.Version) && !v.IsEvacuated(l.Domain) {
+			l.ColdUntil = b.coldUntil(l.Endpoint, g.Service)
 			g.Lapsed = append(g.Lapsed, l)
 		}
 	}
@@ -210,6 +234,7 @@
 	}
 	for _, g := range v.groups {
 		sort.Slice(g.Ready, func(i, j int) bool { return g.Ready[i].ID < g.Ready[j].ID })
+		sort.Slice(g.Evacuated, func(i, j int) bool { return g.Evacuated[i].ID < g.Evacuated[j].ID })
 		sort.Slice(g.Lapsed, func(i, j int) bool { return g.Lapsed[i].ID < g.Lapsed[j].ID })
 	}
 	v.Entries, v.watchers = b.last.Entries, b.last.watchers
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -142,6 +142,15 @@
 	// Registered is the revision that created its registration; later writes do not
 	// change it.
 	Registered kv.Revision
+	// ColdUntil is until when it is cold, on the monotonic clock; zero: it is not.
+	ColdUntil time.Time
+}
+
+// Registration is what an endpoint wrote of itself.
+type Registration struct {
+	Endpoint
+	// Cold is how much longer the endpoint is cold, as of the registration's last write.
+	Cold time.Duration
 }
 
 // RolloutState is the progress of a roll-out.
@@ -180,7 +189,7 @@
 	// Classify returns the kind of item under a key, and its name within the kind.
 	Classify(key string) (ItemKind, string)
 	Config(value []byte) (*Config, error)
-	Endpoint(name string, value []byte) (Endpoint, error)
+	Endpoint(name string, value []byte) (Registration, error)
 	Rollout(value []byte) (Rollout, error)
 	RolloutStatus(value []byte) (RolloutStatus, error)
 	// EncodeRolloutStatus returns the key and value that record a state.
@@ -200,4 +209,5 @@
 	ItemWithdrawn
 	ItemQuarantined
 	ItemEntry
+	ItemEvacuation
 )
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -31,14 +31,17 @@
 	Leaving bool      // it said that it leaves
 }
 
-// Group is the endpoints of one service. It does not contain endpoints of withdrawn
-// versions, so that code that chooses an endpoint need not filter them out.
+// Group is the endpoints of one service. Ready and Lapsed do not contain endpoints of withdrawn
+// versions or of evacuated failure domains, so that code that chooses an endpoint need not filter
+// them out.
 type Group struct {
 	Service Service
 	// Ready take new requests, sorted by ID.
 	Ready []Endpoint
 	// Lapsed are a last resort while no endpoint is ready.
 	Lapsed []Lapsed
+	// Evacuated would be ready if their failure domains were not evacuated, sorted by ID.
+	Evacuated []Endpoint
 	// Withdrawn are the versions that get no requests.
 	Withdrawn Withdrawn
 	// Rollout is the order in force for the service, or nil.
@@ -62,6 +65,8 @@
 	Entries  []Entry
 	// Quarantine holds the requests recorded as crashing endpoints.
 	Quarantine *Quarantine
+	// Evacuated are the failure domains whose endpoints are to get no requests, sorted.
+	Evacuated []string
 
 	watchers watchers // of Entries
 	groups   map[string]*Group
@@ -97,6 +102,9 @@
 // HasCustomers reports whether requests need an API key at all.
 func (v *View) HasCustomers() bool { return len(v.byKey) > 0 }
 
+// IsEvacuated reports whether the endpoints of a failure domain are to get no requests.
+func (v *View) IsEvacuated(domain string) bool { return slices.Contains(v.Evacuated, domain) }
+
 // Group returns a service's endpoints, or nil if none are known.
 func (v *View) Group(service string) *Group { return v.groups[service] }
 
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -31,6 +31,8 @@
 	slotReleaseTime = 250 * time.Millisecond
 	// crashDetectionTime: a crashed endpoint is detected within a second.
 	crashDetectionTime = 400 * time.Millisecond
+	// evacuationRetryTime: operators take an evacuation back after seconds at the earliest.
+	evacuationRetryTime = 2 * time.Second
 )
 
 // Refusals: the request did not run.
@@ -47,6 +49,7 @@
 	refuseMemory          = &refusal{http.StatusServiceUnavailable, "bodies_fill_memory", memoryReleaseTime}
 	refuseTooManyRequests = &refusal{http.StatusServiceUnavailable, "too_many_requests", failoverTime}
 	refuseNoEndpoint      = &refusal{http.StatusServiceUnavailable, "no_endpoint", crashDetectionTime}
+	refuseEvacuated       = &refusal{http.StatusServiceUnavailable, "endpoints_evacuated", evacuationRetryTime}
 	refuseEndpointsFull   = &refusal{http.StatusServiceUnavailable, "endpoints_full", slotReleaseTime}
 	refuseDeadline        = &refusal{http.StatusServiceUnavailable, "deadline_before_start", 0}
 )
