ingress: an entry that reaches no usable domain sends its callers elsewhere

Cause: in an evacuated domain that is cut off, entries tried endpoints of the other domains for 200 ms each and refused after 1.2 s, with callers staying at them for the whole cut. Now an entry whose every domain with endpoints is lost, and which had no news of the store since, is not ready, refuses at once, closes the connection and tells callers to return once the balancer has taken it out. The evacuated endpoints are not used: the order stands.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -237,6 +237,7 @@
 		sort.Slice(g.Evacuated, func(i, j int) bool { return g.Evacuated[i].ID < g.Evacuated[j].ID })
 		sort.Slice(g.Lapsed, func(i, j int) bool { return g.Lapsed[i].ID < g.Lapsed[j].ID })
 	}
+	v.openDomains = openDomains(v.groups)
 	v.Entries, v.watchers = b.last.Entries, b.last.watchers
 	if b.entriesChanged {
 		v.Entries = sortedEntries(b.entries)
@@ -280,6 +281,19 @@
 	return owners
 }
 
+func openDomains(groups map[string]*Group) []string {
+	open := map[string]bool{}
+	for _, g := range groups {
+		for _, ep := range g.Ready {
+			open[ep.Domain] = true
+		}
+		for _, l := range g.Lapsed {
+			open[l.Domain] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(open))
+}
+
 func sortedEntries(byName map[string]Entry) []Entry {
 	return slices.SortedFunc(maps.Values(byName), func(a, b Entry) int { return cmp.Compare(a.Instance, b.Instance) })
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -68,8 +68,9 @@
 	// Evacuated are the failure domains whose endpoints are to get no requests, sorted.
 	Evacuated []string
 
-	watchers watchers // of Entries
-	groups   map[string]*Group
+	watchers    watchers // of Entries
+	groups      map[string]*Group
+	openDomains []string
 	// byHost lists the routes of each host, longest prefix first.
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
@@ -105,6 +106,9 @@
 // IsEvacuated reports whether the endpoints of a failure domain are to get no requests.
 func (v *View) IsEvacuated(domain string) bool { return slices.Contains(v.Evacuated, domain) }
 
+// OpenDomains returns the failure domains of all endpoints that may get requests, sorted.
+func (v *View) OpenDomains() []string { return v.openDomains }
+
 // Group returns a service's endpoints, or nil if none are known.
 func (v *View) Group(service string) *Group { return v.groups[service] }
 
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -31,6 +31,8 @@
 	slotReleaseTime = 250 * time.Millisecond
 	// crashDetectionTime: a crashed endpoint is detected within a second.
 	crashDetectionTime = 400 * time.Millisecond
+	// rebalanceTime: the balancer takes an entry out after two probes, a second apart.
+	rebalanceTime = 2500 * time.Millisecond
 	// evacuationRetryTime: operators take an evacuation back after seconds at the earliest.
 	evacuationRetryTime = 2 * time.Second
 )
@@ -49,6 +51,7 @@
 	refuseMemory          = &refusal{http.StatusServiceUnavailable, "bodies_fill_memory", memoryReleaseTime}
 	refuseTooManyRequests = &refusal{http.StatusServiceUnavailable, "too_many_requests", failoverTime}
 	refuseNoEndpoint      = &refusal{http.StatusServiceUnavailable, "no_endpoint", crashDetectionTime}
+	refuseStranded        = &refusal{http.StatusServiceUnavailable, "entry_stranded", rebalanceTime}
 	refuseEvacuated       = &refusal{http.StatusServiceUnavailable, "endpoints_evacuated", evacuationRetryTime}
 	refuseEndpointsFull   = &refusal{http.StatusServiceUnavailable, "endpoints_full", slotReleaseTime}
 	refuseDeadline        = &refusal{http.StatusServiceUnavailable, "deadline_before_start", 0}
@@ -89,6 +92,9 @@
 	x.started = true
 	x.closeConnIfStopping()
 	h := x.w.Header()
+	if ref == refuseStranded {
+		h.Set("Connection", "close")
+	}
 	if ref.retryAfter > 0 {
 		x.server.HeaderCodec.RetryAfter(h, ref.retryAfter)
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -82,8 +82,10 @@
 func New(d Deps) *Server { return &Server{Deps: d, metrics: newMetrics(d.Scope)} }
 
 // Ready reports whether the server accepts new connections: it has a
-// configuration and is not stopping.
-func (s *Server) Ready() bool { return !s.Gate.Stopping() && s.Fleet.View().Config != nil }
+// configuration, is not stopping, and reaches endpoints that it may use.
+func (s *Server) Ready() bool {
+	return !s.Gate.Stopping() && s.Fleet.View().Config != nil && !s.stranded()
+}
 
 // Handler returns the caller API, which takes any method, host and path.
 func (s *Server) Handler() http.Handler {
@@ -168,6 +170,9 @@
 	if !s.Gate.Admits(x.timeLimit()) {
 		return refuseStopping
 	}
+	if s.stranded() {
+		return refuseStranded
+	}
 	x.customer = x.view.Customer(x.metadata.Key)
 	if x.customer == nil && !x.route.Public && x.view.HasCustomers() {
 		if s.stale() {
--- a/place/domains.go
+++ b/place/domains.go
@@ -16,6 +16,8 @@
 	// domainRetryInterval is how long after the last of these failures the domain is avoided;
 	// then the next request for it tries again.
 	domainRetryInterval = time.Second
+	// lostTTL is how long after the last of these failures the domain counts as lost.
+	lostTTL = 5 * time.Second
 )
 
 // domainStats records connection failures of a domain.
@@ -51,3 +53,16 @@
 	defer b.mu.Unlock()
 	return b.domainUnreachableLocked(domain, now)
 }
+
+// LostSinceReached returns when the last of several endpoints of a failure domain did not accept a
+// connection; ok is false if data was received from the domain since, or that is long ago.
+func (b *Board) LostSinceReached(domain string) (last time.Time, ok bool) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := b.domains[domain]
+	if d == nil || len(d.failed) < domainFailures || now.Sub(d.lastFailure) > lostTTL {
+		return time.Time{}, false
+	}
+	return d.lastFailure, true
+}
