ingress: endpoints that were replaced at their addresses do not count as full

Cause: after a mass restart the registrations name endpoints that are gone; each answers 421 as another one. Two of these and a third were enough for 'endpoints_full', while most endpoints had room. They are counted apart, up to six; each still takes a retry from the budget. Red test first: 503 in one of eight plays with six of seven endpoints replaced, 200 now.

--- a/ingress/buffered.go
+++ b/ingress/buffered.go
@@ -52,6 +52,12 @@
 		}
 		x.giveUp(refuseNoEndpoint)
 		return false
+	case errors.Is(err, errMisdirected):
+		if x.mayRetryMisdirected() {
+			return true
+		}
+		x.giveUp(refuseNoEndpoint)
+		return false
 	case errors.Is(err, errNotRun):
 		if x.mayRetryRefused() {
 			return true
@@ -142,7 +148,7 @@
 	switch {
 	case c.head.WrongEndpoint:
 		x.end(c, place.Misdirected, "another endpoint has the address")
-		return errNotRun
+		return errMisdirected
 	case c.head.NotRun:
 		x.end(c, place.Refused, "endpoint refused")
 		return errNotRun
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -26,6 +26,11 @@
 // budget.
 const maxRefusedSends = 2
 
+// maxMisdirected is how many of its endpoints a request may find replaced by another one, before
+// the caller is told to retry later. After a mass restart, until the registrations are known, each
+// address belongs to another endpoint; that says nothing about the room at the rest.
+const maxMisdirected = 6
+
 // maxUnreached is how many endpoints may fail to accept a connection before the
 // caller is told to retry later. They cost no endpoint any work, only time.
 const maxUnreached = 6
@@ -55,6 +60,7 @@
 	retryReserved bool           // the next retry was already taken from the budget
 	reserved      *reservation
 	unreached     int  // sends for which no connection was accepted
+	misdirected   int  // sends that another endpoint answered
 	model         int  // index into the route's models
 	started       bool // a part of the answer was sent to the caller
 	status        int
@@ -328,9 +334,11 @@
 
 // Errors of a send.
 var (
-	errNotRun     = errors.New("request did not run")
-	errNotSent    = errors.New("request was not sent")
-	errMayHaveRun = errors.New("request may have run")
+	errNotRun = errors.New("request did not run")
+	// errMisdirected: the address belongs to another endpoint, which did not run the request.
+	errMisdirected = errors.New("request reached another endpoint")
+	errNotSent     = errors.New("request was not sent")
+	errMayHaveRun  = errors.New("request may have run")
 	// errQuarantined: other sends of the request have crashed endpoints.
 	errQuarantined = errors.New("request is quarantined")
 	errCutByStop   = errors.New("entry stops; request may have run")
@@ -382,6 +390,13 @@
 	return x.refused <= maxRefusedSends && x.remaining() > minAttemptTime && x.server.Budget.Take(x.target(), retry.ForFailure)
 }
 
+// mayRetryMisdirected reports whether a request whose endpoint was replaced by another one can be
+// sent to another endpoint.
+func (x *exchange) mayRetryMisdirected() bool {
+	x.misdirected++
+	return x.misdirected <= maxMisdirected && x.remaining() > minAttemptTime && x.server.Budget.Take(x.target(), retry.ForFailure)
+}
+
 // mayRetryUnsent reports whether a request that could not be sent can be sent to
 // another endpoint.
 func (x *exchange) mayRetryUnsent() bool {
--- a/ingress/faults_test.go
+++ b/ingress/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -195,6 +196,20 @@
 	}
 }
 
+// Guards against a refusal while most registrations name endpoints that were replaced at their addresses.
+func TestMassRestartLeavesTheOtherEndpointsInUse(t *testing.T) {
+	is := is.New(t)
+	for range 8 {
+		w := newEnv(t, 1)
+		for i := range 6 {
+			e := w.addEngine(platformtest.EngineConfig{ID: fmt.Sprint("old", i), Service: service, Domain: "d1", Version: "v1"})
+			e.Config.ID = fmt.Sprint("new", i) // restarted, and not registered yet
+		}
+		w.sync()
+		is.Equal(w.do(http.MethodPost, "/get/x", "body").status, http.StatusOK)
+	}
+}
+
 // Guards against a request running at another service's engine that has taken over the
 // address of one that ended. Each send names the intended engine; any other refuses.
 func TestAnAddressTakenOverByAnotherEndpoint(t *testing.T) {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -300,6 +300,10 @@
 		if x.mayRetryUnsent() {
 			return true
 		}
+	case errors.Is(err, errMisdirected):
+		if x.mayRetryMisdirected() {
+			return true
+		}
 	case errors.Is(err, errNotRun):
 		if x.mayRetryRefused() {
 			return true
