soak, standin: evacuations and engines that start cold

The soak evacuates one failure domain after the other, and engines that replace others start cold. Both promises are checked from the engines' logs.

--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -26,6 +26,7 @@
 	cmd.Flag("callers", "Callers, each with connections of its own.").Default("24").IntVar(&o.Callers)
 	cmd.Flag("series", "Stop entries in series that overlap, instead of single faults of every kind on them.").BoolVar(&o.Series)
 	cmd.Flag("fragile", "Send a request that crashes the engines that run it, to engines of which one names a limit.").BoolVar(&o.Fragile)
+	cmd.Flag("ignore-evacuations", "Do not check what reaches evacuated failure domains and cold engines, for builds that know of neither.").BoolVar(&o.IgnoreEvacuations)
 	cmd.Flag("ignore-notices", "Do not check what entries send after an engine said that it leaves or rests, for builds that do not read that.").BoolVar(&o.IgnoreNotices)
 	cmd.Flag("edge", "The lovageweir program; default: beside this one.").StringVar(&o.EdgePath)
 	logs := cmd.Flag("logs", "Where logs of seeds that failed are kept.").Default(os.TempDir()).String()
--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -92,6 +92,8 @@
 	faults    float64
 	crashOn   string  // body of a request that ends the process; "": none
 	limit     float64 // requests a second that it reports as its limit; 0: none
+	// coldFor is how long it says that it is cold after its start.
+	coldFor time.Duration
 	// announceDelay is how long it serves after a planned stop began before it tells the store; its
 	// answers say at once that it leaves.
 	announceDelay time.Duration
@@ -116,6 +118,7 @@
 	cmd.Flag("crash-on", "Body of a request that ends the process; none: no request does.").StringVar(&e.crashOn)
 	cmd.Flag("limit", "Requests a second that it names in its answers; 0: none.").Default("0").Float64Var(&e.limit)
 	cmd.Flag("retry-after", "Retry-After of its refusals, in seconds; none: none.").StringVar(&e.config.RetryAfter)
+	cmd.Flag("cold", "How long it says that it is cold after its start.").Default("0s").DurationVar(&e.coldFor)
 	cmd.Flag("announces-after", "How long after a planned stop began it tells the store that it leaves.").Default("0s").DurationVar(&e.announceDelay)
 	cmd.Flag("serves-on", "How long it serves after that.").Default("2500ms").DurationVar(&e.drainTime)
 	cmd.Action(func(*kingpin.ParseContext) error { return e.run(*address) })
@@ -142,7 +145,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go e.register(ctx, engine)
+	warmAt := time.Now().Add(e.coldFor)
+	if e.coldFor > 0 {
+		printLine(EngineLine{Engine: e.config.ID, ColdUntilMS: warmAt.UnixMilli()})
+	}
+	go e.register(ctx, warmAt)
 	waitForSignal()
 	engine.SetLeaving(true)
 	time.Sleep(e.announceDelay)
@@ -171,22 +178,37 @@
 }
 
 // register keeps the engine registered in the store under a lease until ctx ends.
-func (e *platformEngine) register(ctx context.Context, engine *platformtest.Engine) {
+func (e *platformEngine) register(ctx context.Context, warmAt time.Time) {
 	store := platform.NewStore(e.store)
-	key, value := engine.Registration(false)
 	for ctx.Err() == nil {
 		if lease, err := store.Grant(ctx, registrationTTL); err == nil {
-			if _, err = store.Put(ctx, key, value, lease); err == nil {
-				e.renewLease(ctx, store, lease)
+			if err = e.putRegistration(ctx, store, lease, warmAt); err == nil {
+				e.renewLease(ctx, store, lease, warmAt)
 			}
 		}
 		sleep(ctx, registrationInterval)
 	}
 }
 
-func (e *platformEngine) renewLease(ctx context.Context, store *platform.Store, lease kv.LeaseID) {
-	for ctx.Err() == nil {
+func (e *platformEngine) putRegistration(ctx context.Context, store *platform.Store, lease kv.LeaseID, warmAt time.Time) error {
+	c := e.config
+	c.Cold = max(0, time.Until(warmAt))
+	key, value := platformtest.NewEngine(c).Registration(false)
+	_, err := store.Put(ctx, key, value, lease)
+	return err
+}
+
+// renewLease renews the lease, and the registration while the engine is cold, until the store does
+// not confirm that.
+func (e *platformEngine) renewLease(ctx context.Context, store *platform.Store, lease kv.LeaseID, warmAt time.Time) {
+	for cold := time.Now().Before(warmAt); ctx.Err() == nil; {
 		sleep(ctx, registrationInterval)
+		if cold {
+			cold = time.Now().Before(warmAt)
+			if err := e.putRegistration(ctx, store, lease, warmAt); err != nil {
+				return
+			}
+		}
 		if _, err := store.KeepAlive(ctx, lease); err != nil {
 			return // register registers it again
 		}
@@ -214,8 +236,8 @@
 	}
 }
 
-// EngineLine is a line that an engine prints: that a run started, or that the store
-// accepted that the engine leaves.
+// EngineLine is a line that an engine prints: that it starts cold, that a run started, or that
+// the store accepted that the engine leaves.
 type EngineLine struct {
 	Engine string `json:"engine"`
 	ID     string `json:"id,omitempty"`    // request that runs
@@ -226,6 +248,8 @@
 	// RestMS is how long the engine asks for a rest; the request, which it refuses, does not run.
 	RestMS int64 `json:"rest_ms,omitempty"`
 	LeftMS int64 `json:"left_ms,omitempty"` // time of leaving, Unix time
+	// ColdUntilMS is until when the engine is cold from its start on, Unix time.
+	ColdUntilMS int64 `json:"cold_until_ms,omitempty"`
 }
 
 // printRun prints a run when it starts, before its response, so that no run is lost
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -43,8 +43,10 @@
 	c       *cluster
 	seed    uint64
 	notices bool // requests that follow an engine's notices are checked
-	fragile bool // most requests go to the fragile service, and one kind crashes its engines
-	series  bool // some callers keep long streams open, some use a new connection for each request
+	// slowStart: requests to evacuated domains and to cold engines are checked.
+	slowStart bool
+	fragile   bool // most requests go to the fragile service, and one kind crashes its engines
+	series    bool // some callers keep long streams open, some use a new connection for each request
 
 	mu       sync.Mutex
 	results  []result
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -83,6 +83,7 @@
 	proxy    *Proxy
 	logPath  string
 	service  string
+	domain   string
 	hasLimit bool // it reports a rate limit
 }
 
@@ -131,6 +132,12 @@
 	return c, nil
 }
 
+// domainOf returns the failure domain of the entry or engine of a number.
+func domainOf(number int) string { return fmt.Sprintf("d%d", number%domains) }
+
+// domains is the number of failure domains.
+const domains = 2
+
 func freeAddress() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -154,8 +161,9 @@
 		return err
 	}
 	name := fmt.Sprintf("engine-%d-%s-%d", i, version, time.Now().UnixNano())
-	e := &engine{proxy: proxy, logPath: c.logPath(name), service: service, process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
-		"--advertise", proxy.Address, "--store", c.storeAddress, "--id", name, "--service", service, "--domain", fmt.Sprintf("d%d", i%2), "--software", version,
+	domain := domainOf(i)
+	e := &engine{proxy: proxy, logPath: c.logPath(name), service: service, domain: domain, process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
+		"--advertise", proxy.Address, "--store", c.storeAddress, "--id", name, "--service", service, "--domain", domain, "--software", version, "--cold", coldTimeOf(i).String(),
 		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", eventPause(service).String(), "--work", callWork.String(), "--serves-on", drainTime.String(), "--retry-after", fmt.Sprint(restTime.Seconds()), "--announces-after", announceDelayOf(i).String()}}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -170,8 +178,8 @@
 	}
 	e := &entry{callers: freeAddress(), storeProxy: proxy}
 	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
-	settings := fmt.Sprintf("instance: entry-%d\ndomain: d%d\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %g}\n",
-		i, i%2, proxy.Address, e.callers, freeAddress(), freeAddress(), freeAddress(), c.grace.Seconds())
+	settings := fmt.Sprintf("instance: entry-%d\ndomain: %s\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %g}\n",
+		i, domainOf(i), proxy.Address, e.callers, freeAddress(), freeAddress(), freeAddress(), c.grace.Seconds())
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
@@ -191,7 +199,7 @@
 		return fleet.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Timeout: requestTimeout, Objective: 500 * time.Millisecond,
 			MaxGap: time.Second, MaxAttempts: attempts, Resumable: resumable, Targets: to}
 	}
-	cfg := &fleet.Config{Version: c.version, Services: map[string]fleet.Service{service: {Name: service}},
+	cfg := &fleet.Config{Version: c.version, Services: map[string]fleet.Service{service: {Name: service, ColdFor: coldTime, ColdPerSecond: coldPerSecond}},
 		Customers: []fleet.Customer{{Name: "cust", Keys: []string{apiKey}}}, Limits: fleet.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
 		Routes: []fleet.Route{route("post", fleet.NonIdempotent, 1, false), route("get", fleet.Idempotent, 3, false),
 			route("once", fleet.Streaming, 3, false), route("resume", fleet.Streaming, 3, true), route(versionRoute(c.version), fleet.Idempotent, 2, false)}}
@@ -238,8 +246,9 @@
 
 // engineRuns reads from the engines' logs which requests they ran.
 func (c *cluster) engineRuns() (*runLog, error) {
-	out := &runLog{counts: map[string]int{}, leftAt: map[string]time.Time{}}
+	out := &runLog{counts: map[string]int{}, leftAt: map[string]time.Time{}, coldUntil: map[string]time.Time{}, domainOf: map[string]string{}}
 	for _, e := range append(slices.Clone(c.engines), c.fragile...) {
+		out.domainOf[e.name] = e.domain
 		f, err := os.Open(e.logPath)
 		if err != nil {
 			return nil, err
@@ -258,6 +267,9 @@
 				out.counts[line.ID]++
 				out.runs = append(out.runs, run{id: line.ID, engine: line.Engine, at: time.UnixMilli(line.AtMS), fault: line.Fault, leaving: line.Leaving})
 			}
+			if line.ColdUntilMS > 0 {
+				out.coldUntil[line.Engine] = time.UnixMilli(line.ColdUntilMS)
+			}
 			if line.LeftMS > 0 {
 				out.leftAt[line.Engine] = time.UnixMilli(line.LeftMS)
 			}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -16,6 +16,8 @@
 	// exitSlack is how long after its drain time an engine's process must have
 	// exited.
 	exitSlack = time.Second
+	// firstReplacementNumber is above the numbers of the engines that are there from the start.
+	firstReplacementNumber = 100
 )
 
 // faultInjector injects random faults and records them.
@@ -27,7 +29,8 @@
 
 	mu           sync.Mutex
 	injected     []string
-	disconnected []interval    // when some entry could not learn of changes
+	disconnected []interval // when some entry could not learn of changes
+	evacuations  []evacuation
 	stops        []plannedStop // planned stops of entries
 	// faulted is when a process, or its link through a proxy, had any other fault.
 	faulted map[string][]interval
@@ -176,7 +179,7 @@
 	f.record("%s is replaced, planned: %v", g.name, planned)
 	f.mu.Lock()
 	f.engine++
-	n := 100 + f.engine
+	n := firstReplacementNumber + f.engine
 	f.mu.Unlock()
 	if err := f.c.addEngine(n, g.service, "v1"); err != nil {
 		f.record("no engine in its place: %v", err)
--- a/soak/fragile.go
+++ b/soak/fragile.go
@@ -50,8 +50,8 @@
 func (c *cluster) startFragileEngine(number int) (*engine, error) {
 	name := fmt.Sprintf("engine-%d-v1-%d", number, time.Now().UnixNano())
 	args := append([]string{c.ctl, "standin", "platform-engine", "--listen", freeAddress(), "--store", c.storeAddress, "--id", name, "--service", fragileService,
-		"--domain", fmt.Sprintf("d%d", number%2), "--events", strconv.Itoa(streamEvents)}, fragileArgs(number)...)
-	e := &engine{logPath: c.logPath(name), service: fragileService, hasLimit: number == firstFragileNumber, process: &process{name: name, args: args}}
+		"--domain", domainOf(number), "--events", strconv.Itoa(streamEvents)}, fragileArgs(number)...)
+	e := &engine{logPath: c.logPath(name), service: fragileService, domain: domainOf(number), hasLimit: number == firstFragileNumber, process: &process{name: name, args: args}}
 	c.mu.Lock()
 	c.fragile = append(c.fragile, e)
 	c.mu.Unlock()
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -40,6 +40,9 @@
 	// refused are requests that an engine refused with a rest.
 	refused []run
 	leftAt  map[string]time.Time // when the store accepted that an engine leaves, by engine
+	// coldUntil is until when an engine was cold from its start on, by engine.
+	coldUntil map[string]time.Time
+	domainOf  map[string]string // by engine
 }
 
 // runsAfterLeaving returns the runs that started too long after the store accepted
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -29,6 +29,9 @@
 	// IgnoreNotices: requests after an engine said that it leaves or rests are no finding, as some
 	// entries are of a build that does not read that.
 	IgnoreNotices bool
+	// IgnoreEvacuations: requests to evacuated failure domains, and too many to cold engines, are no
+	// finding, as some entries are of a build that knows of neither.
+	IgnoreEvacuations bool
 }
 
 // Report is the result of a soak.
@@ -63,7 +66,7 @@
 	}
 	defer c.stop()
 	time.Sleep(settle)
-	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, notices: !o.IgnoreNotices, served: map[string]int64{}}
+	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, served: map[string]int64{}}
 	f := &faultInjector{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, faulted: map[string][]interval{}, interrupted: map[string][]interval{}, linkFaults: map[string][]interval{}}
 	engineCtx, stopEngines := context.WithCancel(context.Background())
 	defer stopEngines()
@@ -79,8 +82,11 @@
 	go func() { defer close(callersDone); s.run(callerCtx, o.Callers) }()
 	stopsDone := make(chan struct{})
 	go func() { defer close(stopsDone); f.stopEntriesInSeries(faultCtx, o.Seed) }()
+	evacuationsDone := make(chan struct{})
+	go func() { defer close(evacuationsDone); f.evacuateInTurn(faultCtx, o.Seed) }()
 	f.run(faultCtx)
 	<-stopsDone
+	<-evacuationsDone
 	time.Sleep(settle)
 	stopCalls()
 	<-callersDone
@@ -116,6 +122,11 @@
 	for _, late := range engineRuns.runsAfterLeaving(f.disconnected) {
 		s.addFinding("%s: ran at %s %v after the store took that it leaves", late.id, late.engine, late.at.Sub(engineRuns.leftAt[late.engine]))
 	}
+	if s.slowStart {
+		for _, finding := range append(engineRuns.checkEvacuations(f.evacuations, f.disconnected), engineRuns.checkCold()...) {
+			s.addFinding("%s", finding)
+		}
+	}
 	if s.notices {
 		for _, finding := range engineRuns.checkNotices(s.noticeContext(f)) {
 			s.addFinding("%s", finding)
