config, route, edge: the OpenAI interface evacuates failure domains; the state dump shows evacuations

domains.NAME.evacuated in the operators' configuration leaves the domain's back ends out of every routing decision; a domain that no back end is in is a finding.

--- a/config/types.go
+++ b/config/types.go
@@ -23,6 +23,13 @@
 	Models    map[string]Model    `yaml:"models" json:"models"`
 	Cascades  map[string]Cascade  `yaml:"cascades" json:"cascades"`
 	Backends  map[string]Backend  `yaml:"backends" json:"backends"`
+	Domains   map[string]Domain   `yaml:"domains" json:"domains,omitempty"`
+}
+
+// Domain is what the operators say of a failure domain.
+type Domain struct {
+	// Evacuated: its back ends get no requests.
+	Evacuated bool `yaml:"evacuated" json:"evacuated,omitempty"`
 }
 
 // Customer is one tenant: its API keys and what it may use.
--- a/config/validate.go
+++ b/config/validate.go
@@ -59,9 +59,22 @@
 	c.cascades(d)
 	c.customers(d)
 	c.backends(d)
+	c.domains(d)
 	return c.out
 }
 
+func (c *checker) domains(d *Document) {
+	known := map[string]bool{}
+	for _, b := range d.Backends {
+		known[b.Domain] = true
+	}
+	for _, name := range sortedKeys(d.Domains) {
+		if !known[name] {
+			c.addf("domains."+name, "no back end is in failure domain %q", name)
+		}
+	}
+}
+
 func (c *checker) models(d *Document) {
 	for _, name := range sortedKeys(d.Models) {
 		m := d.Models[name]
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -18,6 +18,7 @@
 	"github.com/lovageweir/lovageweir/internal/listen"
 	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/mesh"
+	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rollout"
@@ -62,6 +63,7 @@
 	Gate            *drain.Gate
 	Fleet           *fleet.Follower
 	Mesh            *mesh.Mesh
+	Board           *place.Board
 	Rollouts        *rollout.Controller
 	QuarantineTable *quarantine.Table
 	Limits          *ratelimit.Limits
@@ -89,6 +91,15 @@
 	Quarantine quarantine.State `json:"quarantine"`
 	// Limits are the rate limits that endpoints report.
 	Limits []ratelimit.EndpointState `json:"limits"`
+	// Evacuated are the failure domains whose endpoints get no requests.
+	Evacuated []EvacuationDump `json:"evacuated,omitempty"`
+}
+
+// EvacuationDump is an evacuated domain's part of the dump.
+type EvacuationDump struct {
+	Domain    string `json:"domain"`
+	Endpoints int    `json:"endpoints"`
+	InFlight  int    `json:"in_flight"` // requests of this entry that still run there
 }
 
 // ServiceDump is a service's part of the dump.
@@ -110,12 +121,30 @@
 	if age, ok := p.Fleet.Age(); ok {
 		d.AgeMS = age.Milliseconds()
 	}
+	d.Evacuated = p.evacuated(v)
 	for _, g := range v.Groups() {
 		d.Services = append(d.Services, ServiceDump{g.Service.Name, g.Ready, g.Lapsed, g.Rollout})
 	}
 	return d
 }
 
+func (p serverParams) evacuated(v *fleet.View) []EvacuationDump {
+	var out []EvacuationDump
+	for _, domain := range v.Evacuated {
+		e := EvacuationDump{Domain: domain}
+		for _, g := range v.Groups() {
+			for _, ep := range g.Evacuated {
+				if ep.Domain == domain {
+					e.Endpoints++
+					e.InFlight += p.Board.Standing(ep.ID).InFlight
+				}
+			}
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 // readiness answers the platform's balancer, which reads only the status.
 func (p serverParams) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -143,7 +143,7 @@
 	// change it.
 	Registered kv.Revision
 	// ColdUntil is until when it is cold, on the monotonic clock; zero: it is not.
-	ColdUntil time.Time
+	ColdUntil time.Time `json:",omitzero"`
 }
 
 // Registration is what an endpoint wrote of itself.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -77,6 +77,8 @@
 	metrics   metrics
 	bodyBytes atomic.Int64
 	prober    upstream.Prober
+	// wasStranded is the last result of stranded, to log its changes.
+	wasStranded atomic.Bool
 }
 
 func New(d Deps) *Server { return &Server{Deps: d, metrics: newMetrics(d.Scope)} }
--- a/route/decide.go
+++ b/route/decide.go
@@ -133,11 +133,19 @@
 			retryAfter = rest
 		}
 		return nil, &Refusal{Code: CodeNoBackend, Status: http.StatusServiceUnavailable,
-			Message: fmt.Sprintf("no back end serves %s@%s now", r.Model, version), RetryAfter: retryAfter}
+			Message: t.noBackendMessage(r.Model, version), RetryAfter: retryAfter}
 	}
 	return &Decision{Customer: cust, Model: r.Model, Version: version, Priority: c.Priority, Candidates: cands}, nil
 }
 
+func (t *Table) noBackendMessage(model, version string) string {
+	vb := t.backends[modelVersion{model, version}]
+	if vb != nil && vb.evacuated > 0 && len(vb.byDomain) == 0 {
+		return fmt.Sprintf("all failure domains that serve %s@%s are evacuated", model, version)
+	}
+	return fmt.Sprintf("no back end serves %s@%s now", model, version)
+}
+
 // shed reports whether a request of that priority is refused when the lowest
 // load among the candidates is load.
 func (t *Table) shed(capacity, load, priority int) bool {
--- a/route/table.go
+++ b/route/table.go
@@ -27,6 +27,8 @@
 type versionBackends struct {
 	byDomain map[string][]backendEntry // each sorted by name
 	domains  []string                  // sorted
+	// evacuated is how many back ends are left out, as their failure domains are evacuated.
+	evacuated int
 }
 
 type backendEntry struct {
@@ -100,6 +102,10 @@
 			vb = &versionBackends{byDomain: map[string][]backendEntry{}}
 			t.backends[mv] = vb
 		}
+		if doc.Domains[b.Domain].Evacuated {
+			vb.evacuated++
+			continue
+		}
 		info := BackendInfo{Name: name, Address: b.Address, Domain: b.Domain, Kind: b.Kind, Idempotent: b.Idempotent, Capacity: b.Capacity, Model: b.Model, Version: b.Version}
 		vb.byDomain[b.Domain] = append(vb.byDomain[b.Domain], backendEntry{info: info, nameHash: hash64(name)})
 		if b.Kind == config.KindEngine {
