configwatch: the whole document is pulled if a peer's delta does not apply

Cause: after a delta that did not apply the empty document of the same answer was offered, counted as rejected, and the next pull got the same delta. Red test first: the entry stayed on the old revision; now it has the new one.

--- a/configwatch/faults_test.go
+++ b/configwatch/faults_test.go
@@ -161,6 +161,8 @@
 	w      *Watcher
 	down   bool
 	deltas int // responses with a delta
+	// damaged: deltas do not apply.
+	damaged bool
 }
 
 func (p *peerStub) Config(_ context.Context, r *peerpb.ConfigRequest) (*peerpb.ConfigResponse, error) {
@@ -169,6 +171,9 @@
 	}
 	rev, delta, stored := p.w.Since(kv.Revision(r.Have))
 	p.deltas += min(len(delta), 1)
+	if p.damaged && len(delta) > 0 {
+		delta = delta[:len(delta)/2]
+	}
 	return &peerpb.ConfigResponse{Revision: int64(rev), Delta: delta, Document: stored}, nil
 }
 
@@ -225,6 +230,28 @@
 	is.Equal(peer.deltas, 3)
 }
 
+// Guards against an entry that stays behind because a peer's delta does not apply there.
+func TestWholeDocumentIsPulledIfADeltaDoesNotApply(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	fc := clockwork.NewFakeClock()
+	s := newSilentWatchStore(fc)
+	putConfig(t, s, 3)
+	a, b := New(s, fc, discardLog), New(s, fc, discardLog)
+	a.Refresh(ctx)
+	b.Refresh(ctx)
+	rev := putConfig(t, s, 4)
+	fc.Advance(MaxStaleness + time.Second)
+	a.Refresh(ctx)
+	peer := &peerStub{w: a, damaged: true}
+	d := &peerpb.Digest{From: &peerpb.Member{Address: "a"}}
+	NewTopic(a, nil).Fill(d, true)
+	NewTopic(b, func(string) peerpb.Peer { return peer }).Merge(ctx, peers.Received{Digest: d})
+	is.Equal(peer.deltas, 1)
+	is.Equal(b.Revision(), rev)
+	is.Equal(b.rejected.Load(), int64(0)) // nothing empty was offered
+}
+
 func storedConfig(t *testing.T, c kv.KV) []byte {
 	t.Helper()
 	_, kvs, err := c.Get(context.Background(), config.Key, false)
--- a/configwatch/topic.go
+++ b/configwatch/topic.go
@@ -61,13 +61,25 @@
 	// longer.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pullTimeout)
 	defer cancel()
+	r, ok := t.request(ctx, address, have)
+	if ok && len(r.Delta) > 0 {
+		if t.w.OfferDelta(kv.Revision(have), kv.Revision(r.Revision), r.Delta) || int64(t.w.Revision()) >= r.Revision {
+			return
+		}
+		r, ok = t.request(ctx, address, wholeDocument)
+	}
+	if ok && len(r.Document) > 0 {
+		t.w.Offer(kv.Revision(r.Revision), r.Document)
+	}
+}
+
+// wholeDocument as the revision that an entry has requests the document instead of a delta.
+const wholeDocument = 0
+
+func (t *Topic) request(ctx context.Context, address string, have int64) (*peerpb.ConfigResponse, bool) {
 	r, err := t.dial(address).Config(ctx, &peerpb.ConfigRequest{Have: have})
 	if err != nil {
 		t.w.log.Warn("config: could not pull a newer revision from a peer.", "peer", address, "error", err)
-		return
-	}
-	if len(r.Delta) > 0 && t.w.OfferDelta(kv.Revision(have), kv.Revision(r.Revision), r.Delta) {
-		return
 	}
-	t.w.Offer(kv.Revision(r.Revision), r.Document)
+	return r, err == nil
 }
