--- a/fleet/evacuations_test.go
+++ b/fleet/evacuations_test.go
@@ -11,8 +11,7 @@
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
-// Guards against an evacuation that does not count because of its value, and against endpoints that turned cold
-// during one getting their usual share when it ends.
+// Guards against endpoints that turned cold during an evacuation getting their usual share when it ends.
 func TestEndpointsCountAsColdAfterAnEvacuation(t *testing.T) {
 	is := is.New(t)
 	x := newFixture(t)
--- a/soak/evacuations.go
+++ b/soak/evacuations.go
@@ -33,8 +33,7 @@
 	return coldTime
 }
 
-// evacuation is an evacuation of a failure domain, from the store's confirmation of the order to the
-// attempt to take it back.
+// evacuation is the time in which a failure domain was evacuated.
 type evacuation struct {
 	interval
 	domain string
