slowstart: fewer entries share a cold endpoint that bears a high rate

Each of 19 entries may send one request at once, twice with the restart, and 3.1 a second: 95 in a second where 94.25 are allowed. With a third of the rate in entries, 2/3 + 1 times the rate exceeds 1.5 times the rate and 5 from 30 requests a second on.

Change: from 12 requests a second on, one entry more for every 4 instead of every 3 requests a second. Below that nothing changes.

--- a/slowstart/gate.go
+++ b/slowstart/gate.go
@@ -16,8 +16,11 @@
 
 const (
 	// minShare is the least rate of one entry at a cold endpoint, in requests per second: with
-	// more entries, the one request that each may send at once would exceed the rate.
-	minShare = 3
+	// more entries, the one request that each may send at once would exceed the rate. Where many
+	// entries share a high rate, minSharedRate applies beyond the first: if all of them restart
+	// within a second, each sends one twice.
+	minShare      = 3
+	minSharedRate = 4
 	// otherEntryDelay is when a caller may retry if only other entries use the endpoint.
 	otherEntryDelay = 250 * time.Millisecond
 	// forgetAfter is how long the state of an endpoint is kept that is cold no longer.
@@ -162,7 +165,7 @@
 	slices.SortFunc(near, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.instance, b.instance))
 	})
-	n := min(len(near), max(1, int(perSecond/minShare)))
+	n := min(len(near), max(1, int(min(perSecond/minShare, 1+perSecond/minSharedRate))))
 	out := make([]string, 0, n)
 	for _, c := range near[:n] {
 		out = append(out, c.instance)
