place: a choice looks at 256 endpoints, however large the fleet

Cause: with N endpoints and P entries that report their work, a choice cost N x P map lookups, N hashes and a sort of N. At 10,000 endpoints and 100 reporting entries that is 35 ms of a core, 180 ms at an entry with 0.19 of one: each stream waited that long before it was sent, and the load datagrams, the exchanges and the dials of the same process behind it.

Change: of more than 256 candidates a random part is ranked, half of it of the own failure domain, besides the prompt's preferred endpoint; all of them only if none of these can be used. Reported work is indexed by endpoint; what is published is found without a look at the idle endpoints.

A fixed part of the fleet for each entry was not built: with one request a second at an entry it keeps no connection and no report alive either.

--- a/fleet/types.go
+++ b/fleet/types.go
@@ -2,8 +2,11 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lovageweir/lovageweir/kv"
 )
 
@@ -125,6 +128,12 @@
 	return EndpointID(name + "@" + strconv.FormatInt(born, 10))
 }
 
+// Name returns the name of the endpoint.
+func (id EndpointID) Name() string {
+	name, _, _ := strings.Cut(string(id), "@")
+	return name
+}
+
 // Endpoint is one back end, as registered by itself.
 type Endpoint struct {
 	ID EndpointID
@@ -144,6 +153,16 @@
 	Registered kv.Revision
 	// ColdUntil is until when it is cold, on the monotonic clock; zero: it is not.
 	ColdUntil time.Time `json:",omitzero"`
+	// hash is that of ID; 0: not computed yet.
+	hash uint64
+}
+
+// Hash returns a hash of the endpoint's ID that all entries share.
+func (e *Endpoint) Hash() uint64 {
+	if e.hash != 0 {
+		return e.hash
+	}
+	return xxhash.Sum64String(string(e.ID))
 }
 
 // Registration is what an endpoint wrote of itself.
--- a/place/board.go
+++ b/place/board.go
@@ -89,10 +89,14 @@
 // Board holds what this entry knows of endpoints, from its own requests and from reports of other
 // entries. It is safe for concurrent use; its lock is never held across a network call.
 type Board struct {
-	clock    clockwork.Clock
-	mu       sync.Mutex
-	byID     map[fleet.EndpointID]*endpointStats
-	peerWork map[string]peerWork // by entry
+	clock clockwork.Clock
+	mu    sync.Mutex
+	byID  map[fleet.EndpointID]*endpointStats
+	// working are those in byID with outstanding work, reported those that recently reported
+	// their loads to this entry.
+	working  map[fleet.EndpointID]*endpointStats
+	reported map[fleet.EndpointID]*endpointStats
+	peerWork peerWork
 	domains  map[string]*domainStats
 	// byShortID maps short ids to the ids in byID.
 	byShortID map[uint32]fleet.EndpointID
@@ -117,7 +121,8 @@
 
 // NewBoard returns an empty board.
 func NewBoard(clock clockwork.Clock) *Board {
-	return &Board{clock: clock, byID: map[fleet.EndpointID]*endpointStats{}, peerWork: map[string]peerWork{}, domains: map[string]*domainStats{},
+	return &Board{clock: clock, byID: map[fleet.EndpointID]*endpointStats{}, working: map[fleet.EndpointID]*endpointStats{},
+		reported: map[fleet.EndpointID]*endpointStats{}, peerWork: newPeerWork(), domains: map[string]*domainStats{},
 		byShortID: map[uint32]fleet.EndpointID{}, services: map[string]*serviceStats{}, born: map[string]incarnation{}, lastSweep: clock.Now(), workGrew: make(chan struct{}, 1),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
@@ -155,6 +160,7 @@
 			delete(b.byShortID, ShortID(id))
 		}
 	}
+	b.peerWork.sweep(now)
 	for name, latest := range b.born {
 		if b.byID[latest.id] == nil {
 			delete(b.born, name)
@@ -210,8 +216,11 @@
 	}
 	r.inFlight++
 	r.sinceReport++
-	r.work += work
-	b.addWorkLocked(work)
+	if work > 0 {
+		r.work += work
+		b.working[id] = r
+		b.addWorkLocked(work)
+	}
 	return &Ticket{board: b, id: id, domain: ep.Domain, begun: now, work: work}
 }
 
@@ -244,6 +253,7 @@
 	if load != nil {
 		b.updateDeviationLocked(r, *load, now)
 		r.report, r.reportedAt, r.sinceReport, r.ownReport = *load, now, 0, true
+		b.reported[t.id] = r
 	}
 }
 
@@ -266,7 +276,12 @@
 
 // releaseWorkLocked removes the outstanding work of the request: it is done or will never be.
 func (t *Ticket) releaseWorkLocked(r *endpointStats) {
-	r.work -= t.work
+	if t.work == 0 {
+		return
+	}
+	if r.work -= t.work; r.work <= 0 {
+		delete(t.board.working, t.id)
+	}
 	t.board.work -= t.work
 	t.board.announcedWork = min(t.board.announcedWork, t.board.work)
 	t.work = 0
@@ -367,8 +382,11 @@
 }
 
 func (b *Board) standingLocked(id fleet.EndpointID, now time.Time) Standing {
-	wait := b.peerWorkLocked(id, now)
-	r := b.byID[id]
+	return b.standingOfLocked(b.byID[id], ShortID(id), now)
+}
+
+func (b *Board) standingOfLocked(r *endpointStats, short uint32, now time.Time) Standing {
+	wait := b.peerWork.at(short, now)
 	if r == nil {
 		return Standing{Wait: wait}
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -64,24 +65,78 @@
 	Standing Standing
 }
 
+// maxConsidered is how many endpoints a choice looks at in a large fleet, at least half of them in
+// the entry's own failure domain if it has as many. The best of so many is hardly worse than the
+// best of all.
+const maxConsidered = 256
+
+// Rank orders endpoints for a request, best first. Ejected ones come last; endpoints already tried,
+// closed and resting ones are left out. Of more than maxConsidered candidates it ranks a random
+// part, and all of them only if none of these can be used.
+func (b *Board) Rank(candidates []fleet.Endpoint, req Request) []Ranked {
+	preferred := preferredEndpoint(candidates, req)
+	if len(candidates) <= maxConsidered {
+		return b.rank(pointers(candidates), preferred, req)
+	}
+	ranked := b.rank(b.sample(candidates, preferred, req.Domain), preferred, req)
+	if len(ranked) == 0 || ranked[0].Standing.Ejected {
+		ranked = b.rank(pointers(candidates), preferred, req)
+	}
+	return ranked
+}
+
+// sample returns maxConsidered of the candidates, and the preferred one besides. Candidates are
+// sorted by ID, which says nothing about them, so that neighbours serve as a random selection.
+func (b *Board) sample(candidates []fleet.Endpoint, preferred *fleet.Endpoint, domain string) []*fleet.Endpoint {
+	chosen := make(map[*fleet.Endpoint]bool, maxConsidered+1)
+	out := make([]*fleet.Endpoint, 0, maxConsidered+1)
+	add := func(ep *fleet.Endpoint) {
+		if !chosen[ep] {
+			chosen[ep] = true
+			out = append(out, ep)
+		}
+	}
+	if preferred != nil {
+		add(preferred)
+	}
+	b.mu.Lock()
+	from := b.random.IntN(len(candidates))
+	b.mu.Unlock()
+	for i := 0; i < len(candidates) && len(out) <= maxConsidered/2; i++ {
+		if ep := &candidates[(from+i)%len(candidates)]; ep.Domain == domain {
+			add(ep)
+		}
+	}
+	for i := 0; i < len(candidates) && len(out) <= maxConsidered; i++ {
+		add(&candidates[(from+i)%len(candidates)])
+	}
+	return out
+}
+
+// pointers returns pointers to all endpoints.
+func pointers(endpoints []fleet.Endpoint) []*fleet.Endpoint {
+	out := make([]*fleet.Endpoint, 0, len(endpoints))
+	for i := range endpoints {
+		out = append(out, &endpoints[i])
+	}
+	return out
+}
+
 // closed evaluates Closed for all candidates; nil: none is closed. It is called without the board's lock,
 // as the callback takes its own.
-func (req Request) closed(candidates []fleet.Endpoint) []bool {
+func (req Request) closed(candidates []*fleet.Endpoint) []bool {
 	if req.Closed == nil {
 		return nil
 	}
 	out := make([]bool, len(candidates))
 	for i, ep := range candidates {
-		out[i] = req.Closed(ep)
+		out[i] = req.Closed(*ep)
 	}
 	return out
 }
 
-// Rank orders endpoints for a request, best first. Ejected ones come last; endpoints already tried,
-// closed and resting ones are left out.
-func (b *Board) Rank(candidates []fleet.Endpoint, req Request) []Ranked {
+func (b *Board) rank(candidates []*fleet.Endpoint, preferred *fleet.Endpoint, req Request) []Ranked {
 	now := b.clock.Now()
-	preferred := preferredEndpoint(candidates, req)
 	closed := req.closed(candidates)
 	b.mu.Lock()
 	out := make([]Ranked, 0, len(candidates))
@@ -89,10 +144,11 @@
 		if req.Tried[ep.ID] || closed != nil && closed[i] || b.restsLocked(ep.ID, now) {
 			continue
 		}
-		load := b.sampledLoadLocked(ep, now)
-		s := b.standingLocked(ep.ID, now)
+		r := b.endpointStatsLocked(*ep, now)
+		load := b.sampledLoadLocked(r, ep, now)
+		s := b.standingOfLocked(r, uint32(ep.Hash()), now)
 		s.Ejected = s.Ejected || b.domainUnreachableLocked(ep.Domain, now)
-		out = append(out, Ranked{Endpoint: ep, Standing: s, Score: score(ep, s, load, req, ep.ID == preferred)})
+		out = append(out, Ranked{Endpoint: *ep, Standing: s, Score: score(ep, s, load, req, ep == preferred)})
 	}
 	// Ties are broken at random: in an order that all entries share, all would choose the
 	// same endpoint.
@@ -114,7 +170,7 @@
 
 // score returns the expected wait at an endpoint with the given load, plus penalties and less the
 // value of a cached prompt.
-func score(ep fleet.Endpoint, s Standing, load float64, req Request, preferred bool) time.Duration {
+func score(ep *fleet.Endpoint, s Standing, load float64, req Request, preferred bool) time.Duration {
 	utilization := load / float64(slotsOf(ep))
 	v := s.Wait + scaled(busyPenalty, utilization*utilization*utilization) + scaled(failurePenalty, s.FailRate)
 	if ep.Domain != req.Domain {
@@ -129,7 +185,7 @@
 	return v
 }
 
-func slotsOf(ep fleet.Endpoint) int {
+func slotsOf(ep *fleet.Endpoint) int {
 	if ep.Slots <= 0 {
 		return defaultSlots
 	}
@@ -138,33 +194,29 @@
 
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
-// preferredEndpoint returns the preferred endpoint of a prompt by rendezvous hashing: all entries agree,
-// and when endpoints change, only the prompts of those endpoints move.
-func preferredEndpoint(candidates []fleet.Endpoint, req Request) fleet.EndpointID {
+// preferredEndpoint returns the preferred endpoint of a prompt by rendezvous hashing, or nil: all entries
+// agree, and when endpoints change, only the prompts of those endpoints move.
+func preferredEndpoint(candidates []fleet.Endpoint, req Request) *fleet.Endpoint {
 	if req.Affinity == 0 {
-		return ""
+		return nil
 	}
 	near := req.SharedTokens < crossDomainTokens && anyInDomain(candidates, req.Domain)
-	var best fleet.EndpointID
+	var best *fleet.Endpoint
 	var highest uint64
-	for _, ep := range candidates {
+	for i := range candidates {
+		ep := &candidates[i]
 		if near && ep.Domain != req.Domain {
 			continue
 		}
-		if h := Mix(req.Affinity ^ xxhash.Sum64String(string(ep.ID))); h >= highest {
-			best, highest = ep.ID, h
+		if h := Mix(req.Affinity ^ ep.Hash()); h >= highest {
+			best, highest = ep, h
 		}
 	}
 	return best
 }
 
 func anyInDomain(candidates []fleet.Endpoint, domain string) bool {
-	for _, ep := range candidates {
-		if ep.Domain == domain {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(candidates, func(ep fleet.Endpoint) bool { return ep.Domain == domain })
 }
 
 // Mix is a finalizer that spreads the entropy of a hash over all bits.
--- a/place/loads.go
+++ b/place/loads.go
@@ -101,9 +101,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []LoadReport
-	for id, r := range b.byID {
+	for id, r := range b.reported {
 		age := now.Sub(r.reportedAt)
 		if !r.ownReport || age > relayTTL {
+			delete(b.reported, id)
 			continue
 		}
 		out = append(out, LoadReport{Endpoint: ShortID(id), Running: r.report.Running, Waiting: r.report.Waiting, Age: age})
@@ -158,8 +159,7 @@
 // of the endpoint is assumed to be. All entries learn that the same engine has little to do, and would
 // all send to it until they learn that it has too much. The recent deviation of the estimates
 // determines the range.
-func (b *Board) sampledLoadLocked(ep fleet.Endpoint, now time.Time) float64 {
-	r := b.endpointStatsLocked(ep, now)
+func (b *Board) sampledLoadLocked(r *endpointStats, ep *fleet.Endpoint, now time.Time) float64 {
 	if r.reportedAt.IsZero() && now.Before(ep.ColdUntil) {
 		return float64(r.inFlight) // it has just started, and few entries use it
 	}
--- a/place/peer_work.go
+++ b/place/peer_work.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,10 +21,74 @@
 // endpoints appear busier than they are.
 func ShortID(id fleet.EndpointID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
-// peerWork is the last reported work of another entry, by short id.
+// peerWork holds the last reported work of other entries, by endpoint, so that the work at one
+// endpoint is found without a look at each entry.
 type peerWork struct {
-	work map[uint32]time.Duration
-	at   time.Time
+	byEndpoint map[uint32][]peerShare // by short id
+	endpoints  map[string][]uint32    // in the last report of each entry
+}
+
+// peerShare is the work that one other entry has outstanding at an endpoint.
+type peerShare struct {
+	entry string
+	work  time.Duration
+	at    time.Time // of the report
+}
+
+func newPeerWork() peerWork {
+	return peerWork{byEndpoint: map[uint32][]peerShare{}, endpoints: map[string][]uint32{}}
+}
+
+// replace replaces the last report of an entry.
+func (p peerWork) replace(entry string, work map[uint32]time.Duration, now time.Time) {
+	for _, id := range p.endpoints[entry] {
+		p.remove(id, func(s peerShare) bool { return s.entry == entry })
+	}
+	delete(p.endpoints, entry)
+	for id, w := range work {
+		if w <= 0 {
+			continue
+		}
+		p.byEndpoint[id] = append(p.byEndpoint[id], peerShare{entry: entry, work: w, at: now})
+		p.endpoints[entry] = append(p.endpoints[entry], id)
+	}
+}
+
+func (p peerWork) remove(id uint32, which func(peerShare) bool) {
+	left := slices.DeleteFunc(p.byEndpoint[id], which)
+	if len(left) == 0 {
+		delete(p.byEndpoint, id)
+		return
+	}
+	p.byEndpoint[id] = left
+}
+
+// at returns the work outstanding at an endpoint, less the time since the oldest report, in which
+// the endpoint has worked on it.
+func (p peerWork) at(id uint32, now time.Time) time.Duration {
+	var sum, oldest time.Duration
+	for _, s := range p.byEndpoint[id] {
+		if age := now.Sub(s.at); age <= peerWorkTTL {
+			sum += s.work
+			oldest = max(oldest, age)
+		}
+	}
+	return max(0, sum-oldest)
+}
+
+// sweep removes expired reports.
+func (p peerWork) sweep(now time.Time) {
+	expired := func(s peerShare) bool { return now.Sub(s.at) > peerWorkTTL }
+	for entry, ids := range p.endpoints {
+		for _, id := range ids {
+			p.remove(id, expired)
+		}
+		if !slices.ContainsFunc(ids, func(id uint32) bool {
+			return slices.ContainsFunc(p.byEndpoint[id], func(s peerShare) bool { return s.entry == entry })
+		}) {
+			delete(p.endpoints, entry)
+		}
+	}
 }
 
 // WorkGrew returns a channel that signals when outstanding work has grown enough to be sent to other entries
@@ -47,11 +112,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.announcedWork = b.work
-	out := Work{}
-	for id, r := range b.byID {
-		if r.work > 0 {
-			out[id] = r.work
-		}
+	out := make(Work, len(b.working))
+	for id, r := range b.working {
+		out[id] = r.work
 	}
 	return out
 }
@@ -62,7 +125,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := map[string]bool{}
-	for _, r := range b.byID {
+	for _, r := range b.working {
 		if r.work >= announceThreshold {
 			out[r.domain] = true
 		}
@@ -75,27 +138,5 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peerWork[entry] = peerWork{work: w, at: now}
-}
-
-// peerWorkLocked returns the work that other entries have outstanding at an endpoint, less the time
-// since the oldest report, in which the endpoint has worked on it.
-func (b *Board) peerWorkLocked(id fleet.EndpointID, now time.Time) time.Duration {
-	if len(b.peerWork) == 0 {
-		return 0
-	}
-	short := ShortID(id)
-	var sum, oldest time.Duration
-	for entry, p := range b.peerWork {
-		age := now.Sub(p.at)
-		if age > peerWorkTTL {
-			delete(b.peerWork, entry)
-			continue
-		}
-		if w := p.work[short]; w > 0 {
-			sum += w
-			oldest = max(oldest, age)
-		}
-	}
-	return max(0, sum-oldest)
+	b.peerWork.replace(entry, w, now)
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -143,22 +143,13 @@
 		is.Equal(preferredEndpoint(eps, req), p) // for a long prompt it does not depend on the entry's domain
 		if preferredEndpoint(eps[1:], req) != p {
 			moved++
-			is.Equal(p, eps[0].ID)
+			is.Equal(p.ID, eps[0].ID)
 		}
 	}
 	is.True(moved > 5)
 	is.True(moved < 40)
 	short := Request{Domain: "d2", Affinity: Hash("x"), SharedTokens: 100}
-	is.Equal(domainOf(eps, preferredEndpoint(eps, short)), "d2") // a short prompt stays in its domain
-}
-
-func domainOf(eps []fleet.Endpoint, id fleet.EndpointID) string {
-	for _, ep := range eps {
-		if ep.ID == id {
-			return ep.Domain
-		}
-	}
-	return ""
+	is.Equal(preferredEndpoint(eps, short).Domain, "d2") // a short prompt stays in its domain
 }
 
 // simulateSharedEngines simulates eight entries that place requests of very unequal length on twelve
