fleet, mesh: a large fleet starts from few reads of the store

Cause: an entry watched the store until it found itself among the known entries. Each page counted as current data, so that others relied on it. After a mass kill every entry reads the whole store: as much again.

Change: an entry lists its own failure domain first. In a domain of more than 32 only the watchers read and watch the rest; the others get it from them. An entry that is not listed yet waits for its registration instead of watching; one that gets changes in bulk does not watch beside that. A page of a watch with 100 changes or more is not the end: the next call follows at once, and the data is not current before it. Changes of 4 KB and more are compressed, once for all that lack the same; an entry of an earlier build gets them as before. Watchers are the entries with the widest links of a domain. Entries register when they know the list, not the configuration, under a key with their domain.

What still grows with the square of the fleet is that list of the own domain: 53 KB an entry at 985 in 6 domains.

--- a/edge/module.go
+++ b/edge/module.go
@@ -109,7 +109,7 @@
 }
 
 func (s *Settings) entry(b boot) fleet.Entry {
-	return fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, LoadAddress: s.Listen.Loads, Boot: int64(b)}
+	return fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, LoadAddress: s.Listen.Loads, Boot: int64(b), LinkMbps: s.LinkMbps}
 }
 
 func newFollower(s *Settings, b boot, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger) *fleet.Follower {
--- a/edge/run.go
+++ b/edge/run.go
@@ -62,11 +62,10 @@
 }
 
 func (r *registration) run(ctx context.Context) {
-	// Register with the first configuration, not a second later: until an entry finds
-	// itself among the known entries it watches the store itself, at several calls a
-	// second.
+	// Register as soon as the store answers: an entry that is not listed cannot rely on
+	// others.
 	select {
-	case <-r.fleet.ConfigKnown():
+	case <-r.fleet.EntriesKnown():
 	case <-ctx.Done():
 		return
 	}
@@ -77,7 +76,7 @@
 		case <-ctx.Done():
 			return
 		}
-		wait = registrationRetry
+		wait = time.Duration((0.5 + rand.Float64()) * float64(registrationRetry))
 		if r.fleet.StoreUnreachable() {
 			continue
 		}
@@ -104,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.store.Put(ctx, fleet.EntryPrefix+r.self.Instance, value, lease); err != nil {
+	if _, err := r.store.Put(ctx, r.self.Key(), value, lease); err != nil {
 		return err
 	}
 	r.lease = lease
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -24,8 +24,10 @@
 	// Store is the address of the platform's store, host:port.
 	Store string `yaml:"store"`
 	// MemoryMB is the memory limit of the process, which is killed above it.
-	MemoryMB int    `yaml:"memory_mb"`
-	Bounds   Bounds `yaml:"bounds"`
+	MemoryMB int `yaml:"memory_mb"`
+	// LinkMbps is the bandwidth of the instance's network link in Mbit/s; 0: not known.
+	LinkMbps float64 `yaml:"link_mbps"`
+	Bounds   Bounds  `yaml:"bounds"`
 }
 
 // Listen holds the addresses that an entry listens on, host:port.
@@ -150,6 +152,9 @@
 			add(p.path, "%v is not above 0", p.value)
 		}
 	}
+	if s.LinkMbps < 0 {
+		add("link_mbps", "%v is below 0", s.LinkMbps)
+	}
 	if s.Bounds.RepeatRatio < 0 || s.Bounds.RepeatExtra < 0 {
 		add("bounds.repeat_ratio", "repeats cannot be below 0")
 	}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -49,6 +49,9 @@
 	maxCurrentAge = 1750 * time.Millisecond
 	// recheckInterval is how often an entry that relies on others checks whether it still can.
 	recheckInterval = 100 * time.Millisecond
+	// BulkChanges is the number of changes received at once from which the sender probably has
+	// more: a page of a watch, or what a watcher that is catching up passes on.
+	BulkChanges = 100
 	// Backoff after a failed call, doubled up to the maximum, which keeps the calls to an
 	// unreachable store near one a second from each entry.
 	minBackoff = 100 * time.Millisecond
@@ -71,11 +74,17 @@
 	storeUnreachable bool      // the store did not answer this entry's last call
 	peerAnswered     time.Time // when a peer with current data last answered
 	relying          bool      // other entries watch the store for this one
+	// catchingUp is when this entry began to expect a peer to bring it up to date: when it
+	// found itself listed, or last received changes in bulk.
+	catchingUp time.Time
 	// confirmedSinceBoot is the time of confirmed on the clock that includes suspension.
 	confirmedSinceBoot time.Duration
 	onChange           func(*View)
 	configKnown        chan struct{} // closed with the first configuration
 	configOnce         sync.Once
+	entriesKnown       chan struct{} // closed once the entries of the own failure domain are known
+	entriesOnce        sync.Once
+	start              start // used by Run only
 	// sinceBoot returns the time since the machine started, including suspension.
 	sinceBoot func() time.Duration
 }
@@ -84,7 +93,7 @@
 // registration lapsed remains usable as a last resort.
 func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedTTL time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
 	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), viewBuilder: newBuilder(dec, lapsedTTL, log), onChange: func(*View) {}, configKnown: make(chan struct{}),
-		sinceBoot: sinceBoot}
+		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -102,9 +111,18 @@
 // ConfigKnown is closed once a configuration is known.
 func (f *Follower) ConfigKnown() <-chan struct{} { return f.configKnown }
 
+// EntriesKnown is closed once the entries of the own failure domain are known.
+func (f *Follower) EntriesKnown() <-chan struct{} { return f.entriesKnown }
+
 // Since returns the changes after a revision, for entries that are behind.
 func (f *Follower) Since(after kv.Revision) Changes { return f.items.Since(after) }
 
+// Revision is the revision up to which all changes are known.
+func (f *Follower) Revision() kv.Revision { return f.items.Revision() }
+
+// NeedsSnapshot reports whether Since returns a snapshot for a revision.
+func (f *Follower) NeedsSnapshot(after kv.Revision) bool { return f.items.NeedsSnapshot(after) }
+
 // StoreUnreachable reports whether the store does not answer this entry.
 func (f *Follower) StoreUnreachable() bool {
 	f.mu.Lock()
@@ -140,22 +158,24 @@
 	f.apply(c, age)
 }
 
-// apply applies changes of the given age, and publishes a view if any was new.
+// apply applies changes of the given age, and publishes a view if any was new. A part of the
+// store, which has no revision, does not confirm the rest.
 func (f *Follower) apply(c Changes, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	if at := now.Add(-age); at.After(f.confirmed) {
+	if at := now.Add(-age); at.After(f.confirmed) && c.Revision > 0 {
 		f.confirmed, f.confirmedSinceBoot = at, f.sinceBoot()-age
 	}
 	fresh := f.items.Apply(c)
+	if len(fresh) >= BulkChanges {
+		f.catchingUp = now
+	}
 	if len(fresh) == 0 {
 		return
 	}
-	for _, e := range fresh {
-		f.viewBuilder.apply(e, now)
-	}
-	f.publishLocked(c.Revision, now)
+	f.viewBuilder.applyAll(fresh, now)
+	f.publishLocked(f.items.Revision(), now)
 }
 
 // publishLocked publishes a view at a revision.
@@ -163,6 +183,9 @@
 	v := f.viewBuilder.view(rev, now)
 	first := v.Config != nil && f.View().Config == nil
 	f.view.Store(v)
+	if len(v.Entries) > 0 {
+		f.markEntriesKnown()
+	}
 	if first {
 		f.configOnce.Do(func() { close(f.configKnown) })
 	}
@@ -181,6 +204,19 @@
 // isWatcher reports whether this entry watches the store for all.
 func (f *Follower) isWatcher() bool { return f.View().IsWatcher(f.self.Instance) }
 
+// AwaitsPeers reports whether a peer can be expected to bring this entry up to date: it is
+// listed, others are to watch for it, and it was listed or received changes in bulk lately.
+// When a large fleet starts, or many endpoints change, watching the store at every entry
+// would exceed what the store can send, and take longer.
+func (f *Follower) AwaitsPeers() bool {
+	if f.items.Revision() == 0 || !f.View().HasEntry(f.self.Instance) || f.isWatcher() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Since(f.catchingUp) < peerTimeout
+}
+
 // IsCurrent reports whether data of this age may come from watchers that still receive
 // the store's changes.
 func IsCurrent(age time.Duration) bool { return age <= maxCurrentAge }
@@ -225,6 +261,10 @@
 			f.sleep(ctx, recheckInterval)
 			continue
 		}
+		if f.AwaitsPeers() {
+			f.sleep(ctx, recheckInterval)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			f.setStoreUnreachable(nil)
@@ -241,14 +281,21 @@
 	}
 }
 
-// step makes one call to the store: a watch, or a full read if there is no data yet
-// or the history since the last revision was compacted.
+// step makes one call to the store: a watch, a read of the entries until this one is listed, or
+// a full read if there is no data yet or the history since the last revision was compacted.
 func (f *Follower) step(ctx context.Context) error {
 	after := f.items.Revision()
 	if after == 0 {
-		return f.readAll(ctx)
+		return f.readFirst(ctx)
+	}
+	if f.start.awaitsListing(f.View(), f.self) {
+		return f.awaitListing(ctx)
 	}
-	rev, events, err := f.store.WatchOnce(ctx, "", true, after, f.pollWait())
+	wait := f.pollWait()
+	if f.start.morePending {
+		wait = time.Millisecond
+	}
+	rev, events, err := f.store.WatchOnce(ctx, "", true, after, wait)
 	if errors.Is(err, kv.ErrCompacted) {
 		f.log.Info("fleet: history since this revision was compacted; reading everything.", "revision", after)
 		return f.readAll(ctx)
@@ -256,8 +303,13 @@
 	if err != nil {
 		return err
 	}
-	f.apply(Changes{Revision: rev, Events: events}, 0)
-	if len(events) > 0 {
+	age := time.Duration(0)
+	f.start.morePending = len(events) >= BulkChanges
+	if f.start.morePending {
+		age = maxCurrentAge + 1 // not current until the rest is known
+	}
+	f.apply(Changes{Revision: rev, Events: events}, age)
+	if len(events) > 0 && !f.start.morePending {
 		f.sleep(ctx, f.currentBatchDelay())
 	}
 	return nil
@@ -277,19 +329,6 @@
 	return fallbackPollWait
 }
 
-func (f *Follower) readAll(ctx context.Context) error {
-	rev, items, err := f.store.Get(ctx, "", true)
-	if err != nil {
-		return err
-	}
-	c := Changes{Revision: rev, Whole: true, Events: make([]kv.Event, 0, len(items))}
-	for _, i := range items {
-		c.Events = append(c.Events, kv.Event{Type: kv.EventPut, KV: i})
-	}
-	f.apply(c, 0)
-	return nil
-}
-
 // setRelying records and logs when the entry starts or stops relying on others, with the
 // age of its data. If a change is in force late, this tells whether no watcher had it, or
 // a watcher had it and this entry was not told.
--- a/fleet/relying_test.go
+++ b/fleet/relying_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,3 +86,47 @@
 	}
 	x.is.Equal(x.flakyStore.count(), 0)
 }
+
+// pagedWatches returns few changes at a time, as a store does that has many, and none after the
+// first of these pages until released.
+type pagedWatches struct {
+	kv.Client
+	first    atomic.Bool
+	released chan struct{}
+}
+
+func (p *pagedWatches) WatchOnce(ctx context.Context, key string, prefix bool, after kv.Revision, wait time.Duration) (kv.Revision, []kv.Event, error) {
+	if p.first.Load() {
+		<-p.released
+	}
+	rev, events, err := p.Client.WatchOnce(ctx, key, prefix, after, wait)
+	if len(events) > fleet.BulkChanges {
+		p.first.Store(true)
+		events = events[:fleet.BulkChanges]
+		rev = events[len(events)-1].KV.ModRevision
+	}
+	return rev, events, err
+}
+
+// Guards against an entry that has received a part of many changes and takes itself for current.
+func TestFollowerIsNotCurrentWhileMoreChangesArePending(t *testing.T) {
+	x := newFixture(t)
+	x.config(1)
+	watches := &pagedWatches{Client: x.store, released: make(chan struct{})}
+	x.f = fleet.NewFollower(self, watches, platform.Values{}, time.Second, x.clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	x.f.SetSinceBoot(func() time.Duration { return x.clock.Since(time.Time{}) })
+	x.run(t)
+	x.waitFor(t, func(v *fleet.View) bool { return version(v) == 1 })
+	x.is.True(x.f.Current())
+	last := kv.Revision(0)
+	for i := range 3 * fleet.BulkChanges / 2 {
+		var err error
+		last, err = x.store.Put(context.Background(), fmt.Sprint("other/", i), nil, 0)
+		x.is.NoErr(err)
+	}
+	x.waitFor(t, func(v *fleet.View) bool { return watches.first.Load() && v.Revision > 1 })
+	x.is.True(x.f.Revision() < last)
+	x.is.True(!x.f.Current())
+	close(watches.released)
+	x.waitFor(t, func(v *fleet.View) bool { return v.Revision == last && x.f.Current() })
+}
--- /dev/null
+++ b/fleet/start.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// Start of an entry. If each of a thousand entries that start together read a large store, or
+// received each registration by a watch of its own, the store's link would be full for longer
+// than callers wait. So an entry of a large failure domain first reads who else is in it. Only if
+// it is a watcher among these does it read the rest; the others get a snapshot from a peer.
+const (
+	// listInterval is the mean time between reads of the domain's entries until this one is
+	// listed. Entries that start together have registered by then.
+	listInterval = 750 * time.Millisecond
+	// maxListReads is how many of these reads an entry makes before it watches the store: its
+	// own registration may be delayed.
+	maxListReads = 3
+	// snapshotWait is how long an entry waits for a snapshot from a peer before it reads the
+	// store itself. Those of a large domain wait longer, up to maxSnapshotWait and by
+	// snapshotWaitPerEntry on average, so that they do not read all at once.
+	snapshotWait         = 2 * time.Second
+	maxSnapshotWait      = 10 * time.Second
+	snapshotWaitPerEntry = 30 * time.Millisecond
+)
+
+// start is the state of an entry's start, and of catching up with the store.
+type start struct {
+	listReads int
+	// morePending: the last watch returned changes in bulk, so that there are probably more.
+	morePending bool
+	// snapshotDeadline is when the entry reads the store itself; zero: it does not wait.
+	snapshotDeadline time.Time
+}
+
+// awaitsListing reports whether an entry that is not listed should read the list again.
+func (s *start) awaitsListing(v *View, self Entry) bool {
+	if v.HasEntry(self.Instance) {
+		s.listReads = 0
+		return false
+	}
+	return s.listReads < maxListReads
+}
+
+// readFirst reads the store, or leaves that to the watchers of a large failure domain.
+func (f *Follower) readFirst(ctx context.Context) error {
+	if f.start.snapshotDeadline.IsZero() {
+		if f.start.listReads == 0 {
+			if err := f.readDomainEntries(ctx); err != nil {
+				return err
+			}
+		}
+		if f.start.awaitsListing(f.View(), f.self) {
+			return f.readSmall(ctx)
+		}
+		if !f.leavesReadToOthers() {
+			return f.readAll(ctx)
+		}
+	}
+	if f.clock.Now().Before(f.start.snapshotDeadline) {
+		f.sleep(ctx, recheckInterval)
+		return nil
+	}
+	f.log.Info("fleet: no peer sent a snapshot in time; reading the store.")
+	return f.readAll(ctx)
+}
+
+// readSmall reads a store that is not large. Of a large one, an entry that is not listed cannot
+// tell who reads it: its failure domain may be starting, and most of it not be registered yet.
+func (f *Follower) readSmall(ctx context.Context) error {
+	pager, ok := f.store.(kv.Pager)
+	if !ok {
+		return f.readAll(ctx)
+	}
+	if f.start.listReads == 0 {
+		rev, items, more, err := pager.GetPage(ctx, "", "")
+		if err != nil {
+			return err
+		}
+		if !more {
+			f.applyAll(rev, items)
+			return nil
+		}
+	}
+	return f.awaitListing(ctx)
+}
+
+// leavesReadToOthers reports whether this entry waits for a snapshot from a watcher of its domain,
+// and sets until when.
+func (f *Follower) leavesReadToOthers() bool {
+	entries := f.View().Entries
+	if !f.View().HasEntry(f.self.Instance) {
+		entries = append([]Entry{f.self}, entries...)
+	}
+	if len(entries) <= entriesPerWatcher || IsWatcher(entries, f.self) {
+		return false
+	}
+	spread := min(2*time.Duration(len(entries))*snapshotWaitPerEntry, maxSnapshotWait-snapshotWait)
+	wait := snapshotWait + time.Duration(rand.Float64()*float64(spread))
+	f.start.snapshotDeadline = f.clock.Now().Add(wait)
+	f.log.Info("fleet: waiting for a snapshot from another entry.", "entries", len(entries), "for_ms", wait.Milliseconds())
+	return true
+}
+
+// readDomainEntries reads the entries of this entry's failure domain.
+func (f *Follower) readDomainEntries(ctx context.Context) error {
+	_, items, err := f.store.Get(ctx, domainPrefix(f.self.Domain), true)
+	if err != nil {
+		return err
+	}
+	list := Changes{} // without a revision: it says nothing about other keys
+	for _, i := range items {
+		list.Events = append(list.Events, kv.Event{Type: kv.EventPut, KV: i})
+	}
+	f.apply(list, 0)
+	f.markEntriesKnown()
+	return nil
+}
+
+// awaitListing reads the domain's entries after a pause in which those that start together
+// register.
+func (f *Follower) awaitListing(ctx context.Context) error {
+	f.start.listReads++
+	if !f.sleep(ctx, time.Duration(float64(listInterval)*(0.75+rand.Float64()/2))) {
+		return nil
+	}
+	if err := f.readDomainEntries(ctx); err != nil {
+		return err
+	}
+	if f.View().HasEntry(f.self.Instance) {
+		f.mu.Lock()
+		f.catchingUp = f.clock.Now()
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+func (f *Follower) readAll(ctx context.Context) error {
+	rev, items, err := f.store.Get(ctx, "", true)
+	if err != nil {
+		return err
+	}
+	f.applyAll(rev, items)
+	return nil
+}
+
+// applyAll applies all items of the store.
+func (f *Follower) applyAll(rev kv.Revision, items []kv.KeyValue) {
+	c := Changes{Revision: rev, Whole: true, Events: make([]kv.Event, 0, len(items))}
+	for _, i := range items {
+		c.Events = append(c.Events, kv.Event{Type: kv.EventPut, KV: i})
+	}
+	f.apply(c, 0)
+}
+
+// markEntriesKnown records that the entries of the own failure domain are known.
+func (f *Follower) markEntriesKnown() { f.entriesOnce.Do(func() { close(f.entriesKnown) }) }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -17,11 +17,19 @@
 	Address     string `json:"address"` // where it serves peers, IP:port
 	LoadAddress string `json:"loads"`   // where it receives load datagrams, IP:port
 	Boot        int64  `json:"boot"`    // identifies this run of its process
+	// LinkMbps is the bandwidth of the entry's network link in Mbit/s; 0: not known.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // EntryPrefix is the prefix under which entries register.
 const EntryPrefix = "lovageweir/entries/"
 
+// Key returns the key of the entry's registration.
+func (e Entry) Key() string { return domainPrefix(e.Domain) + e.Instance }
+
+// domainPrefix returns the prefix of the registrations of a failure domain's entries.
+func domainPrefix(domain string) string { return EntryPrefix + domain + "/" }
+
 // Lapsed is an endpoint whose registration ended without notice, or that said in an answer that
 // it leaves. In the first case it has crashed, or it is alive but could not reach the store in
 // time to renew its registration.
@@ -118,10 +126,18 @@
 
 // HasEntry reports whether an entry is listed.
 func (v *View) HasEntry(instance string) bool {
-	_, known := v.watchers[instance]
+	_, known := v.watchers.watches[instance]
 	return known
 }
 
+// Watchers returns the entries that watch the store for all.
+func (v *View) Watchers() []Entry { return v.watchers.all }
+
+// WatchersIn returns the watchers of a failure domain, and how many entries it has.
+func (v *View) WatchersIn(domain string) (watchers []Entry, entries int) {
+	return v.watchers.byDomain[domain], v.watchers.size[domain]
+}
+
 // Groups returns all services that have endpoints or an order, sorted.
 func (v *View) Groups() []*Group {
 	out := make([]*Group, 0, len(v.groups))
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -85,6 +85,13 @@
 	WatchOnce(ctx context.Context, key string, prefix bool, after Revision, wait time.Duration) (Revision, []Event, error)
 }
 
+// Pager reads the keys of a large store page by page.
+type Pager interface {
+	// GetPage returns the keys with a prefix that sort after another key, as many as fit a
+	// page, whether there are more, and the store's revision at the time of the read.
+	GetPage(ctx context.Context, prefix, after string) (rev Revision, page []KeyValue, more bool, err error)
+}
+
 // Client is the complete interface that lovageweir uses.
 type Client interface {
 	KV
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -34,8 +34,8 @@
 	// hit a partition or a dead connection.
 	callTimeout = 400 * time.Millisecond
 	dialTimeout = 300 * time.Millisecond
-	// snapshotTimeout applies to an entry without any data: a snapshot of a large store takes
-	// seconds over a slow link.
+	// snapshotTimeout applies to an entry without current data: a snapshot of a large store
+	// takes seconds over a slow link.
 	snapshotTimeout = 3 * time.Second
 	// snapshotInterval is the minimum time between snapshots sent by one entry. When hundreds
 	// of entries start at once and ask the same few peers, none of the snapshots would arrive
@@ -46,6 +46,8 @@
 	crashFanout = 3
 	// unreachableFor is how long a peer that did not answer is skipped.
 	unreachableFor = 2 * time.Second
+	// forgetPeerAfter is how long after that a peer is forgotten that was not asked again.
+	forgetPeerAfter = time.Minute
 	// staleFor is how long an entry with old data, which therefore does not receive the
 	// store's changes, is skipped as a watcher.
 	staleFor = 5 * time.Second
@@ -71,14 +73,15 @@
 	Quarantine *quarantine.Table
 	// Limits are the rate limits named by endpoints.
 	Limits *ratelimit.Limits
-	Clock  clockwork.Clock
-	Log    *slog.Logger
+	// Peer returns a client of the entry at an address; nil: by HTTP.
+	Peer  func(address string) meshpb.Mesh
+	Clock clockwork.Clock
+	Log   *slog.Logger
 }
 
 // Mesh exchanges state with the other entries. It is safe for concurrent use.
 type Mesh struct {
 	Deps
-	http *http.Client
 
 	mu               sync.Mutex
 	seeds            []string
@@ -88,6 +91,8 @@
 	exchanges        int64
 	failed           int64
 	lastSnapshot     time.Time // when a snapshot was last sent
+
+	packer packer
 }
 
 var _ meshpb.Mesh = (*Mesh)(nil)
@@ -101,7 +106,11 @@
 		IdleConnTimeout:     15 * time.Second,
 		DisableCompression:  true,
 	}
-	return &Mesh{Deps: d, http: &http.Client{Transport: t}, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}}
+	if d.Peer == nil {
+		client := &http.Client{Transport: t}
+		d.Peer = func(address string) meshpb.Mesh { return meshpb.NewMeshProtobufClient("http://"+address, client) }
+	}
+	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}}
 }
 
 // SetSeeds replaces the seeds, for example after the settings were reloaded.
@@ -115,7 +124,7 @@
 func (m *Mesh) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := exchangeInterval
-		if m.Fleet.StoreUnreachable() {
+		if m.Fleet.StoreUnreachable() || m.Fleet.View().Revision == 0 {
 			interval = outageInterval
 		}
 		jittered := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
@@ -127,7 +136,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if m.Fleet.View().Revision == 0 && !m.Fleet.StoreUnreachable() {
+		if v := m.Fleet.View(); v.Revision == 0 && len(v.Entries) == 0 && !m.Fleet.StoreUnreachable() {
 			continue // the store is being read, and gives more data at less cost
 		}
 		m.exchangeWithPeers(ctx, partners)
@@ -149,89 +158,19 @@
 	wg.Wait()
 }
 
-// pickPeer returns the address of a random peer. An entry that is current and does not
-// watch the store picks a watcher that is not stale, in a large fleet mostly one of its own
-// failure domain. Other entries pick any peer, and so does this one if there is no such
-// watcher, as when all are cut off from the store: those that reach the store poll it
-// themselves by then.
-func (m *Mesh) pickPeer() (string, bool) {
-	now := m.Clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known := map[string]bool{}
-	watchers := map[string]bool{}
-	localWatchers := map[string]bool{}
-	localEntries := 0
-	view := m.Fleet.View()
-	for _, e := range view.Entries {
-		known[e.Address] = true
-		if e.Domain == m.Domain {
-			localEntries++
-		}
-		if e.Address != m.Address && !now.Before(m.staleUntil[e.Address]) && view.IsWatcher(e.Instance) {
-			watchers[e.Address] = true
-			localWatchers[e.Address] = e.Domain == m.Domain
-		}
-	}
-	// Seeds may be outdated; they count only until the store has listed other entries.
-	if len(known) < 2 {
-		for _, s := range m.seeds {
-			known[s] = true
-		}
-	}
-	delete(known, m.Address)
-	var candidates []string
-	for a := range known {
-		if !now.Before(m.unreachableUntil[a]) {
-			candidates = append(candidates, a)
-		}
-	}
-	for a, until := range m.unreachableUntil {
-		if now.After(until) && !known[a] {
-			delete(m.unreachableUntil, a)
-			delete(m.unreachable, a)
-		}
-	}
-	for a, until := range m.staleUntil {
-		if now.After(until) {
-			delete(m.staleUntil, a)
-		}
-	}
-	if !m.Fleet.Watching() && m.Fleet.Current() {
-		if watching := intersect(candidates, watchers); len(watching) > 0 {
-			candidates = watching
-		}
-		if local := intersect(candidates, localWatchers); len(local) > 0 && rand.Float64()*float64(localEntries) >= crossDomainExchanges {
-			candidates = local
-		}
-	}
-	if len(candidates) == 0 {
-		return "", false
-	}
-	return candidates[rand.IntN(len(candidates))], true
-}
-
-func intersect(addresses []string, in map[string]bool) []string {
-	var out []string
-	for _, a := range addresses {
-		if in[a] {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
 // ExchangeWith does one exchange with the entry at an address.
 func (m *Mesh) ExchangeWith(ctx context.Context, address string) {
 	timeout := callTimeout
-	if m.Fleet.View().Revision == 0 {
+	if m.Fleet.View().Revision == 0 || !m.Fleet.Current() {
 		timeout = snapshotTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	client := meshpb.NewMeshProtobufClient("http://"+address, m.http)
 	started := m.Clock.Now()
-	got, err := client.Exchange(ctx, m.request())
+	got, err := m.Peer(address).Exchange(ctx, m.request())
+	if err == nil {
+		err = unpackChanges(got)
+	}
 	m.recordResult(address, err)
 	if err == nil {
 		m.recordFreshness(address, got)
@@ -242,8 +181,8 @@
 // recordFreshness records whether the data of a peer that answered is current. An answer
 // without an age says nothing about that.
 func (m *Mesh) recordFreshness(address string, got *meshpb.ExchangeMessage) {
-	if got.ConfirmedMs < 0 {
-		return
+	if got.ConfirmedMs < 0 || len(got.Changes) >= fleet.BulkChanges {
+		return // it has no data, or is catching up with the store
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -283,7 +222,9 @@
 	if !m.Fleet.Watching() && m.Fleet.Current() {
 		evidence = slices.DeleteFunc(evidence, func(r rollout.Row) bool { return r.Instance != m.Instance })
 	}
-	return m.encode(orders, evidence, sessions)
+	out := m.encode(orders, evidence, sessions)
+	out.Unpacks = true
+	return out
 }
 
 // response is this entry's state without changes of the store. Its Watching field is for
@@ -293,7 +234,7 @@
 }
 
 func (m *Mesh) encode(orders []rollout.OrderState, evidence []rollout.Row, sessions []rollout.Session) *meshpb.ExchangeMessage {
-	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.View().Revision), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
+	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.Revision()), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
 	if age, ok := m.Fleet.Age(); ok {
 		out.ConfirmedMs = age.Milliseconds()
 	}
@@ -337,16 +278,14 @@
 	m.Limits.MergeMessage(in.Limits)
 	m.mergeDepartures(in)
 	out := m.response()
-	c := m.Fleet.Since(kv.Revision(in.Revision))
-	if c.Whole && !m.allowSnapshot() {
+	after := kv.Revision(in.Revision)
+	if m.Fleet.NeedsSnapshot(after) && !m.allowSnapshot() {
 		out.Revision, out.ConfirmedMs, out.Watching = 0, -1, false
 		return out, nil
 	}
-	out.Revision = int64(c.Revision)
-	out.Whole = c.Whole
-	for _, e := range c.Events {
-		out.Changes = append(out.Changes, &meshpb.Change{Key: e.KV.Key, Value: e.KV.Value, Revision: int64(e.KV.ModRevision),
-			Created: int64(e.KV.CreateRevision), Lease: int64(e.KV.Lease), Deleted: e.Type == kv.EventDelete})
+	if err := m.addChanges(out, after, in.Unpacks); err != nil {
+		m.Log.Error("mesh: changes cannot be encoded.", "error", err)
+		return nil, err
 	}
 	return out, nil
 }
@@ -367,17 +306,8 @@
 // the response may have spent all of that time in transit: without it, data passed on over
 // slow links would appear younger with each entry.
 func (m *Mesh) merge(got *meshpb.ExchangeMessage, took time.Duration) {
-	c := fleet.Changes{Revision: kv.Revision(got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
-	for _, ch := range got.Changes {
-		e := kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: ch.Key, Value: ch.Value, ModRevision: kv.Revision(ch.Revision),
-			CreateRevision: kv.Revision(ch.Created), Lease: kv.LeaseID(ch.Lease)}}
-		if ch.Deleted {
-			e.Type = kv.EventDelete
-		}
-		c.Events = append(c.Events, e)
-	}
 	if got.ConfirmedMs >= 0 {
-		m.Fleet.Merge(got.Instance, c, time.Duration(got.ConfirmedMs)*time.Millisecond+took)
+		m.Fleet.Merge(got.Instance, decodeChanges(got), time.Duration(got.ConfirmedMs)*time.Millisecond+took)
 	}
 	m.mergeRollouts(got)
 	m.Quarantine.MergeMessage(got.Suspects)
--- /dev/null
+++ b/mesh/start_test.go
@@ -0,0 +1,292 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/platform"
+	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/quarantine"
+	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/rpc/meshpb"
+)
+
+// countingStore counts the items that it sends, and sends a watch few at a time.
+type countingStore struct {
+	kv.Client
+	mu          sync.Mutex
+	items       int
+	calls       int
+	watchEvents int // most events of one watch call
+}
+
+func (s *countingStore) count(items int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items += items
+	s.calls++
+}
+
+func (s *countingStore) Get(ctx context.Context, key string, prefix bool) (kv.Revision, []kv.KeyValue, error) {
+	rev, items, err := s.Client.Get(ctx, key, prefix)
+	time.Sleep(4 * time.Millisecond)
+	s.count(len(items))
+	return rev, items, err
+}
+
+// storePage is the number of items of a page.
+const storePage = 100
+
+func (s *countingStore) GetPage(ctx context.Context, prefix, after string) (kv.Revision, []kv.KeyValue, bool, error) {
+	rev, items, err := s.Client.Get(ctx, prefix, true)
+	slices.SortFunc(items, func(a, b kv.KeyValue) int { return cmp.Compare(a.Key, b.Key) })
+	from := 0
+	for from < len(items) && items[from].Key <= after {
+		from++
+	}
+	page := items[from:min(len(items), from+storePage)]
+	time.Sleep(4 * time.Millisecond)
+	s.count(len(page))
+	return rev, page, from+len(page) < len(items), err
+}
+
+func (s *countingStore) WatchOnce(ctx context.Context, key string, prefix bool, after kv.Revision, wait time.Duration) (kv.Revision, []kv.Event, error) {
+	rev, events, err := s.Client.WatchOnce(ctx, key, prefix, after, wait)
+	if len(events) > s.watchEvents {
+		events = events[:s.watchEvents]
+		rev = events[len(events)-1].KV.ModRevision
+	}
+	s.count(len(events))
+	return rev, events, err
+}
+
+// startingFleet is a fleet of which all entries start at once.
+type startingFleet struct {
+	store     *countingStore
+	clock     clockwork.Clock
+	entries   []fleet.Entry
+	followers []*fleet.Follower
+
+	mu     sync.Mutex
+	meshes map[string]*Mesh // by address
+	bytes  map[string]int   // sent in answers, by address
+}
+
+func newStartingFleet(n, domains int) *startingFleet {
+	f := &startingFleet{clock: clockwork.NewRealClock(), meshes: map[string]*Mesh{}, bytes: map[string]int{}}
+	f.store = &countingStore{Client: memkv.New(f.clock), watchEvents: 200}
+	for i := range n {
+		e := fleet.Entry{Instance: fmt.Sprint("i", i), Domain: fmt.Sprint("d", i%domains), Address: fmt.Sprint("a", i), Boot: 1, LinkMbps: 20}
+		if i < n/16 {
+			e.LinkMbps = 200
+		}
+		f.entries = append(f.entries, e)
+	}
+	return f
+}
+
+// peer is the client of one entry; an entry that is down does not answer.
+type peer struct {
+	meshpb.Mesh
+	fleet   *startingFleet
+	address string
+}
+
+func (p peer) Exchange(ctx context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
+	p.fleet.mu.Lock()
+	m := p.fleet.meshes[p.address]
+	p.fleet.mu.Unlock()
+	if m == nil {
+		return nil, errors.New("connection refused")
+	}
+	time.Sleep(time.Millisecond)
+	out, err := m.Exchange(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := proto.Marshal(out)
+	p.fleet.mu.Lock()
+	p.fleet.bytes[p.address] += len(raw)
+	p.fleet.mu.Unlock()
+	time.Sleep(time.Duration(len(raw)) * time.Second / (20 << 20 / 8)) // over a link of 20 Mbit/s
+	copied := &meshpb.ExchangeMessage{}
+	return copied, errors.Join(err, proto.Unmarshal(raw, copied))
+}
+
+// start starts all entries; stop ends them.
+func (f *startingFleet) start(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, e := range f.entries {
+		follower := fleet.NewFollower(e, f.store, platform.Values{}, time.Second, f.clock, discardLog)
+		follower.SetSinceBoot(func() time.Duration { return time.Since(time.Time{}) })
+		r := rollout.New(rollout.Deps{Instance: e.Instance, Boot: 1, Store: f.store, Decoder: platform.Values{}, View: follower.View, Clock: f.clock, Log: discardLog})
+		q := quarantine.New(quarantine.Deps{View: follower.View, Clock: f.clock, Log: discardLog})
+		m := New(Deps{Instance: e.Instance, Domain: e.Domain, Address: e.Address, Fleet: follower, Rollouts: r, Quarantine: q, Limits: newLimits(), Clock: f.clock, Log: discardLog,
+			Peer: func(address string) meshpb.Mesh { return peer{fleet: f, address: address} }})
+		f.followers = append(f.followers, follower)
+		wg.Go(func() {
+			time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
+			f.mu.Lock()
+			f.meshes[e.Address] = m
+			f.mu.Unlock()
+			wg.Go(func() { follower.Run(ctx) })
+			wg.Go(func() { m.Run(ctx) })
+			<-follower.EntriesKnown()
+			time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
+			f.register(t, e)
+		})
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// await waits until a condition holds at all entries, and returns how long that took.
+func (f *startingFleet) await(t *testing.T, holds func(*fleet.Follower) bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for {
+		behind := 0
+		for _, follower := range f.followers {
+			if !holds(follower) {
+				behind++
+			}
+		}
+		took := time.Since(began)
+		if behind == 0 {
+			return took
+		}
+		if took > 30*time.Second {
+			t.Fatalf("%d of %d entries are behind after %v", behind, len(f.entries), took)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// awaitStart waits until all entries know all others and that many endpoints.
+func (f *startingFleet) awaitStart(t *testing.T, endpoints int) time.Duration {
+	t.Helper()
+	return f.await(t, func(follower *fleet.Follower) bool {
+		v := follower.View()
+		g := v.Group("s")
+		return g != nil && len(g.Ready) >= endpoints && len(v.Entries) == len(f.entries) && follower.Current()
+	})
+}
+
+func (f *startingFleet) register(t *testing.T, e fleet.Entry) {
+	value := fmt.Sprintf(`{"instance":%q,"domain":%q,"address":%q,"boot":1,"link_mbps":%v}`, e.Instance, e.Domain, e.Address, e.LinkMbps)
+	if _, err := f.store.Put(context.Background(), e.Key(), []byte(value), 0); err != nil {
+		t.Error(err)
+	}
+}
+
+func (f *startingFleet) registerEndpoints(t *testing.T, n int) {
+	for i := range n {
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprintf("i-%08x", rand.Uint32()), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:80", i/200, i%200), Domain: fmt.Sprint("d", i%3), Version: "v1"})
+		key, value := e.Registration(false)
+		if _, err := f.store.Put(context.Background(), key, value, 0); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// watchers is the number of entries that watch the store for the others.
+func (f *startingFleet) watchers() int {
+	return startingDomains * (1 + len(f.entries)/startingDomains/32)
+}
+
+// checkStart checks what a start took: the store sends everything to few entries only.
+func (f *startingFleet) checkStart(t *testing.T, took time.Duration, endpoints int) {
+	t.Helper()
+	domain := len(f.entries) / startingDomains
+	all := len(f.entries) + endpoints
+	// Watchers may read all and then watch what came meanwhile; the others read the list of
+	// their failure domain before and after they registered, and a page.
+	if most := 3*f.watchers()*all + (3*domain+storePage)*len(f.entries); f.store.items > most {
+		t.Errorf("%d entries, %d endpoints: the store sent %d items, %d at most", len(f.entries), endpoints, f.store.items, most)
+	}
+	busiest := 0
+	for _, n := range f.bytes {
+		busiest = max(busiest, n)
+	}
+	t.Logf("%d entries, %d endpoints: %v; the store sent %d items in %d calls; the busiest entry %d KB", len(f.entries), endpoints, took, f.store.items, f.store.calls, busiest>>10)
+}
+
+func (f *startingFleet) configure(t *testing.T, version int) {
+	if _, err := f.store.Put(context.Background(), "op/config", fmt.Appendf(nil, `{"version":%d}`, version), 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Sizes of the fleets that start: each failure domain has more entries than one watcher serves.
+const startingDomains = 2
+
+var startingSizes = []int{70, 140, 280}
+
+// Guards against a start of the whole fleet for which the store has to send everything to every entry,
+// and against calls of every entry to the store, or changes that come late, once it runs.
+func TestEntriesOfALargeFleetStartFromFewReads(t *testing.T) {
+	for _, n := range startingSizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := newStartingFleet(n, startingDomains)
+			f.configure(t, 1)
+			go func() { // endpoints start beside the entries
+				time.Sleep(200 * time.Millisecond)
+				f.registerEndpoints(t, 3*n)
+			}()
+			defer f.start(t)()
+			took := f.awaitStart(t, 3*n)
+			f.checkStart(t, took, 3*n)
+			if took > 10*time.Second {
+				t.Errorf("%d entries took %v", n, took)
+			}
+			time.Sleep(2 * time.Second)
+			calls := f.store.calls
+			time.Sleep(10 * time.Second)
+			if perSecond := float64(f.store.calls-calls) / 10; perSecond > 1.5*float64(f.watchers()) {
+				t.Errorf("%d entries, %d watchers: %.1f calls to the store a second", n, f.watchers(), perSecond)
+			}
+			f.configure(t, 2)
+			late := f.await(t, func(follower *fleet.Follower) bool { return follower.View().Config.Version == 2 })
+			if t.Logf("%d entries: a change is in force after %v", n, late); late > 2*time.Second {
+				t.Errorf("%d entries: a change is in force after %v", n, late)
+			}
+		})
+	}
+}
+
+// Guards against a fleet that serves nothing for long after all entries were killed at once.
+func TestEntriesOfALargeFleetRestartFromFewReads(t *testing.T) {
+	for _, n := range startingSizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := newStartingFleet(n, startingDomains)
+			f.configure(t, 1)
+			f.registerEndpoints(t, 3*n)
+			for _, e := range f.entries {
+				f.register(t, e)
+			}
+			defer f.start(t)()
+			took := f.awaitStart(t, 3*n)
+			f.checkStart(t, took, 3*n)
+			if took > 6*time.Second {
+				t.Errorf("%d entries took %v", n, took)
+			}
+		})
+	}
+}
