--- a/fleet/start.go
+++ b/fleet/start.go
@@ -81,7 +81,7 @@
 			return err
 		}
 		if !more {
-			f.applyAll(rev, items)
+			f.applyAll(rev, items, maxCurrentAge+1) // current once a watch confirms it
 			return nil
 		}
 	}
@@ -107,19 +107,33 @@
 
 // readDomainEntries reads the entries of this entry's failure domain.
 func (f *Follower) readDomainEntries(ctx context.Context) error {
-	_, items, err := f.store.Get(ctx, domainPrefix(f.self.Domain), true)
-	if err != nil {
-		return err
-	}
+	prefix := domainPrefix(f.self.Domain)
 	list := Changes{} // without a revision: it says nothing about other keys
-	for _, i := range items {
-		list.Events = append(list.Events, kv.Event{Type: kv.EventPut, KV: i})
+	for after, more := "", true; more; {
+		var page []kv.KeyValue
+		var err error
+		if page, more, err = f.getPage(ctx, prefix, after); err != nil {
+			return err
+		}
+		for _, i := range page {
+			list.Events = append(list.Events, kv.Event{Type: kv.EventPut, KV: i})
+			after = i.Key
+		}
 	}
 	f.apply(list, 0)
 	f.markEntriesKnown()
 	return nil
 }
 
+func (f *Follower) getPage(ctx context.Context, prefix, after string) (page []kv.KeyValue, more bool, err error) {
+	if pager, ok := f.store.(kv.Pager); ok {
+		_, page, more, err = pager.GetPage(ctx, prefix, after)
+		return page, more, err
+	}
+	_, page, err = f.store.Get(ctx, prefix, true)
+	return page, false, err
+}
+
 // awaitListing reads the domain's entries after a pause in which those that start together
 // register.
 func (f *Follower) awaitListing(ctx context.Context) error {
@@ -143,17 +157,17 @@
 	if err != nil {
 		return err
 	}
-	f.applyAll(rev, items)
+	f.applyAll(rev, items, 0)
 	return nil
 }
 
-// applyAll applies all items of the store.
-func (f *Follower) applyAll(rev kv.Revision, items []kv.KeyValue) {
+// applyAll applies all items of the store, of the given age.
+func (f *Follower) applyAll(rev kv.Revision, items []kv.KeyValue, age time.Duration) {
 	c := Changes{Revision: rev, Whole: true, Events: make([]kv.Event, 0, len(items))}
 	for _, i := range items {
 		c.Events = append(c.Events, kv.Event{Type: kv.EventPut, KV: i})
 	}
-	f.apply(c, 0)
+	f.apply(c, age)
 }
 
 // markEntriesKnown records that the entries of the own failure domain are known.
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -85,10 +85,11 @@
 	WatchOnce(ctx context.Context, key string, prefix bool, after Revision, wait time.Duration) (Revision, []Event, error)
 }
 
-// Pager reads the keys of a large store page by page.
+// Pager reads the keys of a large store page by page, at less cost than Get.
 type Pager interface {
 	// GetPage returns the keys with a prefix that sort after another key, as many as fit a
-	// page, whether there are more, and the store's revision at the time of the read.
+	// page, and whether there are more. They may be seconds old; rev is the revision that
+	// they show.
 	GetPage(ctx context.Context, prefix, after string) (rev Revision, page []KeyValue, more bool, err error)
 }
 
--- a/place/growth_test.go
+++ b/place/growth_test.go
@@ -20,7 +20,7 @@
 		looked := 0
 		req := Request{Domain: "d2", Affinity: 7, SharedTokens: 5000, PrefillTime: 100 * time.Millisecond, Closed: func(fleet.Endpoint) bool { looked++; return false }}
 		ranked := b.Rank(eps, req)
-		is.True(looked <= maxConsidered+1) // the preferred one besides
+		is.True(looked <= maxConsidered+1)                     // the preferred one besides
 		is.Equal(ranked[0].ID, preferredEndpoint(eps, req).ID) // it is always among them
 		local := 0
 		for _, r := range ranked {
