--- a/edge/module.go
+++ b/edge/module.go
@@ -133,7 +133,7 @@
 }
 
 func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
-	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: limits, Clock: clock, Log: log})
+	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: limits, Clock: clock, Log: log})
 }
 
 func newLimits(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ratelimit.Limits {
--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -33,6 +33,7 @@
 type packer struct {
 	mu   sync.Mutex
 	kept []packed // latest last
+	size int      // of the last snapshot
 }
 
 // packed are the compressed changes from one revision to another; after 0, they are a snapshot.
@@ -81,9 +82,19 @@
 	return packed{}, false
 }
 
+// snapshotSize returns the size of the last compressed snapshot in bytes; 0: there is none.
+func (k *packer) snapshotSize() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.size
+}
+
 func (k *packer) keep(p packed) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if p.after == 0 {
+		k.size = len(p.raw)
+	}
 	k.kept = append(k.kept, p)
 	if len(k.kept) > packedKept {
 		k.kept = slices.Delete(k.kept, 0, 1)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -37,10 +37,12 @@
 	// snapshotTimeout applies to an entry without current data: a snapshot of a large store
 	// takes seconds over a slow link.
 	snapshotTimeout = 3 * time.Second
-	// snapshotInterval is the minimum time between snapshots sent by one entry. When hundreds
-	// of entries start at once and ask the same few peers, none of the snapshots would arrive
-	// if all were sent at the same time.
-	snapshotInterval = 200 * time.Millisecond
+	// snapshotInterval is the minimum time between snapshots sent by one entry whose link is
+	// not known; others send as many as take up snapshotLinkShare of it. When hundreds of
+	// entries start at once and ask the same few peers, none of the snapshots would arrive if
+	// all were sent at the same time.
+	snapshotInterval  = 200 * time.Millisecond
+	snapshotLinkShare = 0.5
 	// crashFanout is how many peers are told at once of a request that crashes endpoints. The
 	// request comes again at any entry within a second, and those peers pass it on in turn.
 	crashFanout = 3
@@ -66,6 +68,7 @@
 	Domain   string
 	// Address is where this entry serves its peers, IP:port.
 	Address  string
+	LinkMbps float64 // bandwidth of the network link in Mbit/s; 0: not known
 	Seeds    []string
 	Fleet    *fleet.Follower
 	Rollouts *rollout.Controller
@@ -293,15 +296,26 @@
 // allowSnapshot reports whether a snapshot may be sent now; if so, it counts as sent.
 func (m *Mesh) allowSnapshot() bool {
 	now := m.Clock.Now()
+	interval := m.snapshotInterval()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now.Sub(m.lastSnapshot) < snapshotInterval {
+	if now.Sub(m.lastSnapshot) < interval {
 		return false
 	}
 	m.lastSnapshot = now
 	return true
 }
 
+// snapshotInterval returns the minimum time between snapshots: that of the last one sent on its
+// share of the link.
+func (m *Mesh) snapshotInterval() time.Duration {
+	size := m.packer.snapshotSize()
+	if m.LinkMbps <= 0 || size == 0 {
+		return snapshotInterval
+	}
+	return time.Duration(float64(8*size) / (snapshotLinkShare * m.LinkMbps * 1e6) * float64(time.Second))
+}
+
 // merge applies a peer's response. The round trip is added to the age that it names, since
 // the response may have spent all of that time in transit: without it, data passed on over
 // slow links would appear younger with each entry.
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -122,7 +122,7 @@
 	p.fleet.mu.Lock()
 	p.fleet.bytes[p.address] += len(raw)
 	p.fleet.mu.Unlock()
-	time.Sleep(time.Duration(len(raw)) * time.Second / (20 << 20 / 8)) // over a link of 20 Mbit/s
+	time.Sleep(time.Duration(float64(8*len(raw)) / (m.LinkMbps * 1e6) * float64(time.Second)))
 	copied := &meshpb.ExchangeMessage{}
 	return copied, errors.Join(err, proto.Unmarshal(raw, copied))
 }
@@ -136,7 +136,7 @@
 		follower.SetSinceBoot(func() time.Duration { return time.Since(time.Time{}) })
 		r := rollout.New(rollout.Deps{Instance: e.Instance, Boot: 1, Store: f.store, Decoder: platform.Values{}, View: follower.View, Clock: f.clock, Log: discardLog})
 		q := quarantine.New(quarantine.Deps{View: follower.View, Clock: f.clock, Log: discardLog})
-		m := New(Deps{Instance: e.Instance, Domain: e.Domain, Address: e.Address, Fleet: follower, Rollouts: r, Quarantine: q, Limits: newLimits(), Clock: f.clock, Log: discardLog,
+		m := New(Deps{Instance: e.Instance, Domain: e.Domain, Address: e.Address, LinkMbps: e.LinkMbps, Fleet: follower, Rollouts: r, Quarantine: q, Limits: newLimits(), Clock: f.clock, Log: discardLog,
 			Peer: func(address string) meshpb.Mesh { return peer{fleet: f, address: address} }})
 		f.followers = append(f.followers, follower)
 		wg.Go(func() {
