--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -50,8 +50,12 @@
 		after = 0
 	}
 	if unpacks {
-		if p, ok := m.packer.find(after, m.Fleet.Revision(), m.Clock.Now()); ok {
+		revision, now := m.Fleet.Revision(), m.Clock.Now()
+		if p, ok := m.packer.find(after, revision, now); ok {
 			out.Revision, out.Whole, out.PackedChanges = int64(p.revision), whole, p.raw
+			if p.revision != revision && out.ConfirmedMs >= 0 {
+				out.ConfirmedMs += now.Sub(p.at).Milliseconds() // what changed since is not in it
+			}
 			return nil
 		}
 	}
--- a/mesh/changes_test.go
+++ b/mesh/changes_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
+	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -71,3 +75,28 @@
 	is.NoErr(err)
 	is.Equal(got.Revision, int64(3)) // not the changes up to an earlier revision
 }
+
+// Guards against a snapshot that was compressed a while ago passing for current.
+func TestAnOlderSnapshotIsOfItsAge(t *testing.T) {
+	is := is.New(t)
+	a := newEntry(t, "a")
+	clock := clockwork.NewFakeClock()
+	a.Clock = clock
+	a.Fleet = fleet.NewFollower(fleet.Entry{Instance: "a"}, memkv.New(clock), platform.Values{}, time.Second, clock, discardLog)
+	a.Fleet.SetSinceBoot(func() time.Duration { return clock.Since(time.Time{}) })
+	large := put("other", string(make([]byte, minPackedBytes)), 1)
+	mergeChanges(a, fleet.Changes{Revision: 1, Whole: true, Events: []kv.Event{large}})
+	ask := func() *meshpb.ExchangeMessage {
+		got, err := a.Exchange(context.Background(), &meshpb.ExchangeMessage{Instance: "b", Unpacks: true})
+		is.NoErr(err)
+		return got
+	}
+	is.Equal(ask().ConfirmedMs, int64(0))
+	clock.Advance(snapshotReuse / 2)
+	mergeChanges(a, fleet.Changes{Revision: 2, Events: []kv.Event{put("op/config", `{"version":3}`, 2)}})
+	got := ask()
+	is.Equal(got.Revision, int64(1))
+	is.Equal(got.ConfirmedMs, (snapshotReuse / 2).Milliseconds())
+	clock.Advance(snapshotReuse)
+	is.Equal(ask().Revision, int64(2))
+}
