fleet, mesh: relays pass the watchers' data on in a large failure domain

Cause: one watcher for 32 entries of a domain, each with a call a second, and up to four while anything changes: calls to the store grow with the fleet, 36 to 144 a second at 985 entries.

Change: two watchers in a domain of more than 32 entries, with watches of half a second; relays, one for each 32 entries less these, get their data and pass it on. Ways compared: one watcher a domain (calls halved again; its loss leaves all relays behind for a second, not built); fewer, busier watchers (75 entries to one took a fifth of a core before).

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -21,6 +21,9 @@
 	// changes, so this is a lower bound of maxCurrentAge. The store gets one call a
 	// second from each of these few entries.
 	watcherPollWait = time.Second
+	// relayedPollWait replaces watcherPollWait in a large domain, where data reaches most
+	// entries by another exchange.
+	relayedPollWait = 500 * time.Millisecond
 	// fallbackPollWait is how long one watch call waits at an entry that has no watcher to
 	// rely on. It is longer, as there may be many such entries; maxCurrentAge plus this
 	// wait stays below the 4 s beyond which an entry cannot tell that a route or a key
@@ -323,10 +326,13 @@
 }
 
 func (f *Follower) pollWait() time.Duration {
-	if f.isWatcher() {
-		return watcherPollWait
+	if !f.isWatcher() {
+		return fallbackPollWait
 	}
-	return fallbackPollWait
+	if _, entries := f.View().SourcesIn(f.self.Domain); entries > largeDomain {
+		return relayedPollWait
+	}
+	return watcherPollWait
 }
 
 // setRelying records and logs when the entry starts or stops relying on others, with the
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -126,15 +126,18 @@
 
 // HasEntry reports whether an entry is listed.
 func (v *View) HasEntry(instance string) bool {
-	_, known := v.watchers.watches[instance]
+	_, known := v.watchers.roles[instance]
 	return known
 }
 
-// Watchers returns the entries that watch the store for all.
-func (v *View) Watchers() []Entry { return v.watchers.all }
+// IsRelay reports whether an entry passes the watchers' data on to others.
+func (v *View) IsRelay(instance string) bool { return v.watchers.roles[instance] == relays }
 
-// WatchersIn returns the watchers of a failure domain, and how many entries it has.
-func (v *View) WatchersIn(domain string) (watchers []Entry, entries int) {
+// Sources returns the entries that others ask for changes: the watchers and relays.
+func (v *View) Sources() []Entry { return v.watchers.sources }
+
+// SourcesIn returns those of a failure domain, and how many entries it has.
+func (v *View) SourcesIn(domain string) (sources []Entry, entries int) {
 	return v.watchers.byDomain[domain], v.watchers.size[domain]
 }
 
--- a/fleet/watchers.go
+++ b/fleet/watchers.go
@@ -11,16 +11,22 @@
 // if one is killed and another's connection is dead, one remains.
 const minWatchers = 3
 
-// entriesPerWatcher bounds the entries of a failure domain that one watcher serves: each
-// of them asks a watcher about three times a second. 75 entries to one watcher took a
-// fifth of a core.
-const entriesPerWatcher = 32
+// largeDomain is the number of entries of a failure domain from which relays pass its watchers'
+// data on, one for each entriesPerRelay of its entries: each entry asks one about three times a
+// second, and 75 entries to one took a fifth of a core. Such a domain has largeDomainWatchers, so
+// that the loss of one does not leave its relays behind.
+const (
+	entriesPerRelay     = 32
+	largeDomain         = entriesPerRelay
+	largeDomainWatchers = 2
+)
 
 // IsWatcher reports whether an entry is a watcher: one that watches the store for all. The
 // watchers are the first entries of each failure domain, those with the widest links first and
-// in hash order among equals: one more for each entriesPerWatcher of its entries, and
-// minWatchers in all. The other entries get changes from them by exchange, so the number of
-// calls to the store depends on that of failure domains and hardly on that of entries.
+// in hash order among equals: one, largeDomainWatchers in a large domain, and minWatchers in all.
+// The next ones of a large domain are relays. The other entries get changes by exchange from the
+// watchers, in a large domain from these and the relays, so the number of calls to the store
+// depends on that of failure domains and not on that of entries.
 //
 // Entries with different lists choose differently; then more entries watch than necessary,
 // or an entry gets no answer from a watcher and watches itself. An entry that is not in the
@@ -29,41 +35,66 @@
 	return selectWatchers(entries).isWatcher(self.Instance)
 }
 
-// watchers are the watchers of a list of entries.
+// watchers are the watchers and relays of a list of entries.
 type watchers struct {
-	watches  map[string]bool // for each listed entry, by instance
-	all      []Entry
-	byDomain map[string][]Entry
-	size     map[string]int // listed entries of each failure domain
+	roles    map[string]role    // of each listed entry, by instance
+	sources  []Entry            // the watchers and relays
+	byDomain map[string][]Entry // the sources of each failure domain
+	size     map[string]int     // listed entries of each failure domain
 }
 
+// role is how an entry gets the store's changes.
+type role int
+
+const (
+	asks    role = iota // from watchers or relays
+	relays              // from watchers, for others
+	watches             // from the store, for others
+)
+
 func (w watchers) isWatcher(instance string) bool {
-	watches, known := w.watches[instance]
-	return watches || !known
+	r, known := w.roles[instance]
+	return r == watches || !known
 }
 
-// selectWatchers selects the watchers of a list. It runs once for each list, as every entry
-// asks for each of the others several times a second.
+// selectWatchers selects the watchers and relays of a list. It runs once for each list, as every
+// entry asks for each of the others several times a second.
 func selectWatchers(entries []Entry) watchers {
 	ordered := slices.Clone(entries)
 	slices.SortFunc(ordered, compareAsWatchers)
-	w := watchers{watches: make(map[string]bool, len(ordered)), byDomain: map[string][]Entry{}, size: map[string]int{}}
+	w := watchers{roles: make(map[string]role, len(ordered)), byDomain: map[string][]Entry{}, size: map[string]int{}}
 	for _, e := range ordered {
 		w.size[e.Domain]++
 	}
 	before := map[string]int{}
 	for i, e := range ordered {
-		watches := i < minWatchers || before[e.Domain] <= w.size[e.Domain]/entriesPerWatcher
+		r := roleOf(i, before[e.Domain], w.size[e.Domain])
 		before[e.Domain]++
-		w.watches[e.Instance] = watches
-		if watches {
-			w.all = append(w.all, e)
+		w.roles[e.Instance] = r
+		if r != asks {
+			w.sources = append(w.sources, e)
 			w.byDomain[e.Domain] = append(w.byDomain[e.Domain], e)
 		}
 	}
 	return w
 }
 
+// roleOf returns the role of an entry by its positions in the order of all entries and in that of
+// its failure domain, which has size entries.
+func roleOf(position, inDomain, size int) role {
+	watching := 1
+	if size > largeDomain {
+		watching = largeDomainWatchers
+	}
+	switch {
+	case position < minWatchers || inDomain < watching:
+		return watches
+	case size > largeDomain && inDomain <= size/entriesPerRelay:
+		return relays
+	}
+	return asks
+}
+
 // compareAsWatchers orders entries by how early they are chosen as watchers.
 func compareAsWatchers(a, b Entry) int {
 	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(watcherRank(a), watcherRank(b)))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -218,11 +218,11 @@
 	}
 }
 
-// request is the message sent to a peer. Watchers receive evidence from all entries, so an
-// entry that relies on them sends only its own evidence, not what it received from them.
+// request is the message sent to a peer. Watchers and relays receive evidence from all entries, so
+// an entry that relies on them sends only its own evidence, not what it received from them.
 func (m *Mesh) request() *meshpb.ExchangeMessage {
 	orders, evidence, sessions := m.Rollouts.Snapshot()
-	if !m.Fleet.Watching() && m.Fleet.Current() {
+	if !m.Fleet.Watching() && m.Fleet.Current() && !m.Fleet.View().IsRelay(m.Instance) {
 		evidence = slices.DeleteFunc(evidence, func(r rollout.Row) bool { return r.Instance != m.Instance })
 	}
 	out := m.encode(orders, evidence, sessions)
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -7,31 +7,36 @@
 	"github.com/lovageweir/lovageweir/fleet"
 )
 
-// pickPeer returns the address of a random peer. An entry that is current and does not
-// watch the store picks a watcher that is not stale, in a large fleet mostly one of its own
-// failure domain, and so does one that watchers are bringing up to date. Other entries pick any peer, and so does this one if there is no such
-// watcher, as when all are cut off from the store: those that reach the store poll it
-// themselves by then. An entry without data picks a watcher every other time, as most of the
-// others may be starting too.
+// pickPeer returns the address of a random peer. An entry that is current and does not watch the
+// store picks a source, which is a watcher or a relay, and a relay a watcher, if it is not stale; in
+// a large fleet mostly one of its own failure domain. So does one that others are bringing up to
+// date. Other entries pick any peer, and so does this one if there is no such source, as when all
+// watchers are cut off from the store: those that reach the store poll it themselves by then. An
+// entry without data picks a source every other time, as most of the others may be starting too.
 func (m *Mesh) pickPeer() (string, bool) {
 	now := m.Clock.Now()
 	view := m.Fleet.View()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.pruneLocked(now)
-	prefersWatchers := !m.Fleet.Watching() && (m.Fleet.Current() || m.Fleet.AwaitsPeers()) || view.Revision == 0 && rand.IntN(2) == 0
-	if prefersWatchers {
-		local, entries := view.WatchersIn(m.Domain)
+	asksSources := !m.Fleet.Watching() && (m.Fleet.Current() || m.Fleet.AwaitsPeers()) || view.Revision == 0 && rand.IntN(2) == 0
+	if asksSources {
+		local, entries := view.SourcesIn(m.Domain)
+		relay := view.IsRelay(m.Instance)
+		mayAsk := func(e fleet.Entry) bool {
+			return m.mayAskLocked(e.Address, now) && !now.Before(m.staleUntil[e.Address]) && (!relay || view.IsWatcher(e.Instance))
+		}
 		if rand.Float64()*float64(entries) >= crossDomainExchanges {
-			if address, ok := m.randomLocked(local, m.mayAskWatcherLocked, now); ok {
+			if address, ok := randomAddress(local, mayAsk); ok {
 				return address, true
 			}
 		}
-		if address, ok := m.randomLocked(view.Watchers(), m.mayAskWatcherLocked, now); ok {
+		if address, ok := randomAddress(view.Sources(), mayAsk); ok {
 			return address, true
 		}
 	}
-	if address, ok := m.randomLocked(view.Entries, m.mayAskLocked, now); ok {
+	mayAsk := func(e fleet.Entry) bool { return m.mayAskLocked(e.Address, now) }
+	if address, ok := randomAddress(view.Entries, mayAsk); ok {
 		return address, true
 	}
 	if len(view.Entries) > 1 {
@@ -42,26 +47,26 @@
 	for _, s := range m.seeds {
 		seeds = append(seeds, fleet.Entry{Address: s})
 	}
-	return m.randomLocked(seeds, m.mayAskLocked, now)
+	return randomAddress(seeds, mayAsk)
 }
 
 // randomTries is how many random entries of a list are looked at before all are.
 const randomTries = 8
 
-// randomLocked returns the address of a random entry of a list that may be asked.
-func (m *Mesh) randomLocked(list []fleet.Entry, mayAsk func(address string, now time.Time) bool, now time.Time) (string, bool) {
+// randomAddress returns the address of a random entry of a list that may be asked.
+func randomAddress(list []fleet.Entry, mayAsk func(fleet.Entry) bool) (string, bool) {
 	if len(list) == 0 {
 		return "", false
 	}
 	for range randomTries {
-		if a := list[rand.IntN(len(list))].Address; mayAsk(a, now) {
-			return a, true
+		if e := list[rand.IntN(len(list))]; mayAsk(e) {
+			return e.Address, true
 		}
 	}
 	from := rand.IntN(len(list))
 	for i := range list {
-		if a := list[(from+i)%len(list)].Address; mayAsk(a, now) {
-			return a, true
+		if e := list[(from+i)%len(list)]; mayAsk(e) {
+			return e.Address, true
 		}
 	}
 	return "", false
@@ -71,10 +76,6 @@
 	return address != m.Address && !now.Before(m.unreachableUntil[address])
 }
 
-func (m *Mesh) mayAskWatcherLocked(address string, now time.Time) bool {
-	return m.mayAskLocked(address, now) && !now.Before(m.staleUntil[address])
-}
-
 // pruneLocked forgets what no longer holds of peers that are gone.
 func (m *Mesh) pruneLocked(now time.Time) {
 	for a, until := range m.unreachableUntil {
