--- a/fleet/start.go
+++ b/fleet/start.go
@@ -48,7 +48,7 @@
 // readFirst reads the store, or leaves that to the watchers of a large failure domain.
 func (f *Follower) readFirst(ctx context.Context) error {
 	if f.start.snapshotDeadline.IsZero() {
-		if f.start.listReads == 0 {
+		if f.start.listReads == 0 && !f.View().HasEntry(f.self.Instance) {
 			if err := f.readDomainEntries(ctx); err != nil {
 				return err
 			}
