place: statistics of a large fleet's endpoints are kept only if they were used

Cause: every endpoint that a choice looked at got statistics for a minute, all 10,000 of a large fleet at every entry, some 0.45 KB each.

Change: beside a choice among more than 256 candidates an endpoint that this entry has not used gets none; loads that it reported to other entries are kept apart, for the two seconds in which they hold.

--- a/place/board.go
+++ b/place/board.go
@@ -97,7 +97,10 @@
 	working  map[fleet.EndpointID]*endpointStats
 	reported map[fleet.EndpointID]*endpointStats
 	peerWork peerWork
-	domains  map[string]*domainStats
+	// heard are the loads that endpoints without statistics reported to other entries, by short id.
+	heard      map[uint32]heardLoad
+	heardSwept time.Time
+	domains    map[string]*domainStats
 	// byShortID maps short ids to the ids in byID.
 	byShortID map[uint32]fleet.EndpointID
 	// services holds statistics over all endpoints of each service.
@@ -122,7 +125,7 @@
 // NewBoard returns an empty board.
 func NewBoard(clock clockwork.Clock) *Board {
 	return &Board{clock: clock, byID: map[fleet.EndpointID]*endpointStats{}, working: map[fleet.EndpointID]*endpointStats{},
-		reported: map[fleet.EndpointID]*endpointStats{}, peerWork: newPeerWork(), domains: map[string]*domainStats{},
+		reported: map[fleet.EndpointID]*endpointStats{}, peerWork: newPeerWork(), heard: map[uint32]heardLoad{}, domains: map[string]*domainStats{},
 		byShortID: map[uint32]fleet.EndpointID{}, services: map[string]*serviceStats{}, born: map[string]incarnation{}, lastSweep: clock.Now(), workGrew: make(chan struct{}, 1),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
@@ -134,8 +137,11 @@
 	r := b.byID[id]
 	if r == nil {
 		r = &endpointStats{}
+		short := ShortID(id)
+		b.heard[short].addTo(r)
+		delete(b.heard, short)
 		b.byID[id] = r
-		b.byShortID[ShortID(id)] = id
+		b.byShortID[short] = id
 	}
 	r.lastUsed = now
 	return r
@@ -148,6 +154,18 @@
 	return r
 }
 
+// consideredLocked returns the statistics of an endpoint that is considered for a request. Those of
+// the endpoints of a large fleet are kept only if this entry used them: it looks at all of them
+// within a minute.
+func (b *Board) consideredLocked(ep *fleet.Endpoint, keep bool, now time.Time) *endpointStats {
+	if r := b.byID[ep.ID]; r != nil || keep {
+		return b.endpointStatsLocked(*ep, now)
+	}
+	r := &endpointStats{service: ep.Service, domain: ep.Domain}
+	b.heard[uint32(ep.Hash())].addTo(r)
+	return r
+}
+
 // sweepLocked removes endpoints that are no longer used.
 func (b *Board) sweepLocked(now time.Time) {
 	if now.Sub(b.lastSweep) < evictAfter {
--- a/place/choose.go
+++ b/place/choose.go
@@ -144,7 +144,7 @@
 		if req.Tried[ep.ID] || closed != nil && closed[i] || b.restsLocked(ep.ID, now) {
 			continue
 		}
-		r := b.endpointStatsLocked(*ep, now)
+		r := b.consideredLocked(ep, len(candidates) <= maxConsidered, now)
 		load := b.sampledLoadLocked(r, ep, now)
 		s := b.standingOfLocked(r, uint32(ep.Hash()), now)
 		s.Ejected = s.Ejected || b.domainUnreachableLocked(ep.Domain, now)
--- a/place/growth_test.go
+++ b/place/growth_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+// Guards against statistics of every endpoint that was ever looked at, and against loads that other entries
+// reported being lost with them.
+func TestOnlyUsedEndpointsOfALargeFleetHaveStatistics(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{1000, 2000, 4000} {
+		eps := endpoints(n, "d1")
+		b := newSimBoard(clockwork.NewFakeClock(), 1)
+		for range 100 {
+			b.Rank(eps, Request{Domain: "d1"})
+		}
+		is.Equal(len(b.byID), 0)
+		all := make([]LoadReport, 0, n)
+		for _, ep := range eps {
+			all = append(all, LoadReport{Endpoint: ShortID(ep.ID), Running: 3, Waiting: 1})
+		}
+		b.ReceiveLoads(all)
+		is.Equal(b.Rank(eps, Request{Domain: "d1"})[0].Standing.Load, 4.0)
+		b.Begin(eps[0], 0)
+		is.Equal(b.Standing(eps[0].ID).Load, 5.0)
+		is.Equal(len(b.byID), 1)
+	}
+}
+
 // Guards against requests refused while endpoints have room that a random part of them does not hold.
 func TestTheOnlyUsableEndpointOfALargeFleetIsFound(t *testing.T) {
 	is := is.New(t)
--- a/place/loads.go
+++ b/place/loads.go
@@ -41,6 +41,32 @@
 	Age      time.Duration
 }
 
+// heardLoad is a load that an endpoint reported to another entry.
+type heardLoad struct {
+	running, waiting int32
+	at               time.Time // zero: none
+}
+
+// addTo records the load in the statistics of its endpoint.
+func (h heardLoad) addTo(r *endpointStats) {
+	if !h.at.IsZero() {
+		r.report, r.reportedAt = call.Load{Running: int(h.running), Waiting: int(h.waiting)}, h.at
+	}
+}
+
+// sweepHeardLocked removes loads that are no longer valid.
+func (b *Board) sweepHeardLocked(now time.Time) {
+	if now.Sub(b.heardSwept) < reportTTL {
+		return
+	}
+	b.heardSwept = now
+	for id, h := range b.heard {
+		if now.Sub(h.at) > reportTTL {
+			delete(b.heard, id)
+		}
+	}
+}
+
 // serviceStats holds statistics over all endpoints of a service.
 type serviceStats struct {
 	// utilization is running and waiting requests divided by slots, as endpoints reported to
@@ -119,9 +145,13 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sweepHeardLocked(now)
 	for _, l := range loads {
 		r := b.byID[b.byShortID[l.Endpoint]]
 		at := now.Add(-l.Age)
+		if r == nil && at.After(b.heard[l.Endpoint].at) {
+			b.heard[l.Endpoint] = heardLoad{running: int32(l.Running), waiting: int32(l.Waiting), at: at}
+		}
 		if r == nil || !at.After(r.reportedAt) {
 			continue
 		}
