--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -10,7 +10,8 @@
 out=${OUT:-$(mktemp -d)}
 why="regression runs of $(git rev-parse --short HEAD)"
 small=(sites/kallisti-press sites/ondol-remind further/bedline-tas)
-grown=(grown/kallisti-press-grown grown/ondol-remind-grown further-grown/bedline-tas-grown large/ondol-remind-large)
+grown=(grown/kallisti-press-grown grown/ondol-remind-grown further-grown/bedline-tas-grown large/ondol-remind-large
+  shifted/ondol-remind-now-grown demands/dgs-checkin-grown demands/tanglaw-exams-grown)
 
 play() { # verb, site, options
   local log="$out/$1-$(basename "$2").log"
