fleet: one watcher for a failure domain, relays for the rest

Change: one watcher in each domain, three at least. Relays whose watcher is lost ask those of other domains, which was there already: two in each domain are not needed for it.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -329,7 +329,7 @@
 	if !f.isWatcher() {
 		return fallbackPollWait
 	}
-	if _, entries := f.View().SourcesIn(f.self.Domain); entries > largeDomain {
+	if _, entries := f.View().SourcesIn(f.self.Domain); isLargeDomain(entries) {
 		return relayedPollWait
 	}
 	return watcherPollWait
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -95,7 +95,7 @@
 	if !f.View().HasEntry(f.self.Instance) {
 		entries = append([]Entry{f.self}, entries...)
 	}
-	if len(entries) <= largeDomain || IsWatcher(entries, f.self) {
+	if !isLargeDomain(len(entries)) || IsWatcher(entries, f.self) {
 		return false
 	}
 	spread := min(2*time.Duration(len(entries))*snapshotWaitPerEntry, maxSnapshotWait-snapshotWait)
--- a/fleet/watchers.go
+++ b/fleet/watchers.go
@@ -11,22 +11,17 @@
 // if one is killed and another's connection is dead, one remains.
 const minWatchers = 3
 
-// largeDomain is the number of entries of a failure domain from which relays pass its watchers'
-// data on, one for each entriesPerRelay of its entries: each entry asks one about three times a
-// second, and 75 entries to one took a fifth of a core. Such a domain has largeDomainWatchers, so
-// that the loss of one does not leave its relays behind.
-const (
-	entriesPerRelay     = 32
-	largeDomain         = entriesPerRelay
-	largeDomainWatchers = 2
-)
+// entriesPerRelay is the number of entries of a failure domain for each of which there is a relay,
+// which passes the watcher's data on: each entry asks one about three times a second, and 75
+// entries to one took a fifth of a core. A domain of no more entries has none.
+const entriesPerRelay = 32
 
 // IsWatcher reports whether an entry is a watcher: one that watches the store for all. The
-// watchers are the first entries of each failure domain, those with the widest links first and
-// in hash order among equals: one, largeDomainWatchers in a large domain, and minWatchers in all.
-// The next ones of a large domain are relays. The other entries get changes by exchange from the
-// watchers, in a large domain from these and the relays, so the number of calls to the store
-// depends on that of failure domains and not on that of entries.
+// watchers are the first entry of each failure domain, that with the widest link or the first in
+// hash order among equals, and minWatchers in all. The next ones of a large domain are relays. The
+// other entries get changes by exchange from these, so the number of calls to the store depends on
+// that of failure domains and not on that of entries. Relays whose watcher is lost ask those of
+// other domains.
 //
 // Entries with different lists choose differently; then more entries watch than necessary,
 // or an entry gets no answer from a watcher and watches itself. An entry that is not in the
@@ -79,17 +74,16 @@
 	return w
 }
 
+// isLargeDomain reports whether a failure domain of that many entries has relays.
+func isLargeDomain(size int) bool { return size > entriesPerRelay }
+
 // roleOf returns the role of an entry by its positions in the order of all entries and in that of
 // its failure domain, which has size entries.
 func roleOf(position, inDomain, size int) role {
-	watching := 1
-	if size > largeDomain {
-		watching = largeDomainWatchers
-	}
 	switch {
-	case position < minWatchers || inDomain < watching:
+	case position < minWatchers || inDomain == 0:
 		return watches
-	case size > largeDomain && inDomain <= size/entriesPerRelay:
+	case isLargeDomain(size) && inDomain <= size/entriesPerRelay:
 		return relays
 	}
 	return asks
