mesh: relays pass over watchers that the store turns away, and ask twice as often

A watcher that is turned away gets its data from others, looks current, and its relays went on asking it: two exchanges more on the way, beyond the age up to which others are relied on.

Change: an answer says whether its sender watches; a watcher that does not counts as stale. Relays ask every 150 ms, as the data of their domain is older by it.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -26,6 +26,8 @@
 	// version then reaches eight entries within a second, and a change of the store reaches
 	// an entry that does not watch it within half a second.
 	exchangeInterval = 300 * time.Millisecond
+	// relayInterval applies to relays: the data of their domain is older by it.
+	relayInterval = 150 * time.Millisecond
 	// outageInterval applies while the store does not answer this entry. If a third of the
 	// entries are in the same state, ten random peers within 1.5 s almost certainly include
 	// one that is current.
@@ -50,8 +52,8 @@
 	unreachableFor = 2 * time.Second
 	// forgetPeerAfter is how long after that a peer is forgotten that was not asked again.
 	forgetPeerAfter = time.Minute
-	// staleFor is how long an entry with old data, which therefore does not receive the
-	// store's changes, is skipped as a watcher.
+	// staleFor is how long an entry that does not receive the store's changes is skipped as a
+	// source.
 	staleFor = 5 * time.Second
 	// maxEvidenceRows bounds the evidence sent in one exchange.
 	maxEvidenceRows = 256
@@ -127,8 +129,11 @@
 func (m *Mesh) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := exchangeInterval
-		if m.Fleet.StoreUnreachable() || m.Fleet.View().Revision == 0 {
+		switch view := m.Fleet.View(); {
+		case m.Fleet.StoreUnreachable() || view.Revision == 0:
 			interval = outageInterval
+		case view.IsRelay(m.Instance):
+			interval = relayInterval
 		}
 		jittered := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
 		partners := 1
@@ -181,15 +186,18 @@
 	}
 }
 
-// recordFreshness records whether the data of a peer that answered is current. An answer
-// without an age says nothing about that.
+// recordFreshness records whether a peer that answered is a good source: its data is current and,
+// if it is a watcher, the store answers it. One that gets its data from others would make that of
+// its relays older. An answer without an age says nothing about that.
 func (m *Mesh) recordFreshness(address string, got *meshpb.ExchangeMessage) {
 	if got.ConfirmedMs < 0 || len(got.Changes) >= fleet.BulkChanges {
 		return // it has no data, or is catching up with the store
 	}
+	view := m.Fleet.View()
+	cutOff := !got.Watching && view.HasEntry(got.Instance) && view.IsWatcher(got.Instance)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if fleet.IsCurrent(time.Duration(got.ConfirmedMs) * time.Millisecond) {
+	if !cutOff && fleet.IsCurrent(time.Duration(got.ConfirmedMs)*time.Millisecond) {
 		delete(m.staleUntil, address)
 		return
 	}
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +75,21 @@
 	return rev, events, err
 }
 
+// entryStore is the store as one entry reaches it.
+type entryStore struct {
+	*countingStore
+	fleet *startingFleet
+	entry fleet.Entry
+}
+
+func (s entryStore) WatchOnce(ctx context.Context, key string, prefix bool, after kv.Revision, wait time.Duration) (kv.Revision, []kv.Event, error) {
+	if s.fleet.turnedAway.Load() && s.fleet.isTurnedAway(s.entry) {
+		time.Sleep(4 * time.Millisecond)
+		return 0, nil, kv.ErrUnavailable
+	}
+	return s.countingStore.WatchOnce(ctx, key, prefix, after, wait)
+}
+
 // startingFleet is a fleet of which all entries start at once.
 type startingFleet struct {
 	store     *countingStore
@@ -81,6 +97,10 @@
 	entries   []fleet.Entry
 	followers []*fleet.Follower
 
+	// turnedAway: the store answers neither every third entry nor the watcher of the first
+	// failure domain.
+	turnedAway atomic.Bool
+
 	mu     sync.Mutex
 	meshes map[string]*Mesh // by address
 	bytes  map[string]int   // sent in answers, by address
@@ -99,6 +119,10 @@
 	return f
 }
 
+func (f *startingFleet) isTurnedAway(e fleet.Entry) bool {
+	return e.Address[len(e.Address)-1]%3 == 0 || e.Domain == "d0" && fleet.IsWatcher(f.entries, e)
+}
+
 // peer is the client of one entry; an entry that is down does not answer.
 type peer struct {
 	meshpb.Mesh
@@ -132,7 +156,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, e := range f.entries {
-		follower := fleet.NewFollower(e, f.store, platform.Values{}, time.Second, f.clock, discardLog)
+		follower := fleet.NewFollower(e, entryStore{f.store, f, e}, platform.Values{}, time.Second, f.clock, discardLog)
 		follower.SetSinceBoot(func() time.Duration { return time.Since(time.Time{}) })
 		r := rollout.New(rollout.Deps{Instance: e.Instance, Boot: 1, Store: f.store, Decoder: platform.Values{}, View: follower.View, Clock: f.clock, Log: discardLog})
 		q := quarantine.New(quarantine.Deps{View: follower.View, Clock: f.clock, Log: discardLog})
@@ -326,3 +350,37 @@
 		})
 	}
 }
+
+// Guards against calls of most entries to the store, or changes that come late, while the store turns some
+// entries away, among them the watcher of a failure domain, which gets data from others and looks current.
+func TestEntriesOfALargeFleetRelyOnThoseThatReachTheStore(t *testing.T) {
+	for _, n := range startingSizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := newStartingFleet(n, startingDomains)
+			f.configure(t, 1)
+			f.registerEndpoints(t, 3*n)
+			for _, e := range f.entries {
+				f.register(t, e)
+			}
+			defer f.start(t)()
+			f.awaitStart(t, 3*n)
+			time.Sleep(3 * time.Second)
+			calls := f.store.calls
+			f.turnedAway.Store(true)
+			var slowest time.Duration
+			for version := 2; version < 5; version++ {
+				time.Sleep(3 * time.Second)
+				f.configure(t, version)
+				slowest = max(slowest, f.await(t, func(follower *fleet.Follower) bool { return follower.View().Config.Version == int64(version) }))
+			}
+			calls = f.store.calls - calls
+			t.Logf("%d entries: a change is in force after %v at most; %d calls in 10 s", n, slowest, calls)
+			if slowest > 2*time.Second {
+				t.Errorf("%d entries: a change is in force after %v", n, slowest)
+			}
+			if most := n/4 + 10*5*startingWatchers/2; calls > most {
+				t.Errorf("%d entries: %d calls to the store, %d at most", n, calls, most)
+			}
+		})
+	}
+}
