place, mesh: entries learn from each other how long models take

Cause: an entry learned the time to the first event only from its own answers, by 0.8 % up or 3.2 % down for each, from one default for all models. The largest model takes twice that default, so 70 long answers of it are needed; an entry of the whole fleet sees one in ten seconds. Work announced for the smallest model was five times too much.

Change: datagrams tell the others how long answers took, each once, those to one entry eight at most. Of the first eight answers of a model the quantile itself is the estimate; then it moves as before.

Test: of 25, 50 and 100 entries that get one long answer in ten seconds, one in three of which waited, each is within 0.9 to 1.2 of the truth after ten seconds.

--- a/edge/module.go
+++ b/edge/module.go
@@ -145,8 +145,8 @@
 	return slowstart.New(slowstart.Deps{Instance: s.Instance, Entries: func() []fleet.Entry { return f.View().Entries }, Clock: clock, Scope: m.Scope.SubScope("slowstart")})
 }
 
-func newLoadExchange(s *Settings, f *fleet.Follower, board *place.Board, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *mesh.LoadExchange {
-	return mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Budget: budget, Limits: limits,
+func newLoadExchange(s *Settings, f *fleet.Follower, board *place.Board, rates *place.Rates, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *mesh.LoadExchange {
+	return mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Rates: rates, Budget: budget, Limits: limits,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("mesh")})
 }
 
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -46,6 +46,8 @@
 	maxEndpoints = 70
 	maxLoads     = 50
 	maxLimits    = 25
+	// maxAnswerBytes is the size of an answer beside the name of its model.
+	maxAnswerBytes = 16
 )
 
 // LoadExchangeDeps are the dependencies of a LoadExchange.
@@ -54,6 +56,7 @@
 	Address          string // IP:port, for datagrams
 	Fleet            *fleet.Follower
 	Board            *place.Board
+	Rates            *place.Rates // nil: no estimates are exchanged
 	Budget           *retry.Budget
 	Limits           *ratelimit.Limits
 	Clock            clockwork.Clock
@@ -77,6 +80,9 @@
 	if d.Scope == nil {
 		d.Scope = tally.NoopScope
 	}
+	if d.Rates == nil {
+		d.Rates = place.NewRates()
+	}
 	return &LoadExchange{LoadExchangeDeps: d}
 }
 
@@ -208,7 +214,8 @@
 		msg.LoadAgeMs = append(msg.LoadAgeMs, uint32(r.Age.Milliseconds()))
 	}
 	l.addLimits(msg)
-	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited) == 0
+	l.addAnswers(msg)
+	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited)+len(msg.AnsweredModel) == 0
 	for _, c := range l.Budget.Counts() {
 		msg.Service = append(msg.Service, c.Service)
 		msg.Requests = append(msg.Requests, uint32(c.Requests))
@@ -219,6 +226,19 @@
 	return raw, empty, err
 }
 
+// addAnswers adds the answers received since the last datagram, as many as fit.
+func (l *LoadExchange) addAnswers(msg *meshpb.Load) {
+	left := maxDatagramBytes - proto.Size(msg)
+	for _, a := range l.Rates.Answers() {
+		if left -= len(a.Model) + maxAnswerBytes; left < 0 {
+			return
+		}
+		msg.AnsweredModel = append(msg.AnsweredModel, a.Model)
+		msg.AnsweredTokens = append(msg.AnsweredTokens, uint32(a.Tokens))
+		msg.AnsweredMs = append(msg.AnsweredMs, uint32(a.Took.Milliseconds()))
+	}
+}
+
 func (l *LoadExchange) listen() {
 	buf := make([]byte, maxDatagramBytes)
 	for {
@@ -255,6 +275,11 @@
 			Age: time.Duration(msg.LoadAgeMs[i]) * time.Millisecond})
 	}
 	l.Board.ReceiveLoads(loads)
+	answers := make([]place.FirstEvent, 0, len(msg.AnsweredModel))
+	for i, model := range msg.AnsweredModel {
+		answers = append(answers, place.FirstEvent{Model: model, Tokens: int(msg.AnsweredTokens[i]), Took: time.Duration(msg.AnsweredMs[i]) * time.Millisecond})
+	}
+	l.Rates.ReceiveAnswers(answers)
 	counts := make([]retry.ServiceCount, 0, len(msg.Service))
 	for i, service := range msg.Service {
 		counts = append(counts, retry.ServiceCount{Service: service,
@@ -265,9 +290,10 @@
 
 // columnsMatch reports whether the parallel arrays of a datagram have equal lengths.
 func columnsMatch(msg *meshpb.Load) bool {
-	loads, services, limits := len(msg.Loaded), len(msg.Service), len(msg.Limited)
+	loads, services, limits, answers := len(msg.Loaded), len(msg.Service), len(msg.Limited), len(msg.AnsweredModel)
 	return len(msg.Endpoint) == len(msg.WorkMs) &&
 		loads == len(msg.Running) && loads == len(msg.Waiting) && loads == len(msg.LoadAgeMs) &&
 		services == len(msg.Requests) && services == len(msg.Repeats) && services == len(msg.Failures) &&
-		limits == len(msg.Limit) && limits == len(msg.LimitAgeMs) && limits == len(msg.Sent)
+		limits == len(msg.Limit) && limits == len(msg.LimitAgeMs) && limits == len(msg.Sent) &&
+		answers == len(msg.AnsweredTokens) && answers == len(msg.AnsweredMs)
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -406,6 +406,23 @@
 	return out
 }
 
+// Datagrams tell other entries how long answers took, each once.
+func TestDatagramSharesAnswers(t *testing.T) {
+	is := is.New(t)
+	rates := []*place.Rates{place.NewRates(), place.NewRates()}
+	a := NewLoadExchange(LoadExchangeDeps{Instance: "a", Board: place.NewBoard(clockwork.NewFakeClock()), Rates: rates[0], Budget: newBudget(), Limits: newLimits(), Log: discardLog})
+	b := NewLoadExchange(LoadExchangeDeps{Instance: "b", Board: place.NewBoard(clockwork.NewFakeClock()), Rates: rates[1], Budget: newBudget(), Limits: newLimits(), Log: discardLog})
+	rates[0].Learn("m", 10000, 2*time.Second)
+	raw, empty, err := a.Datagram()
+	is.NoErr(err)
+	is.True(!empty)
+	b.Receive(raw)
+	is.Equal(rates[1].TimeToFirstEvent("m", 10000), rates[0].TimeToFirstEvent("m", 10000))
+	_, empty, err = a.Datagram()
+	is.NoErr(err)
+	is.True(empty)
+}
+
 func FuzzLoad(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte{0x0a, 0x01, 'a'})
--- a/place/growth_test.go
+++ b/place/growth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -82,6 +83,40 @@
 	}
 }
 
+// Guards against answers of the largest model that come late, because each entry of a large fleet sees too few of
+// them to learn how long they take: one in ten seconds, and one in three waited for other requests.
+func TestEntriesWithFewAnswersLearnFromOthers(t *testing.T) {
+	is := is.New(t)
+	const truth = 0.06 // milliseconds a token, twice what entries assume at first
+	for _, n := range []int{25, 50, 100} {
+		r := rand.New(rand.NewPCG(uint64(n), 1))
+		entries := make([]*Rates, n)
+		for i := range entries {
+			entries[i] = NewRates()
+		}
+		for range n { // ten seconds
+			tokens := 4000 + r.IntN(40000)
+			took := milliseconds(20 + truth*float64(tokens))
+			if r.IntN(3) == 0 {
+				took += milliseconds(r.ExpFloat64() * 500)
+			}
+			e := entries[r.IntN(n)]
+			e.Learn("large", tokens, took)
+			told := e.Answers()
+			for _, other := range entries {
+				if other != e && r.IntN(10) > 0 { // datagrams may be lost
+					other.ReceiveAnswers(told)
+				}
+			}
+		}
+		for _, e := range entries {
+			got := e.TimeToFirstEvent("large", 40000)
+			is.True(got > milliseconds(0.9*truth*40000))
+			is.True(got < milliseconds(1.2*truth*40000))
+		}
+	}
+}
+
 // BenchmarkRank measures a choice, by the number of endpoints.
 func BenchmarkRank(b *testing.B) {
 	for _, n := range []int{100, 300, 1000, 3000, 10000} {
--- a/place/rates.go
+++ b/place/rates.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,19 +21,37 @@
 	// some waits are very long.
 	targetQuantile = 0.2
 	quantileStep   = 0.04
+	// firstAnswers is the number of answers of which the quantile itself is the estimate.
+	firstAnswers = 8
 	// The rate is learned from long prompts, where the fixed part is small, and the fixed part
 	// from short ones.
 	longPrompt  = 4000
 	shortPrompt = 2000
+	// maxAnswers bounds the answers that are kept for other entries: those that an entry with
+	// few requests receives between two of its messages.
+	maxAnswers = 8
 )
 
 // firstEventModel is the estimate for one model, in milliseconds (rate: per token).
-type firstEventModel struct{ fixed, rate float64 }
+type firstEventModel struct {
+	fixed, rate           float64
+	firstFixed, firstRate []float64 // as the first answers showed them, sorted
+}
+
+// FirstEvent is the time to the first event of an answer.
+type FirstEvent struct {
+	Model  string
+	Tokens int // of the prompt
+	Took   time.Duration
+}
 
-// Rates learns the time that engines take to begin an answer, by model. It is safe for concurrent use.
+// Rates learns the time that engines take to begin an answer, by model, from the answers to this
+// entry and to others: an entry of a large fleet may see one of the largest model in ten seconds.
+// It is safe for concurrent use.
 type Rates struct {
 	mu      sync.Mutex
 	byModel map[string]*firstEventModel
+	answers []FirstEvent // to this entry, for others
 }
 
 // NewRates returns Rates with no observations.
@@ -64,23 +83,67 @@
 
 func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
-// Learn updates the estimate with the observed time to the first event.
+// Learn updates the estimate with the observed time to the first event of an answer to this entry.
 func (r *Rates) Learn(model string, tokens int, took time.Duration) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.modelLocked(model)
-	expected := s.fixed + s.rate*float64(tokens)
-	change := quantileStep * targetQuantile * expected
-	if milliseconds(expected) > took {
-		change = -quantileStep * (1 - targetQuantile) * expected
+	r.learnLocked(model, tokens, took)
+	if len(r.answers) == maxAnswers {
+		r.answers = r.answers[1:]
 	}
-	switch {
+	r.answers = append(r.answers, FirstEvent{model, tokens, took})
+}
+
+// Answers returns the answers to this entry since the last call, for sending to other entries.
+func (r *Rates) Answers() []FirstEvent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.answers
+	r.answers = nil
+	return out
+}
+
+// ReceiveAnswers updates the estimates with answers to another entry.
+func (r *Rates) ReceiveAnswers(answers []FirstEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range answers {
+		if a.Tokens > 0 && a.Took > 0 {
+			r.learnLocked(a.Model, a.Tokens, a.Took)
+		}
+	}
+}
+
+func (r *Rates) learnLocked(model string, tokens int, took time.Duration) {
+	s := r.modelLocked(model)
+	observed := float64(took) / float64(time.Millisecond)
+	switch n := float64(tokens); {
+	case tokens >= longPrompt && len(s.firstRate) < firstAnswers:
+		s.rate = addFirst(&s.firstRate, (observed-s.fixed)/n)
 	case tokens >= longPrompt:
-		s.rate = max(0, s.rate+change/float64(tokens))
+		s.rate = max(0, s.rate+s.step(n, observed)/n)
+	case tokens <= shortPrompt && len(s.firstFixed) < firstAnswers:
+		s.fixed = addFirst(&s.firstFixed, observed-s.rate*n)
 	case tokens <= shortPrompt:
-		s.fixed = max(0, s.fixed+change)
+		s.fixed = max(0, s.fixed+s.step(n, observed))
+	}
+}
+
+// addFirst adds a value to those of the first answers, and returns their quantile.
+func addFirst(first *[]float64, value float64) float64 {
+	*first = append(*first, max(0, value))
+	slices.Sort(*first)
+	return (*first)[int(targetQuantile*float64(len(*first)))]
+}
+
+// step returns by how much the expected time of an answer changes with one observation.
+func (s *firstEventModel) step(tokens, observed float64) float64 {
+	expected := s.fixed + s.rate*tokens
+	if expected > observed {
+		return -quantileStep * (1 - targetQuantile) * expected
 	}
+	return quantileStep * targetQuantile * expected
 }
