--- a/fleet/placement.go
+++ b/fleet/placement.go
@@ -147,9 +147,8 @@
 
 // ownsAddress reports whether an endpoint's registration is the latest one made for its address. An
 // endpoint that crashed and restarted, or whose address was reassigned, stays registered until it
-// has missed heartbeats for long. Until then a request for it reaches the new owner of the address,
-// is rejected, and costs a retry: after a quarter of 124 endpoints had crashed, there were 300 of
-// these in two seconds, and retries ran short for ten seconds.
+// has missed heartbeats for long; a request for it would reach the new owner of the address, be
+// rejected, and cost a retry.
 func (b *builder) ownsAddress(ep Endpoint) bool {
 	for _, name := range b.byAddress[ep.Address] {
 		if b.endpoints[name].Registered > ep.Registered {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -7,12 +7,11 @@
 	"github.com/lovageweir/lovageweir/fleet"
 )
 
-// pickPeer returns the address of a random peer. An entry that is current and does not watch the
-// store picks a source, which is a watcher or a relay, and a relay a watcher, if it is not stale; in
-// a large fleet mostly one of its own failure domain. So does one that others are bringing up to
-// date. Other entries pick any peer, and so does this one if there is no such source, as when all
-// watchers are cut off from the store: those that reach the store poll it themselves by then. An
-// entry without data picks a source every other time, as most of the others may be starting too.
+// pickPeer returns the address of a random peer. An entry that relies on others picks a source that
+// is not stale (a watcher or a relay; a relay picks a watcher), in a large fleet mostly one of its
+// own failure domain. One without data does so every other time, as its sources may be starting
+// too. Others pick any peer, and so does this one if there is no such source: some entries watch
+// the store for themselves then.
 func (m *Mesh) pickPeer() (string, bool) {
 	now := m.Clock.Now()
 	view := m.Fleet.View()
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -151,6 +151,17 @@
 	return copied, errors.Join(err, proto.Unmarshal(raw, copied))
 }
 
+// newKilledFleet returns a fleet of n entries that registered before they were killed, and 3n endpoints.
+func newKilledFleet(t *testing.T, n int) *startingFleet {
+	f := newStartingFleet(n, startingDomains)
+	f.configure(t, 1)
+	f.registerEndpoints(t, 3*n)
+	for _, e := range f.entries {
+		f.register(t, e)
+	}
+	return f
+}
+
 // start starts all entries; stop ends them.
 func (f *startingFleet) start(t *testing.T) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -262,8 +273,7 @@
 
 var startingSizes = []int{70, 140, 280}
 
-// Guards against a start of the whole fleet for which the store has to send everything to every entry,
-// and against calls of every entry to the store, or changes that come late, once it runs.
+// Guards against a store that has to send everything to every entry, or is called by each once the fleet runs.
 func TestEntriesOfALargeFleetStartFromFewReads(t *testing.T) {
 	for _, n := range startingSizes {
 		synctest.Test(t, func(t *testing.T) {
@@ -298,12 +308,7 @@
 func TestEntriesOfALargeFleetRestartFromFewReads(t *testing.T) {
 	for _, n := range startingSizes {
 		synctest.Test(t, func(t *testing.T) {
-			f := newStartingFleet(n, startingDomains)
-			f.configure(t, 1)
-			f.registerEndpoints(t, 3*n)
-			for _, e := range f.entries {
-				f.register(t, e)
-			}
+			f := newKilledFleet(t, n)
 			defer f.start(t)()
 			took := f.awaitStart(t, 3*n)
 			f.checkStart(t, took, 3*n)
@@ -314,17 +319,11 @@
 	}
 }
 
-// Guards against changes that come late, or calls of every entry to the store, after all watchers of a
-// failure domain were lost.
+// Guards against late changes, or calls of every entry to the store, once a failure domain has lost its watchers.
 func TestEntriesOfALargeFleetOutliveTheirWatchers(t *testing.T) {
 	for _, n := range startingSizes {
 		synctest.Test(t, func(t *testing.T) {
-			f := newStartingFleet(n, startingDomains)
-			f.configure(t, 1)
-			f.registerEndpoints(t, 3*n)
-			for _, e := range f.entries {
-				f.register(t, e)
-			}
+			f := newKilledFleet(t, n)
 			defer f.start(t)()
 			f.awaitStart(t, 3*n)
 			time.Sleep(3 * time.Second)
@@ -351,17 +350,11 @@
 	}
 }
 
-// Guards against calls of most entries to the store, or changes that come late, while the store turns some
-// entries away, among them the watcher of a failure domain, which gets data from others and looks current.
+// Guards against relays that go on asking a watcher which the store turns away and which looks current.
 func TestEntriesOfALargeFleetRelyOnThoseThatReachTheStore(t *testing.T) {
 	for _, n := range startingSizes {
 		synctest.Test(t, func(t *testing.T) {
-			f := newStartingFleet(n, startingDomains)
-			f.configure(t, 1)
-			f.registerEndpoints(t, 3*n)
-			for _, e := range f.entries {
-				f.register(t, e)
-			}
+			f := newKilledFleet(t, n)
 			defer f.start(t)()
 			f.awaitStart(t, 3*n)
 			time.Sleep(3 * time.Second)
--- a/place/growth_test.go
+++ b/place/growth_test.go
@@ -33,8 +33,7 @@
 	}
 }
 
-// Guards against statistics of every endpoint that was ever looked at, and against loads that other entries
-// reported being lost with them.
+// Guards against statistics of every endpoint ever looked at, and against loads lost without them.
 func TestOnlyUsedEndpointsOfALargeFleetHaveStatistics(t *testing.T) {
 	is := is.New(t)
 	for _, n := range []int{1000, 2000, 4000} {
@@ -83,8 +82,7 @@
 	}
 }
 
-// Guards against answers of the largest model that come late, because each entry of a large fleet sees too few of
-// them to learn how long they take: one in ten seconds, and one in three waited for other requests.
+// Guards against late answers of models of which an entry sees too few to learn how long they take.
 func TestEntriesWithFewAnswersLearnFromOthers(t *testing.T) {
 	is := is.New(t)
 	const truth = 0.06 // milliseconds a token, twice what entries assume at first
@@ -97,7 +95,7 @@
 		for range n { // ten seconds
 			tokens := 4000 + r.IntN(40000)
 			took := milliseconds(20 + truth*float64(tokens))
-			if r.IntN(3) == 0 {
+			if r.IntN(3) == 0 { // it waited for other requests
 				took += milliseconds(r.ExpFloat64() * 500)
 			}
 			e := entries[r.IntN(n)]
