--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -26,7 +26,7 @@
 	// its receivers get the rest with their next exchange.
 	snapshotReuse = time.Second
 	// maxUnpackedBytes bounds what a peer's changes may take up uncompressed.
-	maxUnpackedBytes = 256 << 20
+	maxUnpackedBytes = 64 << 20
 )
 
 // packer compresses changes for other entries. Its lock is not held together with another.
