--- a/fleet/start.go
+++ b/fleet/start.go
@@ -11,7 +11,8 @@
 // Start of an entry. If each of a thousand entries that start together read a large store, or
 // received each registration by a watch of its own, the store's link would be full for longer
 // than callers wait. So an entry of a large failure domain first reads who else is in it. Only if
-// it is a watcher among these does it read the rest; the others get a snapshot from a peer.
+// it is a watcher or a relay among these does it read the rest; the others get a snapshot from a
+// peer.
 const (
 	// listInterval is the mean time between reads of the domain's entries until this one is
 	// listed. Entries that start together have registered by then.
@@ -45,7 +46,7 @@
 	return s.listReads < maxListReads
 }
 
-// readFirst reads the store, or leaves that to the watchers of a large failure domain.
+// readFirst reads the store, or leaves that to the sources of a large failure domain.
 func (f *Follower) readFirst(ctx context.Context) error {
 	if f.start.snapshotDeadline.IsZero() {
 		if f.start.listReads == 0 && !f.View().HasEntry(f.self.Instance) {
@@ -88,14 +89,14 @@
 	return f.awaitListing(ctx)
 }
 
-// leavesReadToOthers reports whether this entry waits for a snapshot from a watcher of its domain,
+// leavesReadToOthers reports whether this entry waits for a snapshot from a source of its domain,
 // and sets until when.
 func (f *Follower) leavesReadToOthers() bool {
 	entries := f.View().Entries
 	if !f.View().HasEntry(f.self.Instance) {
 		entries = append([]Entry{f.self}, entries...)
 	}
-	if !isLargeDomain(len(entries)) || IsWatcher(entries, f.self) {
+	if !isLargeDomain(len(entries)) || selectWatchers(entries).roles[f.self.Instance] != asks {
 		return false
 	}
 	spread := min(2*time.Duration(len(entries))*snapshotWaitPerEntry, maxSnapshotWait-snapshotWait)
--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -122,13 +122,19 @@
 	return out
 }
 
-// unpackChanges replaces the compressed changes of a response.
-func unpackChanges(got *meshpb.ExchangeMessage) error {
+// unpackChanges replaces the compressed changes of a response. A snapshot is kept as it is, for the
+// next entry that starts.
+func (m *Mesh) unpackChanges(got *meshpb.ExchangeMessage) error {
 	if len(got.PackedChanges) == 0 {
 		return nil
 	}
-	changes, err := unpack(got.PackedChanges)
+	raw := got.PackedChanges
+	changes, err := unpack(raw)
 	got.Changes, got.PackedChanges = changes, nil
+	if err == nil && got.Whole {
+		age := time.Duration(max(0, got.ConfirmedMs)) * time.Millisecond
+		m.packer.keep(packed{revision: kv.Revision(got.Revision), at: m.Clock.Now().Add(-age), raw: raw})
+	}
 	return err
 }
 
--- a/mesh/changes_test.go
+++ b/mesh/changes_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -38,7 +39,7 @@
 	is.NoErr(err)
 	is.Equal(len(packed.Changes), 0)
 	is.True(5*len(packed.PackedChanges) < sizeOf(whole.Events))
-	is.NoErr(unpackChanges(packed))
+	is.NoErr(newEntry(t, "c").unpackChanges(packed))
 	is.Equal(len(packed.Changes), 1000)
 	is.True(packed.Whole)
 
@@ -46,6 +47,9 @@
 	a.lastSnapshot = a.lastSnapshot.Add(-snapshotInterval)
 	b.ExchangeWith(context.Background(), a.Address)
 	is.Equal(len(b.Fleet.View().Group("s").Ready), 1000)
+	passedOn, err := b.Exchange(context.Background(), &meshpb.ExchangeMessage{Instance: "c", Unpacks: true})
+	is.NoErr(err)
+	is.True(bytes.Equal(passedOn.PackedChanges, b.packer.kept[0].raw)) // as it was received
 	mergeChanges(a, fleet.Changes{Revision: 1001, Events: []kv.Event{put("op/config", `{"version":3}`, 1001)}})
 	b.ExchangeWith(context.Background(), a.Address) // a few changes are sent as they are
 	is.Equal(b.Fleet.View().Config.Version, int64(3))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -177,7 +177,7 @@
 	started := m.Clock.Now()
 	got, err := m.Peer(address).Exchange(ctx, m.request())
 	if err == nil {
-		err = unpackChanges(got)
+		err = m.unpackChanges(got)
 	}
 	m.recordResult(address, err)
 	if err == nil {
