fleet: after a compaction only the sources of a large failure domain read everything

The store's watches heard nothing for a second and its history went; every entry began to watch for itself, found its revision compacted and read the whole store: 985 x 4 MB, 35 s of the store's link. Data was 8 s old in the median of a failure domain and 18 at the 90th percentile, and requests of unknown routes were refused as knowledge_stale.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -260,6 +260,7 @@
 		relying := f.relies()
 		f.setRelying(relying)
 		if relying {
+			f.start.snapshotDeadline = time.Time{}
 			f.clearStoreUnreachable()
 			f.sleep(ctx, recheckInterval)
 			continue
@@ -294,14 +295,18 @@
 	if f.start.awaitsListing(f.View(), f.self) {
 		return f.awaitListing(ctx)
 	}
+	if f.clock.Now().Before(f.start.snapshotDeadline) {
+		f.sleep(ctx, recheckInterval)
+		return nil
+	}
 	wait := f.pollWait()
 	if f.start.morePending {
 		wait = time.Millisecond
 	}
 	rev, events, err := f.store.WatchOnce(ctx, "", true, after, wait)
 	if errors.Is(err, kv.ErrCompacted) {
-		f.log.Info("fleet: history since this revision was compacted; reading everything.", "revision", after)
-		return f.readAll(ctx)
+		f.log.Info("fleet: history since this revision was compacted.", "revision", after)
+		return f.reread(ctx)
 	}
 	if err != nil {
 		return err
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -89,6 +89,16 @@
 	return f.awaitListing(ctx)
 }
 
+// reread reads the store after its history was compacted, or leaves that to the sources of a large
+// failure domain.
+func (f *Follower) reread(ctx context.Context) error {
+	if f.start.snapshotDeadline.IsZero() && f.leavesReadToOthers() {
+		return nil
+	}
+	f.start.snapshotDeadline = time.Time{}
+	return f.readAll(ctx)
+}
+
 // leavesReadToOthers reports whether this entry waits for a snapshot from a source of its domain,
 // and sets until when.
 func (f *Follower) leavesReadToOthers() bool {
@@ -96,10 +106,12 @@
 	if !f.View().HasEntry(f.self.Instance) {
 		entries = append([]Entry{f.self}, entries...)
 	}
-	if !isLargeDomain(len(entries)) || selectWatchers(entries).roles[f.self.Instance] != asks {
+	selected := selectWatchers(entries)
+	domain := selected.size[f.self.Domain]
+	if !isLargeDomain(domain) || selected.roles[f.self.Instance] != asks {
 		return false
 	}
-	spread := min(2*time.Duration(len(entries))*snapshotWaitPerEntry, maxSnapshotWait-snapshotWait)
+	spread := min(2*time.Duration(domain)*snapshotWaitPerEntry, maxSnapshotWait-snapshotWait)
 	wait := snapshotWait + time.Duration(rand.Float64()*float64(spread))
 	f.start.snapshotDeadline = f.clock.Now().Add(wait)
 	f.log.Info("fleet: waiting for a snapshot from another entry.", "entries", len(entries), "for_ms", wait.Milliseconds())
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -33,6 +33,9 @@
 	items       int
 	calls       int
 	watchEvents int // most events of one watch call
+	// silent: watches hear nothing. compacted is the revision before which history is gone.
+	silent    atomic.Bool
+	compacted atomic.Int64
 }
 
 func (s *countingStore) count(items int) {
@@ -66,6 +69,13 @@
 }
 
 func (s *countingStore) WatchOnce(ctx context.Context, key string, prefix bool, after kv.Revision, wait time.Duration) (kv.Revision, []kv.Event, error) {
+	for s.silent.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if after < kv.Revision(s.compacted.Load()) {
+		s.count(0)
+		return 0, nil, kv.ErrCompacted
+	}
 	rev, events, err := s.Client.WatchOnce(ctx, key, prefix, after, wait)
 	if len(events) > s.watchEvents {
 		events = events[:s.watchEvents]
@@ -377,3 +387,35 @@
 		})
 	}
 }
+
+// Guards against every entry reading the whole store again once its history was compacted.
+func TestEntriesOfALargeFleetRereadFromFewReads(t *testing.T) {
+	for _, n := range startingSizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := newKilledFleet(t, n)
+			defer f.start(t)()
+			f.awaitStart(t, 3*n)
+			time.Sleep(3 * time.Second)
+			f.store.silent.Store(true)
+			time.Sleep(1500 * time.Millisecond)
+			f.configure(t, 2)
+			time.Sleep(1500 * time.Millisecond) // meanwhile all have begun to watch for themselves
+			rev, _, err := f.store.Client.Get(context.Background(), "op/config", false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			items := f.store.items
+			f.store.compacted.Store(int64(rev))
+			f.store.silent.Store(false)
+			took := f.await(t, func(follower *fleet.Follower) bool { return follower.View().Config.Version == 2 && follower.Current() })
+			items = f.store.items - items
+			t.Logf("%d entries: all are current after %v; the store sent %d items", n, took, items)
+			if took > 4*time.Second {
+				t.Errorf("%d entries: all are current after %v", n, took)
+			}
+			if most := 2 * (startingWatchers + n/32) * 4 * n; items > most {
+				t.Errorf("%d entries: the store sent %d items, %d at most", n, items, most)
+			}
+		})
+	}
+}
