ingress: tell endpoints that were not reached from full ones

Requests for which no endpoint accepted a connection were refused as endpoints_full with a Retry-After for full endpoints. They are endpoints_unreached now; unreached_total counts sends by reason (timeout, refused, reset), the gauge stranded says whether the entry considers itself cut off.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -315,6 +315,7 @@
 		}
 	case errors.As(err, &notSent):
 		x.end(c, place.Unreached, err.Error())
+		x.server.metrics.unreached(err)
 		x.server.Rollouts.RecordLoss(c.group, c.endpoint)
 		return errNotSent
 	case errors.Is(context.Cause(ctx), errDeadline):
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -50,6 +50,8 @@
 		return refuseLimited(limitOpensIn)
 	case restEndsIn > 0 && !full:
 		return refuseResting(restEndsIn)
+	case len(x.tried) > 0 && x.reachedNone():
+		return refuseUnreached
 	case len(x.tried) > 0:
 		return refuseEndpointsFull
 	case len(g.Ready) == 0 && len(g.Evacuated) > 0:
@@ -58,6 +60,11 @@
 	return refuseNoEndpoint
 }
 
+// reachedNone reports whether no endpoint accepted a connection for the request.
+func (x *exchange) reachedNone() bool {
+	return !slices.ContainsFunc(x.attempts, func(a attempt) bool { return a.outcome != place.Unreached })
+}
+
 // restEndsIn returns when the first of the endpoints that asked for a rest may be used, 0 if none did;
 // full reports whether one that was tried did not ask for any.
 func (x *exchange) restEndsIn(choice rollout.Choice) (first time.Duration, full bool) {
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -51,6 +51,7 @@
 	refuseMemory          = &refusal{http.StatusServiceUnavailable, "bodies_fill_memory", memoryReleaseTime}
 	refuseTooManyRequests = &refusal{http.StatusServiceUnavailable, "too_many_requests", failoverTime}
 	refuseNoEndpoint      = &refusal{http.StatusServiceUnavailable, "no_endpoint", crashDetectionTime}
+	refuseUnreached       = &refusal{http.StatusServiceUnavailable, "endpoints_unreached", crashDetectionTime}
 	refuseStranded        = &refusal{http.StatusServiceUnavailable, "entry_stranded", rebalanceTime}
 	refuseEvacuated       = &refusal{http.StatusServiceUnavailable, "endpoints_evacuated", evacuationRetryTime}
 	refuseEndpointsFull   = &refusal{http.StatusServiceUnavailable, "endpoints_full", slotReleaseTime}
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // metrics are the server's counters and histograms. To bound their cardinality, no
@@ -39,6 +40,20 @@
 
 func (m metrics) attempt(o place.Outcome) { m.attempts[o].Inc(1) }
 
+// unreached counts a send for which the endpoint did not accept a connection.
+func (m metrics) unreached(err error) {
+	m.scope.Tagged(map[string]string{"reason": upstream.Reason(err)}).Counter("unreached_total").Inc(1)
+}
+
+// stranded records whether the entry considers itself cut off from all endpoints.
+func (m metrics) stranded(is bool) {
+	value := 0.0
+	if is {
+		value = 1
+	}
+	m.scope.Gauge("stranded").Update(value)
+}
+
 func (m metrics) answer(status int, took time.Duration) {
 	class := strconv.Itoa(status/100) + "xx"
 	h, ok := m.answers[class]
--- a/ingress/stranded.go
+++ b/ingress/stranded.go
@@ -8,6 +8,7 @@
 func (s *Server) stranded() bool {
 	stranded := s.reachesNothing()
 	if s.wasStranded.Swap(stranded) != stranded {
+		s.metrics.stranded(stranded)
 		message := "ingress: entry reaches endpoints again."
 		if stranded {
 			message = "ingress: entry reaches no endpoint that it may use; sending callers elsewhere."
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -82,6 +83,20 @@
 	return c.Conn.Close()
 }
 
+// Reason classifies why a connection could not be opened: "timeout", "refused", "reset" or "other".
+func Reason(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timeout"
+	}
+	return "other"
+}
+
 var dialer = &net.Dialer{Timeout: DialTimeout, KeepAlive: -1}
 
 // Send sends a request and reads the head of its response. The call ends when
