--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -198,7 +198,7 @@
 	c.watch = x.watch(c, cancel)
 	c.hold = s.Quarantine.Hold(x.fingerprint, cancel)
 	resp, err := upstream.Send(ctx, &upstream.Request{Address: ep.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: s.HeaderCodec.Forward(x.r.Header, opts), Body: x.body, HasBody: x.hasBody, ConnectTimeout: x.connectTimeout()})
+		Header: s.HeaderCodec.Forward(x.r.Header, opts), Body: x.body, HasBody: x.hasBody, ConnectTimeout: x.connectTimeout(), Dial: s.Dial})
 	if err != nil {
 		return c, nil, x.failedSend(ctx, c, err)
 	}
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -74,6 +74,7 @@
 	quarantine        *quarantine.Table
 	limits            *ratelimit.Limits
 	loads             *mesh.LoadExchange
+	link              *link // to all endpoints
 	url               string
 	logs              *logBuffer
 }
@@ -124,7 +125,7 @@
 // newEnvInDomain is newEnvWithStore for an entry of a failure domain.
 func newEnvInDomain(t *testing.T, store *memkv.Store, clock clockwork.Clock, name, domain string) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, kv: store, logs: &logBuffer{}}
+	w := &testEnv{t: t, kv: store, link: newLink(), logs: &logBuffer{}}
 	log := slog.New(slog.NewJSONHandler(w.logs, nil))
 	w.fleet = fleet.NewFollower(fleet.Entry{Instance: name, Domain: domain}, w.kv, platform.Values{}, time.Second, clock, log)
 	board := place.NewBoard(clock)
@@ -139,7 +140,7 @@
 	w.gate = drain.NewGate(w.gateClock)
 	w.server = ingress.New(ingress.Deps{Instance: name, Domain: domain, Fleet: w.fleet, HeaderCodec: platform.Headers{}, Board: board, Rates: place.NewRates(),
 		Budget: budget, Rollouts: rollouts, Quarantine: w.quarantine, Limits: w.limits,
-		SlowStart: slowstart.New(slowstart.Deps{Instance: name, Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock}), EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedGrace: time.Second,
+		SlowStart: slowstart.New(slowstart.Deps{Instance: name, Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock}), EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedGrace: time.Second, Dial: w.link.dial,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -66,9 +66,11 @@
 	// LapsedGrace is how long an endpoint whose registration ended without
 	// notice still gets requests for which there is no other endpoint.
 	LapsedGrace time.Duration
-	Clock       clockwork.Clock
-	Log         *slog.Logger
-	Scope       tally.Scope
+	// Dial opens connections to endpoints; nil: upstream.Dial.
+	Dial  upstream.DialFunc
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	Scope tally.Scope
 }
 
 // Server serves the caller API.
@@ -81,7 +83,9 @@
 	wasStranded atomic.Bool
 }
 
-func New(d Deps) *Server { return &Server{Deps: d, metrics: newMetrics(d.Scope)} }
+func New(d Deps) *Server {
+	return &Server{Deps: d, metrics: newMetrics(d.Scope), prober: upstream.Prober{Dial: d.Dial}}
+}
 
 // Ready reports whether the server accepts new connections: it has a
 // configuration, is not stopping, and reaches endpoints that it may use.
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -53,7 +53,7 @@
 		opts.Customer = x.customer.Name
 	}
 	req := &upstream.Request{Address: trial.Endpoint.Address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: s.HeaderCodec.Forward(x.r.Header, opts), Body: x.body, HasBody: x.hasBody}
+		Header: s.HeaderCodec.Forward(x.r.Header, opts), Body: x.body, HasBody: x.hasBody, Dial: s.Dial}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), opts.Remaining)
 	context.AfterFunc(x.r.Context(), func() {
 		if !x.answered.Load() {
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -207,7 +207,7 @@
 	if silent < silentAfter || !s.Board.MayCheck(id, recheckInterval) {
 		return false
 	}
-	if err := upstream.Check(ep.Address); err != nil {
+	if err := upstream.Check(s.Dial, ep.Address); err != nil {
 		s.Log.Warn("ingress: endpoint is silent and does not accept a connection.", "endpoint", id, "silent_ms", silent.Milliseconds(), "error", err)
 		s.Board.Unreachable(ep)
 		return true
--- a/upstream/probes.go
+++ b/upstream/probes.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -22,6 +23,8 @@
 	// Window is how long an endpoint that accepts connections is probed for its exit;
 	// 0: exitWindow.
 	Window time.Duration
+	// Dial opens the connections; nil: Dial.
+	Dial   DialFunc
 	probes singleflight.Group
 }
 
@@ -42,7 +45,7 @@
 	}
 	until := time.Now().Add(window)
 	for ; ; time.Sleep(probeInterval) {
-		conn, err := dialer.Dial("tcp", address)
+		conn, err := p.dial(address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return true
@@ -57,6 +60,12 @@
 	}
 }
 
+func (p *Prober) dial(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+	defer cancel()
+	return p.Dial.orDefault()(ctx, address)
+}
+
 // staysOpen reports whether the endpoint keeps a connection open until the given time.
 func staysOpen(conn net.Conn, until time.Time) bool {
 	defer func() { _ = conn.Close() }()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -51,6 +51,16 @@
 	// ConnectTimeout bounds the time to connect; 0, or more than DialTimeout:
 	// DialTimeout.
 	ConnectTimeout time.Duration
+	// Dial opens the connection; nil: Dial.
+	Dial DialFunc
+}
+
+// DialFunc opens a connection to an address, IP:port. It returns once ctx is done.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial opens a TCP connection.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Response is a response whose body has not been read. Close must be called.
@@ -121,12 +131,20 @@
 }
 
 func connect(ctx context.Context, r *Request) (net.Conn, error) {
-	if r.ConnectTimeout <= 0 || r.ConnectTimeout >= DialTimeout {
-		return dialer.DialContext(ctx, "tcp", r.Address)
+	timeout := DialTimeout
+	if r.ConnectTimeout > 0 {
+		timeout = min(timeout, r.ConnectTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return r.Dial.orDefault()(ctx, r.Address)
+}
+
+func (d DialFunc) orDefault() DialFunc {
+	if d == nil {
+		return Dial
 	}
-	d := *dialer
-	d.Timeout = r.ConnectTimeout
-	return d.DialContext(ctx, "tcp", r.Address)
+	return d
 }
 
 func exchange(conn *Conn, r *Request) (*Response, error) {
@@ -183,9 +201,11 @@
 }
 
 // Check opens a connection to an endpoint and closes it again. It fails if the
-// endpoint is dead or partitioned.
-func Check(address string) error {
-	conn, err := dialer.Dial("tcp", address)
+// endpoint is dead or partitioned. If dial is nil, it uses Dial.
+func Check(dial DialFunc, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+	defer cancel()
+	conn, err := dial.orDefault()(ctx, address)
 	if err != nil {
 		return err
 	}
