ingress: another entry confirms that an endpoint exited

Callers would have seen: refused requests ("quarantined") that crash nothing. A link that resets its connections and refuses new ones looked like an endpoint that exited; the request that was under way became a suspect, which entries tell each other.

Cause: the probe after a broken answer trusted this entry's own link. Now another entry must be refused as well, if there is one that knows tunnels; while the link is down, only another entry is asked.

--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -28,7 +28,7 @@
 func (s *Server) noteCrash(id string, fingerprint quarantine.Fingerprint, ep fleet.Endpoint, stage quarantine.Stage) bool {
 	group := s.Fleet.View().Group(ep.Service)
 	known := group != nil && (group.IsReady(ep.ID) || group.HasLapsed(ep.ID))
-	if !known || !s.prober.ExitedBy(ep.Address, s.Egress.DialDirect(ep)) {
+	if !known || !s.exited(ep) {
 		s.Log.Info("ingress: answer broke off, endpoint did not crash.", "id", id, "fingerprint", fingerprint.String(), "endpoint", ep.ID, "stage", stage.String(), "leaving", !known)
 		return false
 	}
@@ -37,6 +37,20 @@
 	return true
 }
 
+// exited reports whether an endpoint's process has ended. What this entry's own link shows may be the
+// link's fault, so that another entry is asked too, if there is one.
+func (s *Server) exited(ep fleet.Endpoint) bool {
+	if _, down := s.Egress.DownSince(ep.Service); !down {
+		if !s.prober.ExitedBy(ep.Address, s.Egress.DialDirect(ep)) {
+			return false
+		}
+		if !s.Egress.HasPeers() {
+			return true
+		}
+	}
+	return s.peerProber.ExitedBy(ep.Address, s.Egress.DialThroughPeers(ep))
+}
+
 // checkQuarantine refuses a request that crashes endpoints.
 func (x *exchange) checkQuarantine() *refusal {
 	v := x.server.Quarantine.Check(x.fingerprint)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -79,7 +79,8 @@
 	Deps
 	metrics   metrics
 	bodyBytes atomic.Int64
-	prober    upstream.Prober
+	// prober checks endpoints over this entry's own link, peerProber through other entries.
+	prober, peerProber upstream.Prober
 	// wasStranded is the last result of stranded, to log its changes.
 	wasStranded atomic.Bool
 }
