concurrency: entries together keep within the places of brittle endpoints

Cause: each entry sends to the endpoint that looks least loaded, by reports that are older than the time in which the endpoint fills, and tries two more after "full". What one entry may risk falls with the number of entries, and none knew what the others sent.

Change: while a service's endpoints are brittle, each request takes a place from the endpoint's owner among the entries (package concurrency): the slots, and one more to wait for each three seconds without a request turned away, up to an eighth. Owners are found as those of rate limits are; entries tell them of ended requests within milliseconds. All ways of sending ask (first send, retry, resume, larger model, copy). Entries tell each other in exchanges which services are brittle.

Weighed: a fixed share of the slots for each entry (nothing to ask, but with more entries than slots most entries could send nothing); a share of the bearable refusals for each entry (reports are too late under twice the load, as the failing test showed); an owner that counts, as here.

New tests of places, overtaken messages, dead owners and refusals.

--- a/call/call.go
+++ b/call/call.go
@@ -99,6 +99,9 @@
 	// Limit is how many requests a second the endpoint accepts from all entries
 	// together; 0: unlimited.
 	Limit float64
+	// Brittle is how many requests a second the endpoint can turn away without falling over; 0: any
+	// number.
+	Brittle int
 	// Rest is how long the endpoint, which turned the request away, wants no further ones from this
 	// entry; 0: it does not say.
 	Rest time.Duration
--- /dev/null
+++ b/concurrency/ledger.go
@@ -0,0 +1,157 @@
+package concurrency
+
+import (
+	"time"
+
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+const (
+	// placesTTL is how long the places of an entry that is not heard count as in use.
+	placesTTL = 4 * time.Second
+	// learningTime is how long a new owner grants at most half of the places: it does not know all of
+	// those in use.
+	learningTime = renewInterval + 500*time.Millisecond
+	// An endpoint that turns requests away gets no more for refusedDelay, doubling with each time up
+	// to maxRefusedDelay, until it has turned none away for calmAfter.
+	refusedDelay    = 300 * time.Millisecond
+	maxRefusedDelay = 2400 * time.Millisecond
+	calmAfter       = 5 * time.Second
+	// Beyond its slots, an endpoint gets one request more to keep waiting with each waitingStep, up to
+	// its slots divided by maxWaitingShare, and none for noWaitingFor after it turned one away.
+	waitingStep     = 3 * time.Second
+	maxWaitingShare = 8
+	noWaitingFor    = 20 * time.Second
+	// forgetLedgerAfter is how long an owner keeps an endpoint that nobody asks for.
+	forgetLedgerAfter = 30 * time.Second
+)
+
+// ledger is an owner's record of the places in use at an endpoint.
+type ledger struct {
+	since   time.Time // when this entry became the owner
+	askedAt time.Time
+	inUse   map[string]use // by entry
+	// closedUntil and delay apply after refusals.
+	closedUntil time.Time
+	delay       time.Duration
+	refusedAt   time.Time
+}
+
+type use struct {
+	places         int
+	at             time.Time
+	boot, sequence uint64 // of the message that said so
+}
+
+// note records the places that an entry has, and reports whether its message was the latest.
+func (g *ledger) note(a Ask, now time.Time) bool {
+	u := g.inUse[a.Entry]
+	if u.boot == a.Boot && a.Sequence <= u.sequence {
+		return false
+	}
+	g.inUse[a.Entry] = use{a.InUse, now, a.Boot, a.Sequence}
+	return true
+}
+
+// total returns the places in use.
+func (g *ledger) total(now time.Time) int {
+	sum := 0
+	for entry, u := range g.inUse {
+		if now.Sub(u.at) > placesTTL {
+			delete(g.inUse, entry)
+			continue
+		}
+		sum += u.places
+	}
+	return sum
+}
+
+// waiting returns how many requests the endpoint may have waiting.
+func (g *ledger) waiting(slots int, now time.Time) int {
+	if !g.refusedAt.IsZero() && now.Sub(g.refusedAt) < noWaitingFor {
+		return 0
+	}
+	return min(int(now.Sub(g.since)/waitingStep), max(1, slots/maxWaitingShare))
+}
+
+// noteRefused records that the endpoint turned requests away although it was granted places for them.
+func (g *ledger) noteRefused(now time.Time) {
+	if now.Before(g.closedUntil) {
+		return // sent before the endpoint was closed
+	}
+	if now.Sub(g.refusedAt) > calmAfter {
+		g.delay = 0
+	}
+	g.delay = min(max(refusedDelay, 2*g.delay), maxRefusedDelay)
+	g.refusedAt, g.closedUntil = now, now.Add(g.delay)
+}
+
+// Grant answers an entry that takes this one for the owner of an endpoint.
+func (l *Limiter) Grant(a Ask) Verdict {
+	now := l.Clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.Brittle > 0 {
+		l.noteAskLocked(a, now)
+	}
+	g := l.ledgerLocked(a.Endpoint, now)
+	g.askedAt = now
+	latest := g.note(a, now)
+	if a.Refused > 0 {
+		g.noteRefused(now)
+		l.Log.Info("concurrency: brittle endpoint turned requests away; it gets none for a while.", "short_id", a.Endpoint, "entry", a.Entry, "requests", a.Refused, "ms", g.delay.Milliseconds())
+		l.Scope.Counter("refused").Inc(int64(a.Refused))
+	}
+	if a.Update {
+		return Verdict{}
+	}
+	if wait := g.closedUntil.Sub(now); wait > 0 {
+		return Verdict{Wait: wait}
+	}
+	places := a.Slots + g.waiting(a.Slots, now)
+	if l.standsInLocked(a) || now.Sub(g.since) < learningTime {
+		places = max(1, places/2)
+	}
+	needed := 1
+	if !latest {
+		needed = 0 // a later message of the entry counts this place as in use
+	}
+	if g.total(now)+needed > places {
+		return Verdict{Wait: spread(deniedDelay)}
+	}
+	u := g.inUse[a.Entry]
+	u.places += needed
+	g.inUse[a.Entry] = u
+	return Verdict{Granted: true}
+}
+
+// noteAskLocked learns from a question that a service is brittle.
+func (l *Limiter) noteAskLocked(a Ask, now time.Time) {
+	if _, known := l.brittle[a.Service]; !known {
+		l.observeLocked(a.Service, a.Brittle, now)
+	}
+}
+
+func (l *Limiter) ledgerLocked(short uint32, now time.Time) *ledger {
+	g := l.owned[short]
+	if g == nil {
+		for id, other := range l.owned {
+			if now.Sub(other.askedAt) > forgetLedgerAfter {
+				delete(l.owned, id)
+			}
+		}
+		g = &ledger{since: now, inUse: map[string]use{}}
+		l.owned[short] = g
+	}
+	return g
+}
+
+// standsInLocked reports whether this entry is asked in place of another one that may grant places
+// too.
+func (l *Limiter) standsInLocked(a Ask) bool {
+	if l.Owners == nil {
+		return false
+	}
+	first := rendezvous(l.Entries(), a.Endpoint, a.Domain, func(fleet.Entry) bool { return true }, l.Instance)
+	return first.Instance != l.Instance
+}
--- /dev/null
+++ b/concurrency/limiter_test.go
@@ -0,0 +1,198 @@
+package concurrency
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+const service = "svc"
+
+// testFleet is entries that ask each other without a network.
+type testFleet struct {
+	clock    *clockwork.FakeClock
+	entries  []fleet.Entry
+	limiters map[string]*Limiter
+
+	mu   sync.Mutex
+	dead map[string]bool
+	asks int
+}
+
+func newFleet(n int) *testFleet {
+	f := &testFleet{clock: clockwork.NewFakeClock(), limiters: map[string]*Limiter{}, dead: map[string]bool{}}
+	for i := range n {
+		f.entries = append(f.entries, fleet.Entry{Instance: fmt.Sprint("i", i), Domain: "d1"})
+	}
+	for _, e := range f.entries {
+		f.limiters[e.Instance] = New(Deps{Instance: e.Instance, Entries: func() []fleet.Entry { return f.entries }, Owners: f, Clock: f.clock, Log: slog.New(slog.DiscardHandler)})
+		f.limiters[e.Instance].Observe(service, 3)
+	}
+	return f
+}
+
+// TakePlace implements Owners.
+func (f *testFleet) TakePlace(_ context.Context, owner fleet.Entry, ask Ask) (Verdict, error) {
+	f.mu.Lock()
+	f.asks++
+	dead := f.dead[owner.Instance]
+	f.mu.Unlock()
+	if dead {
+		return Verdict{}, errors.New("no answer")
+	}
+	return f.limiters[owner.Instance].Grant(AskOf(ask.Message())), nil
+}
+
+// renew tells all owners of all places.
+func (f *testFleet) renew() {
+	for _, l := range f.limiters {
+		l.mu.Lock()
+		var asks []Ask
+		var owners []fleet.Entry
+		for _, e := range l.endpoints {
+			a := l.askLocked(e, 3)
+			a.Update = true
+			asks, owners = append(asks, a), append(owners, l.ownerLocked(e.ep, f.clock.Now()))
+		}
+		l.mu.Unlock()
+		for i, a := range asks {
+			_, _ = l.ask(context.Background(), owners[i], a)
+		}
+	}
+}
+
+// Guards against more requests at a brittle endpoint than it has slots, whichever entries send and end
+// them in whatever order, and against places that are lost.
+func TestEntriesTogetherKeepWithinTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 4
+		f := newFleet(rapid.IntRange(1, 9).Draw(t, "entries"))
+		ep := fleet.Endpoint{ID: "e1", Service: service, Domain: "d1", Slots: slots}
+		var held []*Place
+		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			if f.clock.Advance(2 * deniedDelay); step%20 == 0 { // within renewInterval
+				f.renew()
+			}
+			if len(held) > 0 && rapid.Bool().Draw(t, "end") {
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "which")
+				held[i].Release(false)
+				held[i].Release(false) // has no effect
+				held = append(held[:i], held[i+1:]...)
+				if rapid.Bool().Draw(t, "told") {
+					f.renew()
+				}
+				continue
+			}
+			l := f.limiters[f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")].Instance]
+			if p, ok := l.Take(context.Background(), ep); ok {
+				held = append(held, p)
+			}
+			if len(held) > slots+1 { // one may wait after some time without refusals
+				t.Fatalf("%d requests at %d slots", len(held), slots)
+			}
+		}
+		for _, p := range held {
+			p.Release(false)
+		}
+		f.clock.Advance(renewInterval)
+		f.renew()
+		f.clock.Advance(learningTime) // of the owner, if it was not asked before
+		for i := range slots {
+			l := f.limiters[f.entries[i%len(f.entries)].Instance]
+			if _, ok := l.Take(context.Background(), ep); !ok {
+				t.Fatalf("place %d of %d is lost", i+1, slots)
+			}
+		}
+	})
+}
+
+// Guards against counting places by a message that a later one has overtaken.
+func TestOvertakenMessagesDoNotFreePlaces(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+	l := f.limiters["i0"]
+	f.clock.Advance(learningTime)
+	l.Grant(Ask{Entry: "a", Endpoint: 1, Service: service, Slots: 2, Boot: 7, Sequence: 1, Update: true})
+	f.clock.Advance(learningTime)
+	is.True(l.Grant(Ask{Entry: "a", Endpoint: 1, Service: service, Slots: 2, Boot: 7, Sequence: 4, InUse: 1}).Granted)
+	l.Grant(Ask{Entry: "a", Endpoint: 1, Service: service, Slots: 2, Boot: 7, Sequence: 3, InUse: 0, Update: true}) // overtaken
+	is.True(!l.Grant(Ask{Entry: "b", Endpoint: 1, Service: service, Slots: 2, Boot: 9, Sequence: 1}).Granted)
+	l.Grant(Ask{Entry: "a", Endpoint: 1, Service: service, Slots: 2, Boot: 8, Sequence: 1, InUse: 0, Update: true}) // it started again
+	is.True(l.Grant(Ask{Entry: "b", Endpoint: 1, Service: service, Slots: 2, Boot: 9, Sequence: 2}).Granted)
+}
+
+// Guards against an endpoint that nobody may use because its owner is dead, and against its stand-in
+// granting what the owner may have granted.
+func TestAnotherEntryStandsInForADeadOwner(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5)
+	ep := fleet.Endpoint{ID: "e1", Service: service, Domain: "d1", Slots: 4}
+	owner := f.limiters["i0"].ownerLocked(ep, f.clock.Now())
+	f.dead[owner.Instance] = true
+	granted := 0
+	for range 40 {
+		f.clock.Advance(100 * time.Millisecond)
+		for _, e := range f.entries {
+			if e.Instance == owner.Instance {
+				continue
+			}
+			if _, ok := f.limiters[e.Instance].Take(context.Background(), ep); ok {
+				granted++
+			}
+		}
+	}
+	is.Equal(granted, 2)
+}
+
+// Guards against sending more to an endpoint that turns requests away although it was granted places.
+func TestAnEndpointThatTurnsRequestsAwayGetsNoneForAWhile(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	ep := fleet.Endpoint{ID: "e1", Service: service, Domain: "d1", Slots: 4}
+	refused := 0
+	for range 100 { // ten seconds
+		f.clock.Advance(100 * time.Millisecond)
+		for _, l := range f.limiters {
+			if p, ok := l.Take(context.Background(), ep); ok {
+				p.Release(true)
+				refused++
+			}
+		}
+		for _, l := range f.limiters {
+			l.update(context.Background(), false)
+		}
+		time.Sleep(time.Millisecond) // updates are sent in the background
+	}
+	t.Logf("%d requests turned away in ten seconds", refused)
+	is.True(refused <= 20) // two a second
+}
+
+// Guards against asking owners while no service is brittle.
+func TestNobodyIsAskedWhileNoServiceIsBrittle(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	for _, l := range f.limiters {
+		l.Observe(service, 0)
+		p, ok := l.Take(context.Background(), fleet.Endpoint{ID: "e1", Service: service})
+		is.True(ok)
+		p.Release(false)
+		is.Equal(l.Wait(fleet.Endpoint{ID: "e1", Service: service}), time.Duration(0))
+	}
+	is.Equal(f.asks, 0)
+	l := f.limiters["i0"]
+	l.Merge([]Brittle{{service, 2, time.Second}})
+	is.True(l.Any())
+	f.clock.Advance(brittleTTL)
+	_, _ = l.Take(context.Background(), fleet.Endpoint{ID: "e1", Service: service})
+	is.True(!l.Any())
+}
--- a/edge/module.go
+++ b/edge/module.go
@@ -12,6 +12,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -79,6 +80,7 @@
 			place.NewBoard,
 			place.NewRates,
 			newLimits,
+			newConcurrency,
 			newSlowStart,
 			newLoadExchange,
 			newBudget,
@@ -90,7 +92,7 @@
 			newIngress,
 		),
 		fx.StopTimeout(o.Settings.Bounds.Grace()+stopTimeoutMargin),
-		fx.Invoke(runFollower, runMesh, runLoadExchange, runEgress, runRollouts, runQuarantine, runRegistration, runReload, serve),
+		fx.Invoke(runFollower, runMesh, runLoadExchange, runEgress, runConcurrency, runRollouts, runQuarantine, runRegistration, runReload, serve),
 		fx.NopLogger,
 	)
 }
@@ -139,8 +141,8 @@
 	return quarantine.New(quarantine.Deps{Store: c, View: f.View, Clock: clock, Log: log})
 }
 
-func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
-	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: limits, Clock: clock, Log: log})
+func newMesh(s *Settings, f *fleet.Follower, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, clock clockwork.Clock, log *slog.Logger) *mesh.Mesh {
+	return mesh.New(mesh.Deps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, LinkMbps: s.LinkMbps, Seeds: s.Seeds, Fleet: f, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, Clock: clock, Log: log})
 }
 
 func newLimits(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ratelimit.Limits {
@@ -148,6 +150,11 @@
 		Owners: mesh.NewLimitOwners(), Clock: clock, Log: log, Scope: m.Scope.SubScope("ratelimit")})
 }
 
+func newConcurrency(s *Settings, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *concurrency.Limiter {
+	return concurrency.New(concurrency.Deps{Instance: s.Instance, Entries: func() []fleet.Entry { return f.View().Entries }, Owners: mesh.NewLimitOwners(),
+		Clock: clock, Log: log, Scope: m.Scope.SubScope("concurrency")})
+}
+
 func newSlowStart(s *Settings, f *fleet.Follower, clock clockwork.Clock, m *telemetry.Metrics) *slowstart.Gate {
 	return slowstart.New(slowstart.Deps{Instance: s.Instance, Entries: func() []fleet.Entry { return f.View().Entries }, Clock: clock, Scope: m.Scope.SubScope("slowstart")})
 }
@@ -169,9 +176,9 @@
 	return &egress.Server{Dialer: d, Gate: gate, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
 }
 
-func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, slowStart *slowstart.Gate,
+func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
 	gate *drain.Gate, dialer *egress.Dialer, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
-	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits, SlowStart: slowStart,
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
 		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/internal/background"
@@ -31,6 +32,8 @@
 
 func runEgress(lc fx.Lifecycle, d *egress.Dialer) { background.Run(lc, d.Run, nil) }
 
+func runConcurrency(lc fx.Lifecycle, l *concurrency.Limiter) { background.Run(lc, l.Run, nil) }
+
 func runRollouts(lc fx.Lifecycle, r *rollout.Controller) {
 	background.Run(lc, background.Every(rollout.Interval, r.Tick), nil)
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -61,10 +62,11 @@
 	denied        map[string]int // endpoints whose limits had no room when asked, by version
 	retryReserved bool           // the next retry was already taken from the budget
 	reserved      *reservation
-	unreached     int  // sends for which no connection was accepted
-	misdirected   int  // sends that another endpoint answered
-	model         int  // index into the route's models
-	started       bool // a part of the answer was sent to the caller
+	place         *concurrency.Place // at the endpoint of the next send, if it is brittle
+	unreached     int                // sends for which no connection was accepted
+	misdirected   int                // sends that another endpoint answered
+	model         int                // index into the route's models
+	started       bool               // a part of the answer was sent to the caller
 	status        int
 	outcome       string
 	attempts      []attempt
@@ -147,6 +149,7 @@
 	group        *fleet.Group
 	endpoint     fleet.Endpoint
 	ticket       *place.Ticket
+	place        *concurrency.Place
 	resp         *upstream.Response
 	head         call.ResponseMetadata
 	cancel       context.CancelFunc
@@ -175,6 +178,7 @@
 	a := &x.attempts[c.attemptIndex]
 	a.outcome, a.cause = o, cause
 	x.server.metrics.attempt(o)
+	c.place.Release(o == place.Refused)
 }
 
 // send sends the request to one endpoint and reads the head of its response.
@@ -188,10 +192,12 @@
 	if ref != nil {
 		return nil, ref, nil
 	}
+	taken := x.place
+	x.place = nil
 	ep := best.Endpoint
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
-	c := &upstreamCall{group: group, endpoint: ep, ticket: s.Board.Begin(ep, s.Rates.PrefillTime(x.modelName(), x.metadata.Usage.Prompt)), cancel: cancel, attemptIndex: len(x.attempts), expectedWait: best.Standing.Wait}
+	c := &upstreamCall{group: group, endpoint: ep, place: taken, ticket: s.Board.Begin(ep, s.Rates.PrefillTime(x.modelName(), x.metadata.Usage.Prompt)), cancel: cancel, attemptIndex: len(x.attempts), expectedWait: best.Standing.Wait}
 	x.attempts = append(x.attempts, attempt{endpoint: ep, lapsed: group.HasLapsed(ep.ID), model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received)})
 	opts := call.ForwardOptions{Endpoint: ep.Name, Remaining: x.remaining(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	opts.Urgency, opts.SetUrgency = x.urgency()
@@ -259,20 +265,41 @@
 	return ref == nil
 }
 
-// mayUse takes a request from what a cold endpoint bears, and from the limit of an endpoint, if it has
-// one. The endpoint may have asked for a rest since it was picked.
+// mayUse takes a request from what a cold endpoint bears, from the limit of an endpoint, if it has one,
+// and from the places of a brittle one. The endpoint may have asked for a rest since it was picked.
 func (x *exchange) mayUse(ctx context.Context, g *fleet.Group, ep fleet.Endpoint) bool {
 	if !x.server.SlowStart.Take(ep, g.Service) {
 		return false
 	}
 	if !x.server.Limits.Take(ctx, ep, x.headroom) {
-		if x.denied == nil {
-			x.denied = map[string]int{}
-		}
-		x.denied[ep.Version]++
+		x.noteDenied(ep)
+		return false
+	}
+	taken, ok := x.server.Concurrency.Take(ctx, ep)
+	if !ok {
+		x.noteDenied(ep)
 		return false
 	}
-	return x.server.Board.Resting(ep.ID) == 0
+	if x.server.Board.Resting(ep.ID) > 0 {
+		taken.Release(false)
+		return false
+	}
+	x.place = taken
+	return true
+}
+
+// noteDenied records that an endpoint was asked for in vain.
+func (x *exchange) noteDenied(ep fleet.Endpoint) {
+	if x.denied == nil {
+		x.denied = map[string]int{}
+	}
+	x.denied[ep.Version]++
+}
+
+// releaseReserved gives back what was reserved for a send that did not follow.
+func (x *exchange) releaseReserved() {
+	x.place.Release(false)
+	x.place = nil
 }
 
 // readHead decodes the head of an endpoint's answer, and records what the endpoint says of itself.
@@ -284,6 +311,9 @@
 	if head.Limit > 0 || head.Sealed {
 		s.Limits.Observe(ep, head.Limit)
 	}
+	if head.Sealed || head.NotRun {
+		s.Concurrency.Observe(ep.Service, head.Brittle)
+	}
 	if head.Rest > 0 {
 		s.Board.Rest(ep, head.Rest)
 		s.Log.Info("ingress: endpoint asks for a rest.", "endpoint", ep.ID, "ms", head.Rest.Milliseconds())
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -87,6 +87,9 @@
 	// maxDenied is how many endpoints of a version are asked in vain for one request; each takes a
 	// round trip.
 	maxDenied = 3
+	// maxDeniedPlaces is the same for places at brittle endpoints, which are free again after each
+	// request.
+	maxDeniedPlaces = 5
 	// deniedDelay is when a caller may retry whose request asked that many in vain.
 	deniedDelay = 100 * time.Millisecond
 )
@@ -94,12 +97,17 @@
 // closed returns a filter for endpoints that are cold or at their limits and have no room for the
 // request, and records in opensIn when the first of them has.
 func (x *exchange) closed(g *fleet.Group, choice rollout.Choice, opensIn *time.Duration) func(fleet.Endpoint) bool {
-	limitWait := func(fleet.Endpoint) time.Duration { return 0 }
+	limitWait := func(ep fleet.Endpoint) time.Duration {
+		if x.denied[ep.Version] >= maxDeniedPlaces {
+			return deniedDelay
+		}
+		return 0
+	}
 	if x.server.Limits.Any() {
 		limitWait = x.limitWait(choice)
 	}
 	return func(ep fleet.Endpoint) bool {
-		wait := max(limitWait(ep), x.server.SlowStart.Wait(ep, g.Service))
+		wait := max(limitWait(ep), x.server.SlowStart.Wait(ep, g.Service), x.server.Concurrency.Wait(ep))
 		if wait > 0 && (*opensIn == 0 || wait < *opensIn) {
 			*opensIn = wait
 		}
@@ -119,7 +127,7 @@
 	}
 	return func(ep fleet.Endpoint) time.Duration {
 		wait := limits.Wait(ep, x.headroom)
-		if wait == 0 && x.denied[ep.Version] >= maxDenied && limits.Limit(ep) > 0 {
+		if wait == 0 && (x.denied[ep.Version] >= maxDenied && limits.Limit(ep) > 0 || x.denied[ep.Version] >= maxDeniedPlaces) {
 			wait = deniedDelay
 		}
 		return wait
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
+	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -54,6 +55,8 @@
 	Quarantine *quarantine.Table
 	// Limits are the rate limits that endpoints announce.
 	Limits *ratelimit.Limits
+	// Concurrency bounds the requests at brittle endpoints.
+	Concurrency *concurrency.Limiter
 	// SlowStart bounds the requests to cold endpoints.
 	SlowStart        *slowstart.Gate
 	EscalationPolicy cascade.EscalationPolicy
@@ -121,6 +124,7 @@
 		return
 	}
 	defer s.bodyBytes.Add(-int64(len(x.body)))
+	defer x.releaseReserved()
 	x.fingerprint = x.fingerprintOf()
 	if ref := x.checkQuarantine(); ref != nil {
 		x.refuse(ref)
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -95,6 +95,12 @@
 		s.Log.Info("ingress: copy not sent, the endpoint is cold or at its limit.", "id", id, "endpoint", ep.ID, "version", ep.Version)
 		return
 	}
+	taken, ok := s.Concurrency.Take(ctx, ep)
+	if !ok {
+		s.Log.Info("ingress: copy not sent, the endpoint is brittle and has no place.", "id", id, "endpoint", ep.ID, "version", ep.Version)
+		return
+	}
+	defer taken.Release(false)
 	begun := s.Clock.Now()
 	ticket := s.Board.Begin(ep, 0)
 	resp, err := upstream.Send(ctx, req)
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
@@ -49,6 +50,22 @@
 	return m.Limits.Grant(ratelimit.AskOf(in)).Message(), nil
 }
 
+var _ concurrency.Owners = LimitOwners{}
+
+// TakePlace implements concurrency.Owners.
+func (o LimitOwners) TakePlace(ctx context.Context, owner fleet.Entry, ask concurrency.Ask) (concurrency.Verdict, error) {
+	got, err := meshpb.NewMeshProtobufClient("http://"+owner.Address, o.http).TakePlace(ctx, ask.Message())
+	if err != nil {
+		return concurrency.Verdict{}, trace.Wrap(err, "owner %s at %s", owner.Instance, owner.Address)
+	}
+	return concurrency.VerdictOf(got), nil
+}
+
+// TakePlace implements meshpb.Mesh.
+func (m *Mesh) TakePlace(_ context.Context, in *meshpb.TakePlaceRequest) (*meshpb.TakePlaceResponse, error) {
+	return m.Concurrency.Grant(concurrency.AskOf(in)).Message(), nil
+}
+
 // publishLimits sends the limits, after each request to an endpoint that names one, to the entries
 // that count such requests by reports, until ctx ends. It bypasses the send limiter: load
 // datagrams are paced, and those entries would use up the limit meanwhile. The limit itself keeps
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/quarantine"
@@ -78,6 +79,8 @@
 	Quarantine *quarantine.Table
 	// Limits are the rate limits named by endpoints.
 	Limits *ratelimit.Limits
+	// Concurrency bounds the requests at brittle endpoints.
+	Concurrency *concurrency.Limiter
 	// Peer returns a client of the entry at an address; nil: by HTTP.
 	Peer  func(address string) meshpb.Mesh
 	Clock clockwork.Clock
@@ -111,6 +114,9 @@
 		IdleConnTimeout:     15 * time.Second,
 		DisableCompression:  true,
 	}
+	if d.Concurrency == nil {
+		d.Concurrency = concurrency.New(concurrency.Deps{Instance: d.Instance, Clock: d.Clock, Log: d.Log})
+	}
 	if d.Peer == nil {
 		client := &http.Client{Transport: t}
 		d.Peer = func(address string) meshpb.Mesh { return meshpb.NewMeshProtobufClient("http://"+address, client) }
@@ -266,6 +272,7 @@
 	}
 	out.Suspects = m.Quarantine.Message()
 	out.Limits = m.Limits.Message()
+	out.Brittle = m.Concurrency.Message()
 	for _, d := range m.Fleet.Departures() {
 		out.Departures = append(out.Departures, &meshpb.Departure{Endpoint: string(d.Endpoint), AgeMs: uint32(d.Age.Milliseconds())})
 	}
@@ -287,6 +294,7 @@
 	m.mergeRollouts(in)
 	m.Quarantine.MergeMessage(in.Suspects)
 	m.Limits.MergeMessage(in.Limits)
+	m.Concurrency.MergeMessage(in.Brittle)
 	m.mergeDepartures(in)
 	out := m.response()
 	after := kv.Revision(in.Revision)
@@ -334,6 +342,7 @@
 	m.mergeRollouts(got)
 	m.Quarantine.MergeMessage(got.Suspects)
 	m.Limits.MergeMessage(got.Limits)
+	m.Concurrency.MergeMessage(got.Brittle)
 	m.mergeDepartures(got)
 }
 
