egress: entries that are briefly doubtful stay ways to the endpoints; soak: entries cut off in turn

Requests at entries that have been cut off for 3 s are compared with those at the others.

Now an entry that is asked while its link has just gone down checks it first, searches start from the time when some entry last reached the service, and a service that was reached within a second is tried.

--- a/egress/checks.go
+++ b/egress/checks.go
@@ -30,7 +30,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		r := d.links.takeRound()
+		r := d.links.takeRound(d.peers.reachedAt)
 		for _, service := range r.searches {
 			running.Go(func() { d.search(ctx, service) })
 		}
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -19,13 +19,15 @@
 const (
 	// maxPeersTried bounds the entries that one connection is tried through.
 	maxPeersTried = 3
-	// searchWait is how long a connection waits for the first search for other entries, which
-	// takes until searchedBy after the link went down.
+	// searchWait is how long a connection waits for a search for other entries. The first one takes
+	// until searchedBy after the link went down.
 	searchWait = 250 * time.Millisecond
 	searchedBy = time.Second
 	// failuresToGiveUp is how many endpoints must have failed, while no entry reaches any, for a
 	// service to count as out of reach.
 	failuresToGiveUp = 8
+	// reachedLately is how long after some entry reached a service it is worth a try.
+	reachedLately = time.Second
 )
 
 // ErrNoPath says that the entry's own link to the endpoints is down, and no other entry connects it.
@@ -168,7 +170,8 @@
 	found := d.peers.await()
 	conn, err := d.tryPeers(ctx, ep, timeout, p, tried)
 	since, down := d.links.downSince(ep.Service)
-	if !errors.Is(err, ErrNoPath) || !down || d.Clock.Since(since) > searchedBy {
+	searching := d.Clock.Since(since) <= searchedBy || d.Clock.Since(d.peers.reachedAt(ep.Service)) < reachedLately
+	if !errors.Is(err, ErrNoPath) || !down || !searching {
 		return conn, err
 	}
 	select {
@@ -282,10 +285,10 @@
 // Reaches reports whether a service's endpoints may be reached, directly or through other entries.
 func (d *Dialer) Reaches(g *fleet.Group) bool {
 	since, down := d.links.downSince(g.Service.Name)
-	if !down || d.Clock.Since(since) < searchWait || len(d.peers.reaching(g.Service.Name)) > 0 {
+	if !down || d.Clock.Since(since) < searchWait || d.Clock.Since(d.peers.reachedAt(g.Service.Name)) < reachedLately {
 		return true
 	}
-	return d.links.failures(g.Service.Name) < min(len(g.Ready), failuresToGiveUp)
+	return len(d.peers.reaching(g.Service.Name)) > 0 || d.links.failures(g.Service.Name) < min(len(g.Ready), failuresToGiveUp)
 }
 
 // Serving returns how many tunnels this entry serves for others.
--- a/egress/links.go
+++ b/egress/links.go
@@ -18,8 +18,8 @@
 	failureTTL = 3 * time.Second
 	// provenFor is how long a connection proves that the link is up.
 	provenFor = 2 * time.Second
-	// Other entries are asked at intervals that grow with the time that a link has been down, which
-	// it is at all entries if the endpoints have crashed.
+	// Other entries are asked at intervals that grow with the time since any was known to reach the
+	// service: if its endpoints have crashed, all entries ask.
 	searchBackoff     = 4
 	maxSearchInterval = time.Second
 )
@@ -167,8 +167,8 @@
 	anyDown  bool
 }
 
-// takeRound returns what is due.
-func (l *links) takeRound() round {
+// takeRound returns what is due; reachedAt tells when another entry last reached a service.
+func (l *links) takeRound(reachedAt func(service string) time.Time) round {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -183,7 +183,11 @@
 			continue
 		}
 		out.anyDown = true
-		interval := min(now.Sub(s.downSince)/searchBackoff, maxSearchInterval)
+		lost := s.downSince
+		if at := reachedAt(name); at.After(lost) {
+			lost = at
+		}
+		interval := min(now.Sub(lost)/searchBackoff, maxSearchInterval)
 		if s.searchedAt.Before(s.downSince) || now.Sub(s.searchedAt) >= interval {
 			s.searchedAt = now
 			out.searches = append(out.searches, name)
--- a/egress/peers.go
+++ b/egress/peers.go
@@ -38,7 +38,8 @@
 
 	mu        sync.Mutex
 	byAddress map[string]*peer
-	found     chan struct{} // closed and replaced when a peer is found to reach a service
+	reached   map[string]time.Time // services, with when any peer last said or showed that it reaches them
+	found     chan struct{}        // closed and replaced when a peer is found to reach a service
 }
 
 type peer struct {
@@ -56,7 +57,7 @@
 }
 
 func newPeers(clock clockwork.Clock) *peers {
-	return &peers{clock: clock, byAddress: map[string]*peer{}, found: make(chan struct{})}
+	return &peers{clock: clock, byAddress: map[string]*peer{}, reached: map[string]time.Time{}, found: make(chan struct{})}
 }
 
 func (p *peers) getLocked(address string, now time.Time) *peer {
@@ -96,6 +97,7 @@
 
 func (p *peers) reachesLocked(address, service string, now time.Time) {
 	q := p.getLocked(address, now)
+	p.reached[service] = now
 	known := now.Sub(q.reaches[service]) <= reachTTL
 	q.reaches[service], q.foreign = now, time.Time{}
 	delete(q.avoided, service)
@@ -136,6 +138,13 @@
 	return p.found
 }
 
+// reachedAt returns when a peer was last known to reach a service.
+func (p *peers) reachedAt(service string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reached[service]
+}
+
 // reaching returns the addresses of entries known to reach a service.
 func (p *peers) reaching(service string) []string {
 	now := p.clock.Now()
--- a/egress/server.go
+++ b/egress/server.go
@@ -52,7 +52,7 @@
 		return
 	}
 	service := r.URL.Query().Get("service")
-	if why := s.unavailable(service); why != "" {
+	if why := s.unavailable(r.Context(), service); why != "" {
 		s.refuse(w, service, why)
 		return
 	}
@@ -64,8 +64,11 @@
 }
 
 // unavailable returns why this entry opens no tunnels to a service now; empty: it does.
-func (s *Server) unavailable(service string) string {
-	_, down := s.Dialer.links.downSince(service)
+func (s *Server) unavailable(ctx context.Context, service string) string {
+	since, down := s.Dialer.links.downSince(service)
+	if down && s.Dialer.Clock.Since(since) < checkInterval { // not checked yet
+		down = !s.Dialer.check(ctx, service)
+	}
 	switch {
 	case s.Gate.Stopping():
 		return "stopping"
@@ -94,7 +97,7 @@
 	defer s.Dialer.serving.Add(-1)
 	s.Dialer.serving.Add(1)
 	service := r.Header.Get(headerService)
-	if why := s.unavailable(service); why != "" || !open {
+	if why := s.unavailable(r.Context(), service); why != "" || !open {
 		s.refuse(w, service, why)
 		return
 	}
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -75,6 +75,7 @@
 	*process
 	callers    string // address that it serves callers on
 	storeProxy *Proxy
+	egress     *Egress // between it and all engines; nil: none
 }
 
 // engine is an engine stand-in process with the proxy in front of it.
@@ -99,12 +100,13 @@
 	version      int64
 	processes    []*process
 	ctl          string
+	cuts         bool          // entries have a proxy between them and all engines
 	grace        time.Duration // time of entries between SIGTERM and SIGKILL
 }
 
 // newCluster starts the store, engines and entries.
 func newCluster(o Options) (*cluster, error) {
-	c := &cluster{dir: o.Dir, ctl: o.CtlPath, grace: o.grace()}
+	c := &cluster{dir: o.Dir, ctl: o.CtlPath, cuts: o.Cuts, grace: o.grace()}
 	c.storeAddress = freeAddress()
 	c.store = &process{name: "store", args: []string{c.ctl, "standin", "platform-store", "--listen", c.storeAddress}}
 	if err := c.startProcess(c.store); err != nil {
@@ -177,9 +179,16 @@
 		return err
 	}
 	e := &entry{callers: freeAddress(), storeProxy: proxy}
+	egress := ""
+	if c.cuts {
+		if e.egress, err = NewEgress(); err != nil {
+			return err
+		}
+		egress = fmt.Sprintf("egress_proxy: %q\n", e.egress.Address)
+	}
 	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
-	settings := fmt.Sprintf("instance: entry-%d\ndomain: %s\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %g}\n",
-		i, domainOf(i), proxy.Address, e.callers, freeAddress(), freeAddress(), freeAddress(), c.grace.Seconds())
+	settings := fmt.Sprintf("instance: entry-%d\ndomain: %s\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %g}\n%s",
+		i, domainOf(i), proxy.Address, e.callers, freeAddress(), freeAddress(), freeAddress(), c.grace.Seconds(), egress)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
@@ -238,6 +247,9 @@
 	}
 	for _, e := range c.entries {
 		e.storeProxy.Close()
+		if e.egress != nil {
+			e.egress.Close()
+		}
 	}
 	for _, e := range c.engines {
 		e.proxy.Close()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -31,6 +31,7 @@
 	injected     []string
 	disconnected []interval // when some entry could not learn of changes
 	evacuations  []evacuation
+	cuts         []cutWindow
 	stops        []plannedStop // planned stops of entries
 	// faulted is when a process, or its link through a proxy, had any other fault.
 	faulted map[string][]interval
@@ -120,6 +121,9 @@
 	case 7:
 		return "config", func() { f.writeConfig() }
 	}
+	if f.c.cuts {
+		return "config", func() { f.writeConfig() } // orders that replace each other withdraw all versions
+	}
 	return "config", f.orderRollout
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -26,6 +26,8 @@
 	// Fragile: most requests go to the fragile service, one kind of them crashes its engines,
 	// and its first engine reports a rate limit.
 	Fragile bool
+	// Cuts: entries are cut off from all engines in turn.
+	Cuts bool
 	// IgnoreNotices: requests after an engine said that it leaves or rests are no finding, as some
 	// entries are of a build that does not read that.
 	IgnoreNotices bool
@@ -41,13 +43,19 @@
 	Answered map[string]int // by kind and status
 	Stops    int            // planned stops of entries
 	Crashes  int            // engine crashes caused by a request
-	Faults   []string
-	Findings []string
+	// Cut and Others count the requests at entries that were cut off, and at others meanwhile.
+	Cut, Others attemptCount
+	Faults      []string
+	Findings    []string
 }
 
 // Failed reports whether a guarantee was violated.
 func (r *Report) Failed() bool { return len(r.Findings) > 0 }
 
+// evacuates reports whether failure domains are evacuated. Where entries are cut off, that is so in
+// one seed of three: requests during evacuations are not compared.
+func (o Options) evacuates() bool { return !o.Cuts || o.Seed%3 == 0 }
+
 // settle is how long the cluster runs without faults before they start, and at the
 // end, so that requests in flight can finish.
 const settle = 1500 * time.Millisecond
@@ -82,11 +90,24 @@
 	go func() { defer close(callersDone); s.run(callerCtx, o.Callers) }()
 	stopsDone := make(chan struct{})
 	go func() { defer close(stopsDone); f.stopEntriesInSeries(faultCtx, o.Seed) }()
+	cutsDone := make(chan struct{})
+	go func() {
+		defer close(cutsDone)
+		if o.Cuts {
+			f.cutEntriesInTurn(faultCtx, o.Seed)
+		}
+	}()
 	evacuationsDone := make(chan struct{})
-	go func() { defer close(evacuationsDone); f.evacuateInTurn(faultCtx, o.Seed) }()
+	go func() {
+		defer close(evacuationsDone)
+		if o.evacuates() {
+			f.evacuateInTurn(faultCtx, o.Seed)
+		}
+	}()
 	f.run(faultCtx)
 	<-stopsDone
 	<-evacuationsDone
+	<-cutsDone
 	time.Sleep(settle)
 	stopCalls()
 	<-callersDone
@@ -132,6 +153,11 @@
 			s.addFinding("%s", finding)
 		}
 	}
+	var cutFindings []string
+	cutFindings, r.Cut, r.Others = f.checkCuts(s.results, engineRuns)
+	for _, finding := range cutFindings {
+		s.addFinding("%s", finding)
+	}
 	r.Crashes = len(engineRuns.crashTimes())
 	if finding := engineRuns.checkCrashes(); finding != "" {
 		s.addFinding("%s", finding)
