concurrency: refusals count against what the endpoint bears; soak: faults of entries in between are left out

An endpoint that turned one request away got none for 300 ms to 2.4 s, whatever it bears; with no room to wait, a place that is given again at once is sometimes not free yet. Now it is closed from half of its limit within a second on.

--- a/concurrency/doc.go
+++ b/concurrency/doc.go
@@ -7,6 +7,6 @@
 // entry that stands in for an owner that does not answer, or that has just become the owner, does
 // not know all places in use and grants fewer.
 //
-// An endpoint that turns requests away all the same gets none for a while, as something else uses
-// its places.
+// An endpoint that turns requests away all the same, as something else uses its places, gets none
+// while it has turned away half of what it bears.
 package concurrency
--- a/concurrency/ledger.go
+++ b/concurrency/ledger.go
@@ -1,6 +1,7 @@
 package concurrency
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
@@ -12,11 +13,10 @@
 	// learningTime is how long a new owner grants at most half of the places: it does not know all of
 	// those in use.
 	learningTime = renewInterval + 500*time.Millisecond
-	// An endpoint that turns requests away gets no more for refusedDelay, doubling with each time up
-	// to maxRefusedDelay, until it has turned none away for calmAfter.
-	refusedDelay    = 300 * time.Millisecond
-	maxRefusedDelay = 2400 * time.Millisecond
-	calmAfter       = 5 * time.Second
+	// An endpoint's limit applies to the requests that it turns away in refusedWindow.
+	refusedWindow = time.Second
+	// refusedDelay is how long an entry does not use an endpoint that has turned its request away.
+	refusedDelay = 50 * time.Millisecond
 	// Beyond its slots, an endpoint gets one request more to keep waiting with each waitingStep, up to
 	// its slots divided by maxWaitingShare, and none for noWaitingFor after it turned one away.
 	waitingStep     = 3 * time.Second
@@ -31,10 +31,9 @@
 	since   time.Time // when this entry became the owner
 	askedAt time.Time
 	inUse   map[string]use // by entry
-	// closedUntil and delay apply after refusals.
-	closedUntil time.Time
-	delay       time.Duration
-	refusedAt   time.Time
+	refused []time.Time    // requests that the endpoint turned away within refusedWindow
+	// lastRefused is when it last did.
+	lastRefused time.Time
 }
 
 type use struct {
@@ -68,22 +67,29 @@
 
 // waiting returns how many requests the endpoint may have waiting.
 func (g *ledger) waiting(slots int, now time.Time) int {
-	if !g.refusedAt.IsZero() && now.Sub(g.refusedAt) < noWaitingFor {
+	if !g.lastRefused.IsZero() && now.Sub(g.lastRefused) < noWaitingFor {
 		return 0
 	}
 	return min(int(now.Sub(g.since)/waitingStep), max(1, slots/maxWaitingShare))
 }
 
 // noteRefused records that the endpoint turned requests away although it was granted places for them.
-func (g *ledger) noteRefused(now time.Time) {
-	if now.Before(g.closedUntil) {
-		return // sent before the endpoint was closed
+func (g *ledger) noteRefused(n int, now time.Time) {
+	for range n {
+		g.refused = append(g.refused, now)
 	}
-	if now.Sub(g.refusedAt) > calmAfter {
-		g.delay = 0
+	g.lastRefused = now
+}
+
+// closedFor returns how long the endpoint gets no requests because it turned away half of those that
+// it bears in refusedWindow; it may turn away more that are under way.
+func (g *ledger) closedFor(limit int, now time.Time) time.Duration {
+	g.refused = slices.DeleteFunc(g.refused, func(at time.Time) bool { return now.Sub(at) >= refusedWindow })
+	bearable := max(1, limit/2)
+	if len(g.refused) < bearable {
+		return 0
 	}
-	g.delay = min(max(refusedDelay, 2*g.delay), maxRefusedDelay)
-	g.refusedAt, g.closedUntil = now, now.Add(g.delay)
+	return refusedWindow - now.Sub(g.refused[len(g.refused)-bearable])
 }
 
 // Grant answers an entry that takes this one for the owner of an endpoint.
@@ -98,14 +104,14 @@
 	g.askedAt = now
 	latest := g.note(a, now)
 	if a.Refused > 0 {
-		g.noteRefused(now)
-		l.Log.Info("concurrency: brittle endpoint turned requests away; it gets none for a while.", "short_id", a.Endpoint, "entry", a.Entry, "requests", a.Refused, "ms", g.delay.Milliseconds())
+		g.noteRefused(a.Refused, now)
+		l.Log.Info("concurrency: brittle endpoint turned requests away.", "short_id", a.Endpoint, "entry", a.Entry, "requests", a.Refused, "within_window", len(g.refused), "limit", a.Brittle)
 		l.Scope.Counter("refused").Inc(int64(a.Refused))
 	}
 	if a.Update {
 		return Verdict{}
 	}
-	if wait := g.closedUntil.Sub(now); wait > 0 {
+	if wait := g.closedFor(a.Brittle, now); wait > 0 {
 		return Verdict{Wait: wait}
 	}
 	places := a.Slots + g.waiting(a.Slots, now)
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -166,9 +166,8 @@
 
 // tunnel connects through another entry.
 func (d *Dialer) tunnel(ctx context.Context, ep fleet.Endpoint, timeout time.Duration, p Purpose) (*Conn, error) {
-	tried := map[string]bool{}
 	found := d.peers.await()
-	conn, err := d.tryPeers(ctx, ep, timeout, p, tried)
+	conn, err := d.tryPeers(ctx, ep, timeout, p, map[string]bool{})
 	since, down := d.links.downSince(ep.Service)
 	searching := d.Clock.Since(since) <= searchedBy || d.Clock.Since(d.peers.reachedAt(ep.Service)) < reachedLately
 	if !errors.Is(err, ErrNoPath) || !down || !searching {
@@ -251,7 +250,11 @@
 // DialThroughPeers returns a DialFunc that connects to an endpoint through other entries.
 func (d *Dialer) DialThroughPeers(ep fleet.Endpoint) upstream.DialFunc {
 	return func(ctx context.Context, _ string) (net.Conn, error) {
-		return d.tryPeers(ctx, ep, upstream.DialTimeout, Purpose{Lasts: upstream.DialTimeout}, map[string]bool{})
+		conn, err := d.tryPeers(ctx, ep, upstream.DialTimeout, Purpose{Lasts: upstream.DialTimeout}, map[string]bool{})
+		if err != nil {
+			return nil, err
+		}
+		return conn, nil
 	}
 }
 
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -79,11 +79,11 @@
 			if q.started.Before(w.from.Add(stablePeriod)) || !q.started.Before(w.to) || f.interferedWith(q, last[q.id]) {
 				continue
 			}
-			to := &there
-			if w.entries[q.entry] {
-				to = &here
+			if !w.entries[q.entry] {
+				there.add(q)
+			} else if !f.otherEntryInterrupted(q) {
+				here.add(q)
 			}
-			to.add(q)
 		}
 		failed := float64(here.sent - here.served)
 		if here.share() < minCutShare*there.share() && failed > cutFailures+float64(here.sent)/cutFailuresPer {
@@ -113,6 +113,19 @@
 	return false
 }
 
+// otherEntryInterrupted reports whether another entry, through which the request may have gone, was
+// paused or restarted meanwhile.
+func (f *faultInjector) otherEntryInterrupted(q result) bool {
+	for _, e := range f.c.entries {
+		for _, s := range f.interrupted[e.name] {
+			if e.name != q.entry && s.overlaps(q.started, q.ended) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // attemptCount counts first attempts.
 type attemptCount struct{ sent, served int }
 
