--- a/egress/server.go
+++ b/egress/server.go
@@ -25,6 +25,13 @@
 	maxTunnelTime = 2 * time.Minute
 )
 
+// Reasons for which an entry opens no tunnels.
+const (
+	stopping   = "stopping"
+	busy       = "busy"
+	notReached = "endpoints not reached"
+)
+
 // Server opens tunnels to endpoints for other entries. It is safe for concurrent use.
 type Server struct {
 	Dialer *Dialer
@@ -57,7 +64,7 @@
 		return
 	}
 	if !s.Dialer.links.proven(service) && !s.Dialer.check(r.Context(), service) {
-		s.refuse(w, service, "endpoints not reached")
+		s.refuse(w, service, notReached)
 		return
 	}
 	w.WriteHeader(statusOpen)
@@ -71,11 +78,11 @@
 	}
 	switch {
 	case s.Gate.Stopping():
-		return "stopping"
+		return stopping
 	case s.MaxTunnels > 0 && s.Dialer.serving.Load() > s.MaxTunnels:
-		return "busy"
+		return busy
 	case down:
-		return "endpoints not reached"
+		return notReached
 	}
 	return ""
 }
@@ -97,7 +104,11 @@
 	defer s.Dialer.serving.Add(-1)
 	s.Dialer.serving.Add(1)
 	service := r.Header.Get(headerService)
-	if why := s.unavailable(r.Context(), service); why != "" || !open {
+	why := s.unavailable(r.Context(), service)
+	if !open {
+		why = stopping
+	}
+	if why != "" {
 		s.refuse(w, service, why)
 		return
 	}
@@ -118,7 +129,7 @@
 		log.Info("egress: endpoint accepts no connection for another entry.", "error", err)
 		// It is the endpoint's fault if others are reached.
 		if !s.Dialer.links.provenSince(service, started) && !s.Dialer.check(r.Context(), service) {
-			s.refuse(w, service, "endpoints not reached")
+			s.refuse(w, service, notReached)
 			return
 		}
 		w.Header().Set(headerFailure, upstream.Reason(err))
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -178,7 +178,7 @@
 	a := &x.attempts[c.attemptIndex]
 	a.outcome, a.cause = o, cause
 	x.server.metrics.attempt(o)
-	c.place.Release(o == place.Refused)
+	c.place.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
 }
 
 // send sends the request to one endpoint and reads the head of its response.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lovageweir/lovageweir/egress"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // startEchoServer starts a server that echoes what it receives, and returns its address.
@@ -90,3 +94,50 @@
 	is.True(err != nil)
 	is.Equal(line, "")
 }
+
+func TestEgressCutsNewAndOpenConnectionsApart(t *testing.T) {
+	for _, tt := range []struct {
+		name                string
+		cut                 Cut
+		newWorks, openWorks bool
+	}{
+		{"hangs", CutHangs, false, false},
+		{"resets", CutResets, false, false},
+		{"refuses", CutRefuses, false, true},
+		{"silences", CutSilences, true, false},
+		{"passes", NoCut, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			target := startEchoServer(t)
+			e, err := NewEgress()
+			is.NoErr(err)
+			defer e.Close()
+			dial := func() (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				return egress.ViaProxy(upstream.Dial, e.Address)(ctx, target)
+			}
+			echoes := func(c net.Conn) bool {
+				_ = c.SetDeadline(time.Now().Add(300 * time.Millisecond))
+				if _, err := io.WriteString(c, "ping"); err != nil {
+					return false
+				}
+				_, err := io.ReadFull(c, make([]byte, 4))
+				return err == nil
+			}
+			open, err := dial()
+			is.NoErr(err)
+			defer open.Close()
+			is.True(echoes(open))
+			e.Set(tt.cut)
+			is.Equal(echoes(open), tt.openWorks)
+			c, err := dial()
+			is.Equal(err == nil, tt.newWorks)
+			if err == nil {
+				is.True(echoes(c))
+				_ = c.Close()
+			}
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -81,3 +81,24 @@
 	}
 	is.True(r.Crashes > 0)
 }
+
+// Guards against refusing callers of entries that are cut off from all engines, and against running their
+// requests twice, while other faults overlap.
+func TestSeededSoakOfEntriesThatAreCutOff(t *testing.T) {
+	edge, ctl := buildPrograms(t)
+	for _, seed := range []uint64{
+		2,
+		// Entries through which others connected were avoided for half a second because resets had made
+		// them doubt their own links for a moment.
+		5,
+	} {
+		is := is.New(t)
+		r, err := soak.Run(soak.Options{Seed: seed, FaultDuration: 13 * time.Second, EdgePath: edge, CtlPath: ctl, Dir: t.TempDir(), Entries: 5, Engines: 4, Callers: 24, Cuts: true})
+		is.NoErr(err)
+		t.Logf("seed %d: %d requests, %d faults, %v served at entries that were cut off, %v at others: %v", seed, r.Requests, len(r.Faults), r.Cut, r.Others, r.Answered)
+		for _, f := range r.Findings {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+		is.True(r.Requests > 0)
+	}
+}
