egress: checks of a lost link are paced

Only requests wake the checks; a link that is down is checked each 250 ms. Searches for other entries start when a link goes down and after each round of checks.

--- a/egress/checks.go
+++ b/egress/checks.go
@@ -15,6 +15,8 @@
 const (
 	// checkInterval is the time between checks of a link that is down.
 	checkInterval = 250 * time.Millisecond
+	// checkDelay is the time from a failure to a check of a link that is up.
+	checkDelay = 10 * time.Millisecond
 	// checkedEndpoints is how many endpoints a check connects to.
 	checkedEndpoints = 6
 	// openFor is how long an endpoint must keep a connection open that counts as accepted: a
@@ -30,27 +32,47 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		r := d.links.takeRound(d.peers.reachedAt)
-		for _, service := range r.searches {
-			running.Go(func() { d.search(ctx, service) })
-		}
+		d.startSearches(ctx, &running)
 		var checks sync.WaitGroup
-		for _, service := range r.checks {
+		for _, service := range d.links.takeChecks() {
 			checks.Go(func() { d.check(ctx, service) })
 		}
 		checks.Wait()
+		d.startSearches(ctx, &running) // for links that the checks found down
 		d.Scope.Gauge("links_down").Update(float64(len(d.links.down())))
-		var tick <-chan time.Time
-		if r.anyDown {
-			tick = d.Clock.After(checkInterval)
+		if !d.awaitRound(ctx, d.links.anyDown()) {
+			return
 		}
+	}
+}
+
+func (d *Dialer) startSearches(ctx context.Context, running *sync.WaitGroup) {
+	for _, service := range d.links.takeSearches(d.peers.reachedAt) {
+		running.Go(func() { d.search(ctx, service) })
+	}
+}
+
+// awaitRound waits until links are to be looked at again; it returns false once ctx has ended.
+func (d *Dialer) awaitRound(ctx context.Context, anyDown bool) bool {
+	if anyDown {
 		select {
-		case <-tick:
-		case <-d.wake:
+		case <-d.Clock.After(checkInterval):
+			return true
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
+	select {
+	case <-d.wake:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-d.Clock.After(checkDelay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // check connects to some endpoints of a service, and reports whether one accepted the connection.
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -131,6 +131,10 @@
 		d.connected(ep.Service, begun)
 	case ctx.Err() == nil:
 		d.failed(ep, err)
+		select {
+		case d.wake <- struct{}{}:
+		default: // Run is to look already
+		}
 	}
 	return conn, err
 }
@@ -155,10 +159,6 @@
 		}
 		d.OnDown(ep.Service)
 	}
-	select {
-	case d.wake <- struct{}{}:
-	default: // Run is to look already
-	}
 }
 
 // self is this entry as one of the fleet.
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -273,3 +275,26 @@
 	is.True(errors.As(err, &atPeer))
 	is.True(atPeer.foreign)
 }
+
+// Guards against checks that follow each other without a pause where endpoints refuse connections at once.
+func TestChecksOfALostLinkArePaced(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t, func(c net.Conn) { _ = c.Close() })
+	d := x.server.Dialer
+	var dials atomic.Int64
+	d.Dial = func(context.Context, string) (net.Conn, error) {
+		dials.Add(1)
+		return nil, syscall.ECONNREFUSED
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			_, _ = d.Connect(ctx, x.ep, time.Second, Purpose{}) // refused
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	d.Run(ctx)
+	t.Logf("%d connections in a second", dials.Load())
+	is.True(dials.Load() < 10) // a check each 250 ms, and the first request
+}
--- a/egress/links.go
+++ b/egress/links.go
@@ -21,6 +21,7 @@
 	// Other entries are asked at intervals that grow with the time since any was known to reach the
 	// service: if its endpoints have crashed, all entries ask.
 	searchBackoff     = 4
+	minSearchInterval = 200 * time.Millisecond
 	maxSearchInterval = time.Second
 )
 
@@ -160,37 +161,39 @@
 	l.getLocked(service).checkDue = true
 }
 
-// round is what is to be done about the links now.
-type round struct {
-	checks   []string // services whose links are to be checked
-	searches []string // services for which other entries are to be asked
-	anyDown  bool
+// takeChecks returns the services whose links are to be checked now.
+func (l *links) takeChecks() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for name, s := range l.byService {
+		if s.checkDue || !s.downSince.IsZero() {
+			s.checkDue = false
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
-// takeRound returns what is due; reachedAt tells when another entry last reached a service.
-func (l *links) takeRound(reachedAt func(service string) time.Time) round {
+// takeSearches returns the services for which other entries are to be asked now; reachedAt tells when
+// one last reached a service.
+func (l *links) takeSearches(reachedAt func(service string) time.Time) []string {
 	now := l.clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out round
+	var out []string
 	for name, s := range l.byService {
-		down := !s.downSince.IsZero()
-		if down || s.checkDue {
-			s.checkDue = false
-			out.checks = append(out.checks, name)
-		}
-		if !down {
+		if s.downSince.IsZero() {
 			continue
 		}
-		out.anyDown = true
 		lost := s.downSince
 		if at := reachedAt(name); at.After(lost) {
 			lost = at
 		}
-		interval := min(now.Sub(lost)/searchBackoff, maxSearchInterval)
+		interval := min(max(now.Sub(lost)/searchBackoff, minSearchInterval), maxSearchInterval)
 		if s.searchedAt.Before(s.downSince) || now.Sub(s.searchedAt) >= interval {
 			s.searchedAt = now
-			out.searches = append(out.searches, name)
+			out = append(out, name)
 		}
 	}
 	return out
