--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -35,10 +35,11 @@
 listen: {callers: "nowhere", readiness: "127.0.0.1:2", peers: "127.0.0.1:3", loads: "127.0.0.1:4"}
 seeds: ["x"]
 store: "127.0.0.1:6"
+egress_proxy: "there"
 bounds: {grace_s: 0, repeat_ratio: -1}
 `))
 	is.True(err != nil)
-	for _, want := range []string{"instance: is missing", "domain: is missing", `listen.callers: "nowhere"`, `seeds[0]: "x"`, "bounds.grace_s: 0",
+	for _, want := range []string{"instance: is missing", "domain: is missing", `listen.callers: "nowhere"`, `seeds[0]: "x"`, `egress_proxy: "there"`, "bounds.grace_s: 0",
 		"bounds.repeat_ratio"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("missing %q in %q", want, err)
--- a/egress/checks.go
+++ b/egress/checks.go
@@ -76,7 +76,14 @@
 }
 
 // check connects to some endpoints of a service, and reports whether one accepted the connection.
+// Concurrent checks of a service are one.
 func (d *Dialer) check(ctx context.Context, service string) bool {
+	ctx = context.WithoutCancel(ctx) // others may wait for the result
+	reached, _, _ := d.checks.Do(service, func() (any, error) { return d.checkOnce(ctx, service), nil })
+	return reached.(bool)
+}
+
+func (d *Dialer) checkOnce(ctx context.Context, service string) bool {
 	g := d.View().Group(service)
 	if g == nil || len(g.Ready) == 0 {
 		d.links.forget(service)
@@ -116,13 +123,11 @@
 	if err == nil {
 		err = staysOpen(conn)
 	}
-	switch {
-	case ctx.Err() != nil:
-	case err != nil:
+	if err != nil {
 		d.failed(ep, err)
-	default:
-		d.connected(ep.Service, begun)
+		return
 	}
+	d.connected(ep.Service, begun)
 }
 
 // staysOpen closes a connection after openFor, and returns an error if it was closed before.
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/upstream"
@@ -56,6 +57,8 @@
 	peers *peers
 	asks  *http.Client
 	wake  chan struct{}
+	// checks has a call for each service whose link is being checked.
+	checks singleflight.Group
 	// serving counts the tunnels that this entry serves for others.
 	serving atomic.Int64
 }
--- a/ingress/partition_test.go
+++ b/ingress/partition_test.go
@@ -130,3 +130,42 @@
 		})
 	}
 }
+
+// Guards against streams that break off, or wait for their limits, when the link that they came over is lost.
+func TestStreamsUnderWayGoOnWhenTheirLinkIsLost(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		mode linkMode
+	}{{"hanging", linkHangs}, {"reset", linkResets}, {"new connections refused", linkRefuses}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newPartitionCluster(t, 4, 2, 4)
+			for _, e := range f.all[0].engines {
+				e.Config.Events, e.Config.Pause = 60, 25*time.Millisecond
+			}
+			var wg sync.WaitGroup
+			answers := make([]answer, 8)
+			began := time.Now()
+			for i := range answers {
+				wg.Go(func() {
+					answers[i] = f.all[0].do(http.MethodPost, "/resume/stream", "body", "X-Attempt-Id", fmt.Sprint("u", i))
+				})
+			}
+			time.Sleep(400 * time.Millisecond)
+			f.all[0].link.set(tt.mode)
+			f.firstAttempts(time.Second, 50*time.Millisecond, func(int) bool { return false }) // finds the link lost
+			wg.Wait()
+			took := time.Since(began)
+			for i, got := range answers {
+				is.NoErr(got.err)
+				is.Equal(got.status, http.StatusOK)
+				if got.body != platformtest.WholeStream(0, 60) {
+					t.Errorf("stream %d is not whole", i)
+				}
+			}
+			t.Logf("%d streams of 1.5 s ended after %v", len(answers), took.Round(time.Millisecond))
+			is.True(took < 1500*time.Millisecond+2*time.Second) // the pause that a stream's route allows, twice
+			f.assertRunOnce(is)
+		})
+	}
+}
