ingress: another entry refutes a crash, it need not confirm it

Entries that are asked whether an endpoint exited know nothing of it if it is no longer registered there, or if they have lost their way to all endpoints of the service, as when these crash together; that counted as "it did not".

Now an endpoint has exited if this entry is refused, unless another entry is accepted by it; while this entry's link is down, also if another entry is refused. TestCrashesAreRecognizedWhileOtherEntriesReachNothing failed before; TestResetLinks... holds.

--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -250,15 +250,14 @@
 	return func(ctx context.Context, _ string) (net.Conn, error) { return d.direct(ctx, ep, upstream.DialTimeout) }
 }
 
-// DialThroughPeers returns a DialFunc that connects to an endpoint through other entries.
-func (d *Dialer) DialThroughPeers(ep fleet.Endpoint) upstream.DialFunc {
-	return func(ctx context.Context, _ string) (net.Conn, error) {
-		conn, err := d.tryPeers(ctx, ep, upstream.DialTimeout, Purpose{Lasts: upstream.DialTimeout}, map[string]bool{})
-		if err != nil {
-			return nil, err
-		}
-		return conn, nil
+// ConnectThroughPeers connects to an endpoint through another entry, whatever the state of this entry's
+// own link.
+func (d *Dialer) ConnectThroughPeers(ctx context.Context, ep fleet.Endpoint) (net.Conn, error) {
+	conn, err := d.tryPeers(ctx, ep, upstream.DialTimeout, Purpose{Lasts: upstream.DialTimeout}, map[string]bool{})
+	if err != nil {
+		return nil, err
 	}
+	return conn, nil
 }
 
 // PeerAnswers reports whether an entry that tunnels go through still answers.
@@ -282,12 +281,6 @@
 // AnyDown reports whether the link to the endpoints of any service is down.
 func (d *Dialer) AnyDown() bool { return d.links.anyDown() }
 
-// HasPeers reports whether there are other entries that know tunnels, as far as known.
-func (d *Dialer) HasPeers() bool {
-	_, ok := d.peers.choose("", d.self(), d.View().Entries, nil)
-	return ok
-}
-
 // Reaches reports whether a service's endpoints may be reached, directly or through other entries.
 func (d *Dialer) Reaches(g *fleet.Group) bool {
 	since, down := d.links.downSince(g.Service.Name)
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -1,7 +1,11 @@
 package ingress
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
+	"syscall"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/quarantine"
@@ -38,17 +42,28 @@
 }
 
 // exited reports whether an endpoint's process has ended. What this entry's own link shows may be the
-// link's fault, so that another entry is asked too, if there is one.
+// link's fault: if another entry is accepted by the endpoint, it has not.
 func (s *Server) exited(ep fleet.Endpoint) bool {
-	if _, down := s.Egress.DownSince(ep.Service); !down {
-		if !s.prober.ExitedBy(ep.Address, s.Egress.DialDirect(ep)) {
-			return false
-		}
-		if !s.Egress.HasPeers() {
-			return true
-		}
+	exited, _, _ := s.exits.Do(ep.Address, func() (any, error) { return s.findExited(ep), nil })
+	return exited.(bool)
+}
+
+func (s *Server) findExited(ep fleet.Endpoint) bool {
+	refused := s.prober.ExitedBy(ep.Address, s.Egress.DialDirect(ep))
+	_, down := s.Egress.DownSince(ep.Service)
+	if !refused && !down {
+		return false
+	}
+	known := false
+	refusedElsewhere := s.prober.ExitedBy(ep.Address, func(ctx context.Context, _ string) (net.Conn, error) {
+		conn, err := s.Egress.ConnectThroughPeers(ctx, ep)
+		known = known || err == nil || errors.Is(err, syscall.ECONNREFUSED)
+		return conn, err
+	})
+	if known {
+		return refusedElsewhere
 	}
-	return s.peerProber.ExitedBy(ep.Address, s.Egress.DialThroughPeers(ep))
+	return refused
 }
 
 // checkQuarantine refuses a request that crashes endpoints.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -12,6 +12,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
@@ -82,8 +83,9 @@
 	Deps
 	metrics   metrics
 	bodyBytes atomic.Int64
-	// prober checks endpoints over this entry's own link, peerProber through other entries.
-	prober, peerProber upstream.Prober
+	prober    upstream.Prober
+	// exits has a call for each address whose endpoint is being checked for its exit.
+	exits singleflight.Group
 	// wasStranded is the last result of stranded, to log its changes.
 	wasStranded atomic.Bool
 }
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -145,3 +146,26 @@
 	wg.Wait()
 	is.Equal(f.all[0].quarantine.State().Suspects, 0)
 }
+
+// Guards against crashes that no entry believes: endpoints crash together, so that the other entries, which are
+// asked whether one has exited, have lost their way to all of them.
+func TestCrashesAreRecognizedWhileOtherEntriesReachNothing(t *testing.T) {
+	is := is.New(t)
+	f := newPartitionCluster(t, 3, 1, 0)
+	e := platformtest.NewEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1", Events: 100, Pause: 20 * time.Millisecond, Address: unreachableAddress(t)})
+	ln, err := net.Listen("tcp", e.Config.Address)
+	is.NoErr(err)
+	srv := &http.Server{Handler: e}
+	go func() { _ = srv.Serve(ln) }() // ends with Close
+	f.put(e.Registration(false))
+	f.sync()
+	for _, other := range f.all[1:] {
+		other.link.set(linkResets)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { f.all[0].do(http.MethodPost, "/resume/stream", "body") })
+	time.Sleep(200 * time.Millisecond)
+	is.NoErr(srv.Close())
+	wg.Wait()
+	is.Equal(f.all[0].quarantine.State().Suspects, 1)
+}
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -113,6 +113,16 @@
 	return false
 }
 
+// cutDuring reports whether the entry of a request was cut off from all engines while it lasted.
+func (f *faultInjector) cutDuring(q result) bool {
+	for _, w := range f.cuts {
+		if w.entries[q.entry] && w.overlaps(q.started, q.ended) {
+			return true
+		}
+	}
+	return false
+}
+
 // otherEntryInterrupted reports whether another entry, through which the request may have gone, was
 // paused or restarted meanwhile.
 func (f *faultInjector) otherEntryInterrupted(q result) bool {
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -49,6 +49,8 @@
 		return ""
 	case f.faultedDuring(q.entry, q):
 		return ""
+	case f.cutDuring(q) && f.otherEntryInterrupted(q):
+		return "" // it may have gone through that entry
 	case q.ended.Sub(q.started) >= timeoutOf(q.kind):
 		return "" // its deadline had passed
 	case q.mayOutlast(s, f.c.grace):
--- a/upstream/probes.go
+++ b/upstream/probes.go
@@ -29,14 +29,14 @@
 // Exited reports whether nothing listens at an address any more. An endpoint that only lost
 // a connection accepts another one and keeps it open. One that is partitioned does not
 // answer, may be healthy, and is not reported.
-func (p *Prober) Exited(address string) bool { return p.ExitedBy(address, Dial) }
-
-// ExitedBy is Exited over connections that dial opens.
-func (p *Prober) ExitedBy(address string, dial DialFunc) bool {
-	exited, _, _ := p.probes.Do(address, func() (any, error) { return p.probe(address, dial), nil })
+func (p *Prober) Exited(address string) bool {
+	exited, _, _ := p.probes.Do(address, func() (any, error) { return p.probe(address, Dial), nil })
 	return exited.(bool)
 }
 
+// ExitedBy is Exited over connections that dial opens. Concurrent checks are apart.
+func (p *Prober) ExitedBy(address string, dial DialFunc) bool { return p.probe(address, dial) }
+
 // probe connects until the endpoint refuses a connection or keeps one open. It tries more
 // than once because an exiting process closes its connections before its listener.
 func (p *Prober) probe(address string, dial DialFunc) bool {
