--- a/concurrency/ledger.go
+++ b/concurrency/ledger.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// placesTTL is how long the places of an entry that is not heard count as in use.
-	placesTTL = 4 * time.Second
-	// learningTime is how long a new owner grants at most half of the places: it does not know all of
+	// permitsTTL is how long the permits of an entry that is not heard count as in use.
+	permitsTTL = 4 * time.Second
+	// learningTime is how long a new owner grants at most half of the permits: it does not know all of
 	// those in use.
 	learningTime = renewInterval + 500*time.Millisecond
 	// An endpoint's limit applies to the requests that it turns away in refusedWindow.
@@ -26,7 +26,7 @@
 	forgetLedgerAfter = 30 * time.Second
 )
 
-// ledger is an owner's record of the places in use at an endpoint.
+// ledger is an owner's record of the permits in use at an endpoint.
 type ledger struct {
 	since   time.Time // when this entry became the owner
 	askedAt time.Time
@@ -37,12 +37,12 @@
 }
 
 type use struct {
-	places         int
+	permits        int
 	at             time.Time
 	boot, sequence uint64 // of the message that said so
 }
 
-// note records the places that an entry has, and reports whether its message was the latest.
+// note records the permits that an entry has, and reports whether its message was the latest.
 func (g *ledger) note(a Ask, now time.Time) bool {
 	u := g.inUse[a.Entry]
 	if u.boot == a.Boot && a.Sequence <= u.sequence {
@@ -52,15 +52,15 @@
 	return true
 }
 
-// total returns the places in use.
+// total returns the permits in use.
 func (g *ledger) total(now time.Time) int {
 	sum := 0
 	for entry, u := range g.inUse {
-		if now.Sub(u.at) > placesTTL {
+		if now.Sub(u.at) > permitsTTL {
 			delete(g.inUse, entry)
 			continue
 		}
-		sum += u.places
+		sum += u.permits
 	}
 	return sum
 }
@@ -73,7 +73,7 @@
 	return min(int(now.Sub(g.since)/waitingStep), max(1, slots/maxWaitingShare))
 }
 
-// noteRefused records that the endpoint turned requests away although it was granted places for them.
+// noteRefused records that the endpoint turned requests away although it was granted permits for them.
 func (g *ledger) noteRefused(n int, now time.Time) {
 	for range n {
 		g.refused = append(g.refused, now)
@@ -114,19 +114,19 @@
 	if wait := g.closedFor(a.Brittle, now); wait > 0 {
 		return Verdict{Wait: wait}
 	}
-	places := a.Slots + g.waiting(a.Slots, now)
+	permits := a.Slots + g.waiting(a.Slots, now)
 	if l.standsInLocked(a) || now.Sub(g.since) < learningTime {
-		places = max(1, places/2)
+		permits = max(1, permits/2)
 	}
 	needed := 1
 	if !latest {
-		needed = 0 // a later message of the entry counts this place as in use
+		needed = 0 // a later message of the entry counts this permit as in use
 	}
-	if g.total(now)+needed > places {
+	if g.total(now)+needed > permits {
 		return Verdict{Wait: spread(deniedDelay)}
 	}
 	u := g.inUse[a.Entry]
-	u.places += needed
+	u.permits += needed
 	g.inUse[a.Entry] = u
 	return Verdict{Granted: true}
 }
@@ -152,7 +152,7 @@
 	return g
 }
 
-// standsInLocked reports whether this entry is asked in place of another one that may grant places
+// standsInLocked reports whether this entry is asked instead of another one that may grant permits
 // too.
 func (l *Limiter) standsInLocked(a Ask) bool {
 	if l.Owners == nil {
--- a/concurrency/limiter.go
+++ b/concurrency/limiter.go
@@ -20,7 +20,7 @@
 	brittleTTL = 10 * time.Second
 	// askTimeout bounds a question to an owner.
 	askTimeout = 250 * time.Millisecond
-	// deniedDelay is how long an endpoint is not asked for again after there was no place, at most
+	// deniedDelay is how long an endpoint is not asked for again after there was no permit, at most
 	// as much again at random.
 	deniedDelay = 20 * time.Millisecond
 	// unansweredDelay is how long an endpoint is not used after its owner gave no answer.
@@ -30,13 +30,13 @@
 	silentFor        = 3 * time.Second
 	// updateDelay is how long the end of a request may wait, so that several are told at once.
 	updateDelay = 3 * time.Millisecond
-	// renewInterval is how often an entry tells owners of the places that it has.
+	// renewInterval is how often an entry tells owners of the permits that it has.
 	renewInterval = time.Second
 	// defaultSlots is assumed where an endpoint does not report its slots.
 	defaultSlots = 8
 )
 
-// Ask asks the owner of a brittle endpoint for a place, or tells it of those in use.
+// Ask asks the owner of a brittle endpoint for a permit, or tells it of those in use.
 type Ask struct {
 	Entry    string // the asking entry
 	Endpoint uint32 // short id
@@ -45,7 +45,7 @@
 	Brittle  int // requests a second that the endpoint can turn away
 	Slots    int
 	InUse    int  // the entry's other requests there
-	Update   bool // no place is asked for
+	Update   bool // no permit is asked for
 	Refused  int  // requests that the endpoint turned away since the last message
 	// Boot and Sequence order an entry's messages on an endpoint.
 	Boot, Sequence uint64
@@ -59,7 +59,7 @@
 
 // Owners asks other entries as owners of endpoints.
 type Owners interface {
-	TakePlace(ctx context.Context, owner fleet.Entry, ask Ask) (Verdict, error)
+	TakePermit(ctx context.Context, owner fleet.Entry, ask Ask) (Verdict, error)
 }
 
 // Deps are the dependencies of a Limiter.
@@ -84,7 +84,7 @@
 
 	mu        sync.Mutex
 	brittle   map[string]brittleService
-	endpoints map[uint32]*endpoint // places of this entry, by short id
+	endpoints map[uint32]*endpoint // permits of this entry, by short id
 	owned     map[uint32]*ledger   // endpoints that other entries or this one take for owned by this one
 	silent    map[string]silence   // owners that do not answer, by instance
 }
@@ -97,7 +97,7 @@
 // endpoint is what this entry knows of a brittle endpoint.
 type endpoint struct {
 	ep       fleet.Endpoint
-	taken    int // places that this entry has or asks for
+	taken    int // permits that this entry has or asks for
 	refused  int // not told to the owner yet
 	changed  bool
 	opensAt  time.Time
@@ -202,7 +202,7 @@
 // Any reports whether any service may be brittle.
 func (l *Limiter) Any() bool { return l.brittleCount.Load() > 0 }
 
-// Wait returns how long until a place at an endpoint may be asked for; 0: now.
+// Wait returns how long until a permit at an endpoint may be asked for; 0: now.
 func (l *Limiter) Wait(ep fleet.Endpoint) time.Duration {
 	if l.brittleCount.Load() == 0 {
 		return 0
@@ -217,25 +217,25 @@
 	return max(0, e.opensAt.Sub(now))
 }
 
-// Place is a place for one request at an endpoint. A nil Place needs no release.
-type Place struct {
+// Permit is a permit for one request at an endpoint. A nil Permit needs no release.
+type Permit struct {
 	limiter  *Limiter
 	endpoint *endpoint
 	once     sync.Once
 }
 
-// Release gives the place back; refused reports whether the endpoint turned the request away for want
+// Release gives the permit back; refused reports whether the endpoint turned the request away for want
 // of room. Further calls do nothing.
-func (p *Place) Release(refused bool) {
+func (p *Permit) Release(refused bool) {
 	if p == nil {
 		return
 	}
 	p.once.Do(func() { p.limiter.release(p.endpoint, refused) })
 }
 
-// Take takes a place for one request at an endpoint, and reports whether there was one. It always
-// succeeds where the endpoint is not brittle, with a place that need not be released.
-func (l *Limiter) Take(ctx context.Context, ep fleet.Endpoint) (*Place, bool) {
+// Take takes a permit for one request at an endpoint, and reports whether there was one. It always
+// succeeds where the endpoint is not brittle, with a permit that need not be released.
+func (l *Limiter) Take(ctx context.Context, ep fleet.Endpoint) (*Permit, bool) {
 	if l.brittleCount.Load() == 0 {
 		return nil, true
 	}
@@ -290,18 +290,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	return l.Owners.TakePlace(ctx, owner, ask)
+	return l.Owners.TakePermit(ctx, owner, ask)
 }
 
-// settle applies an owner's answer to a question for a place.
-func (l *Limiter) settle(ctx context.Context, e *endpoint, owner fleet.Entry, ask Ask, v Verdict, err error) (*Place, bool) {
+// settle applies an owner's answer to a question for a permit.
+func (l *Limiter) settle(ctx context.Context, e *endpoint, owner fleet.Entry, ask Ask, v Verdict, err error) (*Permit, bool) {
 	now := l.Clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil && v.Granted {
 		delete(l.silent, owner.Instance)
 		l.Scope.Counter("granted").Inc(1)
-		return &Place{limiter: l, endpoint: e}, true
+		return &Permit{limiter: l, endpoint: e}, true
 	}
 	e.taken--
 	if err == nil {
@@ -362,7 +362,7 @@
 	}
 }
 
-// Run tells owners which places are no longer used, and renews the others, until ctx ends.
+// Run tells owners which permits are no longer used, and renews the others, until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	renew := l.Clock.NewTicker(renewInterval)
 	defer renew.Stop()
@@ -384,7 +384,7 @@
 	}
 }
 
-// update tells the owners of endpoints the places in use there, of all endpoints with any or of those
+// update tells the owners of endpoints the permits in use there, of all endpoints with any or of those
 // where that has changed.
 func (l *Limiter) update(ctx context.Context, all bool) {
 	type message struct {
@@ -410,7 +410,7 @@
 	for _, m := range out {
 		go func() {
 			if _, err := l.ask(ctx, m.owner, m.ask); err != nil && ctx.Err() == nil {
-				l.Log.Debug("concurrency: owner was not told of places in use.", "owner", m.owner.Instance, "error", err)
+				l.Log.Debug("concurrency: owner was not told of permits in use.", "owner", m.owner.Instance, "error", err)
 			}
 		}()
 	}
--- a/concurrency/limiter_test.go
+++ b/concurrency/limiter_test.go
@@ -41,8 +41,8 @@
 	return f
 }
 
-// TakePlace implements Owners.
-func (f *testFleet) TakePlace(_ context.Context, owner fleet.Entry, ask Ask) (Verdict, error) {
+// TakePermit implements Owners.
+func (f *testFleet) TakePermit(_ context.Context, owner fleet.Entry, ask Ask) (Verdict, error) {
 	f.mu.Lock()
 	f.asks++
 	dead := f.dead[owner.Instance]
@@ -53,7 +53,7 @@
 	return f.limiters[owner.Instance].Grant(AskOf(ask.Message())), nil
 }
 
-// renew tells all owners of all places.
+// renew tells all owners of all permits.
 func (f *testFleet) renew() {
 	for _, l := range f.limiters {
 		l.mu.Lock()
@@ -72,13 +72,13 @@
 }
 
 // Guards against more requests at a brittle endpoint than it has slots, whichever entries send and end
-// them in whatever order, and against places that are lost.
+// them in whatever order, and against permits that are lost.
 func TestEntriesTogetherKeepWithinTheSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const slots = 4
 		f := newFleet(rapid.IntRange(1, 9).Draw(t, "entries"))
 		ep := fleet.Endpoint{ID: "e1", Service: service, Domain: "d1", Slots: slots}
-		var held []*Place
+		var held []*Permit
 		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
 			if f.clock.Advance(2 * deniedDelay); step%20 == 0 { // within renewInterval
 				f.renew()
@@ -110,13 +110,13 @@
 		for i := range slots {
 			l := f.limiters[f.entries[i%len(f.entries)].Instance]
 			if _, ok := l.Take(context.Background(), ep); !ok {
-				t.Fatalf("place %d of %d is lost", i+1, slots)
+				t.Fatalf("permit %d of %d is lost", i+1, slots)
 			}
 		}
 	})
 }
 
-// Guards against counting places by a message that a later one has overtaken.
+// Guards against counting permits by a message that a later one has overtaken.
 func TestOvertakenMessagesDoNotFreePlaces(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
@@ -155,7 +155,7 @@
 }
 
 // Guards against an endpoint that falls over because it turns away, within any second, more requests
-// than it bears, although it was granted places for them.
+// than it bears, although it was granted permits for them.
 func TestAnEndpointTurnsAwayNoMoreThanItBears(t *testing.T) {
 	for _, limit := range []int{1, 3, 10} {
 		is := is.New(t)
--- a/concurrency/wire.go
+++ b/concurrency/wire.go
@@ -8,25 +8,25 @@
 )
 
 // Message encodes a question.
-func (a Ask) Message() *meshpb.TakePlaceRequest {
-	return &meshpb.TakePlaceRequest{Instance: a.Entry, Endpoint: a.Endpoint, Domain: a.Domain, Service: a.Service, Limit: uint32(a.Brittle), Slots: uint32(a.Slots),
+func (a Ask) Message() *meshpb.TakePermitRequest {
+	return &meshpb.TakePermitRequest{Instance: a.Entry, Endpoint: a.Endpoint, Domain: a.Domain, Service: a.Service, Limit: uint32(a.Brittle), Slots: uint32(a.Slots),
 		InUse: uint32(a.InUse), Update: a.Update, Refused: uint32(a.Refused), Boot: a.Boot, Sequence: a.Sequence}
 }
 
 // AskOf decodes a question.
-func AskOf(m *meshpb.TakePlaceRequest) Ask {
+func AskOf(m *meshpb.TakePermitRequest) Ask {
 	return Ask{Entry: m.Instance, Endpoint: m.Endpoint, Domain: m.Domain, Service: m.Service, Brittle: int(m.Limit), Slots: int(m.Slots),
 		InUse: int(m.InUse), Update: m.Update, Refused: int(m.Refused), Boot: m.Boot, Sequence: m.Sequence}
 }
 
 // Message encodes a verdict; a wait is rounded up.
-func (v Verdict) Message() *meshpb.TakePlaceResponse {
+func (v Verdict) Message() *meshpb.TakePermitResponse {
 	wait := (v.Wait + time.Millisecond - 1).Milliseconds()
-	return &meshpb.TakePlaceResponse{Granted: v.Granted, WaitMs: uint32(min(math.MaxUint32, wait))}
+	return &meshpb.TakePermitResponse{Granted: v.Granted, WaitMs: uint32(min(math.MaxUint32, wait))}
 }
 
 // VerdictOf decodes a verdict.
-func VerdictOf(m *meshpb.TakePlaceResponse) Verdict {
+func VerdictOf(m *meshpb.TakePermitResponse) Verdict {
 	return Verdict{Granted: m.Granted, Wait: time.Duration(m.WaitMs) * time.Millisecond}
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -170,7 +170,7 @@
 		enc.SetIndent("", "  ")
 		_ = enc.Encode(p.dump()) // fails only if the client disconnected
 	})
-	return p.Tunnels.Or(r)
+	return p.Tunnels.Middleware(r)
 }
 
 func (p serverParams) metricsOnly() http.Handler {
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -173,7 +173,7 @@
 	is.Equal(len(f.View().Group(service).Ready), 1)
 	x := &fixture{gate: drain.NewGate(clock), ep: f.View().Group(service).Ready[0]}
 	x.server = &Server{Gate: x.gate, Dialer: NewDialer(Deps{Instance: "i1", View: f.View, Clock: clock, Log: log})}
-	srv := httptest.NewServer(x.server.Or(http.NotFoundHandler()))
+	srv := httptest.NewServer(x.server.Middleware(http.NotFoundHandler()))
 	t.Cleanup(srv.Close)
 	x.address = strings.TrimPrefix(srv.URL, "http://")
 	return x
--- a/egress/server.go
+++ b/egress/server.go
@@ -41,14 +41,14 @@
 	MaxTunnels int64
 }
 
-// Or returns a handler that serves requests for tunnels, and passes others on.
-func (s *Server) Or(other http.Handler) http.Handler {
+// Middleware returns a handler that serves requests for tunnels, and passes others on to next.
+func (s *Server) Middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect || r.URL.Path == reachPath {
 			s.ServeHTTP(w, r)
 			return
 		}
-		other.ServeHTTP(w, r)
+		next.ServeHTTP(w, r)
 	})
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -62,11 +62,11 @@
 	denied        map[string]int // endpoints whose limits had no room when asked, by version
 	retryReserved bool           // the next retry was already taken from the budget
 	reserved      *reservation
-	place         *concurrency.Place // at the endpoint of the next send, if it is brittle
-	unreached     int                // sends for which no connection was accepted
-	misdirected   int                // sends that another endpoint answered
-	model         int                // index into the route's models
-	started       bool               // a part of the answer was sent to the caller
+	permit        *concurrency.Permit // at the endpoint of the next send, if it is brittle
+	unreached     int                 // sends for which no connection was accepted
+	misdirected   int                 // sends that another endpoint answered
+	model         int                 // index into the route's models
+	started       bool                // a part of the answer was sent to the caller
 	status        int
 	outcome       string
 	attempts      []attempt
@@ -149,7 +149,7 @@
 	group        *fleet.Group
 	endpoint     fleet.Endpoint
 	ticket       *place.Ticket
-	place        *concurrency.Place
+	permit       *concurrency.Permit
 	resp         *upstream.Response
 	head         call.ResponseMetadata
 	cancel       context.CancelFunc
@@ -178,7 +178,7 @@
 	a := &x.attempts[c.attemptIndex]
 	a.outcome, a.cause = o, cause
 	x.server.metrics.attempt(o)
-	c.place.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
+	c.permit.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
 }
 
 // send sends the request to one endpoint and reads the head of its response.
@@ -192,12 +192,12 @@
 	if ref != nil {
 		return nil, ref, nil
 	}
-	taken := x.place
-	x.place = nil
+	taken := x.permit
+	x.permit = nil
 	ep := best.Endpoint
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
-	c := &upstreamCall{group: group, endpoint: ep, place: taken, ticket: s.Board.Begin(ep, s.Rates.PrefillTime(x.modelName(), x.metadata.Usage.Prompt)), cancel: cancel, attemptIndex: len(x.attempts), expectedWait: best.Standing.Wait}
+	c := &upstreamCall{group: group, endpoint: ep, permit: taken, ticket: s.Board.Begin(ep, s.Rates.PrefillTime(x.modelName(), x.metadata.Usage.Prompt)), cancel: cancel, attemptIndex: len(x.attempts), expectedWait: best.Standing.Wait}
 	x.attempts = append(x.attempts, attempt{endpoint: ep, lapsed: group.HasLapsed(ep.ID), model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received)})
 	opts := call.ForwardOptions{Endpoint: ep.Name, Remaining: x.remaining(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	opts.Urgency, opts.SetUrgency = x.urgency()
@@ -266,7 +266,7 @@
 }
 
 // mayUse takes a request from what a cold endpoint bears, from the limit of an endpoint, if it has one,
-// and from the places of a brittle one. The endpoint may have asked for a rest since it was picked.
+// and a permit for a brittle one. The endpoint may have asked for a rest since it was picked.
 func (x *exchange) mayUse(ctx context.Context, g *fleet.Group, ep fleet.Endpoint) bool {
 	if !x.server.SlowStart.Take(ep, g.Service) {
 		return false
@@ -284,7 +284,7 @@
 		taken.Release(false)
 		return false
 	}
-	x.place = taken
+	x.permit = taken
 	return true
 }
 
@@ -298,8 +298,8 @@
 
 // releaseReserved gives back what was reserved for a send that did not follow.
 func (x *exchange) releaseReserved() {
-	x.place.Release(false)
-	x.place = nil
+	x.permit.Release(false)
+	x.permit = nil
 }
 
 // readHead decodes the head of an endpoint's answer, and records what the endpoint says of itself.
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -87,9 +87,9 @@
 	// maxDenied is how many endpoints of a version are asked in vain for one request; each takes a
 	// round trip.
 	maxDenied = 3
-	// maxDeniedPlaces is the same for places at brittle endpoints, which are free again after each
+	// maxDeniedPermits is the same for permits at brittle endpoints, which are free again after each
 	// request.
-	maxDeniedPlaces = 5
+	maxDeniedPermits = 5
 	// deniedDelay is when a caller may retry whose request asked that many in vain.
 	deniedDelay = 100 * time.Millisecond
 )
@@ -98,7 +98,7 @@
 // request, and records in opensIn when the first of them has.
 func (x *exchange) closed(g *fleet.Group, choice rollout.Choice, opensIn *time.Duration) func(fleet.Endpoint) bool {
 	limitWait := func(ep fleet.Endpoint) time.Duration {
-		if x.denied[ep.Version] >= maxDeniedPlaces {
+		if x.denied[ep.Version] >= maxDeniedPermits {
 			return deniedDelay
 		}
 		return 0
@@ -127,7 +127,7 @@
 	}
 	return func(ep fleet.Endpoint) time.Duration {
 		wait := limits.Wait(ep, x.headroom)
-		if wait == 0 && (x.denied[ep.Version] >= maxDenied && limits.Limit(ep) > 0 || x.denied[ep.Version] >= maxDeniedPlaces) {
+		if wait == 0 && (x.denied[ep.Version] >= maxDenied && limits.Limit(ep) > 0 || x.denied[ep.Version] >= maxDeniedPermits) {
 			wait = deniedDelay
 		}
 		return wait
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -97,7 +97,7 @@
 	}
 	taken, ok := s.Concurrency.Take(ctx, ep)
 	if !ok {
-		s.Log.Info("ingress: copy not sent, the endpoint is brittle and has no place.", "id", id, "endpoint", ep.ID, "version", ep.Version)
+		s.Log.Info("ingress: copy not sent, the endpoint is brittle and there is no permit.", "id", id, "endpoint", ep.ID, "version", ep.Version)
 		return
 	}
 	defer taken.Release(false)
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -52,17 +52,17 @@
 
 var _ concurrency.Owners = LimitOwners{}
 
-// TakePlace implements concurrency.Owners.
-func (o LimitOwners) TakePlace(ctx context.Context, owner fleet.Entry, ask concurrency.Ask) (concurrency.Verdict, error) {
-	got, err := meshpb.NewMeshProtobufClient("http://"+owner.Address, o.http).TakePlace(ctx, ask.Message())
+// TakePermit implements concurrency.Owners.
+func (o LimitOwners) TakePermit(ctx context.Context, owner fleet.Entry, ask concurrency.Ask) (concurrency.Verdict, error) {
+	got, err := meshpb.NewMeshProtobufClient("http://"+owner.Address, o.http).TakePermit(ctx, ask.Message())
 	if err != nil {
 		return concurrency.Verdict{}, trace.Wrap(err, "owner %s at %s", owner.Instance, owner.Address)
 	}
 	return concurrency.VerdictOf(got), nil
 }
 
-// TakePlace implements meshpb.Mesh.
-func (m *Mesh) TakePlace(_ context.Context, in *meshpb.TakePlaceRequest) (*meshpb.TakePlaceResponse, error) {
+// TakePermit implements meshpb.Mesh.
+func (m *Mesh) TakePermit(_ context.Context, in *meshpb.TakePermitRequest) (*meshpb.TakePermitResponse, error) {
 	return m.Concurrency.Grant(concurrency.AskOf(in)).Message(), nil
 }
 
