egress: endpoints that crash together are no lost link

Now five endpoints in a row, or all, have to fail; two are enough if none has accepted a connection for 250 ms. A check is due at the second. TestCrashedEndpointsInARowAreNoLostLink fails with the links.go before. The tests of lost links hold.

--- a/egress/doc.go
+++ b/egress/doc.go
@@ -7,7 +7,7 @@
 // alike. A tunnel has one hop. Whatever fails before a connection is established, the
 // endpoint has received nothing.
 //
-// A link counts as down once two endpoints in a row accepted no direct connection, and
+// A link counts as down once several endpoints in a row accepted no direct connection, and
 // as up again once one does. Probes in the background look for that, so that no
 // request has to.
 //
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -61,6 +61,27 @@
 	is.True(!l.anyDown())
 }
 
+// Guards against taking the crash of half of the endpoints for a lost link: some of them are tried in a row
+// while others accept connections.
+func TestCrashedEndpointsInARowAreNoLostLink(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	l := newLinks(clock)
+	for round := range 50 {
+		l.connected(service, clock.Now())
+		for n := range 4 {
+			clock.Advance(40 * time.Millisecond)
+			is.True(!l.fail(endpoint(round+n), 12))
+		}
+		is.Equal(l.takeChecks(), []string{service})
+		clock.Advance(10 * time.Millisecond)
+	}
+	l.connected(service, clock.Now())
+	for n := range 5 {
+		is.Equal(l.fail(endpoint(n), 12), n == 4)
+	}
+}
+
 // Guards against giving up an entry for all services because it does not reach one of them.
 func TestAnEntryThatDoesNotReachOneServiceIsUsedForOthers(t *testing.T) {
 	is := is.New(t)
--- a/egress/links.go
+++ b/egress/links.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// downAfter is how many endpoints of a service must accept no connection, with none that does
-	// in between, before the link to them counts as down.
-	downAfter = 2
+	// The link to a service's endpoints counts as down once downAfter of them, or all, have accepted
+	// no connection and none has in between. If none has for downAfterSilence, doubtfulAfter are
+	// enough: where many endpoints crash, some are tried in a row.
+	downAfter        = 5
+	doubtfulAfter    = 2
+	downAfterSilence = 250 * time.Millisecond
 	// failureTTL is how long a failure counts towards downAfter.
 	failureTTL = 3 * time.Second
 	// provenFor is how long a connection proves that the link is up.
@@ -75,8 +78,9 @@
 			delete(s.failed, id)
 		}
 	}
-	s.checkDue = s.checkDue || now.Sub(s.connectedAt) > provenFor
-	if len(s.failed) < min(downAfter, endpoints) {
+	doubtful := len(s.failed) >= min(doubtfulAfter, endpoints)
+	s.checkDue = s.checkDue || doubtful || now.Sub(s.connectedAt) > provenFor
+	if len(s.failed) < min(downAfter, endpoints) && (!doubtful || now.Sub(s.connectedAt) < downAfterSilence) {
 		return false
 	}
 	s.downSince = now
