--- a/concurrency/limiter_test.go
+++ b/concurrency/limiter_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// Guards against more requests at a brittle endpoint than it has slots, whichever entries send and end
-// them in whatever order, and against permits that are lost.
+// Guards against more requests at a brittle endpoint than it has slots, and against lost permits.
 func TestEntriesTogetherKeepWithinTheSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const slots = 4
@@ -117,7 +116,7 @@
 }
 
 // Guards against counting permits by a message that a later one has overtaken.
-func TestOvertakenMessagesDoNotFreePlaces(t *testing.T) {
+func TestOvertakenMessagesDoNotFreePermits(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(1)
 	l := f.limiters["i0"]
@@ -131,8 +130,7 @@
 	is.True(l.Grant(Ask{Entry: "b", Endpoint: 1, Service: service, Slots: 2, Boot: 9, Sequence: 2}).Granted)
 }
 
-// Guards against an endpoint that nobody may use because its owner is dead, and against its stand-in
-// granting what the owner may have granted.
+// Guards against an endpoint that nobody may use, or that two entries grant, because its owner is dead.
 func TestAnotherEntryStandsInForADeadOwner(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(5)
@@ -154,8 +152,7 @@
 	is.Equal(granted, 2)
 }
 
-// Guards against an endpoint that falls over because it turns away, within any second, more requests
-// than it bears, although it was granted permits for them.
+// Guards against granting permits to an endpoint that already turns away as many requests as it bears.
 func TestAnEndpointTurnsAwayNoMoreThanItBears(t *testing.T) {
 	for _, limit := range []int{1, 3, 10} {
 		is := is.New(t)
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -32,8 +32,7 @@
 	return fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", n)), Service: service}
 }
 
-// Guards against taking single endpoints that are down, or a fleet of them beside sound ones, for a
-// lost link.
+// Guards against taking single endpoints that are down, or many beside sound ones, for a lost link.
 func TestALinkIsDownOnlyIfNoEndpointAcceptsConnections(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
@@ -61,8 +60,7 @@
 	is.True(!l.anyDown())
 }
 
-// Guards against taking the crash of half of the endpoints for a lost link: some of them are tried in a row
-// while others accept connections.
+// Guards against taking crashed endpoints that happen to be tried in a row for a lost link.
 func TestCrashedEndpointsInARowAreNoLostLink(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
@@ -122,8 +120,7 @@
 	is.Equal(counts["i0"], 0) // itself
 }
 
-// Guards against asking a large fleet one by one while few of its entries reach the endpoints: those
-// that are asked in vain name the ones that they use.
+// Guards against asking a large fleet one by one while few of its entries reach the endpoints.
 func TestEntriesThatReachAServiceAreFoundInFewRounds(t *testing.T) {
 	for _, n := range []int{8, 60, 300, 985} {
 		is := is.New(t)
--- a/ingress/brittle_test.go
+++ b/ingress/brittle_test.go
@@ -13,8 +13,7 @@
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
-// Guards against brittle endpoints falling over because all entries together send them more requests
-// than they have places for.
+// Guards against brittle endpoints falling over under the requests of all entries together.
 func TestBrittleEndpointsDoNotFallOver(t *testing.T) {
 	const endpoints, slots, work = 10, 2, 400 * time.Millisecond
 	const perSecond = endpoints * slots * int(time.Second/work) // what the endpoints can serve
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -14,8 +14,7 @@
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
-// Guards against sound endpoints that are silent for a second taking their entry out of service or
-// costing requests: two of a domain's three do not even accept connections meanwhile.
+// Guards against endpoints that are silent for a second taking entries out of service or costing requests.
 func TestEndpointsThatAreSilentForASecondCostNobodyElseAnything(t *testing.T) {
 	is := is.New(t)
 	f := newPartitionCluster(t, 2, 1, 3)
@@ -94,8 +93,7 @@
 	}
 }
 
-// Guards against streams that wait for connections that have gone silent for good while their
-// endpoint answers on new ones.
+// Guards against streams that wait on connections that have gone silent while new ones work.
 func TestStreamsOnDeadConnectionsResume(t *testing.T) {
 	is := is.New(t)
 	w := newEnv(t, 3)
@@ -121,8 +119,7 @@
 	}
 }
 
-// Guards against taking endpoints for crashed, and their requests for the cause, when the entry's own
-// link resets its connections and refuses new ones.
+// Guards against taking a lost link for crashed endpoints, and requests for the cause.
 func TestResetLinksAreNotTakenForCrashedEndpoints(t *testing.T) {
 	is := is.New(t)
 	f := newPartitionCluster(t, 3, 1, 4)
@@ -147,8 +144,7 @@
 	is.Equal(f.all[0].quarantine.State().Suspects, 0)
 }
 
-// Guards against crashes that no entry believes: endpoints crash together, so that the other entries, which are
-// asked whether one has exited, have lost their way to all of them.
+// Guards against missing crashes because no other entry reaches an endpoint that could confirm them.
 func TestCrashesAreRecognizedWhileOtherEntriesReachNothing(t *testing.T) {
 	is := is.New(t)
 	f := newPartitionCluster(t, 3, 1, 0)
--- a/ingress/stranded_test.go
+++ b/ingress/stranded_test.go
@@ -25,8 +25,7 @@
 	return ln.Addr().String()
 }
 
-// Guards against callers that stay at an entry whose own domain is evacuated and which reaches no other,
-// and against taking news of the store for a sign that the others are back.
+// Guards against callers that stay at an entry which reaches no usable domain, also after news of the store.
 func TestEntryThatReachesNoUsableDomainSendsItsCallersElsewhere(t *testing.T) {
 	is := is.New(t)
 	clock := clockwork.NewFakeClock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,8 +82,7 @@
 	is.True(r.Crashes > 0)
 }
 
-// Guards against refusing callers of entries that are cut off from all engines, and against running their
-// requests twice, while other faults overlap.
+// Guards against refusing callers of entries that are cut off, or running their requests twice.
 func TestSeededSoakOfEntriesThatAreCutOff(t *testing.T) {
 	edge, ctl := buildPrograms(t)
 	for _, seed := range []uint64{
