--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -65,6 +65,13 @@
 	return c.sent[id]
 }
 
+// statusOf returns how an attempt was answered; 0: it was not.
+func (c *callers) statusOf(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent[id].status
+}
+
 // keepSending sends perSecond requests a second to a machine, seven in ten of which may not be repeated.
 func (c *callers) keepSending(ctx context.Context, m *machine, perSecond float64) {
 	t := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -20,7 +20,7 @@
 	slots             int
 	// sheds is how many in 100 of its requests it rejects as not run, while its liveness check is good.
 	sheds atomic.Int64
-	// onRun is called when a request begins to run, onEnd when its run has ended; whole: it was answered.
+	// onRun is called when a request begins to run.
 	onRun func(e *engine, id string)
 
 	running atomic.Int64
--- a/review/standin/revoked.go
+++ b/review/standin/revoked.go
@@ -14,7 +14,7 @@
 	// configApply is config_apply_ms; a margin is waited beside it.
 	configApply = 2000 * time.Millisecond
 	revokeGap   = 300 * time.Millisecond
-	// attempts is how many requests with a key that no configuration ever held are sent to each machine.
+	// strangers is how many requests with a key that no configuration ever held are sent to each machine.
 	strangers = 10
 )
 
@@ -52,7 +52,7 @@
 		return false, err
 	}
 	var mu sync.Mutex
-	ran := map[string]string{} // tenant that the engine was told, by request
+	ran := map[string]string{} // engine, by request
 	for i, zone := range zones {
 		e, err := newEngine(fmt.Sprintf("i-%08x", i+1), zone, service, 15*time.Millisecond, func(e *engine, id string) {
 			mu.Lock()
--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -93,14 +94,26 @@
 	return c, nil
 }
 
+// Ports of the processes: below those that the system gives to outgoing connections.
+const (
+	firstPort = 15000
+	portCount = 15000
+)
+
+// nextPort is the offset of the port that is tried next.
+var nextPort = rand.IntN(portCount)
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		if ln, err := net.Listen("tcp", address); err == nil {
+			_ = ln.Close()
+			return address, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // startStore starts the project's stand-in of the platform's store.
