--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*run) (bool, error){"memory": playMemory, "revoked": playRevoked}
+	cases := map[string]func(*run) (bool, error){"leaving": playLeaving, "memory": playMemory, "revoked": playRevoked}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "standin: no case %q\n", os.Args[1])
