--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -22,7 +22,7 @@
 	// servesOn and servesLittle are how long an engine that left serves on, by turns: drain_ms and some seconds, or
 	// drain_ms and a little longer.
 	servesOn     = 4 * time.Second
-	servesLittle = 2300 * time.Millisecond
+	servesLittle = 2100 * time.Millisecond
 	// perMachine is the rate of requests at each machine.
 	perMachine = 12.0
 	workTime   = 30 * time.Millisecond
