--- a/review/standin/machine.go
+++ b/review/standin/machine.go
@@ -20,8 +20,6 @@
 	settings   string // path of its settings file
 	link       *link
 	process    *exec.Cmd
-	// cutUntil is when its link to the store was last mended; far in the future while it is cut.
-	cutUntil time.Time
 }
 
 // settingsFormat is deploy/edge.yaml.tmpl with the fields of a small deployment.
