fleet, platform: logs and metrics tell the store's era and the revision that an entry serves from

A revision names a state of the store only together with the store's era, which each answer tells and nothing read. A read of the whole store that is behind the entry's copy was dropped without a trace; it is counted now, and each read says what it found and what the entry had.

--- a/edge/module.go
+++ b/edge/module.go
@@ -156,8 +156,10 @@
 	return fleet.Entry{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Peers, LoadAddress: s.Listen.Loads, Boot: int64(b), LinkMbps: s.LinkMbps}
 }
 
-func newFollower(s *Settings, b boot, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger) *fleet.Follower {
-	return fleet.NewFollower(s.entry(b), c, dec, lapsedGrace(s), clock, log)
+func newFollower(s *Settings, b boot, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *fleet.Follower {
+	f := fleet.NewFollower(s.entry(b), c, dec, lapsedGrace(s), clock, log)
+	f.SetMetrics(m.Scope.SubScope("fleet"))
+	return f
 }
 
 func newRollouts(s *Settings, b boot, c kv.Client, dec fleet.Decoder, f *fleet.Follower, clock clockwork.Clock, log *slog.Logger) *rollout.Controller {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/kv"
 )
@@ -88,6 +89,7 @@
 	entriesKnown       chan struct{} // closed once the entries of the own failure domain are known
 	entriesOnce        sync.Once
 	start              start // used by Run only
+	metrics            tally.Scope
 	// sinceBoot returns the time since the machine started, including suspension.
 	sinceBoot func() time.Duration
 }
@@ -96,7 +98,7 @@
 // registration lapsed remains usable as a last resort.
 func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedTTL time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
 	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), viewBuilder: newBuilder(dec, lapsedTTL, log), onChange: func(*View) {}, configKnown: make(chan struct{}),
-		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot}
+		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot, metrics: tally.NoopScope}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -105,6 +107,9 @@
 // Run. It must not block.
 func (f *Follower) OnChange(call func(*View)) { f.onChange = call }
 
+// SetMetrics sets the scope of the follower's metrics; set it before Run.
+func (f *Follower) SetMetrics(scope tally.Scope) { f.metrics = scope }
+
 // SetSinceBoot replaces the clock that includes suspension; set it before Run.
 func (f *Follower) SetSinceBoot(now func() time.Duration) { f.sinceBoot = now }
 
@@ -161,6 +166,14 @@
 	f.apply(c, age)
 }
 
+// StoreEra returns the store's era as of its latest answer to this entry; 0: the store does not tell.
+func (f *Follower) StoreEra() kv.Era {
+	if r, ok := f.store.(kv.EraReader); ok {
+		return r.Era()
+	}
+	return 0
+}
+
 // apply applies changes of the given age, and publishes a view if any was new. A part of the
 // store, which has no revision, does not confirm the rest.
 func (f *Follower) apply(c Changes, age time.Duration) {
@@ -170,7 +183,12 @@
 	if at := now.Add(-age); at.After(f.confirmed) && c.Revision > 0 {
 		f.confirmed, f.confirmedSinceBoot = at, f.sinceBoot()-age
 	}
+	if c.Whole && c.Revision < f.items.Revision() {
+		f.metrics.Counter("snapshots_ignored_total").Inc(1)
+	}
 	fresh := f.items.Apply(c)
+	f.metrics.Gauge("revision").Update(float64(f.items.Revision()))
+	f.metrics.Gauge("store_era").Update(float64(f.StoreEra()))
 	if len(fresh) >= BulkChanges {
 		f.catchingUp = now
 	}
@@ -305,7 +323,7 @@
 	}
 	rev, events, err := f.store.WatchOnce(ctx, "", true, after, wait)
 	if errors.Is(err, kv.ErrCompacted) {
-		f.log.Info("fleet: history since this revision was compacted.", "revision", after)
+		f.log.Info("fleet: history since this revision was compacted.", "revision", after, "store_era", f.StoreEra())
 		return f.reread(ctx)
 	}
 	if err != nil {
@@ -377,6 +395,6 @@
 		f.log.Warn("fleet: store does not answer; serving from the last known state.", "revision", f.items.Revision(), "error", err)
 	}
 	if err == nil && was {
-		f.log.Info("fleet: store answers again.", "revision", f.items.Revision())
+		f.log.Info("fleet: store answers again.", "revision", f.items.Revision(), "store_era", f.StoreEra())
 	}
 }
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -170,6 +170,8 @@
 	if err != nil {
 		return err
 	}
+	f.metrics.Counter("whole_reads_total").Inc(1)
+	f.log.Info("fleet: read the whole store.", "revision", rev, "had", f.items.Revision(), "items", len(items), "store_era", f.StoreEra())
 	f.applyAll(rev, items, 0)
 	return nil
 }
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -10,6 +10,11 @@
 // and never decreases. Zero means "no revision" (an absent key).
 type Revision int64
 
+// Era numbers the histories of a store. It rises when the store comes back from a copy and has lost
+// what was written after the copy: from then on it gives out the same revisions for other changes.
+// Zero means that the store does not tell.
+type Era int64
+
 // LeaseID identifies a lease granted by the store. Zero means "no lease".
 type LeaseID int64
 
@@ -93,6 +98,9 @@
 	GetPage(ctx context.Context, prefix, after string) (rev Revision, page []KeyValue, more bool, err error)
 }
 
+// EraReader tells the store's era as of its latest answer to this client.
+type EraReader interface{ Era() Era }
+
 // Client is the complete interface that lovageweir uses.
 type Client interface {
 	KV
