kv, platform, fleet, mesh: revisions are ordered by the store's era first (CONFIG, DRAIN)

What callers saw: routes that answered 404, revoked keys that served, and requests to endpoints that had left, for as long as the store's revisions were below those from before it came back from a copy, and for good where a change had got a revision that entries had seen.

Cause: a revision was compared as if a store had one history. Each answer names the store's era; nothing read it.

Weighed: a struct of era and number (each place that compares has to know; the one that is missed is the fault again), and an era beside the copy (the same). On the wire between entries numbers stay as they were, with the era in a field of its own: entries of a build without it are sent what they were sent before, and their changes are not taken. A read that is behind what is known confirms nothing, and is an error with a pause.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -83,6 +83,7 @@
 	Stopping bool            `json:"stopping"`
 	InFlight int64           `json:"in_flight"`
 	Revision int64           `json:"revision"`
+	Era      int64           `json:"era"`       // of the revision
 	StoreEra int64           `json:"store_era"` // as of the store's latest answer to this entry
 	Config   int64           `json:"config_version"`
 	AgeMS    int64           `json:"age_ms"`
@@ -119,7 +120,7 @@
 func (p serverParams) dump() Dump {
 	v := p.Fleet.View()
 	d := Dump{Instance: p.EntrySettings.Instance, Domain: p.EntrySettings.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
-		InFlight: p.Gate.InFlight(), Revision: int64(v.Revision), StoreEra: int64(p.Fleet.StoreEra()), AgeMS: -1, Away: p.Fleet.StoreUnreachable(), Entries: v.Entries,
+		InFlight: p.Gate.InFlight(), Revision: v.Revision.Number(), Era: int64(v.Revision.Era()), StoreEra: int64(p.Fleet.StoreEra()), AgeMS: -1, Away: p.Fleet.StoreUnreachable(), Entries: v.Entries,
 		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Egress: p.Egress.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -153,15 +153,15 @@
 // Merge applies changes from another entry, whose data was last known to be
 // current that long ago.
 func (f *Follower) Merge(from string, c Changes, age time.Duration) {
-	if IsCurrent(age) {
+	before := f.items.Revision()
+	if IsCurrent(age) && c.Revision.Era() >= before.Era() {
 		f.recordPeer()
 	}
-	before := f.items.Revision()
 	if c.Revision < before {
 		return
 	}
 	if c.Revision > before {
-		f.log.Info("fleet: merging newer changes from another entry.", "from", from, "revision", c.Revision, "had", before, "whole", c.Whole, "changes", len(c.Events))
+		f.log.Info("fleet: merging newer changes from another entry.", "from", from, "revision", c.Revision, "era", c.Revision.Era(), "had", before, "had_era", before.Era(), "whole", c.Whole, "changes", len(c.Events))
 	}
 	f.apply(c, age)
 }
@@ -180,14 +180,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	if at := now.Add(-age); at.After(f.confirmed) && c.Revision > 0 {
+	if at := now.Add(-age); at.After(f.confirmed) && c.Revision > 0 && c.Revision >= f.items.Revision() {
 		f.confirmed, f.confirmedSinceBoot = at, f.sinceBoot()-age
 	}
 	if c.Whole && c.Revision < f.items.Revision() {
 		f.metrics.Counter("snapshots_ignored_total").Inc(1)
 	}
 	fresh := f.items.Apply(c)
-	f.metrics.Gauge("revision").Update(float64(f.items.Revision()))
+	f.metrics.Gauge("revision").Update(float64(f.items.Revision().Number()))
+	f.metrics.Gauge("era").Update(float64(f.items.Revision().Era()))
 	f.metrics.Gauge("store_era").Update(float64(f.StoreEra()))
 	if len(fresh) >= BulkChanges {
 		f.catchingUp = now
@@ -322,6 +323,10 @@
 		wait = time.Millisecond
 	}
 	rev, events, err := f.store.WatchOnce(ctx, "", true, after, wait)
+	if errors.Is(err, kv.ErrNewEra) {
+		f.log.Warn("fleet: the store came back from a copy; reading it.", "revision", after, "era", after.Era(), "store_era", f.StoreEra())
+		return f.reread(ctx)
+	}
 	if errors.Is(err, kv.ErrCompacted) {
 		f.log.Info("fleet: history since this revision was compacted.", "revision", after, "store_era", f.StoreEra())
 		return f.reread(ctx)
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -166,16 +167,23 @@
 }
 
 func (f *Follower) readAll(ctx context.Context) error {
+	before := f.items.Revision()
 	rev, items, err := f.store.Get(ctx, "", true)
 	if err != nil {
 		return err
 	}
 	f.metrics.Counter("whole_reads_total").Inc(1)
-	f.log.Info("fleet: read the whole store.", "revision", rev, "had", f.items.Revision(), "items", len(items), "store_era", f.StoreEra())
+	f.log.Info("fleet: read the whole store.", "revision", rev, "era", rev.Era(), "had", before, "had_era", before.Era(), "items", len(items))
+	if rev < before {
+		return errBehind // without a pause, the next watch would fail again
+	}
 	f.applyAll(rev, items, 0)
 	return nil
 }
 
+// errBehind means that the store was read at an earlier revision than one that it gave out.
+var errBehind = errors.New("the store is behind what it has told before")
+
 // applyAll applies all items of the store, of the given age.
 func (f *Follower) applyAll(rev kv.Revision, items []kv.KeyValue, age time.Duration) {
 	c := Changes{Revision: rev, Whole: true, Events: make([]kv.Event, 0, len(items))}
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -88,7 +88,7 @@
 	}
 	attrs := make([]slog.Attr, 0, 16)
 	attrs = append(attrs, slog.String("id", x.metadata.ID), slog.Int("status", x.status), slog.String("outcome", x.outcome),
-		slog.Int64("ms", took.Milliseconds()), slog.Int64("revision", int64(x.view.Revision)))
+		slog.Int64("ms", took.Milliseconds()), slog.Int64("revision", x.view.Revision.Number()), slog.Int64("era", int64(x.view.Revision.Era())))
 	if age, ok := s.Fleet.Age(); ok {
 		attrs = append(attrs, slog.Int64("age_ms", age.Milliseconds()))
 	}
--- a/ingress/stranded.go
+++ b/ingress/stranded.go
@@ -12,7 +12,7 @@
 			message = "ingress: entry reaches no endpoint that it may use; sending callers elsewhere."
 		}
 		view := s.Fleet.View()
-		s.Log.Warn(message, "domains", view.OpenDomains(), "evacuated", view.Evacuated, "revision", int64(view.Revision))
+		s.Log.Warn(message, "domains", view.OpenDomains(), "evacuated", view.Evacuated, "revision", view.Revision)
 	}
 	return stranded
 }
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -3,13 +3,36 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 )
 
-// Revision is the store's logical clock: it increases by one with every write
-// and never decreases. Zero means "no revision" (an absent key).
+// Revision is the store's logical clock: it increases by one with every write, and never decreases.
+// It orders states of the store across its eras: the era is in the upper bits, and the number that
+// the store gave out in that era, which it may give out again in the next, is in the lower ones.
+// Zero means "no revision" (an absent key).
 type Revision int64
 
+// revisionNumberBits leaves 23 bits for the era.
+const revisionNumberBits = 40
+
+// RevisionIn returns the revision with a number that the store gave out in an era.
+func RevisionIn(era Era, number int64) Revision {
+	if number == 0 {
+		return 0
+	}
+	return Revision(int64(era)<<revisionNumberBits | number)
+}
+
+// Era returns the era that a revision belongs to.
+func (r Revision) Era() Era { return Era(r >> revisionNumberBits) }
+
+// Number returns the revision as the store gives it out.
+func (r Revision) Number() int64 { return int64(r & (1<<revisionNumberBits - 1)) }
+
+// LogValue implements slog.LogValuer. It leaves out the era, which rarely changes.
+func (r Revision) LogValue() slog.Value { return slog.Int64Value(r.Number()) }
+
 // Era numbers the histories of a store. It rises when the store comes back from a copy and has lost
 // what was written after the copy: from then on it gives out the same revisions for other changes.
 // Zero means that the store does not tell.
@@ -52,6 +75,9 @@
 	// ErrCompacted means that the history a watch requested has been
 	// compacted; read, then watch from the revision of the read.
 	ErrCompacted = errors.New("kv: watch history is compacted")
+	// ErrNewEra means that the revision that a watch requested is of an earlier era; read, then watch
+	// from the revision of the read.
+	ErrNewEra = errors.New("kv: store came back from a copy, and its history is another one")
 )
 
 // KV reads and writes keys.
--- a/kv/memkv/store.go
+++ b/kv/memkv/store.go
@@ -29,8 +29,8 @@
 	clock clockwork.Clock
 
 	mu      sync.Mutex
-	era     kv.Era // number of restores
-	rev     kv.Revision
+	era     kv.Era      // number of restores
+	rev     kv.Revision // its number; data and history have numbers, too
 	data    map[string]kv.KeyValue
 	history []kv.Event
 	// compacted is the newest revision whose event has been discarded.
@@ -53,6 +53,15 @@
 
 var _ kv.Client = (*Store)(nil)
 
+// currentLocked returns the current revision.
+func (s *Store) currentLocked() kv.Revision { return kv.RevisionIn(s.era, int64(s.rev)) }
+
+// inEraLocked returns a key with the revisions of the current era.
+func (s *Store) inEraLocked(v kv.KeyValue) kv.KeyValue {
+	v.CreateRevision, v.ModRevision = kv.RevisionIn(s.era, int64(v.CreateRevision)), kv.RevisionIn(s.era, int64(v.ModRevision))
+	return v
+}
+
 func match(k, key string, prefix bool) bool {
 	if prefix {
 		return strings.HasPrefix(k, key)
@@ -68,11 +77,11 @@
 	var out []kv.KeyValue
 	for k, v := range s.data {
 		if match(k, key, prefix) {
-			out = append(out, v)
+			out = append(out, s.inEraLocked(v))
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
-	return s.rev, out, nil
+	return s.currentLocked(), out, nil
 }
 
 // List implements kv.KV.
@@ -92,7 +101,7 @@
 	if err := s.putLocked(key, value, id); err != nil {
 		return 0, err
 	}
-	return s.rev, nil
+	return s.currentLocked(), nil
 }
 
 // CompareAndPut implements kv.KV.
@@ -101,16 +110,17 @@
 	defer s.mu.Unlock()
 	s.expireLocked()
 	cur, ok := s.data[key]
+	cur = s.inEraLocked(cur)
 	if cur.ModRevision != expect {
 		if ok {
-			return false, s.rev, &cur, nil
+			return false, s.currentLocked(), &cur, nil
 		}
-		return false, s.rev, nil, nil
+		return false, s.currentLocked(), nil, nil
 	}
 	if err := s.putLocked(key, value, id); err != nil {
 		return false, 0, nil, err
 	}
-	return true, s.rev, nil, nil
+	return true, s.currentLocked(), nil, nil
 }
 
 // CompareAndDelete implements kv.KV.
@@ -119,7 +129,7 @@
 	defer s.mu.Unlock()
 	s.expireLocked()
 	cur, ok := s.data[key]
-	if !ok || cur.ModRevision != expect {
+	if !ok || s.inEraLocked(cur).ModRevision != expect {
 		return false, nil
 	}
 	s.deleteLocked(key)
@@ -141,7 +151,7 @@
 	for _, k := range keys {
 		s.deleteLocked(k)
 	}
-	return s.rev, nil
+	return s.currentLocked(), nil
 }
 
 func (s *Store) putLocked(key string, value []byte, id kv.LeaseID) error {
@@ -316,12 +326,16 @@
 	for {
 		s.mu.Lock()
 		s.expireLocked()
-		if s.compacted > after || s.rev < after {
+		if after != 0 && after.Era() != s.era {
+			s.mu.Unlock()
+			return after, nil, kv.ErrNewEra
+		}
+		if number := kv.Revision(after.Number()); s.compacted > number || s.rev < number {
 			s.mu.Unlock()
 			return after, nil, kv.ErrCompacted
 		}
 		evs := s.eventsAfterLocked(key, prefix, after)
-		rev, changed := s.rev, s.changed
+		rev, changed := s.currentLocked(), s.changed
 		s.mu.Unlock()
 		if len(evs) > 0 {
 			return rev, evs, nil
@@ -339,7 +353,7 @@
 func (s *Store) eventsAfterLocked(key string, prefix bool, after kv.Revision) []kv.Event {
 	var out []kv.Event
 	for _, ev := range s.history {
-		if ev.KV.ModRevision > after && match(ev.KV.Key, key, prefix) {
+		if ev.KV = s.inEraLocked(ev.KV); ev.KV.ModRevision > after && match(ev.KV.Key, key, prefix) {
 			out = append(out, ev)
 		}
 	}
@@ -350,7 +364,7 @@
 func (s *Store) Revision() kv.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rev
+	return s.currentLocked()
 }
 
 // Stats is a snapshot of the store's size for state dumps.
@@ -365,7 +379,7 @@
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := Stats{Revision: s.rev, Keys: len(s.data), Leases: len(s.leases)}
+	st := Stats{Revision: s.currentLocked(), Keys: len(s.data), Leases: len(s.leases)}
 	for k, v := range s.data {
 		st.Bytes += len(k) + len(v.Value)
 	}
--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -52,7 +52,8 @@
 	if unpacks {
 		revision, now := m.Fleet.Revision(), m.Clock.Now()
 		if p, ok := m.packer.find(after, revision, now); ok {
-			out.Revision, out.Whole, out.PackedChanges = int64(p.revision), whole, p.raw
+			setRevision(out, p.revision)
+			out.Whole, out.PackedChanges = whole, p.raw
 			if p.revision != revision && out.ConfirmedMs >= 0 {
 				out.ConfirmedMs += now.Sub(p.at).Milliseconds() // what changed since is not in it
 			}
@@ -60,7 +61,8 @@
 		}
 	}
 	c := m.Fleet.Since(after)
-	out.Revision, out.Whole = int64(c.Revision), c.Whole
+	setRevision(out, c.Revision)
+	out.Whole = c.Whole
 	out.Changes = encodeChanges(c.Events)
 	if !unpacks || sizeOf(c.Events) < minPackedBytes {
 		return nil
@@ -74,12 +76,21 @@
 	return nil
 }
 
+// setRevision sets the revision that a response leads to. If the era has risen since the response was
+// begun, what it says of roll-outs is of the era before.
+func setRevision(out *meshpb.ExchangeMessage, revision kv.Revision) {
+	if era := int64(revision.Era()); era != out.Era {
+		out.Era, out.Orders, out.Evidence = era, nil, nil
+	}
+	out.Revision = revision.Number()
+}
+
 // find returns kept changes that lead from one revision to another, or a recent snapshot.
 func (k *packer) find(after, revision kv.Revision, now time.Time) (packed, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, p := range k.kept {
-		if p.after == after && (p.revision == revision || after == 0 && now.Sub(p.at) < snapshotReuse) {
+		if p.after == after && (p.revision == revision || after == 0 && p.revision.Era() == revision.Era() && now.Sub(p.at) < snapshotReuse) {
 			return p, true
 		}
 	}
@@ -116,8 +127,8 @@
 func encodeChanges(events []kv.Event) []*meshpb.Change {
 	out := make([]*meshpb.Change, 0, len(events))
 	for _, e := range events {
-		out = append(out, &meshpb.Change{Key: e.KV.Key, Value: e.KV.Value, Revision: int64(e.KV.ModRevision),
-			Created: int64(e.KV.CreateRevision), Lease: int64(e.KV.Lease), Deleted: e.Type == kv.EventDelete})
+		out = append(out, &meshpb.Change{Key: e.KV.Key, Value: e.KV.Value, Revision: e.KV.ModRevision.Number(),
+			Created: e.KV.CreateRevision.Number(), Lease: int64(e.KV.Lease), Deleted: e.Type == kv.EventDelete})
 	}
 	return out
 }
@@ -133,16 +144,17 @@
 	got.Changes, got.PackedChanges = changes, nil
 	if err == nil && got.Whole {
 		age := time.Duration(max(0, got.ConfirmedMs)) * time.Millisecond
-		m.packer.keep(packed{revision: kv.Revision(got.Revision), at: m.Clock.Now().Add(-age), raw: raw})
+		m.packer.keep(packed{revision: kv.RevisionIn(kv.Era(got.Era), got.Revision), at: m.Clock.Now().Add(-age), raw: raw})
 	}
 	return err
 }
 
 func decodeChanges(got *meshpb.ExchangeMessage) fleet.Changes {
-	c := fleet.Changes{Revision: kv.Revision(got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
+	era := kv.Era(got.Era)
+	c := fleet.Changes{Revision: kv.RevisionIn(era, got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
 	for _, ch := range got.Changes {
-		e := kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: ch.Key, Value: ch.Value, ModRevision: kv.Revision(ch.Revision),
-			CreateRevision: kv.Revision(ch.Created), Lease: kv.LeaseID(ch.Lease)}}
+		e := kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: ch.Key, Value: ch.Value, ModRevision: kv.RevisionIn(era, ch.Revision),
+			CreateRevision: kv.RevisionIn(era, ch.Created), Lease: kv.LeaseID(ch.Lease)}}
 		if ch.Deleted {
 			e.Type = kv.EventDelete
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -251,23 +251,28 @@
 }
 
 func (m *Mesh) encode(orders []rollout.OrderState, evidence []rollout.Row, sessions []rollout.Session) *meshpb.ExchangeMessage {
-	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: int64(m.Fleet.Revision()), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
+	revision := m.Fleet.Revision()
+	era := revision.Era()
+	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: revision.Number(), Era: int64(era), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
 	if age, ok := m.Fleet.Age(); ok {
 		out.ConfirmedMs = age.Milliseconds()
 	}
 	for _, o := range orders {
-		out.Orders = append(out.Orders, &meshpb.Order{Service: o.Service, Ordered: int64(o.Ordered), AgeMs: o.Age.Milliseconds(), Halted: o.Halted, MovedMs: promotedAgoMS(o)})
+		if o.Ordered.Era() == era {
+			out.Orders = append(out.Orders, &meshpb.Order{Service: o.Service, Ordered: o.Ordered.Number(), AgeMs: o.Age.Milliseconds(), Halted: o.Halted, MovedMs: promotedAgoMS(o)})
+		}
 	}
 	for _, s := range sessions {
 		out.Session = append(out.Session, s.Hash)
 		out.SessionAgoMs = append(out.SessionAgoMs, uint32(s.Ago.Milliseconds()))
 	}
+	evidence = slices.DeleteFunc(evidence, func(r rollout.Row) bool { return r.Ordered.Era() != era })
 	if len(evidence) > maxEvidenceRows {
 		rand.Shuffle(len(evidence), func(i, j int) { evidence[i], evidence[j] = evidence[j], evidence[i] })
 		evidence = evidence[:maxEvidenceRows]
 	}
 	for _, r := range evidence {
-		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: int64(r.Ordered),
+		out.Evidence = append(out.Evidence, &meshpb.Evidence{Instance: r.Instance, Boot: r.Boot, Service: r.Service, Ordered: r.Ordered.Number(),
 			Route: r.Route, Samples: r.Samples, Failed: r.Failed, Slow: r.Slow, Rank: r.LogTime, Seen: r.Seen, Bad: r.Bad})
 	}
 	out.Suspects, out.SuspectParts = m.Quarantine.Message()
@@ -297,7 +302,7 @@
 	m.Concurrency.MergeMessage(in.Brittle)
 	m.mergeDepartures(in)
 	out := m.response()
-	after := kv.Revision(in.Revision)
+	after := kv.RevisionIn(m.eraOf(in), in.Revision)
 	if m.Fleet.NeedsSnapshot(after) && !m.allowSnapshot() {
 		out.Revision, out.ConfirmedMs, out.Watching = 0, -1, false
 		return out, nil
@@ -354,16 +359,26 @@
 	m.Fleet.AddDepartures(in.Instance, reports)
 }
 
+// eraOf returns the era of the revisions in a message. An entry of a build that does not tell it is
+// taken to be in the same one; changes from it are ignored (decodeChanges).
+func (m *Mesh) eraOf(in *meshpb.ExchangeMessage) kv.Era {
+	if in.Era == 0 {
+		return m.Fleet.Revision().Era()
+	}
+	return kv.Era(in.Era)
+}
+
 func (m *Mesh) mergeRollouts(in *meshpb.ExchangeMessage) {
+	era := m.eraOf(in)
 	orders := make([]rollout.OrderState, 0, len(in.Orders))
 	for _, o := range in.Orders {
-		orders = append(orders, rollout.OrderState{Service: o.Service, Ordered: kv.Revision(o.Ordered), Age: time.Duration(o.AgeMs) * time.Millisecond, Halted: o.Halted,
+		orders = append(orders, rollout.OrderState{Service: o.Service, Ordered: kv.RevisionIn(era, o.Ordered), Age: time.Duration(o.AgeMs) * time.Millisecond, Halted: o.Halted,
 			Promoted: o.MovedMs >= 0, PromotedAgo: time.Duration(o.MovedMs) * time.Millisecond})
 	}
 	evidence := make([]rollout.Row, 0, len(in.Evidence))
 	for _, e := range in.Evidence {
 		evidence = append(evidence, rollout.Row{
-			Source: rollout.Source{Instance: e.Instance, Boot: e.Boot, Service: e.Service, Ordered: kv.Revision(e.Ordered), Route: e.Route},
+			Source: rollout.Source{Instance: e.Instance, Boot: e.Boot, Service: e.Service, Ordered: kv.RevisionIn(era, e.Ordered), Route: e.Route},
 			Counts: rollout.Counts{Samples: e.Samples, Failed: e.Failed, Slow: e.Slow, LogTime: e.Rank, Seen: e.Seen, Bad: e.Bad},
 		})
 	}
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -127,7 +127,7 @@
 	out := make([]State, 0, len(c.trackers))
 	for s, t := range c.trackers {
 		sum := t.evidence.totals()
-		row := State{Service: s, Order: int64(t.ordered), AgeMS: c.Clock.Since(t.orderedAt).Milliseconds(), Halted: t.halted,
+		row := State{Service: s, Order: t.ordered.Number(), AgeMS: c.Clock.Since(t.orderedAt).Milliseconds(), Halted: t.halted,
 			Samples: sum.Samples, Failed: sum.Failed, Slow: sum.Slow}
 		if g := v.Group(s); g != nil {
 			row.Withdrawn = g.Withdrawn.Versions
--- a/standin/kvserver/server.go
+++ b/standin/kvserver/server.go
@@ -124,7 +124,7 @@
 	_ = json.NewEncoder(w).Encode(api.Error{Message: err.Error(), Code: code})
 }
 
-func header(rev kv.Revision) api.Header { return api.Header{Revision: int64(rev)} }
+func header(rev kv.Revision) api.Header { return api.Header{Revision: rev.Number()} }
 
 func (s *Server) rangeKeys(ctx context.Context, r api.RangeRequest) (*api.RangeResponse, error) {
 	rev, kvs, err := s.store.Get(ctx, string(r.Key), len(r.RangeEnd) > 0)
@@ -158,7 +158,7 @@
 	if len(r.Compare) != 1 || len(r.Success) != 1 || r.Compare[0].Target != api.TargetMod || r.Compare[0].Result != api.ResultEqual {
 		return nil, errUnsupportedTxn
 	}
-	key, expect := string(r.Compare[0].Key), kv.Revision(r.Compare[0].ModRevision)
+	key, expect := string(r.Compare[0].Key), kv.RevisionIn(s.store.Era(), r.Compare[0].ModRevision)
 	var ok bool
 	var err error
 	rev := s.store.Revision()
@@ -228,14 +228,14 @@
 		<-r.Context().Done()
 		return
 	}
-	after := kv.Revision(req.Create.StartRevision - 1)
+	after := kv.RevisionIn(s.store.Era(), req.Create.StartRevision-1)
 	if req.Create.StartRevision == 0 {
 		after = s.store.Revision()
 	}
 	for r.Context().Err() == nil {
 		rev, evs, err := s.store.WatchOnce(r.Context(), string(req.Create.Key), len(req.Create.RangeEnd) > 0, after, maxWatchWait)
-		if errors.Is(err, kv.ErrCompacted) {
-			send(api.WatchResponse{Header: header(rev), Canceled: true, CompactRevision: int64(after) + 1})
+		if errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrNewEra) {
+			send(api.WatchResponse{Header: header(rev), Canceled: true, CompactRevision: after.Number() + 1})
 			return
 		}
 		if err != nil {
@@ -263,7 +263,7 @@
 func toAPI(v kv.KeyValue) api.KeyValue {
 	return api.KeyValue{
 		Key: []byte(v.Key), Value: v.Value,
-		CreateRevision: int64(v.CreateRevision), ModRevision: int64(v.ModRevision),
+		CreateRevision: v.CreateRevision.Number(), ModRevision: v.ModRevision.Number(),
 		Version: v.Version, Lease: int64(v.Lease),
 	}
 }
