fleet: what the store lost stays in force until it is written again

What callers would see: after a store came back from a copy, its state was taken as it is: an endpoint that had left is ready again, one that registered since is dropped, an evacuation ends, a withdrawn version's order and record are gone, a quarantined request is let through, until operators, endpoints and entries have written again what was lost.

An entry now compares it with its copy: unchanged keys only get new revisions, what was written in the new era wins, and a key of which the store has an earlier state (a write that is in the entry's history, by number and value, or lies below what both histories share) keeps its last known state until it is written, or for a time by its kind: a minute for orders, ten for records, 2 s for an endpoint that is missing, 4 s for one that is gone. Weighed: the new copy as it is (the faults above), and a merge by the values' own versions (only configurations have one; kept for these). An order that is written again unchanged is the same order; a final state of a roll-out does not become running again.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -23,6 +23,7 @@
 	endpoints map[string]Endpoint // by name
 	lapsed    map[string]Lapsed   // by name
 	departures
+	era
 	evacuations
 	placements
 	orders    map[string]Rollout // by service
@@ -40,7 +41,23 @@
 
 type recordedStatus struct {
 	RolloutStatus
-	revision kv.Revision
+	revision kv.Revision // of the store's record
+	// lost: the store lost the record, and has an earlier one or none. of is the order that it
+	// belongs to, by Rollout.First.
+	lost bool
+	of   kv.Revision
+}
+
+// belongsTo reports whether a status is that of an order. A status older than the order belongs to
+// an earlier order for the same service.
+func (s recordedStatus) belongsTo(order Rollout) bool {
+	if s.Target != order.Target {
+		return false
+	}
+	if s.lost {
+		return s.of == order.First
+	}
+	return s.revision > order.statusAfter
 }
 
 func newBuilder(dec Decoder, lapsedTTL time.Duration, log *slog.Logger) *builder {
@@ -66,6 +83,7 @@
 
 // apply applies one change.
 func (b *builder) apply(e kv.Event, now time.Time) {
+	delete(b.carried, e.KV.Key)
 	kind, name := b.dec.Classify(e.KV.Key)
 	switch kind {
 	case ItemRollout, ItemRolloutStatus, ItemWithdrawn, ItemEvacuation:
@@ -83,7 +101,7 @@
 	case ItemEndpoint:
 		b.applyEndpoint(name, e.KV, now)
 	case ItemRollout:
-		err = b.applyOrder(name, e.KV)
+		err = b.applyOrder(name, e.KV, now)
 	case ItemRolloutStatus:
 		err = b.applyStatus(name, e.KV)
 	case ItemWithdrawn:
@@ -160,15 +178,18 @@
 	return a == b
 }
 
-func (b *builder) applyOrder(service string, item kv.KeyValue) error {
+func (b *builder) applyOrder(service string, item kv.KeyValue, now time.Time) error {
 	r, err := b.dec.Rollout(item.Value)
 	if err != nil {
 		return err
 	}
-	r.Ordered = item.ModRevision
 	if r.Service == "" {
 		r.Service = service
 	}
+	r.Ordered, r.First, r.statusAfter = item.ModRevision, item.ModRevision, item.ModRevision
+	if before, ok := b.orders[r.Service]; ok && b.isRewrite(service, before, r, now) {
+		r.First, r.statusAfter = before.First, min(before.statusAfter, item.ModRevision)
+	}
 	b.orders[r.Service] = r
 	b.log.Info("fleet: roll-out ordered.", "service", r.Service, "target", r.Target, "duration", r.Duration, "revision", r.Ordered)
 	return nil
@@ -179,7 +200,12 @@
 	if err != nil {
 		return err
 	}
-	b.statuses[service] = recordedStatus{s, item.ModRevision}
+	status := recordedStatus{RolloutStatus: s, revision: item.ModRevision}
+	// A final state stays: an entry that knows only the store's copy may take the roll-out for running.
+	if before, order := b.statuses[service], b.orders[service]; before.lost && before.belongsTo(order) && isFinal(before.State) && s.Target == order.Target && !isFinal(s.State) {
+		status.RolloutStatus, status.lost, status.of = before.RolloutStatus, true, before.of
+	}
+	b.statuses[service] = status
 	b.log.Info("fleet: roll-out recorded.", "service", service, "state", s.State, "target", s.Target, "revision", item.ModRevision)
 	return nil
 }
@@ -222,7 +248,7 @@
 
 // view builds the view at a revision.
 func (b *builder) view(rev kv.Revision, now time.Time) *View {
-	v := &View{Revision: rev, Config: b.config, Quarantine: b.quarantine, QuarantinedParts: b.quarantinedParts, Evacuated: b.evacuations.ordered(), groups: map[string]*Group{}}
+	v := &View{Revision: rev, Config: b.config, Quarantine: b.quarantine, QuarantinedParts: b.quarantinedParts, Evacuated: b.evacuations.ordered(), Lost: b.lostRecords(), groups: map[string]*Group{}}
 	b.pruneDepartures(now)
 	if b.config == b.last.Config {
 		v.byHost, v.byKey = b.last.byHost, b.last.byKey
@@ -299,16 +325,17 @@
 	return g
 }
 
-// withStatus combines an order with its recorded status. A status older than the order
-// belongs to an earlier order for the same service.
+// withStatus combines an order with its recorded status.
 func (b *builder) withStatus(order Rollout) *Rollout {
 	s, ok := b.statuses[order.Service]
 	if !ok {
 		return &order
 	}
 	order.Recorded = s.revision
-	if s.revision > order.Ordered && s.Target == order.Target {
-		order.State = s.State
+	if s.belongsTo(order) {
+		order.State, order.Unrecorded = s.State, s.lost
 	}
 	return &order
 }
+
+func isFinal(s RolloutState) bool { return s == RolloutDone || s == RolloutRolledBack }
--- /dev/null
+++ b/fleet/carried.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/lovageweir/lovageweir/kv"
+)
+
+// A store that came back from a copy has lost changes that entries know of. The operators and the
+// endpoints write theirs again, and entries write their own records again. Until a key has been
+// written or removed in the new era, views keep its last known state, as without it a leaving
+// endpoint, a withdrawn version or a revoked key would be back for a while.
+const (
+	// carryOperatorsFor is how long orders and entries' registrations are kept.
+	carryOperatorsFor = time.Minute
+	// carryRecordsFor is how long records of other entries are kept that nobody writes again.
+	carryRecordsFor = 10 * time.Minute
+	// carryMissingFor is how long an endpoint is kept whose registration the store lost; a live one
+	// registers again within two seconds of the store's return.
+	carryMissingFor = 2 * time.Second
+	// carryGoneFor is how long an endpoint that is gone stays so although the copy has its
+	// registration, which ends after three missed heartbeats.
+	carryGoneFor = 4 * time.Second
+	// rewritesFor is how long after the start of an era an order that is written again unchanged
+	// counts as the same one.
+	rewritesFor = 10 * time.Second
+)
+
+// carriedItem is the last known state of a key of which the store lost the latest change.
+type carriedItem struct {
+	known  *kv.KeyValue // nil: the key had been removed
+	stored *kv.KeyValue // nil: the store lacks the key
+	until  time.Time
+}
+
+// LostRecord is a record that entries wrote and that the store lost, or a removal that it lost.
+type LostRecord struct {
+	Key   string
+	Value []byte // nil: the record was removed
+	// Stored is the revision that the store has; 0: it lacks the key.
+	Stored kv.Revision
+}
+
+// era is what a builder keeps of the store's last change of era.
+type era struct {
+	entered  time.Time
+	revision kv.Revision // at which it was entered
+	carried  map[string]carriedItem
+	// rewritten are the services whose order was written in the era.
+	rewritten map[string]bool
+}
+
+// enterEra applies a change of era.
+func (b *builder) enterEra(c EraChange, now time.Time) {
+	if b.carried == nil {
+		b.carried = map[string]carriedItem{}
+	}
+	b.entered, b.era.revision, b.rewritten, b.all = now, c.Revision, map[string]bool{}, true
+	b.quiet = true
+	for service, s := range b.statuses {
+		belongs := s.belongsTo(b.orders[service])
+		if s.of = 0; belongs {
+			s.of = b.orders[service].First
+		}
+		b.statuses[service] = s
+	}
+	for _, item := range c.Kept {
+		b.rebase(item)
+	}
+	for _, e := range c.Events {
+		b.apply(e, now)
+	}
+	for _, r := range c.Reverted {
+		b.carry(r, now)
+	}
+	b.quiet = false
+	b.log.Warn("fleet: the store came back from a copy; a new era begins.", "era", c.Revision.Era(), "revision", c.Revision,
+		"kept", len(c.Kept), "changed", len(c.Events), "reverted", len(c.Reverted), "carried", len(b.carried))
+}
+
+// rebase replaces the revisions of an item that is the same in the new era.
+func (b *builder) rebase(item kv.KeyValue) {
+	if c, ok := b.carried[item.Key]; ok {
+		c.stored = &item
+		b.carried[item.Key] = c
+	}
+	switch kind, name := b.dec.Classify(item.Key); kind {
+	case ItemEndpoint:
+		if ep, ok := b.endpoints[name]; ok {
+			ep.Registered = item.CreateRevision
+			b.endpoints[name] = ep
+		}
+	case ItemRollout:
+		if _, carried := b.carried[item.Key]; carried {
+			return
+		}
+		for service, order := range b.orders {
+			if service == name || order.Service == name {
+				order.Ordered, order.statusAfter = item.ModRevision, item.ModRevision
+				b.orders[service] = order
+			}
+		}
+	case ItemRolloutStatus:
+		if s, ok := b.statuses[name]; ok {
+			s.revision = item.ModRevision
+			b.statuses[name] = s
+		}
+	case ItemWithdrawn:
+		if w, ok := b.withdrawn[name]; ok {
+			w.Recorded = item.ModRevision
+			b.withdrawn[name] = w
+		}
+	case ItemConfig, ItemQuarantined, ItemQuarantinedPart, ItemEntry, ItemEvacuation, ItemOther:
+	}
+}
+
+// carry keeps the last known state of a key of which the store lost the latest change.
+func (b *builder) carry(r Reverted, now time.Time) {
+	known := r.Known
+	if c, ok := b.carried[r.Key]; ok {
+		known = c.known
+	}
+	if known != nil && r.Stored != nil && bytes.Equal(known.Value, r.Stored.Value) {
+		b.apply(kv.Event{Type: kv.EventPut, KV: *r.Stored}, now)
+		return
+	}
+	var stored kv.Revision
+	if r.Stored != nil {
+		stored = r.Stored.ModRevision
+	}
+	keepFor := carryOperatorsFor
+	switch kind, name := b.dec.Classify(r.Key); kind {
+	case ItemOther:
+		return
+	case ItemConfig: // versions only rise: the one in force stays
+		if r.Stored != nil {
+			b.apply(kv.Event{Type: kv.EventPut, KV: *r.Stored}, now)
+		}
+		return
+	case ItemEndpoint:
+		if r.Stored != nil && b.isLeavingRegistration(name, *r.Stored) {
+			b.apply(kv.Event{Type: kv.EventPut, KV: *r.Stored}, now)
+			return
+		}
+		keepFor = b.carryEndpoint(name, r.Stored == nil, now)
+	case ItemRollout:
+		for service, order := range b.orders {
+			if service == name || order.Service == name {
+				order.statusAfter = b.era.revision
+				b.orders[service] = order
+			}
+		}
+	case ItemRolloutStatus:
+		s := b.statuses[name]
+		s.revision, s.lost = stored, true
+		b.statuses[name] = s
+		keepFor = carryRecordsFor
+	case ItemWithdrawn:
+		w := b.withdrawn[name]
+		w.Recorded, w.lost = stored, true
+		b.withdrawn[name] = w
+		keepFor = carryRecordsFor
+	case ItemQuarantined, ItemQuarantinedPart:
+		keepFor = carryRecordsFor
+	case ItemEntry, ItemEvacuation:
+	}
+	b.carried[r.Key] = carriedItem{known: known, stored: r.Stored, until: now.Add(keepFor)}
+}
+
+// isLeavingRegistration reports whether a registration says that its endpoint leaves.
+func (b *builder) isLeavingRegistration(name string, item kv.KeyValue) bool {
+	r, err := b.dec.Endpoint(name, item.Value)
+	return err == nil && r.Draining
+}
+
+// carryEndpoint returns how long the last known state of an endpoint is kept. Of one that leaves, other
+// entries are told as well: one that has just started knows the store's copy only.
+func (b *builder) carryEndpoint(name string, missing bool, now time.Time) time.Duration {
+	ep, registered := b.endpoints[name]
+	switch {
+	case !registered:
+		return carryGoneFor
+	case ep.Draining:
+		b.departures.add(ep.ID, now.Add(-b.lapsedTTL-time.Millisecond), now)
+		return carryOperatorsFor
+	case missing:
+		return carryMissingFor
+	}
+	return carryGoneFor
+}
+
+// expireCarried takes the store's state of keys that nobody wrote in the new era in time, and reports
+// whether there were any.
+func (b *builder) expireCarried(now time.Time) (changed bool) {
+	for key, c := range b.carried {
+		if now.Before(c.until) {
+			continue
+		}
+		changed = true
+		e := kv.Event{Type: kv.EventDelete, KV: kv.KeyValue{Key: key, ModRevision: b.era.revision}}
+		if c.stored != nil {
+			e = kv.Event{Type: kv.EventPut, KV: *c.stored}
+		}
+		b.log.Info("fleet: a change that the store lost was not made again; taking the store's state.", "key", key, "stored", c.stored != nil)
+		b.apply(e, now)
+	}
+	return changed
+}
+
+// lostRecords returns the records of quarantined requests that entries have to write or remove again.
+func (b *builder) lostRecords() []LostRecord {
+	var out []LostRecord
+	for key, c := range b.carried {
+		if kind, _ := b.dec.Classify(key); kind != ItemQuarantined && kind != ItemQuarantinedPart {
+			continue
+		}
+		lost := LostRecord{Key: key}
+		if c.known != nil {
+			lost.Value = c.known.Value
+		}
+		if c.stored != nil {
+			lost.Stored = c.stored.ModRevision
+		}
+		out = append(out, lost)
+	}
+	return out
+}
+
+// isRewrite reports whether an order is the one before, written again by the operators.
+func (b *builder) isRewrite(service string, before, order Rollout, now time.Time) bool {
+	if b.entered.IsZero() || now.Sub(b.entered) > rewritesFor || b.rewritten[service] {
+		return false
+	}
+	b.rewritten[service] = true
+	return before.Target == order.Target && before.Duration == order.Duration
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -128,6 +128,9 @@
 // Revision is the revision up to which all changes are known.
 func (f *Follower) Revision() kv.Revision { return f.items.Revision() }
 
+// Item returns an item of the store, as this entry knows it.
+func (f *Follower) Item(key string) (kv.KeyValue, bool) { return f.items.Get(key) }
+
 // NeedsSnapshot reports whether Since returns a snapshot for a revision.
 func (f *Follower) NeedsSnapshot(after kv.Revision) bool { return f.items.NeedsSnapshot(after) }
 
@@ -180,26 +183,47 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
+	defer f.updateMetrics()
+	if !f.items.Accepts(c) {
+		f.metrics.Counter("changes_ignored_total").Inc(1)
+		return
+	}
 	if at := now.Add(-age); at.After(f.confirmed) && c.Revision > 0 && c.Revision >= f.items.Revision() {
 		f.confirmed, f.confirmedSinceBoot = at, f.sinceBoot()-age
 	}
-	if c.Whole && c.Revision < f.items.Revision() {
-		f.metrics.Counter("snapshots_ignored_total").Inc(1)
+	if f.items.EntersEra(c) {
+		f.enterEra(c, now)
+		return
 	}
 	fresh := f.items.Apply(c)
-	f.metrics.Gauge("revision").Update(float64(f.items.Revision().Number()))
-	f.metrics.Gauge("era").Update(float64(f.items.Revision().Era()))
-	f.metrics.Gauge("store_era").Update(float64(f.StoreEra()))
 	if len(fresh) >= BulkChanges {
 		f.catchingUp = now
 	}
-	if len(fresh) == 0 {
+	expired := f.viewBuilder.expireCarried(now)
+	if len(fresh) == 0 && !expired {
 		return
 	}
 	f.viewBuilder.applyAll(fresh, now)
 	f.publishLocked(f.items.Revision(), now)
 }
 
+func (f *Follower) updateMetrics() {
+	revision := f.items.Revision()
+	f.metrics.Gauge("revision").Update(float64(revision.Number()))
+	f.metrics.Gauge("era").Update(float64(revision.Era()))
+	f.metrics.Gauge("store_era").Update(float64(f.StoreEra()))
+}
+
+// enterEra replaces the data by a snapshot of a later era, and publishes a view.
+func (f *Follower) enterEra(c Changes, now time.Time) {
+	change := f.items.EnterEra(c)
+	if len(change.Events)+len(change.Reverted) >= BulkChanges {
+		f.catchingUp = now
+	}
+	f.viewBuilder.enterEra(change, now)
+	f.publishLocked(change.Revision, now)
+}
+
 // publishLocked publishes a view at a revision.
 func (f *Follower) publishLocked(rev kv.Revision, now time.Time) {
 	v := f.viewBuilder.view(rev, now)
--- a/fleet/items.go
+++ b/fleet/items.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lovageweir/lovageweir/kv"
 )
 
@@ -32,12 +34,15 @@
 	history []change
 	// historyStart is the revision after which the tombstones are complete.
 	historyStart kv.Revision
+	// past are the writes of earlier eras, latest era last.
+	past []map[write]bool
 }
 
 // change is the revision at which a key was written or removed.
 type change struct {
 	revision kv.Revision
 	key      string
+	value    uint64 // hash of what was written
 }
 
 // NewItems returns an empty copy.
@@ -58,7 +63,7 @@
 func (s *Items) Apply(c Changes) []kv.Event {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Whole && c.Revision < s.revision {
+	if !s.acceptsLocked(c) {
 		return nil
 	}
 	var fresh []kv.Event
@@ -78,7 +83,28 @@
 	return fresh
 }
 
+// Accepts reports whether changes may have an effect: snapshots do unless they are older than the
+// copy, other changes if they are of its era.
+func (s *Items) Accepts(c Changes) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acceptsLocked(c)
+}
+
+func (s *Items) acceptsLocked(c Changes) bool {
+	switch {
+	case c.Revision == 0 || s.revision == 0: // a list of some keys, or the first data
+		return true
+	case c.Whole:
+		return c.Revision >= s.revision
+	}
+	return c.Revision.Era() == s.revision.Era()
+}
+
 func (s *Items) applyLocked(e kv.Event) bool {
+	if e.KV.ModRevision.Era() < s.revision.Era() {
+		return false // from a history that the store has lost
+	}
 	old, known := s.items[e.KV.Key]
 	if known && old.ModRevision >= e.KV.ModRevision {
 		return false
@@ -130,16 +156,20 @@
 	for _, e := range events {
 		sorted = sorted && e.KV.ModRevision >= last
 		last = e.KV.ModRevision
-		s.history = append(s.history, change{last, e.KV.Key})
+		s.history = append(s.history, change{last, e.KV.Key, xxhash.Sum64(e.KV.Value)})
 	}
 	if !sorted {
-		slices.SortStableFunc(s.history, func(a, b change) int { return cmp.Compare(a.revision, b.revision) })
+		s.sortHistoryLocked()
 	}
 	if len(s.history) > 2*(len(s.items)+minTombstones) {
 		s.compactLocked()
 	}
 }
 
+func (s *Items) sortHistoryLocked() {
+	slices.SortStableFunc(s.history, func(a, b change) int { return cmp.Compare(a.revision, b.revision) })
+}
+
 // compactLocked drops superseded changes from the history, and the oldest tombstones if there
 // are too many.
 func (s *Items) compactLocked() {
@@ -216,6 +246,14 @@
 	return out
 }
 
+// Get returns an item.
+func (s *Items) Get(key string) (kv.KeyValue, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, ok := s.items[key]
+	return item, ok
+}
+
 // All returns every item.
 func (s *Items) All() []kv.KeyValue {
 	s.mu.Lock()
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -191,10 +191,18 @@
 	// Ordered is the revision of the order: a new order for the same service has a
 	// higher one.
 	Ordered kv.Revision
+	// First is the revision under which this entry learned of the order. It stays if the order is
+	// written again after the store lost it.
+	First kv.Revision
 	// State is the last recorded state of this order. Recorded is the revision of
 	// the service's last record, also of an earlier order; 0 if there is none.
 	State    RolloutState
 	Recorded kv.Revision
+	// Unrecorded: the store lost the record of the state.
+	Unrecorded bool
+
+	// statusAfter is the revision after which records of the service are this order's.
+	statusAfter kv.Revision
 }
 
 // RolloutStatus is the record of a roll-out's state for the operators.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -75,6 +75,8 @@
 	Quarantine *Quarantine
 	// QuarantinedParts holds the parts of prompts recorded as crashing endpoints.
 	QuarantinedParts *Quarantine
+	// Lost are the records of quarantined requests that the store lost.
+	Lost []LostRecord
 	// Evacuated are the failure domains whose endpoints are to get no requests, sorted.
 	Evacuated []string
 
--- a/fleet/withdrawn.go
+++ b/fleet/withdrawn.go
@@ -26,10 +26,14 @@
 	Recorded kv.Revision `json:"-"`
 
 	changed bool // since it was recorded
+	lost    bool // the store lost the record
 }
 
+// Lost reports whether the store lost the record of the versions.
+func (w Withdrawn) Lost() bool { return w.lost }
+
 // Changed reports whether the versions differ from the recorded ones.
-func (w Withdrawn) Changed() bool { return w.changed }
+func (w Withdrawn) Changed() bool { return w.changed || w.lost }
 
 // Key returns the key of the record.
 func (w Withdrawn) Key() string { return WithdrawnPrefix + w.Service }
