rollout: halts and evidence outlive the store's loss of an order, and states are recorded again

An order that was written again has another revision, and was a new order: a version that had been halted got requests again, evidence began anew. Trackers follow the order (fleet.Rollout.First) and take its new revision; a version whose rolled-back state was recorded stays halted without the record.

--- a/rollout/choose.go
+++ b/rollout/choose.go
@@ -213,7 +213,7 @@
 	if n >= len(newer) {
 		return newer
 	}
-	sorted := sortForTrial(newer, r.Ordered)
+	sorted := sortForTrial(newer, r.First)
 	if onTrial := len(trialRoutes); onTrial+n <= len(sorted) && c.Exposure != (Exposure{}) {
 		sorted = sorted[onTrial:]
 	}
--- a/rollout/compare_test.go
+++ b/rollout/compare_test.go
@@ -84,7 +84,7 @@
 		}
 		ready = append(ready, fleet.Endpoint{ID: fleet.EndpointID(fmt.Sprintf("e%02d", i)), Version: version})
 	}
-	order := &fleet.Rollout{Service: "s", Target: "v2", Duration: duration, Ordered: 5}
+	order := &fleet.Rollout{Service: "s", Target: "v2", Duration: duration, Ordered: 5, First: 5}
 	g := &fleet.Group{Ready: ready, Rollout: order}
 	older, newer := splitByVersion(ready, "v2")
 	canaries := sortForTrial(newer, order.Ordered)[:2]
--- a/rollout/controlgroup.go
+++ b/rollout/controlgroup.go
@@ -40,7 +40,7 @@
 		return t.endpoints
 	}
 	older, newer := splitByVersion(g.Ready, g.Rollout.Target)
-	o := &endpointOrder{fleetGroup: g, older: sortForTrial(older, t.ordered), newer: sortForTrial(newer, t.ordered), index: map[fleet.EndpointID]int{}}
+	o := &endpointOrder{fleetGroup: g, older: sortForTrial(older, t.first), newer: sortForTrial(newer, t.first), index: map[fleet.EndpointID]int{}}
 	for _, eps := range [][]fleet.Endpoint{o.older, o.newer} {
 		for i, ep := range eps {
 			o.index[ep.ID] = i
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -62,14 +62,16 @@
 	baseline map[baselineKey]*baseline
 	sessions *sessions
 	strata   map[string]*strata // by service
+	lost     map[string]lostRecord
 }
 
 // tracker holds what the entry knows of one order.
 type tracker struct {
 	ordered         kv.Revision
-	learnedAt       time.Time // when this entry learned of the order
-	orderedAt       time.Time // when the order was given, as far as known here
-	holdingHalf     bool      // half of the requests until enough answers are seen
+	first           kv.Revision // as in fleet.Rollout
+	learnedAt       time.Time   // when this entry learned of the order
+	orderedAt       time.Time   // when the order was given, as far as known here
+	holdingHalf     bool        // half of the requests until enough answers are seen
 	halted          bool
 	promotedAt      time.Time // when the share was raised above the canary share
 	lastDoubtAt     time.Time // when the evidence was last in doubt before that
@@ -93,19 +95,30 @@
 
 // New returns a controller.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, trackers: map[string]*tracker{}, baseline: map[baselineKey]*baseline{}, sessions: newSessions(d.SessionLife), strata: map[string]*strata{}}
+	return &Controller{Deps: d, trackers: map[string]*tracker{}, baseline: map[baselineKey]*baseline{}, sessions: newSessions(d.SessionLife), strata: map[string]*strata{}, lost: map[string]lostRecord{}}
 }
 
 // trackerLocked returns the tracker of a group's order and creates one for a new order.
 func (c *Controller) trackerLocked(r *fleet.Rollout) *tracker {
 	t := c.trackers[r.Service]
-	if t == nil || t.ordered < r.Ordered {
-		t = &tracker{ordered: r.Ordered, learnedAt: c.Clock.Now(), orderedAt: c.Clock.Now(), evidence: newEvidence()}
+	switch {
+	case t == nil || t.ordered < r.Ordered && t.first != r.First:
+		t = &tracker{ordered: r.Ordered, first: r.First, learnedAt: c.Clock.Now(), orderedAt: c.Clock.Now(), evidence: newEvidence()}
 		c.trackers[r.Service] = t
+	case t.ordered < r.Ordered:
+		t.rebase(r.Ordered)
 	}
+	// A final state outlives its record, which the store may lose.
+	t.halted = t.halted || t.ordered == r.Ordered && r.State == fleet.RolloutRolledBack
 	return t
 }
 
+// rebase gives an order the revision that it has in a new era of the store.
+func (t *tracker) rebase(ordered kv.Revision) {
+	t.ordered = ordered
+	t.evidence.rebase(ordered)
+}
+
 // State is one roll-out in the state dump.
 type State struct {
 	Service string `json:"service"`
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -167,6 +167,16 @@
 	return true
 }
 
+// rebase gives all rows the revision that the order has in a new era of the store.
+func (e *evidence) rebase(ordered kv.Revision) {
+	rows := make(map[Source]Counts, len(e.rows))
+	for s, n := range e.rows {
+		s.Ordered = ordered
+		rows[s] = n
+	}
+	e.rows = rows
+}
+
 func (e *evidence) routeFor(route string) *routeEvidence {
 	r := e.routes[route]
 	if r == nil {
--- a/rollout/exchange.go
+++ b/rollout/exchange.go
@@ -36,7 +36,10 @@
 	var rows []Row
 	for service, t := range c.trackers {
 		g := v.Group(service)
-		if g == nil || g.Rollout == nil || g.Rollout.Ordered != t.ordered || g.Rollout.State == fleet.RolloutDone {
+		if g == nil || g.Rollout == nil || g.Rollout.First != t.first || g.Rollout.State == fleet.RolloutDone {
+			continue
+		}
+		if t = c.trackerLocked(g.Rollout); t.ordered != g.Rollout.Ordered {
 			continue
 		}
 		if g.Rollout.State == fleet.RolloutRolledBack {
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -6,13 +6,17 @@
 	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
 )
 
 // Tick records the states that are due. It is called every Interval.
 func (c *Controller) Tick(ctx context.Context) {
 	v := c.View()
 	for _, g := range v.Groups() {
-		if g.Rollout == nil || isFinal(g.Rollout.State) {
+		if g.Withdrawn.Lost() && c.mayRecordLost(v, g) && !c.recordWithdrawn(ctx, g.Withdrawn) {
+			continue
+		}
+		if g.Rollout == nil || isFinal(g.Rollout.State) && !g.Rollout.Unrecorded {
 			continue
 		}
 		if state, ok := c.nextState(v, g); ok && c.recordWithdrawn(ctx, g.Withdrawn) {
@@ -36,7 +40,9 @@
 	case CompletionDue(now.Sub(t.orderedAt), r.Duration) && hasVersion(g.Ready, r.Target) && c.settledLocked(t, g):
 		want = fleet.RolloutDone
 	}
-	if want == r.State {
+	if r.Unrecorded {
+		want = r.State
+	} else if want == r.State {
 		return "", false
 	}
 	if want != t.dueState {
@@ -49,6 +55,30 @@
 	return want, true
 }
 
+// mayRecordLost reports whether this entry's delay since the store lost a service's withdrawn versions
+// has passed.
+func (c *Controller) mayRecordLost(v *fleet.View, g *fleet.Group) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	lost, known := c.lost[g.Service.Name]
+	if !known || lost.stored != g.Withdrawn.Recorded {
+		lost = lostRecord{stored: g.Withdrawn.Recorded, since: now}
+	}
+	due := now.Sub(lost.since) >= c.recordDelay(v) && now.Sub(lost.writtenAt) >= recordRetryInterval
+	if due {
+		lost.writtenAt = now
+	}
+	c.lost[g.Service.Name] = lost
+	return due
+}
+
+// lostRecord is a record that the store lost.
+type lostRecord struct {
+	stored           kv.Revision // what the store has instead
+	since, writtenAt time.Time
+}
+
 // settledLocked reports whether all requests have been on the new version for settleFor
 // without doubt. When the roll-out is done, the old endpoints stop at once and cut off
 // their running requests.
--- a/rollout/trial.go
+++ b/rollout/trial.go
@@ -98,7 +98,7 @@
 		return Trial{}, false
 	}
 	older, newer := splitByVersion(g.Ready, r.Target)
-	newer = sortForTrial(newer, r.Ordered)
+	newer = sortForTrial(newer, r.First)
 	if index >= len(newer) {
 		return Trial{}, false
 	}
@@ -157,7 +157,8 @@
 	return int(max(0, left)*expected + exposureUse*c.Exposure.Slack/float64(entries))
 }
 
-// sortForTrial sorts a version's endpoints identically on all entries.
+// sortForTrial sorts a version's endpoints identically on all entries that know the order from the
+// same revision on.
 func sortForTrial(eps []fleet.Endpoint, ordered kv.Revision) []fleet.Endpoint {
 	sorted := append([]fleet.Endpoint(nil), eps...)
 	sort.Slice(sorted, func(i, j int) bool { return trialLess(sorted[i].ID, sorted[j].ID, ordered) })
