quarantine: records that the store lost are written again by their owner

A record lives in the store with a lease, and was gone after a restore; one that had been removed was back and refused sound requests. Its owner by hash writes or removes it again at its next tick, others after a second, on condition of what the store has.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -55,6 +55,8 @@
 	holds map[Fingerprint]map[*Hold]struct{}
 	// lastWrite is when this entry last tried to write the record of a request.
 	lastWrite map[Fingerprint]time.Time
+	// lostSince is when this entry learned that the store lost a record, by key.
+	lostSince map[string]time.Time
 }
 
 // New returns an empty table.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -231,3 +231,51 @@
 	e.clock.Advance(reportFor + time.Second)
 	is.Equal(len(e.Reports()), 0)
 }
+
+// Guards against records that are gone after the store came back from a copy, are written by every entry, or come back though they were removed.
+func TestRecordsThatTheStoreLostAreWrittenAgainOnce(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	store := memkv.New(clock)
+	entries := []fleet.Entry{{Instance: "a"}, {Instance: "b"}, {Instance: "c"}}
+	var all []*entry
+	for _, one := range entries {
+		e := newEntry(t, clock, store)
+		e.Owns = func(f Fingerprint) bool { return Owner(f, entries) == one.Instance }
+		all = append(all, e)
+	}
+	removed := fleet.Quarantined{Fingerprint: Fingerprint(7).String(), Part: true}
+	lost := fleet.Quarantined{Fingerprint: Fingerprint(8).String()}
+	_, err := store.Put(t.Context(), removed.Key(), []byte(`{}`), 0)
+	is.NoErr(err)
+	sync := func() {
+		for _, e := range all {
+			e.sync()
+		}
+	}
+	sync()
+	b := store.Backup()
+	_, err = store.Delete(t.Context(), removed.Key(), false)
+	is.NoErr(err)
+	_, err = store.Put(t.Context(), lost.Key(), []byte(`{"crashed":["e1","e2"]}`), 0)
+	is.NoErr(err)
+	sync()
+	store.Restore(b)
+	sync()
+	at := store.Revision()
+	for range 10 { // two seconds
+		for _, e := range all {
+			is.True(e.Check(Subject{Request: 8}).Quarantined)
+			is.True(!e.Check(Subject{Parts: []Fingerprint{7}}).Quarantined)
+			e.Tick(t.Context())
+		}
+		sync()
+		clock.Advance(Interval)
+	}
+	_, items, err := store.Get(t.Context(), "", true)
+	is.NoErr(err)
+	is.Equal(len(items), 1)
+	is.Equal(items[0].Key, lost.Key())
+	is.True(items[0].Lease != 0)
+	is.Equal(store.Revision().Number(), at.Number()+2) // one record, one removal
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
 )
 
 // Recording of quarantined requests.
@@ -20,6 +23,8 @@
 	remoteRecordDelay = 3 * time.Second
 	// recordRetry is the time after which an unconfirmed record is written again.
 	recordRetry = time.Second
+	// lostRecordDelay is how long other entries leave a record that the store lost to its owner.
+	lostRecordDelay = time.Second
 	// maxRecords bounds the records in the store.
 	maxRecords = 1024
 )
@@ -83,6 +88,9 @@
 			t.Log.Warn("quarantine: store did not confirm the removal of an outdated record; will retry.", "key", key, "error", err)
 		}
 	}
+	for _, lost := range t.dueLost() {
+		t.recordAgain(ctx, lost)
+	}
 	s := t.State()
 	t.Scope.Gauge("suspects").Update(float64(s.Suspects))
 	t.Scope.Gauge("quarantined").Update(float64(len(s.Quarantined)))
@@ -154,6 +162,66 @@
 	return now.Sub(t.lastWrite[f]) >= recordRetry
 }
 
+// dueLost returns the records that the store lost, or whose removal it lost, and that this entry should
+// write or remove again now: their owner does, and others if it does not.
+func (t *Table) dueLost() []fleet.LostRecord {
+	if t.Store == nil || t.View == nil {
+		return nil
+	}
+	v := t.View()
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.lostSince
+	t.lostSince = map[string]time.Time{}
+	var due []fleet.LostRecord
+	for _, lost := range v.Lost {
+		f, ok := fingerprintOfKey(lost.Key)
+		if !ok {
+			continue
+		}
+		since, was := known[lost.Key]
+		if !was {
+			since = now
+		}
+		t.lostSince[lost.Key] = since
+		if owns := t.Owns != nil && t.Owns(f); (owns || now.Sub(since) >= lostRecordDelay) && t.mayWriteLocked(f, now) {
+			t.lastWrite[f] = now
+			due = append(due, lost)
+		}
+	}
+	return due
+}
+
+// recordAgain writes or removes a record again, unless another entry changed it since.
+func (t *Table) recordAgain(ctx context.Context, lost fleet.LostRecord) {
+	var ok bool
+	var err error
+	if lost.Value == nil {
+		ok, err = t.Store.CompareAndDelete(ctx, lost.Key, lost.Stored)
+	} else {
+		var lease kv.LeaseID
+		if lease, err = t.Store.Grant(ctx, retention); err == nil {
+			ok, _, _, err = t.Store.CompareAndPut(ctx, lost.Key, lost.Stored, lost.Value, lease)
+		}
+	}
+	if err != nil {
+		t.Log.Warn("quarantine: a record that the store lost was not written again; will retry.", "key", lost.Key, "error", err)
+		return
+	}
+	t.Log.Info("quarantine: a record that the store lost is written again.", "key", lost.Key, "removed", lost.Value == nil, "written", ok)
+}
+
+// fingerprintOfKey returns the fingerprint that a record's key names.
+func fingerprintOfKey(key string) (Fingerprint, bool) {
+	name, ok := strings.CutPrefix(key, fleet.QuarantinePrefix)
+	if !ok {
+		name, ok = strings.CutPrefix(key, fleet.QuarantinedPartPrefix)
+	}
+	f, err := strconv.ParseUint(name, 16, 64)
+	return Fingerprint(f), ok && err == nil
+}
+
 // record writes a record under a lease, unless there is one already.
 func (t *Table) record(ctx context.Context, f Fingerprint, q fleet.Quarantined) {
 	value, err := json.Marshal(q)
