edge: an entry whose registration the store lost registers again at once, with a lease of its own

The registration was gone until the lease was renewed, up to 200 s later; the renewal could keep another entry's lease alive, as ids are given out again. An entry looks at its own key in each new era: if the copy has it under the same lease, nothing is written; otherwise it takes a new lease and writes, spread over 5 ms an entry. A lease that was granted across a change of era is not used.

--- a/edge/run.go
+++ b/edge/run.go
@@ -55,6 +55,11 @@
 	// registrationJitter keeps the registrations of a thousand entries that start together
 	// within the store's rate limit; what exceeds it is tried again.
 	registrationJitter = 500 * time.Millisecond
+	// registrationCheck is how often an entry checks whether the store lost its registration.
+	registrationCheck = 100 * time.Millisecond
+	// registrationSpacing is the mean time between two entries that register again; each makes two
+	// writes.
+	registrationSpacing = 5 * time.Millisecond
 )
 
 func runRegistration(lc fx.Lifecycle, s *Settings, b boot, c kv.Client, f *fleet.Follower, log *slog.Logger) {
@@ -69,10 +74,17 @@
 	fleet *fleet.Follower
 	log   *slog.Logger
 	lease kv.LeaseID // 0: none
-	// written: the key was written under the lease.
+	// written: the key was written under the lease, in an era of the store.
 	written bool
+	era     kv.Era
+	// leaseEra is the era that the lease was granted in.
+	leaseEra kv.Era
 }
 
+// errNewEra means that the store came back from a copy meanwhile: it may have given the id of the lease
+// to another entry.
+var errNewEra = errors.New("the store came back from a copy after it granted the lease")
+
 func (r *registration) run(ctx context.Context) {
 	// Register as soon as the store answers: an entry that is not listed cannot rely on
 	// others.
@@ -82,12 +94,7 @@
 		return
 	}
 	wait := time.Duration(rand.Float64() * float64(registrationJitter))
-	for {
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return
-		}
+	for r.sleep(ctx, wait) {
 		wait = time.Duration((0.5 + rand.Float64()) * float64(registrationRetry))
 		if r.fleet.StoreUnreachable() {
 			continue
@@ -100,6 +107,45 @@
 	}
 }
 
+// sleep waits, less if the store has lost the registration, and returns false once ctx has ended.
+func (r *registration) sleep(ctx context.Context, wait time.Duration) bool {
+	due := time.Now().Add(wait)
+	for {
+		now := time.Now()
+		if !now.Before(due) {
+			return true
+		}
+		if lost := r.lostAt(now); !lost.IsZero() && lost.Before(due) {
+			r.log.Warn("edge: the store lost this entry's registration; registering again.", "lease", r.lease, "in_ms", lost.Sub(now).Milliseconds())
+			r.lease, r.written = 0, false
+			due = lost
+			continue
+		}
+		select {
+		case <-time.After(min(due.Sub(now), registrationCheck)):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// lostAt returns when to register again if the store came back from a copy without the registration,
+// zero if it has it. Of a fleet of which all registrations are lost, the writes are spread out. A
+// lease of an earlier era cannot be renewed on trust: the store may have given its id to another
+// entry.
+func (r *registration) lostAt(now time.Time) time.Time {
+	revision := r.fleet.Revision()
+	if !r.written || revision.Era() <= r.era {
+		return time.Time{}
+	}
+	r.era = revision.Era()
+	if item, ok := r.fleet.Item(r.self.Key()); ok && item.Lease == r.lease {
+		return time.Time{}
+	}
+	spread := time.Duration(len(r.fleet.View().Entries)) * registrationSpacing
+	return now.Add(time.Duration(rand.Float64() * float64(spread)))
+}
+
 func (r *registration) renew(ctx context.Context) error {
 	if r.written {
 		if _, err := r.store.KeepAlive(ctx, r.lease); err == nil {
@@ -108,23 +154,32 @@
 		r.lease, r.written = 0, false
 	}
 	if r.lease == 0 {
+		before := r.fleet.StoreEra()
 		lease, err := r.store.Grant(ctx, registrationTTL)
 		if err != nil {
 			return err
 		}
+		if r.leaseEra = r.fleet.StoreEra(); before != 0 && r.leaseEra != before {
+			return errNewEra // it is not known in which one the lease was granted
+		}
 		r.lease = lease
 	}
 	value, err := json.Marshal(r.self)
 	if err != nil {
 		return err
 	}
-	if _, err := r.store.Put(ctx, r.self.Key(), value, r.lease); err != nil {
+	revision, err := r.store.Put(ctx, r.self.Key(), value, r.lease)
+	if err != nil {
 		if errors.Is(err, kv.ErrLeaseNotFound) {
 			r.lease = 0
 		}
 		return err
 	}
-	r.written = true
+	r.written, r.era = true, revision.Era()
+	if r.era != r.leaseEra {
+		r.lease, r.written = 0, false
+		return errNewEra
+	}
 	r.log.Info("edge: registered.", "address", r.self.Address, "lease", r.lease)
 	return nil
 }
