--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -56,6 +56,12 @@
 	// BulkChanges is the number of changes received at once from which the sender probably has
 	// more: a page of a watch, or what a watcher that is catching up passes on.
 	BulkChanges = 100
+	// probeInterval is the mean time between the first calls of a watcher while the store does not
+	// answer; it grows up to maxProbeInterval. Up to maxProbes may be in progress: they fail after up
+	// to a second if the store is silent.
+	probeInterval    = 150 * time.Millisecond
+	maxProbeInterval = 300 * time.Millisecond
+	maxProbes        = 6
 	// Backoff after a failed call, doubled up to the maximum, which keeps the calls to an
 	// unreachable store near one a second from each entry.
 	minBackoff = 100 * time.Millisecond
@@ -90,6 +96,7 @@
 	entriesOnce        sync.Once
 	start              start // used by Run only
 	metrics            tally.Scope
+	eraEntered         chan struct{} // signals a new era; its capacity is 1
 	// sinceBoot returns the time since the machine started, including suspension.
 	sinceBoot func() time.Duration
 }
@@ -98,7 +105,7 @@
 // registration lapsed remains usable as a last resort.
 func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedTTL time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
 	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), viewBuilder: newBuilder(dec, lapsedTTL, log), onChange: func(*View) {}, configKnown: make(chan struct{}),
-		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot, metrics: tally.NoopScope}
+		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot, metrics: tally.NoopScope, eraEntered: make(chan struct{}, 1)}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -119,6 +126,9 @@
 // ConfigKnown is closed once a configuration is known.
 func (f *Follower) ConfigKnown() <-chan struct{} { return f.configKnown }
 
+// EraEntered signals that this entry entered a new era of the store.
+func (f *Follower) EraEntered() <-chan struct{} { return f.eraEntered }
+
 // EntriesKnown is closed once the entries of the own failure domain are known.
 func (f *Follower) EntriesKnown() <-chan struct{} { return f.entriesKnown }
 
@@ -222,6 +232,10 @@
 	}
 	f.viewBuilder.enterEra(change, now)
 	f.publishLocked(change.Revision, now)
+	select {
+	case f.eraEntered <- struct{}{}:
+	default:
+	}
 }
 
 // publishLocked publishes a view at a revision.
@@ -313,6 +327,10 @@
 			continue
 		}
 		err := f.step(ctx)
+		if err != nil && f.isWatcher() && f.items.Revision() != 0 && ctx.Err() == nil {
+			f.setStoreUnreachable(err)
+			err = f.awaitStore(ctx)
+		}
 		if err == nil {
 			f.setStoreUnreachable(nil)
 			pause = minBackoff
@@ -328,6 +346,43 @@
 	}
 }
 
+// awaitStore calls the store again and again until it answers, without waiting for the answers to
+// earlier calls: the others depend on how soon a watcher hears it again. It returns an error if this
+// entry is no watcher any more, or ctx has ended.
+func (f *Follower) awaitStore(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan struct{}, 1)
+	calls := make(chan struct{}, maxProbes) // in progress
+	for interval := probeInterval; f.isWatcher(); interval = min(maxProbeInterval, interval*6/5) {
+		select {
+		case <-answered:
+			return nil
+		case <-f.clock.After(time.Duration(float64(interval) * (0.5 + rand.Float64()))):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case calls <- struct{}{}:
+		default:
+			continue
+		}
+		after := f.items.Revision()
+		go func() {
+			defer func() { <-calls }()
+			_, _, err := f.store.WatchOnce(ctx, "", true, after, time.Millisecond)
+			if err != nil && !errors.Is(err, kv.ErrNewEra) && !errors.Is(err, kv.ErrCompacted) {
+				return
+			}
+			select {
+			case answered <- struct{}{}:
+			default:
+			}
+		}()
+	}
+	return kv.ErrUnavailable
+}
+
 // step makes one call to the store: a watch, a read of the entries until this one is listed, or
 // a full read if there is no data yet or the history since the last revision was compacted.
 func (f *Follower) step(ctx context.Context) error {
--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -33,7 +33,7 @@
 type packer struct {
 	mu   sync.Mutex
 	kept []packed // latest last
-	size int      // of the last snapshot
+	size int      // of the last snapshot, as sent
 }
 
 // packed are the compressed changes from one revision to another; after 0, they are a snapshot.
@@ -64,7 +64,11 @@
 	setRevision(out, c.Revision)
 	out.Whole = c.Whole
 	out.Changes = encodeChanges(c.Events)
-	if !unpacks || sizeOf(c.Events) < minPackedBytes {
+	size := sizeOf(c.Events)
+	if !unpacks || size < minPackedBytes {
+		if c.Whole {
+			m.packer.setSnapshotSize(size)
+		}
 		return nil
 	}
 	raw, err := pack(out.Changes)
@@ -79,8 +83,8 @@
 // setRevision sets the revision that a response leads to. If the era has risen since the response was
 // begun, what it says of roll-outs is of the era before.
 func setRevision(out *meshpb.ExchangeMessage, revision kv.Revision) {
-	if era := int64(revision.Era()); era != out.Era {
-		out.Era, out.Orders, out.Evidence = era, nil, nil
+	if era := int64(revision.Era()) + 1; era != out.EraPlusOne {
+		out.EraPlusOne, out.Orders, out.Evidence = era, nil, nil
 	}
 	out.Revision = revision.Number()
 }
@@ -97,7 +101,14 @@
 	return packed{}, false
 }
 
-// snapshotSize returns the size of the last compressed snapshot in bytes; 0: there is none.
+// setSnapshotSize records the size of a snapshot that was sent uncompressed.
+func (k *packer) setSnapshotSize(size int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.size = max(1, size)
+}
+
+// snapshotSize returns the size of the last snapshot in bytes; 0: there is none.
 func (k *packer) snapshotSize() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -144,13 +155,17 @@
 	got.Changes, got.PackedChanges = changes, nil
 	if err == nil && got.Whole {
 		age := time.Duration(max(0, got.ConfirmedMs)) * time.Millisecond
-		m.packer.keep(packed{revision: kv.RevisionIn(kv.Era(got.Era), got.Revision), at: m.Clock.Now().Add(-age), raw: raw})
+		m.packer.keep(packed{revision: kv.RevisionIn(changesEra(got), got.Revision), at: m.Clock.Now().Add(-age), raw: raw})
 	}
 	return err
 }
 
+// changesEra returns the era of a message's changes. Those of an entry that does not tell it are of
+// the first: they count only where the store does not tell it either.
+func changesEra(got *meshpb.ExchangeMessage) kv.Era { return kv.Era(max(0, got.EraPlusOne-1)) }
+
 func decodeChanges(got *meshpb.ExchangeMessage) fleet.Changes {
-	era := kv.Era(got.Era)
+	era := changesEra(got)
 	c := fleet.Changes{Revision: kv.RevisionIn(era, got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
 	for _, ch := range got.Changes {
 		e := kv.Event{Type: kv.EventPut, KV: kv.KeyValue{Key: ch.Key, Value: ch.Value, ModRevision: kv.RevisionIn(era, ch.Revision),
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -49,6 +49,14 @@
 	// crashFanout is how many peers are told at once of a request that crashes endpoints. The
 	// request comes again at any entry within a second, and those peers pass it on in turn.
 	crashFanout = 3
+	// eraFanout is how many peers are told at once that the store is in a new era. Those that are
+	// behind ask for its state and tell others in turn.
+	eraFanout = 4
+	// catchUpInterval is the mean time between two requests of an entry that was told of a new era,
+	// catchUpTries how many it makes before it goes on as usual: a peer may send a snapshot to others
+	// first.
+	catchUpInterval = 40 * time.Millisecond
+	catchUpTries    = 12
 	// unreachableFor is how long a peer that did not answer is skipped.
 	unreachableFor = 2 * time.Second
 	// forgetPeerAfter is how long after that a peer is forgotten that was not asked again.
@@ -99,10 +107,18 @@
 	exchanges        int64
 	failed           int64
 	lastSnapshot     time.Time // when a snapshot was last sent
+	// announced are peers that told of a later era than this entry's.
+	announced chan announcement
 
 	packer packer
 }
 
+// announcement is what a peer told of the store's era.
+type announcement struct {
+	address string
+	era     kv.Era
+}
+
 var _ meshpb.Mesh = (*Mesh)(nil)
 
 // New returns a mesh.
@@ -121,7 +137,7 @@
 		client := &http.Client{Transport: t}
 		d.Peer = func(address string) meshpb.Mesh { return meshpb.NewMeshProtobufClient("http://"+address, client) }
 	}
-	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}}
+	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}, announced: make(chan announcement, eraFanout)}
 }
 
 // SetSeeds replaces the seeds, for example after the settings were reloaded.
@@ -147,6 +163,11 @@
 		case <-m.Clock.After(jittered):
 		case <-m.Quarantine.Updates():
 			partners = crashFanout
+		case <-m.Fleet.EraEntered():
+			partners = eraFanout
+		case a := <-m.announced:
+			m.catchUp(ctx, a)
+			continue
 		case <-ctx.Done():
 			return
 		}
@@ -157,11 +178,55 @@
 	}
 }
 
+// catchUp asks peers that are in a later era for its state.
+func (m *Mesh) catchUp(ctx context.Context, a announcement) {
+	for range catchUpTries {
+		if m.Fleet.Revision().Era() >= a.era {
+			return
+		}
+		m.ExchangeWith(ctx, a.address)
+		if m.Fleet.Revision().Era() >= a.era {
+			return
+		}
+		select {
+		case <-m.Clock.After(time.Duration(float64(catchUpInterval) * (0.5 + rand.Float64()))):
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case a = <-m.announced: // another one may have more to spare
+		default:
+		}
+	}
+}
+
+// noteEra notes the era of a message that a peer sent by itself.
+func (m *Mesh) noteEra(in *meshpb.ExchangeMessage) {
+	era := m.eraOf(in)
+	if own := m.Fleet.Revision(); own == 0 || era <= own.Era() {
+		return
+	}
+	for _, e := range m.Fleet.View().Entries {
+		if e.Instance != in.Instance {
+			continue
+		}
+		select {
+		case m.announced <- announcement{e.Address, era}:
+		default: // there are enough to ask
+		}
+		return
+	}
+}
+
 // exchangeWithPeers exchanges with up to that many random peers concurrently.
 func (m *Mesh) exchangeWithPeers(ctx context.Context, partners int) {
 	addresses := map[string]bool{}
 	for range partners {
-		if address, ok := m.pickPeer(); ok {
+		pick := m.pickPeer
+		if partners == eraFanout {
+			pick = m.pickListener
+		}
+		if address, ok := pick(); ok {
 			addresses[address] = true
 		}
 	}
@@ -253,7 +318,7 @@
 func (m *Mesh) encode(orders []rollout.OrderState, evidence []rollout.Row, sessions []rollout.Session) *meshpb.ExchangeMessage {
 	revision := m.Fleet.Revision()
 	era := revision.Era()
-	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: revision.Number(), Era: int64(era), ConfirmedMs: -1, Watching: m.Fleet.Watching()}
+	out := &meshpb.ExchangeMessage{Instance: m.Instance, Revision: revision.Number(), EraPlusOne: int64(era) + 1, ConfirmedMs: -1, Watching: m.Fleet.Watching()}
 	if age, ok := m.Fleet.Age(); ok {
 		out.ConfirmedMs = age.Milliseconds()
 	}
@@ -296,6 +361,7 @@
 // Exchange implements meshpb.Mesh: it merges the caller's state and answers with the
 // changes that the caller lacks.
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
+	m.noteEra(in)
 	m.mergeRollouts(in)
 	m.Quarantine.MergeMessage(in.Suspects, in.SuspectParts)
 	m.Limits.MergeMessage(in.Limits)
@@ -362,10 +428,10 @@
 // eraOf returns the era of the revisions in a message. An entry of a build that does not tell it is
 // taken to be in the same one; changes from it are ignored (decodeChanges).
 func (m *Mesh) eraOf(in *meshpb.ExchangeMessage) kv.Era {
-	if in.Era == 0 {
+	if in.EraPlusOne == 0 {
 		return m.Fleet.Revision().Era()
 	}
-	return kv.Era(in.Era)
+	return kv.Era(in.EraPlusOne - 1)
 }
 
 func (m *Mesh) mergeRollouts(in *meshpb.ExchangeMessage) {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -49,6 +49,23 @@
 	return randomAddress(seeds, mayAsk)
 }
 
+// pickListener returns the address of a random entry to tell of a new era: as for exchanges, in a large
+// fleet mostly one of the own failure domain.
+func (m *Mesh) pickListener() (string, bool) {
+	now := m.Clock.Now()
+	view := m.Fleet.View()
+	_, entries := view.SourcesIn(m.Domain)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rand.Float64()*float64(entries) >= crossDomainExchanges {
+		mayTell := func(e fleet.Entry) bool { return e.Domain == m.Domain && m.mayAskLocked(e.Address, now) }
+		if address, ok := randomAddress(view.Entries, mayTell); ok {
+			return address, true
+		}
+	}
+	return randomAddress(view.Entries, func(e fleet.Entry) bool { return m.mayAskLocked(e.Address, now) })
+}
+
 // randomTries is how many random entries of a list are looked at before all are.
 const randomTries = 8
 
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -230,3 +230,25 @@
 	}
 	return rev, events, err
 }
+
+// newEraWithin is the users' bound from the store's return on.
+const newEraWithin = time.Second
+
+// Guards against entries that go on with the state of an earlier era after the store answers again.
+func TestAllEntriesEnterTheNewEraWithinASecond(t *testing.T) {
+	for _, size := range []struct{ entries, domains int }{{8, 4}, {60, 5}, {300, 6}} {
+		for _, away := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second, 7 * time.Second} {
+			t.Run(fmt.Sprintf("%d entries, away for %v", size.entries, away), func(t *testing.T) {
+				playRestored(t, size.entries, size.domains, func(x *restoredFleet) {
+					b := x.loseWrites(10)
+					calls := x.startingFleet.store.calls
+					x.restore(b, away)
+					era := x.store.Era()
+					x.within(newEraWithin, "all are in the new era", func(f *fleet.Follower) bool { return f.Revision().Era() == era })
+					time.Sleep(time.Second)
+					t.Logf("%d calls to the store, items %d", x.startingFleet.store.calls-calls, x.startingFleet.store.items)
+				})
+			})
+		}
+	}
+}
