kv/etcdv3: revisions have an era, by the id of the cluster

Entries kept the higher revision, so that what was applied after the restore was not in force until the revisions passed those before; a watch from a revision to come just waits. Ids have no order: the first client that sees another one records the era that goes with it in the service, one above the record's and any that it has known, on condition of the record; clients that see the record's revision change read it again.

The stand-in has cluster ids, and its watches from a revision to come wait as etcd's do.

--- a/kv/etcdv3/api/api.go
+++ b/kv/etcdv3/api/api.go
@@ -13,9 +13,10 @@
 )
 
 // Header is part of every response; Revision is the store's revision at that
-// time.
+// time. ClusterID is another one after a restore from a snapshot.
 type Header struct {
-	Revision int64 `json:"revision,string,omitempty"`
+	ClusterID uint64 `json:"cluster_id,string,omitempty"`
+	Revision  int64  `json:"revision,string,omitempty"`
 }
 
 // KeyValue is one stored key.
--- a/kv/etcdv3/client.go
+++ b/kv/etcdv3/client.go
@@ -23,9 +23,13 @@
 type Client struct {
 	base string
 	hc   *http.Client
+	eras eras
 }
 
-var _ kv.Client = (*Client)(nil)
+var (
+	_ kv.Client    = (*Client)(nil)
+	_ kv.EraReader = (*Client)(nil)
+)
 
 // New returns a client for the service at baseURL (e.g.
 // http://127.0.0.1:2379). hc must have no overall timeout, because watches are
@@ -77,10 +81,10 @@
 	return nil
 }
 
-func fromAPI(v api.KeyValue) kv.KeyValue {
+func fromAPI(era kv.Era, v api.KeyValue) kv.KeyValue {
 	return kv.KeyValue{
 		Key: string(v.Key), Value: v.Value,
-		CreateRevision: kv.Revision(v.CreateRevision), ModRevision: kv.Revision(v.ModRevision),
+		CreateRevision: kv.RevisionIn(era, v.CreateRevision), ModRevision: kv.RevisionIn(era, v.ModRevision),
 		Version: v.Version, Lease: kv.LeaseID(v.Lease),
 	}
 }
@@ -107,23 +111,57 @@
 	if err := c.call(ctx, api.PathRange, req, &r); err != nil {
 		return 0, nil, err
 	}
+	for _, v := range r.Kvs {
+		c.noteRecord(v)
+	}
+	era, err := c.eraOf(ctx, r.Header)
+	if err != nil {
+		return 0, nil, err
+	}
 	out := make([]kv.KeyValue, 0, len(r.Kvs))
 	for _, v := range r.Kvs {
-		out = append(out, fromAPI(v))
+		out = append(out, fromAPI(era, v))
 	}
-	return kv.Revision(r.Header.Revision), out, nil
+	return kv.RevisionIn(era, r.Header.Revision), out, nil
 }
 
 // Put implements kv.KV.
 func (c *Client) Put(ctx context.Context, key string, value []byte, lease kv.LeaseID) (kv.Revision, error) {
 	var r api.PutResponse
-	err := c.call(ctx, api.PathPut, api.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}, &r)
-	return kv.Revision(r.Header.Revision), err
+	if err := c.call(ctx, api.PathPut, api.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}, &r); err != nil {
+		return 0, err
+	}
+	return c.revisionOf(ctx, r.Header)
 }
 
+// revisionOf returns the revision that a header tells.
+func (c *Client) revisionOf(ctx context.Context, h api.Header) (kv.Revision, error) {
+	era, err := c.eraOf(ctx, h)
+	return kv.RevisionIn(era, h.Revision), err
+}
+
+// noteRecord notes the revision of the era's record, if a key is that.
+func (c *Client) noteRecord(v api.KeyValue) {
+	if string(v.Key) == EraKey {
+		c.eras.noteRecord(v.ModRevision)
+	}
+}
+
+// holds reports whether a condition on a revision may hold: one of an earlier era has been given out
+// again, maybe to another write of the key.
+func (c *Client) holds(expect kv.Revision) bool { return expect == 0 || expect.Era() == c.Era() }
+
 // modRevisionEquals returns the condition that key's mod revision is rev.
 func modRevisionEquals(key string, rev kv.Revision) []api.Compare {
-	return []api.Compare{{Result: api.ResultEqual, Target: api.TargetMod, Key: []byte(key), ModRevision: int64(rev)}}
+	return []api.Compare{{Result: api.ResultEqual, Target: api.TargetMod, Key: []byte(key), ModRevision: rev.Number()}}
+}
+
+// checkEra returns an error if a write whose condition held was of another era than the condition.
+func checkEra(expect, rev kv.Revision) error {
+	if expect != 0 && expect.Era() != rev.Era() {
+		return trace.Wrap(kv.ErrUnavailable, kv.ErrNewEra.Error())
+	}
+	return nil
 }
 
 // CompareAndPut implements kv.KV.
@@ -133,15 +171,28 @@
 		Success: []api.RequestOp{{Put: &api.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}}},
 		Failure: []api.RequestOp{{Range: &api.RangeRequest{Key: []byte(key)}}},
 	}
+	if !c.holds(expect) {
+		_, kvs, err := c.Get(ctx, key, false)
+		if err != nil || len(kvs) == 0 {
+			return false, 0, nil, err
+		}
+		return false, 0, &kvs[0], nil
+	}
 	var r api.TxnResponse
 	if err := c.call(ctx, api.PathTxn, req, &r); err != nil {
 		return false, 0, nil, err
 	}
-	rev := kv.Revision(r.Header.Revision)
+	rev, err := c.revisionOf(ctx, r.Header)
+	if err == nil && r.Succeeded {
+		err = checkEra(expect, rev)
+	}
+	if err != nil {
+		return false, 0, nil, err
+	}
 	if r.Succeeded || len(r.Responses) == 0 || r.Responses[0].Range == nil || len(r.Responses[0].Range.Kvs) == 0 {
 		return r.Succeeded, rev, nil, nil
 	}
-	cur := fromAPI(r.Responses[0].Range.Kvs[0])
+	cur := fromAPI(rev.Era(), r.Responses[0].Range.Kvs[0])
 	return false, rev, &cur, nil
 }
 
@@ -151,16 +202,27 @@
 		Compare: modRevisionEquals(key, expect),
 		Success: []api.RequestOp{{Delete: &api.DeleteRangeRequest{Key: []byte(key)}}},
 	}
+	if !c.holds(expect) {
+		return false, nil
+	}
 	var r api.TxnResponse
-	err := c.call(ctx, api.PathTxn, req, &r)
-	return r.Succeeded, err
+	if err := c.call(ctx, api.PathTxn, req, &r); err != nil {
+		return false, err
+	}
+	rev, err := c.revisionOf(ctx, r.Header)
+	if err == nil && r.Succeeded {
+		err = checkEra(expect, rev)
+	}
+	return err == nil && r.Succeeded, err
 }
 
 // Delete implements kv.KV.
 func (c *Client) Delete(ctx context.Context, key string, prefix bool) (kv.Revision, error) {
 	var r api.DeleteRangeResponse
-	err := c.call(ctx, api.PathDeleteRange, api.DeleteRangeRequest{Key: []byte(key), RangeEnd: rangeEnd(key, prefix)}, &r)
-	return kv.Revision(r.Header.Revision), err
+	if err := c.call(ctx, api.PathDeleteRange, api.DeleteRangeRequest{Key: []byte(key), RangeEnd: rangeEnd(key, prefix)}, &r); err != nil {
+		return 0, err
+	}
+	return c.revisionOf(ctx, r.Header)
 }
 
 // Grant implements kv.Lease.
@@ -196,7 +258,7 @@
 	wctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	body, err := c.post(wctx, api.PathWatch, api.WatchRequest{Create: api.WatchCreate{
-		Key: []byte(key), RangeEnd: rangeEnd(key, prefix), StartRevision: int64(after) + 1}})
+		Key: []byte(key), RangeEnd: rangeEnd(key, prefix), StartRevision: after.Number() + 1}})
 	if err != nil {
 		return after, nil, ignoreWaitExpired(ctx, wctx, err)
 	}
@@ -207,13 +269,25 @@
 		if err := dec.Decode(&m); err != nil {
 			return after, nil, ignoreWaitExpired(ctx, wctx, trace.Wrap(kv.ErrUnavailable, err.Error()))
 		}
-		switch r := m.Result; {
+		r := m.Result
+		for _, e := range r.Events {
+			c.noteRecord(e.KV)
+		}
+		era, err := c.eraOf(ctx, r.Header)
+		if err != nil {
+			return after, nil, ignoreWaitExpired(ctx, wctx, err)
+		}
+		switch {
+		case after != 0 && era > after.Era():
+			return after, nil, kv.ErrNewEra // a watch from a revision to come would wait for it
+		case era < after.Era():
+			return after, nil, trace.Wrap(kv.ErrUnavailable, "the service answers from an earlier era")
 		case r.CompactRevision > 0:
 			return after, nil, kv.ErrCompacted
 		case r.Canceled:
 			return after, nil, trace.Wrap(kv.ErrUnavailable, "watch canceled")
 		case len(r.Events) > 0:
-			return kv.Revision(r.Header.Revision), fromEvents(r.Events), nil
+			return kv.RevisionIn(era, r.Header.Revision), fromEvents(era, r.Events), nil
 		}
 	}
 }
@@ -227,14 +301,14 @@
 	return err
 }
 
-func fromEvents(in []api.Event) []kv.Event {
+func fromEvents(era kv.Era, in []api.Event) []kv.Event {
 	out := make([]kv.Event, 0, len(in))
 	for _, e := range in {
 		t := kv.EventPut
 		if e.Type == api.EventDelete {
 			t = kv.EventDelete
 		}
-		out = append(out, kv.Event{Type: t, KV: fromAPI(e.KV)})
+		out = append(out, kv.Event{Type: t, KV: fromAPI(era, e.KV)})
 	}
 	return out
 }
--- a/standin/kvserver/server.go
+++ b/standin/kvserver/server.go
@@ -124,14 +124,20 @@
 	_ = json.NewEncoder(w).Encode(api.Error{Message: err.Error(), Code: code})
 }
 
-func header(rev kv.Revision) api.Header { return api.Header{Revision: rev.Number()} }
+// firstClusterID is the id of the cluster until it is restored.
+const firstClusterID = 0x6c6f76616765
+
+// header returns the header of a response at a revision. Each restore makes a new cluster.
+func (s *Server) header(rev kv.Revision) api.Header {
+	return api.Header{ClusterID: firstClusterID ^ uint64(s.store.Era())*0x9e3779b97f4a7c15, Revision: rev.Number()}
+}
 
 func (s *Server) rangeKeys(ctx context.Context, r api.RangeRequest) (*api.RangeResponse, error) {
 	rev, kvs, err := s.store.Get(ctx, string(r.Key), len(r.RangeEnd) > 0)
 	if err != nil {
 		return nil, err
 	}
-	out := &api.RangeResponse{Header: header(rev), Count: int64(len(kvs))}
+	out := &api.RangeResponse{Header: s.header(rev), Count: int64(len(kvs))}
 	for _, v := range kvs {
 		if r.KeysOnly {
 			v.Value = nil
@@ -143,12 +149,12 @@
 
 func (s *Server) put(ctx context.Context, r api.PutRequest) (any, error) {
 	rev, err := s.store.Put(ctx, string(r.Key), r.Value, kv.LeaseID(r.Lease))
-	return api.PutResponse{Header: header(rev)}, err
+	return api.PutResponse{Header: s.header(rev)}, err
 }
 
 func (s *Server) deleteRange(ctx context.Context, r api.DeleteRangeRequest) (any, error) {
 	rev, err := s.store.Delete(ctx, string(r.Key), len(r.RangeEnd) > 0)
-	return api.DeleteRangeResponse{Header: header(rev)}, err
+	return api.DeleteRangeResponse{Header: s.header(rev)}, err
 }
 
 // errUnsupportedTxn describes the only form of transaction that is supported.
@@ -173,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := api.TxnResponse{Header: header(rev), Succeeded: ok}
+	out := api.TxnResponse{Header: s.header(rev), Succeeded: ok}
 	if !ok && len(r.Failure) == 1 && r.Failure[0].Range != nil {
 		got, err := s.rangeKeys(ctx, *r.Failure[0].Range)
 		if err != nil {
@@ -202,6 +208,9 @@
 	return struct{}{}, s.store.Revoke(ctx, kv.LeaseID(r.ID))
 }
 
+// futureWatchPoll is how often a watch from a revision to come looks whether it has come.
+const futureWatchPoll = 20 * time.Millisecond
+
 // maxWatchWait bounds one wait for events; a watch waits again afterwards.
 const maxWatchWait = 60 * time.Second
 
@@ -223,7 +232,7 @@
 		w.(http.Flusher).Flush()
 	}
 	w.Header().Set("Content-Type", "application/json")
-	send(api.WatchResponse{Header: header(s.store.Revision()), Created: true})
+	send(api.WatchResponse{Header: s.header(s.store.Revision()), Created: true})
 	if f.StallWatches {
 		<-r.Context().Done()
 		return
@@ -233,16 +242,20 @@
 		after = s.store.Revision()
 	}
 	for r.Context().Err() == nil {
+		if after > s.store.Revision() { // as in etcd, a watch from a revision to come waits
+			time.Sleep(futureWatchPoll)
+			continue
+		}
 		rev, evs, err := s.store.WatchOnce(r.Context(), string(req.Create.Key), len(req.Create.RangeEnd) > 0, after, maxWatchWait)
 		if errors.Is(err, kv.ErrCompacted) || errors.Is(err, kv.ErrNewEra) {
-			send(api.WatchResponse{Header: header(rev), Canceled: true, CompactRevision: after.Number() + 1})
+			send(api.WatchResponse{Header: s.header(rev), Canceled: true, CompactRevision: after.Number() + 1})
 			return
 		}
 		if err != nil {
 			return
 		}
 		if len(evs) > 0 {
-			send(api.WatchResponse{Header: header(rev), Events: toEvents(evs)})
+			send(api.WatchResponse{Header: s.header(rev), Events: toEvents(evs)})
 		}
 		after = rev
 	}
