configwatch: a configuration outlives a restore of the KV, which gets it again

A restored KV has an earlier configuration in a later era, and it came into force: keys that were revoked and versions that were withdrawn since were back. A configuration whose apply id was in force before the current one is not taken, and a watching entry writes the current one again, on condition of what is stored. One that entries have not seen is an operator's, and is taken. Watches that end with ErrNewEra read at once.

--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -58,6 +58,9 @@
 	// offerMu serializes decoding: several peers announce a change at once, and
 	// each decoding allocates ten times the stored size in garbage.
 	offerMu sync.Mutex
+	// applied are the apply ids of the configurations that were in force, latest last;
+	// guarded by offerMu.
+	applied []string
 
 	mu          sync.Mutex // guards the two times; never held across a call
 	confirmedAt time.Time  // when the current table was last confirmed to be up to date
@@ -67,6 +70,7 @@
 // snapshot is one configuration revision: compiled, as stored and as JSON.
 type snapshot struct {
 	table    *route.Table
+	applyID  string
 	stored   []byte
 	plain    []byte
 	previous []previousRevision // earlier revisions to make deltas from, newest first
@@ -78,6 +82,9 @@
 	plain []byte
 }
 
+// maxApplied is how many apply ids of earlier configurations are kept.
+const maxApplied = 256
+
 // maxPrevious is how many earlier revisions are kept to make deltas from: peers
 // are rarely further behind, and each costs memory of the size of its JSON.
 const maxPrevious = 2
@@ -184,7 +191,13 @@
 		w.log.Warn("config: stored value fails validation; keeping the current configuration.", "revision", rev, "findings", len(fs))
 		return false
 	}
-	next := &snapshot{table: route.NewTable(rev, &env.Document), stored: slices.Clone(value), plain: slices.Clone(plain)}
+	if w.wasReplaced(rev, env.ApplyID) {
+		w.log.Warn("config: the KV came back with an earlier configuration; keeping the current one.", "revision", rev, "era", rev.Era(), "apply_id", env.ApplyID)
+		return false
+	}
+	w.applied = append(slices.DeleteFunc(w.applied, func(id string) bool { return id == env.ApplyID }), env.ApplyID)
+	w.applied = w.applied[max(0, len(w.applied)-maxApplied):]
+	next := &snapshot{table: route.NewTable(rev, &env.Document), applyID: env.ApplyID, stored: slices.Clone(value), plain: slices.Clone(plain)}
 	if c := w.current.Load(); c != nil {
 		next.previous = append([]previousRevision{{c.table.Revision, c.plain}}, c.previous[:min(len(c.previous), maxPrevious-1)]...)
 	}
@@ -194,6 +207,28 @@
 	return true
 }
 
+// wasReplaced reports whether a configuration of a later era than the current one had been in force
+// before that: the KV was restored from a copy and has lost the current one.
+func (w *Watcher) wasReplaced(rev kv.Revision, applyID string) bool {
+	c := w.current.Load()
+	return c != nil && rev.Era() > c.table.Revision.Era() && applyID != c.applyID && slices.Contains(w.applied, applyID)
+}
+
+// writeAgain writes the current configuration to a KV that was restored from a copy and has an
+// earlier one, or none, at revision stored. Of several entries that do, one succeeds.
+func (w *Watcher) writeAgain(ctx context.Context, stored kv.Revision) error {
+	c := w.current.Load()
+	ok, rev, _, err := w.kv.CompareAndPut(ctx, config.Key, stored, c.stored, 0)
+	if err != nil {
+		return err
+	}
+	w.log.Warn("config: the KV had lost the current configuration; written again.", "apply_id", c.applyID, "revision", rev, "written", ok)
+	if ok {
+		w.Offer(rev, c.stored)
+	}
+	return nil
+}
+
 // Run keeps the table up to date until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	bo := backoff.NewExponentialBackOff()
@@ -203,7 +238,7 @@
 	synced := true // whether a watch from revision after on misses no change
 	for ctx.Err() == nil {
 		switch {
-		case errors.Is(err, kv.ErrCompacted): // the history is compacted: read
+		case errors.Is(err, kv.ErrCompacted), errors.Is(err, kv.ErrNewEra): // the history is gone: read
 			after, err = w.read(ctx, readTimeout)
 		case err != nil:
 			w.kvErrors.Add(1)
@@ -245,11 +280,13 @@
 	if err != nil {
 		return 0, err
 	}
+	var stored kv.Revision
 	for _, k := range keys {
 		if k.Key != config.Key {
 			w.onKey(k.Key)
 			continue
 		}
+		stored = k.ModRevision
 		if k.ModRevision <= w.Revision() {
 			continue
 		}
@@ -259,6 +296,11 @@
 			w.Offer(kvs[0].ModRevision, kvs[0].Value)
 		}
 	}
+	if current := w.Revision(); current != 0 && current.Era() < rev.Era() && w.shouldWatch() {
+		if err := w.writeAgain(rctx, stored); err != nil {
+			return 0, err
+		}
+	}
 	w.confirm(requestedAt)
 	return rev, nil
 }
