duty: a duty is lost with its key, also where a restored KV has the lease

A holder renewed its lease and looked no further: with a copy from between the grant and the write, two processes held the duty. In another era than its fence's the holder looks at the key. guard: halts can be made to be written again.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -72,12 +72,38 @@
 	case err != nil:
 		return err // validUntil is unchanged: the duty ends by itself if renewals keep failing
 	}
+	if held, err := d.keyHeld(ctx, lease); err != nil || !held {
+		if err == nil {
+			d.markLost()
+		}
+		return err
+	}
 	d.mu.Lock()
 	d.validUntil = requested.Add(ttl - safetyMargin)
 	d.mu.Unlock()
 	return nil
 }
 
+// keyHeld reports whether the duty's key is still that of the lease. A KV that was restored from a copy
+// may have the lease without the key, which another process may have written since.
+func (d *Duty) keyHeld(ctx context.Context, lease kv.LeaseID) (bool, error) {
+	eras, ok := d.kv.(kv.EraReader)
+	d.mu.Lock()
+	fence := d.fence
+	d.mu.Unlock()
+	if !ok || eras.Era() == fence.Era() {
+		return true, nil
+	}
+	_, kvs, err := d.kv.Get(ctx, d.key, false)
+	if err != nil || len(kvs) == 0 || kvs[0].Lease != lease {
+		return false, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fence = kvs[0].ModRevision
+	return true, nil
+}
+
 func (d *Duty) acquire(ctx context.Context) error {
 	requested := d.clock.Now()
 	lease, err := d.kv.Grant(ctx, TTL)
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -134,3 +134,38 @@
 		}
 	})
 }
+
+// Guards against two holders after the store was restored from a copy that has the lease but not the duty's key.
+func TestADutyIsLostWithItsKey(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	fc := clockwork.NewFakeClock()
+	store := &grantHook{Store: memkv.New(fc)}
+	a, b := New(store, "orders/fd-1", "a", fc), New(store, "orders/fd-1", "b", fc)
+	var backup *memkv.Backup
+	store.granted = func() { backup = store.Backup() }
+	is.NoErr(a.Renew(ctx))
+	old, ok := a.Held()
+	is.True(ok)
+	store.granted = func() {}
+	store.Restore(backup)
+	is.NoErr(b.Renew(ctx))
+	fence, ok := b.Held()
+	is.True(ok)
+	is.True(fence > old)
+	is.NoErr(a.Renew(ctx))
+	_, ok = a.Held()
+	is.True(!ok)
+}
+
+// grantHook calls a function after each grant of a lease.
+type grantHook struct {
+	*memkv.Store
+	granted func()
+}
+
+func (s *grantHook) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	id, err := s.Store.Grant(ctx, ttl)
+	s.granted()
+	return id, err
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -129,6 +129,16 @@
 	}
 }
 
+// ForgetStored makes Persist write all halts again: the KV was restored from a copy and may have lost
+// them.
+func (g *Guard) ForgetStored() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for subject := range g.halts {
+		g.halts[subject] = false
+	}
+}
+
 // Persist writes the halts not yet known to be in the KV. Writes are
 // create-only, so any number of entries may repeat them.
 func (g *Guard) Persist(ctx context.Context, c kv.KV) {
