idem, ledger, agent: claims, billing batches and halts that a restored KV lost are written again

What the KV had confirmed was settled and forgotten: after a restore a posting could run again, and requests were not billed. Claims of the last minute and batches of the last 30 s are kept, and written again, on condition that the key is missing, once an entry learns of the new era.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -78,7 +78,7 @@
 			drain.NewGate,
 			newGateway,
 		),
-		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runQuarantine, runGossip, runRatings, serve),
+		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runQuarantine, runGossip, runRatings, runRestores, serve),
 		fx.StopTimeout(stopTimeout(s)),
 		fx.NopLogger,
 	)
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -111,6 +111,41 @@
 	}
 }
 
+// runRestores writes again what a KV lost that was restored from a copy, once this entry learns of the
+// KV's new era by a call of its own or from the configuration's revision.
+func runRestores(lc fx.Lifecycle, c kv.Client, w *configwatch.Watcher, g *guard.Guard, l *ledger.Ledger, claims *idem.Claims, log *slog.Logger) {
+	r := &restores{kv: c, config: w, guard: g, ledger: l, claims: claims, log: log}
+	background.Run(lc, background.Every(housekeepingInterval, r.check), nil)
+}
+
+type restores struct {
+	kv     kv.Client
+	config *configwatch.Watcher
+	guard  *guard.Guard
+	ledger *ledger.Ledger
+	claims *idem.Claims
+	log    *slog.Logger
+	// era is the latest whose losses were made up for.
+	era kv.Era
+}
+
+func (r *restores) check(ctx context.Context) {
+	era := r.config.Revision().Era()
+	if eras, ok := r.kv.(kv.EraReader); ok {
+		era = max(era, eras.Era())
+	}
+	if era <= r.era {
+		return
+	}
+	r.guard.ForgetStored()
+	if err := errors.Join(r.claims.WriteAgain(ctx), r.ledger.WriteAgain(ctx)); err != nil {
+		r.log.Warn("agent: what the KV lost is not yet written again; will retry.", "era", era, "error", err)
+		return
+	}
+	r.log.Info("agent: the KV is in a new era; recent claims and billing batches were written again.", "era", era)
+	r.era = era
+}
+
 func runGossip(lc fx.Lifecycle, g *peers.Gossip) { background.Run(lc, g.Run, nil) }
 
 func runRatings(lc fx.Lifecycle, s *settings.Entry, g *gateway.Gateway) {
--- a/idem/idem.go
+++ b/idem/idem.go
@@ -40,14 +40,20 @@
 	lease          kv.LeaseID
 	leaseUntil     time.Time
 	pendingRelease map[claimRef]bool // claims of requests that did not run
+	// recent are confirmed claims by when that was: a KV that is restored from a copy loses
+	// those made since.
+	recent map[claimRef]time.Time
 }
 
+// keepRecent is how long confirmed claims are kept to be written again; a copy is some seconds old.
+const keepRecent = time.Minute
+
 // claimRef identifies a claim: its KV key and the request that holds it.
 type claimRef struct{ key, requestID string }
 
 // New returns a Claims that uses c.
 func New(c kv.Client, clock clockwork.Clock) *Claims {
-	return &Claims{kv: c, clock: clock, pendingRelease: map[claimRef]bool{}}
+	return &Claims{kv: c, clock: clock, pendingRelease: map[claimRef]bool{}, recent: map[claimRef]time.Time{}}
 }
 
 func claimKey(customer, key string) string { return Prefix + customer + "/" + key }
@@ -67,19 +73,47 @@
 		return ErrUnconfirmed
 	case err != nil:
 		return c.resolve(ctx, k, rid)
-	case ok:
-		return nil
-	case cur != nil && string(cur.Value) == rid:
+	case ok, cur != nil && string(cur.Value) == rid:
+		c.remember(claimRef{k, rid})
 		return nil
 	}
 	return ErrDuplicate
 }
 
+func (c *Claims) remember(ref claimRef) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent[ref] = c.clock.Now()
+}
+
+// WriteAgain writes the recent claims again to a KV that was restored from a copy, under a new lease:
+// the one before may be gone. The KV keeps claims that it still has.
+func (c *Claims) WriteAgain(ctx context.Context) error {
+	c.mu.Lock()
+	c.lease = 0
+	refs := slices.Collect(maps.Keys(c.recent))
+	c.mu.Unlock()
+	if len(refs) == 0 {
+		return nil
+	}
+	lease, err := c.currentLease(ctx)
+	if err != nil {
+		return err
+	}
+	for _, ref := range refs {
+		if _, _, _, err := c.kv.CompareAndPut(ctx, ref.key, 0, []byte(ref.requestID), lease); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // resolve reads back a claim whose answer was lost.
 func (c *Claims) resolve(ctx context.Context, k, rid string) error {
 	_, kvs, err := c.kv.Get(ctx, k, false)
 	switch {
 	case err == nil && len(kvs) == 1 && string(kvs[0].Value) == rid:
+		c.remember(claimRef{k, rid})
 		return nil
 	case err == nil && len(kvs) == 1:
 		return ErrDuplicate
@@ -96,6 +130,7 @@
 func (c *Claims) queueRelease(k, rid string) {
 	c.mu.Lock()
 	c.pendingRelease[claimRef{k, rid}] = true
+	delete(c.recent, claimRef{k, rid})
 	c.mu.Unlock()
 }
 
@@ -111,6 +146,11 @@
 func (c *Claims) Sweep(ctx context.Context) {
 	c.mu.Lock()
 	queued := slices.Collect(maps.Keys(c.pendingRelease))
+	for ref, at := range c.recent {
+		if c.clock.Since(at) > keepRecent {
+			delete(c.recent, ref)
+		}
+	}
 	c.mu.Unlock()
 	for _, ref := range queued {
 		if !c.releaseOne(ctx, ref) {
--- a/idem/idem_test.go
+++ b/idem/idem_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -125,3 +126,17 @@
 		}
 	})
 }
+
+// Guards against a posting that runs twice because the KV lost its claim in a restore.
+func TestClaimsAreWrittenAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New(clockwork.NewFakeClock())
+	claims := New(store, clockwork.NewFakeClock())
+	backup := store.Backup()
+	is.NoErr(claims.Claim(t.Context(), "c", "key", "r1"))
+	store.Restore(backup)
+	is.NoErr(claims.WriteAgain(t.Context()))
+	other := New(store, clockwork.NewFakeClock())
+	is.True(errors.Is(other.Claim(t.Context(), "c", "key", "r2"), ErrDuplicate))
+	is.NoErr(claims.Claim(t.Context(), "c", "key2", "r3")) // under a lease that the KV has
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// maxBatchRecords keeps a batch well under the platform's limit of 1 MB per
 	// value.
 	maxBatchRecords = 4000
+	// keepConfirmed is how long confirmed batches are kept to be written again; a copy of
+	// the KV is some seconds old.
+	keepConfirmed = 30 * time.Second
 )
 
 // pendingRecord is a record that is not yet durable.
@@ -41,6 +45,13 @@
 	owner []string // owner key per record; "" for this entry's own
 }
 
+// confirmedBatch is a batch that the KV has confirmed.
+type confirmedBatch struct {
+	key   string
+	value []byte
+	at    time.Time
+}
+
 // forwarded is a record that another entry sent here to be written.
 type forwarded struct {
 	rec   Record
@@ -62,6 +73,9 @@
 	pending     map[string]pendingRecord // ended and not durable
 	batchSeq    int
 	unconfirmed *batch // a write whose outcome is unknown
+	// confirmed are the latest durable batches, oldest first: a KV that is restored from a
+	// copy loses those written since.
+	confirmed []confirmedBatch
 
 	repl replicationState
 }
@@ -134,6 +148,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unconfirmed = nil
+	now := l.clock.Now()
+	l.confirmed = slices.DeleteFunc(l.confirmed, func(c confirmedBatch) bool { return now.Sub(c.at) > keepConfirmed })
+	l.confirmed = append(l.confirmed, confirmedBatch{b.key, b.value, now})
 	for i, r := range b.recs {
 		if b.owner[i] == "" {
 			delete(l.pending, r.RequestID)
@@ -145,6 +162,20 @@
 	return nil
 }
 
+// WriteAgain writes the latest confirmed batches again to a KV that was restored from a copy. Those
+// that it still has are left as they are.
+func (l *Ledger) WriteAgain(ctx context.Context) error {
+	l.mu.Lock()
+	confirmed := slices.Clone(l.confirmed)
+	l.mu.Unlock()
+	for _, c := range confirmed {
+		if _, _, _, err := l.kv.CompareAndPut(ctx, c.key, 0, c.value, 0); err != nil {
+			return trace.Wrap(err, "ledger: batch %s not confirmed", c.key)
+		}
+	}
+	return nil
+}
+
 // nextBatch returns the unconfirmed batch if there is one. Otherwise it batches
 // the records of other entries, and this entry's own if it is a holder, if its
 // holder has not reported them durable within selfWriteDelay, or if all is set.
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -251,3 +252,34 @@
 	}
 	return out, dropped, nil
 }
+
+// Guards against requests that are not billed because the KV lost their batch in a restore, or that are billed twice.
+func TestBatchesAreWrittenAgainAfterARestore(t *testing.T) {
+	is := is.New(t)
+	store := memkv.New(clockwork.NewFakeClock())
+	l := newLedger(store, "i1", 1, func() bool { return true }, clockwork.NewFakeClock())
+	settle := func(id string) {
+		t.Helper()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel() // there is no holder to wait for
+		l.Settle(ctx, Record{RequestID: id})
+		is.NoErr(l.Flush(t.Context()))
+	}
+	settle("r1")
+	backup := store.Backup()
+	settle("r2")
+	store.Restore(backup)
+	settle("r3")
+	is.NoErr(l.WriteAgain(t.Context()))
+	_, batches, err := store.Get(t.Context(), Prefix, true)
+	is.NoErr(err)
+	billed := map[string]int{}
+	for _, b := range batches {
+		var records []Record
+		is.NoErr(json.Unmarshal(b.Value, &records))
+		for _, r := range records {
+			billed[r.RequestID]++
+		}
+	}
+	is.Equal(billed, map[string]int{"r1": 1, "r2": 1, "r3": 1})
+}
