--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -30,6 +30,7 @@
 	cmd.Flag("cuts", "Cut entries off from all engines in turn.").BoolVar(&o.Cuts)
 	cmd.Flag("skew", "Give entries a bounded share of a core, and most new connections to one after the other.").BoolVar(&o.Skew)
 	cmd.Flag("restores", "Take the store away again and again, and bring it back from a copy some seconds old.").BoolVar(&o.Restores)
+	cmd.Flag("alone", "With --restores, play no other faults, and check that requests are served as at other times.").BoolVar(&o.Alone)
 	cmd.Flag("ignore-evacuations", "Do not check what reaches evacuated failure domains and cold engines, for builds that know of neither.").BoolVar(&o.IgnoreEvacuations)
 	cmd.Flag("ignore-notices", "Do not check what entries send after an engine said that it leaves or rests, for builds that do not read that.").BoolVar(&o.IgnoreNotices)
 	cmd.Flag("edge", "The lovageweir program; default: beside this one.").StringVar(&o.EdgePath)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -53,6 +53,7 @@
 	fragile   bool // most requests go to the fragile service, and one kind crashes its engines
 	cold      bool // requests that crash engines come from the first moment on
 	restores  bool // some requests have keys that were revoked
+	alone     bool // there are no faults but restores
 	series    bool // some callers keep long streams open, some use a new connection for each request
 
 	mu       sync.Mutex
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -104,13 +104,14 @@
 	ctl          string
 	skew         bool          // entries have a bounded share of a core
 	restores     bool          // the store comes back from copies
+	alone        bool          // there are no other faults
 	cuts         bool          // entries have a proxy between them and all engines
 	grace        time.Duration // time of entries between SIGTERM and SIGKILL
 }
 
 // newCluster starts the store, engines and entries.
 func newCluster(o Options) (*cluster, error) {
-	c := &cluster{dir: o.Dir, ctl: o.CtlPath, skew: o.Skew, cuts: o.Cuts, restores: o.Restores, grace: o.grace()}
+	c := &cluster{dir: o.Dir, ctl: o.CtlPath, skew: o.Skew, cuts: o.Cuts, restores: o.Restores, alone: o.Alone, grace: o.grace()}
 	c.storeAddress = freeAddress()
 	c.store = &process{name: "store", args: []string{c.ctl, "standin", "platform-store", "--listen", c.storeAddress}}
 	if err := c.startProcess(c.store); err != nil {
@@ -171,13 +172,21 @@
 	domain := domainOf(i)
 	e := &engine{proxy: proxy, logPath: c.logPath(name), service: service, domain: domain, process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
 		"--advertise", proxy.Address, "--store", c.storeAddress, "--id", name, "--service", service, "--domain", domain, "--software", version, "--cold", coldTimeOf(i).String(),
-		"--faults", "0.03", "--events", strconv.Itoa(streamEvents), "--pause", eventPause(service).String(), "--work", callWork.String(), "--serves-on", drainTime.String(), "--retry-after", fmt.Sprint(restTime.Seconds()), "--announces-after", announceDelayOf(i).String()}}}
+		"--faults", c.engineFaults(), "--events", strconv.Itoa(streamEvents), "--pause", eventPause(service).String(), "--work", callWork.String(), "--serves-on", drainTime.String(), "--retry-after", fmt.Sprint(restTime.Seconds()), "--announces-after", announceDelayOf(i).String()}}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engines = append(c.engines, e)
 	return c.startProcess(e.process)
 }
 
+// engineFaults returns the share of requests that meet a fault at an engine.
+func (c *cluster) engineFaults() string {
+	if c.alone {
+		return "0"
+	}
+	return "0.03"
+}
+
 func (c *cluster) addEntry(i int, bin string) error {
 	proxy, err := NewProxy(c.storeAddress)
 	if err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -44,6 +44,7 @@
 	// impaired.
 	interrupted, linkFaults map[string][]interval
 	engine                  int // engines started so far to replace others
+	replaced                int // engines replaced in turn
 	rollouts                int
 }
 
--- a/soak/restores.go
+++ b/soak/restores.go
@@ -24,6 +24,8 @@
 	// allows for processes that are not scheduled for a while.
 	configBound = 2 * time.Second
 	configSlack = time.Second
+	// minServedShare is how often requests around restores must be served, of how often others are.
+	minServedShare = 0.97
 )
 
 // operator writes what the users' operator writes, and writes it again after a restore.
@@ -106,6 +108,8 @@
 func (f *faultInjector) restoreInTurn(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 4))
 	pause := time.Second
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for wait(ctx, pause) {
 		age := time.Duration(rng.Int64N(int64(maxCopyAge)))
 		away := time.Duration(rng.Int64N(int64(maxAwayTime)))
@@ -116,6 +120,9 @@
 		if wait(ctx, time.Duration(rng.IntN(1000))*time.Millisecond) {
 			f.writeConfig()
 		}
+		if f.c.alone {
+			f.replaceOldest(&wg)
+		}
 		pause = time.Duration(4500+rng.IntN(3500)) * time.Millisecond
 		if rng.IntN(4) == 0 {
 			pause = 100 * time.Millisecond
@@ -123,6 +130,15 @@
 	}
 }
 
+// replaceOldest replaces the engine that was started first and still runs, by a planned stop.
+func (f *faultInjector) replaceOldest(wg *sync.WaitGroup) {
+	f.c.mu.Lock()
+	g := f.c.engines[f.replaced]
+	f.c.mu.Unlock()
+	f.replaced++
+	wg.Go(func() { f.replace(g, true) })
+}
+
 // dueAfterRestores returns when all entries must know what was written at a time: after a bound that
 // begins anew with each restore that loses it, or that comes before it is known.
 func (o *operator) dueAfterRestores(at time.Time, bound time.Duration) time.Time {
@@ -158,6 +174,18 @@
 	return findings
 }
 
+// checkServed returns a finding if too few requests around restores were served.
+func (s *callers) checkServed(restored, others attemptCount) string {
+	if !s.alone || others.sent == 0 || restored.sent == 0 {
+		return ""
+	}
+	before := float64(others.served) / float64(others.sent)
+	if share := float64(restored.served) / float64(restored.sent); share < minServedShare*before {
+		return fmt.Sprintf("%d of %d requests served around restores, %d of %d at other times", restored.served, restored.sent, others.served, others.sent)
+	}
+	return ""
+}
+
 // countAroundRestores counts the requests that started during a restore or within catchUp after it,
 // and the others.
 func (s *callers) countAroundRestores() (restored, others attemptCount) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,9 @@
 	Skew bool
 	// Restores: the store comes back from copies, again and again.
 	Restores bool
+	// Alone: with Restores, there are no other faults, but engines are replaced, and requests must be
+	// served around restores as at other times.
+	Alone bool
 	// IgnoreNotices: requests after an engine said that it leaves or rests are no finding, as some
 	// entries are of a build that does not read that.
 	IgnoreNotices bool
@@ -65,7 +68,7 @@
 
 // evacuates reports whether failure domains are evacuated. Where entries are cut off, that is so in
 // one seed of three: requests during evacuations are not compared.
-func (o Options) evacuates() bool { return !o.Skew && (!o.Cuts || o.Seed%3 == 0) }
+func (o Options) evacuates() bool { return !o.Alone && !o.Skew && (!o.Cuts || o.Seed%3 == 0) }
 
 // settle is how long the cluster runs without faults before they start, and at the
 // end, so that requests in flight can finish.
@@ -85,7 +88,7 @@
 	}
 	defer c.stop()
 	time.Sleep(settle)
-	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, cold: o.Cold, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, restores: o.Restores, served: map[string]int64{}}
+	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, cold: o.Cold, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, restores: o.Restores, alone: o.Alone, served: map[string]int64{}}
 	f := &faultInjector{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, skew: o.Skew, spareEntries: o.Skew && o.Seed%3 != 0, faulted: map[string][]interval{}, interrupted: map[string][]interval{}, linkFaults: map[string][]interval{}}
 	engineCtx, stopEngines := context.WithCancel(context.Background())
 	defer stopEngines()
@@ -138,7 +141,9 @@
 			f.restoreInTurn(faultCtx, o.Seed)
 		}
 	}()
-	f.run(faultCtx)
+	if !o.Alone {
+		f.run(faultCtx)
+	}
 	<-restoresDone
 	<-stopsDone
 	<-evacuationsDone
@@ -179,6 +184,9 @@
 		}
 		r.Restored, r.Unrestored = s.countAroundRestores()
 		r.Restores = len(s.c.operator.restores)
+		if finding := s.checkServed(r.Restored, r.Unrestored); finding != "" {
+			s.addFinding("%s", finding)
+		}
 	}
 	for _, lost := range f.lostAtStops(s.results, engineRuns) {
 		s.addFinding("%s", lost)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -118,9 +118,13 @@
 // Guards against old configurations, revoked keys and leaving engines in use after the store came back from a copy.
 func TestSeededSoakOfAStoreThatComesBackFromCopies(t *testing.T) {
 	edge, ctl := buildPrograms(t)
-	for _, seed := range []uint64{1, 3} {
+	for _, run := range []struct {
+		seed  uint64
+		alone bool
+	}{{1, false}, {3, false}, {1, true}} {
 		is := is.New(t)
-		r, err := soak.Run(soak.Options{Seed: seed, FaultDuration: 25 * time.Second, EdgePath: edge, CtlPath: ctl, Dir: t.TempDir(), Entries: 5, Engines: 4, Callers: 24, Restores: true})
+		seed := run.seed
+		r, err := soak.Run(soak.Options{Seed: seed, FaultDuration: 25 * time.Second, EdgePath: edge, CtlPath: ctl, Dir: t.TempDir(), Entries: 5, Engines: 4, Callers: 24, Restores: true, Alone: run.alone})
 		is.NoErr(err)
 		t.Logf("seed %d: %d requests, %d faults, %d restores, %v served around them and %v else: %v", seed, r.Requests, len(r.Faults), r.Restores, r.Restored, r.Unrestored, r.Answered)
 		for _, f := range r.Findings {
