fleet, kv: an entry starts from a read that is current

A read that may be stale can show the state before a restore under the era after it: the copy of an entry that started then had higher revisions than the store, and kept them.

--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/memkv"
+	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
@@ -251,3 +254,54 @@
 	x.known(t)
 	x.is.Equal(x.f.View().Revision.Era(), kv.Era(0))
 }
+
+// staleStore is a store whose stale reads show what it had before.
+type staleStore struct {
+	*flakyStore
+	stale []kv.KeyValue
+}
+
+func (s *staleStore) GetPage(ctx context.Context, prefix, _ string, mayBeStale bool) (kv.Revision, []kv.KeyValue, bool, error) {
+	if !mayBeStale {
+		rev, items, err := s.Get(ctx, prefix, true)
+		return rev, items, false, err
+	}
+	var page []kv.KeyValue
+	for _, i := range s.stale {
+		if strings.HasPrefix(i.Key, prefix) {
+			page = append(page, i)
+		}
+	}
+	return 0, page, false, nil
+}
+
+// Guards against an entry that starts just after a restore, reads the state before it, and keeps that as its revisions are the higher ones.
+func TestAStaleReadAtTheStartDoesNotOutliveARestore(t *testing.T) {
+	x := newFixture(t)
+	other := fleet.Entry{Instance: "other", Domain: self.Domain, Boot: 1}
+	register := func(boot int) {
+		x.put(other.Key(), fmt.Sprintf(`{"instance":"other","domain":"d1","boot":%d}`, boot))
+	}
+	x.config(1)
+	b := x.store.Backup()
+	for i := range 5 {
+		x.config(int64(2 + i))
+	}
+	register(1)
+	_, before, err := x.store.Get(t.Context(), "", true)
+	x.is.NoErr(err)
+	x.store.Restore(b)
+	for i := range before { // the answer names the era that the store is in
+		before[i].ModRevision = kv.RevisionIn(x.store.Era(), before[i].ModRevision.Number())
+	}
+	register(2)
+	x.f = fleet.NewFollower(self, &staleStore{x.flakyStore, before}, platform.Values{}, time.Second, x.clock, slog.New(slog.DiscardHandler))
+	x.f.SetSinceBoot(func() time.Duration { return x.clock.Since(time.Time{}) })
+	x.f.OnChange(func(v *fleet.View) { x.views <- v })
+	x.run(t)
+	x.waitFor(t, func(v *fleet.View) bool {
+		return version(v) == 1 && len(v.Entries) == 1 && v.Entries[0].Boot == 2
+	})
+	x.config(2)
+	x.waitFor(t, func(v *fleet.View) bool { return version(v) == 2 })
+}
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -78,7 +78,7 @@
 		return f.readAll(ctx)
 	}
 	if f.start.listReads == 0 {
-		rev, items, more, err := pager.GetPage(ctx, "", "")
+		rev, items, more, err := pager.GetPage(ctx, "", "", false)
 		if err != nil {
 			return err
 		}
@@ -130,8 +130,10 @@
 			return err
 		}
 		for _, i := range page {
-			list.Events = append(list.Events, kv.Event{Type: kv.EventPut, KV: i})
 			after = i.Key
+			// The page may be of the era before: any other state of the key takes its place.
+			i.ModRevision = kv.RevisionIn(i.ModRevision.Era(), 1)
+			list.Events = append(list.Events, kv.Event{Type: kv.EventPut, KV: i})
 		}
 	}
 	f.apply(list, 0)
@@ -141,7 +143,7 @@
 
 func (f *Follower) getPage(ctx context.Context, prefix, after string) (page []kv.KeyValue, more bool, err error) {
 	if pager, ok := f.store.(kv.Pager); ok {
-		_, page, more, err = pager.GetPage(ctx, prefix, after)
+		_, page, more, err = pager.GetPage(ctx, prefix, after, true)
 		return page, more, err
 	}
 	_, page, err = f.store.Get(ctx, prefix, true)
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -119,9 +119,10 @@
 // Pager reads the keys of a large store page by page, at less cost than Get.
 type Pager interface {
 	// GetPage returns the keys with a prefix that sort after another key, as many as fit a
-	// page, and whether there are more. They may be seconds old; rev is the revision that
-	// they show.
-	GetPage(ctx context.Context, prefix, after string) (rev Revision, page []KeyValue, more bool, err error)
+	// page, and whether there are more; rev is the revision that they show. If mayBeStale is
+	// set they may be seconds old, and after the store came back from a copy show the era
+	// before, which their revisions do not tell.
+	GetPage(ctx context.Context, prefix, after string, mayBeStale bool) (rev Revision, page []KeyValue, more bool, err error)
 }
 
 // EraReader tells the store's era as of its latest answer to this client.
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -61,7 +61,7 @@
 // storePage is the number of items of a page.
 const storePage = 100
 
-func (s *countingStore) GetPage(ctx context.Context, prefix, after string) (kv.Revision, []kv.KeyValue, bool, error) {
+func (s *countingStore) GetPage(ctx context.Context, prefix, after string, _ bool) (kv.Revision, []kv.KeyValue, bool, error) {
 	if _, away := s.isAway(); away {
 		return 0, nil, false, kv.ErrUnavailable
 	}
