--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -42,10 +42,10 @@
 	x.waitFor(t, func(v *fleet.View) bool { return v.Revision.Era() == era })
 }
 
-// known waits until the follower knows the store's revision.
+// known waits until the follower has published the store's revision.
 func (x *fixture) known(t *testing.T) {
 	t.Helper()
-	x.waitFor(t, func(v *fleet.View) bool { return x.f.Revision() == x.store.Revision() })
+	x.waitFor(t, func(v *fleet.View) bool { return v.Revision == x.store.Revision() })
 }
 
 func (x *fixture) isReady(id string) bool {
