--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -303,7 +303,7 @@
 				out.counts[line.ID]++
 				out.runs = append(out.runs, run{id: line.ID, engine: line.Engine, at: time.UnixMilli(line.AtMS), fault: line.Fault, leaving: line.Leaving})
 			}
-			if line.ColdUntilMS > 0 {
+			if line.ColdUntilMS > 0 && e.service == service { // the configuration names no limit for others
 				out.coldUntil[line.Engine] = time.UnixMilli(line.ColdUntilMS)
 			}
 			if line.LeftMS > 0 {
