soak: a request that was sent before another was answered proves no revert of the configuration

Each new version is asked for by all callers at once, while it comes into force: a request that was read before that may be answered after another one that was read later.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -59,7 +59,7 @@
 	mu       sync.Mutex
 	results  []result
 	findings []string
-	served   map[string]int64 // entry and boot -> highest configuration version served there
+	served   map[string]servedVersion // by entry and boot
 }
 
 func (s *callers) addFinding(format string, args ...any) {
@@ -150,7 +150,7 @@
 	}
 	s.record(r)
 	if kind == kindVersion && boot == e.currentBoot() {
-		s.checkVersion(fmt.Sprintf("%s boot %d", e.name, boot), version, r.status)
+		s.checkVersion(fmt.Sprintf("%s boot %d", e.name, boot), r)
 	}
 }
 
@@ -189,16 +189,23 @@
 	return ""
 }
 
+// servedVersion is the highest configuration version whose route was served, and when it first was.
+type servedVersion struct {
+	version int64
+	at      time.Time
+}
+
 // checkVersion checks that an entry's configuration does not revert: once the route
-// of a version was served there, it keeps existing.
-func (s *callers) checkVersion(entry string, version int64, status int) {
+// of a version was served there, it exists for all requests sent after that.
+func (s *callers) checkVersion(entry string, q result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	served := s.served[entry]
 	switch {
-	case status == http.StatusOK:
-		s.served[entry] = max(s.served[entry], version)
-	case status == http.StatusNotFound && s.served[entry] == version && s.c.latestVersion() == version:
-		s.findings = append(s.findings, fmt.Sprintf("%s: version %d was in force and is no more", entry, version))
+	case q.status == http.StatusOK && q.version > served.version:
+		s.served[entry] = servedVersion{q.version, q.ended}
+	case q.status == http.StatusNotFound && served.version == q.version && q.started.After(served.at) && s.c.latestVersion() == q.version:
+		s.findings = append(s.findings, fmt.Sprintf("%s: version %d was in force and is no more", entry, q.version))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -88,7 +88,7 @@
 	}
 	defer c.stop()
 	time.Sleep(settle)
-	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, cold: o.Cold, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, restores: o.Restores, alone: o.Alone, served: map[string]int64{}}
+	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, cold: o.Cold, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, restores: o.Restores, alone: o.Alone, served: map[string]servedVersion{}}
 	f := &faultInjector{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, skew: o.Skew, spareEntries: o.Skew && o.Seed%3 != 0, faulted: map[string][]interval{}, interrupted: map[string][]interval{}, linkFaults: map[string][]interval{}}
 	engineCtx, stopEngines := context.WithCancel(context.Background())
 	defer stopEngines()
