fleet: what is written again with the number that it had is no proof of a shared history; edge: a second grant

The operator had written the same values again, some with the number from before the restore; the copies' histories were taken to be the same up to there, and all endpoints registered below it for removed. Both are the same only below the first write that one of them lacks (fleet.TestWritesThatAreRepeatedAfterARestoreAreNotShared).

An entry that relies on others learns of the era from the answer to its grant of a lease, did not trust it, and registered a second later: it takes another lease at once.

--- a/edge/run.go
+++ b/edge/run.go
@@ -81,6 +81,23 @@
 	leaseEra kv.Era
 }
 
+// grant takes a lease in a known era. The first call may be the one from which this entry learns that
+// the store came back from a copy.
+func (r *registration) grant(ctx context.Context) error {
+	for range 2 {
+		before := r.fleet.StoreEra()
+		lease, err := r.store.Grant(ctx, registrationTTL)
+		if err != nil {
+			return err
+		}
+		if r.leaseEra = r.fleet.StoreEra(); before == 0 || r.leaseEra == before {
+			r.lease = lease
+			return nil
+		}
+	}
+	return errNewEra
+}
+
 // errNewEra means that the store came back from a copy meanwhile: it may have given the id of the lease
 // to another entry.
 var errNewEra = errors.New("the store came back from a copy after it granted the lease")
@@ -154,15 +171,9 @@
 		r.lease, r.written = 0, false
 	}
 	if r.lease == 0 {
-		before := r.fleet.StoreEra()
-		lease, err := r.store.Grant(ctx, registrationTTL)
-		if err != nil {
+		if err := r.grant(ctx); err != nil {
 			return err
 		}
-		if r.leaseEra = r.fleet.StoreEra(); before != 0 && r.leaseEra != before {
-			return errNewEra // it is not known in which one the lease was granted
-		}
-		r.lease = lease
 	}
 	value, err := json.Marshal(r.self)
 	if err != nil {
--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -68,15 +68,19 @@
 	for _, item := range c.Kept {
 		b.rebase(item)
 	}
+	removed := 0
 	for _, e := range c.Events {
 		b.apply(e, now)
+		if e.Type == kv.EventDelete {
+			removed++
+		}
 	}
 	for _, r := range c.Reverted {
 		b.carry(r, now)
 	}
 	b.quiet = false
 	b.log.Warn("fleet: the store came back from a copy; a new era begins.", "era", c.Revision.Era(), "revision", c.Revision,
-		"kept", len(c.Kept), "changed", len(c.Events), "reverted", len(c.Reverted), "carried", len(b.carried))
+		"kept", len(c.Kept), "written", len(c.Events)-removed, "removed", removed, "reverted", len(c.Reverted), "carried", len(b.carried))
 }
 
 // rebase replaces the revisions of an item that is the same in the new era.
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -109,21 +109,42 @@
 	}
 	p := past{items: s.items, removed: s.removed, eras: append(slices.Clone(s.past), last)}
 	p.eras = p.eras[max(0, len(p.eras)-maxPastEras):]
+	p.shared = s.sharedLocked(c, last)
+	return p
+}
+
+// sharedLocked returns a number up to which the copy's history and that of a snapshot of a later era
+// are the same: the highest one of a write that both have, below the first one that only one has. Beyond
+// that, the same value may have been written again with the same number.
+func (s *Items) sharedLocked(c Changes, last map[write]bool) int64 {
+	same := func(item kv.KeyValue) bool {
+		known, was := s.items[item.Key]
+		return last[writeOf(item)] || was && known.ModRevision.Number() == item.ModRevision.Number() && bytes.Equal(known.Value, item.Value)
+	}
+	diverged := c.Revision.Number() + 1
 	for _, e := range c.Events {
-		known, was := p.items[e.KV.Key]
-		same := was && known.ModRevision.Number() == e.KV.ModRevision.Number() && bytes.Equal(known.Value, e.KV.Value)
-		if same || last[writeOf(e.KV)] {
-			p.shared = max(p.shared, e.KV.ModRevision.Number())
+		number := e.KV.ModRevision.Number()
+		if number > s.historyStart.Number() && !same(e.KV) {
+			diverged = min(diverged, number)
+		}
+		if known, was := s.items[e.KV.Key]; was && number < known.ModRevision.Number() {
+			diverged = min(diverged, known.ModRevision.Number())
 		}
 	}
-	return p
+	shared := int64(0)
+	for _, e := range c.Events {
+		if number := e.KV.ModRevision.Number(); number < diverged && same(e.KV) {
+			shared = max(shared, number)
+		}
+	}
+	return shared
 }
 
 // isEarlier reports whether an item of the snapshot was written in an earlier era. If it is not what
 // its key had last, the store has lost a later change. changed is when that was, as far as known.
 func (p past) isEarlier(item kv.KeyValue, changed kv.Revision) bool {
 	w := writeOf(item)
-	if slices.ContainsFunc(p.eras, func(era map[write]bool) bool { return era[w] }) {
+	if slices.ContainsFunc(p.eras, func(writes map[write]bool) bool { return writes[w] }) {
 		return true
 	}
 	return w.number <= p.shared && w.number < changed.Number()
--- a/fleet/items_test.go
+++ b/fleet/items_test.go
@@ -196,3 +196,24 @@
 		is.Equal(len(s.Since(rev-kv.Revision(n)).Events), 10) // superseded changes are not sent
 	}
 }
+
+// Guards against keys that the store lost being taken for removed, where operators wrote others again with the numbers that they had before.
+func TestWritesThatAreRepeatedAfterARestoreAreNotShared(t *testing.T) {
+	is := is.New(t)
+	put := func(era kv.Era, number int64, key string) kv.Event {
+		rev := kv.RevisionIn(era, number)
+		return kv.Event{KV: kv.KeyValue{Key: key, Value: []byte(key), CreateRevision: rev, ModRevision: rev}}
+	}
+	s := NewItems()
+	s.Apply(Changes{Revision: kv.RevisionIn(1, 1), Whole: true, Events: []kv.Event{put(1, 1, "config")}})
+	s.Apply(Changes{Revision: kv.RevisionIn(1, 5), Events: []kv.Event{put(1, 2, "e1"), put(1, 3, "e2"), put(1, 4, "o1"), put(1, 5, "o2")}})
+	after := Changes{Revision: kv.RevisionIn(2, 5), Whole: true, Events: []kv.Event{put(2, 1, "config"), put(2, 2, "o1"), put(2, 3, "x"), put(2, 4, "y"), put(2, 5, "o2")}}
+	is.True(s.EntersEra(after))
+	c := s.EnterEra(after)
+	lost := map[string]bool{}
+	for _, r := range c.Reverted {
+		lost[r.Key] = r.Known != nil && r.Stored == nil
+	}
+	is.Equal(lost, map[string]bool{"e1": true, "e2": true})
+	is.Equal(len(c.Events), 2) // x and y
+}
