fleet: endpoints whose registrations expired while the store was away are kept until they register again

The store says so of a live endpoint as of one that is gone; a live one is back within two seconds. Endpoints that are missing at the start of an era are kept for 1.5 s, whether the copy had them or not, and are a last resort after that; an engine that left since the store's return gets requests for no longer than the bound.

--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -16,9 +16,10 @@
 	carryOperatorsFor = time.Minute
 	// carryRecordsFor is how long records of other entries are kept that nobody writes again.
 	carryRecordsFor = 10 * time.Minute
-	// carryMissingFor is how long an endpoint is kept whose registration the store lost; a live one
-	// registers again within two seconds of the store's return.
-	carryMissingFor = 2 * time.Second
+	// carryMissingFor is how long an endpoint is kept whose registration the store lost or let expire;
+	// then it is a last resort. A live one registers again within two seconds of the store's return,
+	// and one that left since then may get requests for as long.
+	carryMissingFor = 1500 * time.Millisecond
 	// carryGoneFor is how long an endpoint that is gone stays so although the copy has its
 	// registration, which ends after three missed heartbeats.
 	carryGoneFor = 4 * time.Second
@@ -68,19 +69,15 @@
 	for _, item := range c.Kept {
 		b.rebase(item)
 	}
-	removed := 0
 	for _, e := range c.Events {
 		b.apply(e, now)
-		if e.Type == kv.EventDelete {
-			removed++
-		}
 	}
 	for _, r := range c.Reverted {
 		b.carry(r, now)
 	}
 	b.quiet = false
 	b.log.Warn("fleet: the store came back from a copy; a new era begins.", "era", c.Revision.Era(), "revision", c.Revision,
-		"kept", len(c.Kept), "written", len(c.Events)-removed, "removed", removed, "reverted", len(c.Reverted), "carried", len(b.carried))
+		"kept", len(c.Kept), "written", len(c.Events), "reverted", len(c.Reverted), "carried", len(b.carried))
 }
 
 // rebase replaces the revisions of an item that is the same in the new era.
@@ -129,6 +126,10 @@
 		b.apply(kv.Event{Type: kv.EventPut, KV: *r.Stored}, now)
 		return
 	}
+	if r.Removed && !b.awaits(r.Key) {
+		b.apply(kv.Event{Type: kv.EventDelete, KV: kv.KeyValue{Key: r.Key, ModRevision: b.era.revision}}, now)
+		return
+	}
 	var stored kv.Revision
 	if r.Stored != nil {
 		stored = r.Stored.ModRevision
@@ -172,6 +173,14 @@
 	b.carried[r.Key] = carriedItem{known: known, stored: r.Stored, until: now.Add(keepFor)}
 }
 
+// awaits reports whether a key that was removed since the store's copy is that of an endpoint that did
+// not leave: its registration may have expired while the store was away.
+func (b *builder) awaits(key string) bool {
+	kind, name := b.dec.Classify(key)
+	ep, registered := b.endpoints[name]
+	return kind == ItemEndpoint && registered && !ep.Draining
+}
+
 // isLeavingRegistration reports whether a registration says that its endpoint leaves.
 func (b *builder) isLeavingRegistration(name string, item kv.KeyValue) bool {
 	r, err := b.dec.Endpoint(name, item.Value)
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -17,19 +17,21 @@
 	Revision kv.Revision
 	// Kept are the keys whose values are what they were, with their revisions in the new era.
 	Kept []kv.KeyValue
-	// Events are what was written or removed in the new era.
+	// Events are what was written in the new era.
 	Events []kv.Event
-	// Reverted are the keys of which the store lost the latest changes.
+	// Reverted are the keys of which the store lost the latest changes, or that it no longer has.
 	Reverted []Reverted
 }
 
-// Reverted is a key of which the store lost the latest changes.
+// Reverted is a key of which the store lost the latest changes, or that it no longer has.
 type Reverted struct {
 	Key string
 	// Known is the last state before the store came back; nil: the key had been removed.
 	Known *kv.KeyValue
-	// Stored is the state in the store's copy; nil: the key did not exist.
+	// Stored is the state in the store's copy; nil: the key does not exist.
 	Stored *kv.KeyValue
+	// Removed: the copy had the key, and it was removed since, or its lease ended.
+	Removed bool
 }
 
 // EntersEra reports whether changes lead to a later era than that of a copy with data.
@@ -55,9 +57,9 @@
 		case was && bytes.Equal(known.Value, now.Value):
 			out.Kept = append(out.Kept, now)
 		case was && before.isEarlier(now, known.ModRevision):
-			out.Reverted = append(out.Reverted, Reverted{now.Key, &known, &now})
+			out.Reverted = append(out.Reverted, Reverted{Key: now.Key, Known: &known, Stored: &now})
 		case !was && before.isEarlier(now, before.removed[now.Key]):
-			out.Reverted = append(out.Reverted, Reverted{now.Key, nil, &now})
+			out.Reverted = append(out.Reverted, Reverted{Key: now.Key, Stored: &now})
 		default:
 			out.Events = append(out.Events, e)
 		}
@@ -66,12 +68,8 @@
 		if _, present := s.items[key]; present {
 			continue
 		}
-		if known.CreateRevision.Number() <= before.shared {
-			out.Events = append(out.Events, kv.Event{Type: kv.EventDelete, KV: kv.KeyValue{Key: key, ModRevision: c.Revision}})
-			s.removed[key] = c.Revision
-			continue
-		}
-		out.Reverted = append(out.Reverted, Reverted{key, &known, nil})
+		removed := known.CreateRevision.Number() <= before.shared
+		out.Reverted = append(out.Reverted, Reverted{Key: key, Known: &known, Removed: removed})
 	}
 	s.recordLocked(c.Events)
 	return out
