--- a/edge/registration_test.go
+++ b/edge/registration_test.go
@@ -7,7 +7,9 @@
 	"log/slog"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -25,12 +27,17 @@
 
 // startRegistration runs the registration of an entry.
 func startRegistration(t *testing.T, address, instance string) {
+	t.Helper()
+	startRegistrationOf(t, platform.NewStore(address), instance, "d")
+}
+
+func startRegistrationOf(t *testing.T, store kv.Client, instance, domain string) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	self := fleet.Entry{Instance: instance, Domain: "d", Address: "127.0.0.1:1", Boot: 1}
-	store := platform.NewStore(address)
+	self := fleet.Entry{Instance: instance, Domain: domain, Address: "127.0.0.1:1", Boot: 1}
 	f := fleet.NewFollower(self, store, platform.Values{}, time.Second, clockwork.NewRealClock(), log)
-	r := &registration{self: self, store: store, fleet: f, log: log}
+	f.SetSinceBoot(func() time.Duration { return time.Since(time.Time{}) })
+	r := &registration{self: self, store: store, fleet: f, writesPerS: maxWritesPerSecond, log: log}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
 	go func() { f.Run(ctx); done <- struct{}{} }()
@@ -92,3 +99,60 @@
 		}
 	}
 }
+
+// countedWrites is a store that counts writing calls by the second.
+type countedWrites struct {
+	*memkv.Store
+	mu     sync.Mutex
+	writes map[int64]int
+}
+
+func (s *countedWrites) count() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes[time.Now().Unix()]++
+}
+
+func (s *countedWrites) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	s.count()
+	return s.Store.Grant(ctx, ttl)
+}
+
+func (s *countedWrites) Put(ctx context.Context, key string, value []byte, lease kv.LeaseID) (kv.Revision, error) {
+	s.count()
+	return s.Store.Put(ctx, key, value, lease)
+}
+
+// maxWritesPerSecond is what the users' store accepts from all entries together.
+const maxWritesPerSecond = 400
+
+// Guards against a store whose rate limit is exceeded when a fleet's registrations are lost at once.
+func TestAFleetWhoseRegistrationsWereLostKeepsTheStoresRate(t *testing.T) {
+	const n = 300
+	synctest.Test(t, func(t *testing.T) {
+		store := &countedWrites{Store: memkv.New(clockwork.NewRealClock()), writes: map[int64]int{}}
+		if _, err := store.Store.Put(t.Context(), "op/config", []byte(`{"version":1}`), 0); err != nil {
+			t.Fatal(err)
+		}
+		b := store.Backup()
+		for i := range n {
+			startRegistrationOf(t, store, fmt.Sprint("i", i), fmt.Sprint("d", i%10))
+		}
+		awaitRegistrations(t, store.Store, n)
+		time.Sleep(10 * time.Second)
+		store.writes = map[int64]int{}
+		store.Restore(b)
+		began := time.Now()
+		awaitRegistrations(t, store.Store, n)
+		took := time.Since(began)
+		t.Logf("%d registrations after %v, writes by the second: %v", n, took, store.writes)
+		if took > registeredWithin {
+			t.Errorf("registered again after %v, %v at most", took, registeredWithin)
+		}
+		for _, writes := range store.writes {
+			if writes > maxWritesPerSecond {
+				t.Errorf("%d writes in a second, %d at most", writes, maxWritesPerSecond)
+			}
+		}
+	})
+}
--- a/edge/run.go
+++ b/edge/run.go
@@ -57,13 +57,14 @@
 	registrationJitter = 500 * time.Millisecond
 	// registrationCheck is how often an entry checks whether the store lost its registration.
 	registrationCheck = 100 * time.Millisecond
-	// registrationSpacing is the mean time between two entries that register again; each makes two
-	// writes.
-	registrationSpacing = 5 * time.Millisecond
+	// Entries that register again together use this share of the store's rate, with so many
+	// writes each.
+	registrationRateShare = 0.85
+	registrationWrites    = 2
 )
 
 func runRegistration(lc fx.Lifecycle, s *Settings, b boot, c kv.Client, f *fleet.Follower, log *slog.Logger) {
-	r := &registration{self: s.entry(b), store: c, fleet: f, log: log}
+	r := &registration{self: s.entry(b), store: c, fleet: f, writesPerS: s.StoreWritesPerS, log: log}
 	background.Run(lc, r.run, nil)
 }
 
@@ -73,7 +74,9 @@
 	store kv.Client
 	fleet *fleet.Follower
 	log   *slog.Logger
-	lease kv.LeaseID // 0: none
+	// writesPerS is how many writes a second the store accepts from all entries together.
+	writesPerS float64
+	lease      kv.LeaseID // 0: none
 	// written: the key was written under the lease, in an era of the store.
 	written bool
 	era     kv.Era
@@ -159,7 +162,8 @@
 	if item, ok := r.fleet.Item(r.self.Key()); ok && item.Lease == r.lease {
 		return time.Time{}
 	}
-	spread := time.Duration(len(r.fleet.View().Entries)) * registrationSpacing
+	writes := registrationWrites * float64(len(r.fleet.View().Entries))
+	spread := time.Duration(writes / (registrationRateShare * r.writesPerS) * float64(time.Second))
 	return now.Add(time.Duration(rand.Float64() * float64(spread)))
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -23,6 +23,8 @@
 	Seeds []string `yaml:"seeds"`
 	// Store is the address of the platform's store, host:port.
 	Store string `yaml:"store"`
+	// StoreWritesPerS is how many writes a second the store accepts from all entries together.
+	StoreWritesPerS float64 `yaml:"store_writes_per_s"`
 	// MemoryMB is the memory limit of the process, which is killed above it.
 	MemoryMB int `yaml:"memory_mb"`
 	// MaxFDs is how many file descriptors the process may open; 0: as many as its limit says.
@@ -78,7 +80,7 @@
 // defaults returns the values of omitted settings; the bounds are those of the
 // users' platform.
 func defaults() *Settings {
-	return &Settings{MemoryMB: 128, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}}
+	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}}
 }
 
 // Load reads and validates a settings file.
@@ -149,6 +151,7 @@
 		value float64
 	}{
 		{"memory_mb", float64(s.MemoryMB)},
+		{"store_writes_per_s", s.StoreWritesPerS},
 		{"bounds.leaving_ms", float64(s.Bounds.LeavingMS)},
 		{"bounds.grace_s", s.Bounds.GraceS},
 		{"bounds.session_s", s.Bounds.SessionS},
