fleet, mesh: an entry that starts after a restore learns what the store lost

It knew the store's copy only: a key that was revoked, a version that was withdrawn and a quarantined request were back at it until they had been written again. Entries that know of no earlier era ask for it in their exchanges, and adopt the last known state of keys whose state in the store is the same here as there (mesh.TestAnEntryThatStartsAfterARestoreLearnsWhatTheStoreLost).

--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -142,7 +142,6 @@
 		if r.Stored != nil {
 			b.apply(kv.Event{Type: kv.EventPut, KV: *r.Stored}, now)
 		}
-		return
 	case ItemEndpoint:
 		if r.Stored != nil && b.isLeavingRegistration(name, *r.Stored) {
 			b.apply(kv.Event{Type: kv.EventPut, KV: *r.Stored}, now)
@@ -203,6 +202,60 @@
 	return carryGoneFor
 }
 
+// Carried is the last known state of a key that the store lost, as one entry tells another.
+type Carried struct {
+	Key   string
+	Value []byte // nil: the key had been removed
+	// Stored is the revision of the key's state in the store; 0: it has none.
+	Stored kv.Revision
+}
+
+// toTell returns what an entry that has started in this era cannot know. Endpoints are not among it:
+// those that leave are told as departures.
+func (b *builder) toTell() []Carried {
+	var out []Carried
+	for key, c := range b.carried {
+		switch kind, _ := b.dec.Classify(key); kind {
+		case ItemEndpoint, ItemEntry, ItemOther:
+			continue
+		case ItemConfig, ItemRollout, ItemRolloutStatus, ItemWithdrawn, ItemQuarantined, ItemQuarantinedPart, ItemEvacuation:
+		}
+		told := Carried{Key: key}
+		if c.known != nil {
+			told.Value = c.known.Value
+		}
+		if c.stored != nil {
+			told.Stored = c.stored.ModRevision
+		}
+		out = append(out, told)
+	}
+	return out
+}
+
+// adopt carries what another entry tells of a key, whose state in the store at a revision is stored,
+// nil if it has none.
+func (b *builder) adopt(c Carried, stored *kv.KeyValue, revision kv.Revision, now time.Time) {
+	if b.carried == nil {
+		b.carried, b.rewritten = map[string]carriedItem{}, map[string]bool{}
+		b.entered, b.era.revision = now, revision
+	}
+	r := Reverted{Key: c.Key, Stored: stored}
+	if c.Value != nil {
+		// Its revision is not known here: it is older than any that the store gives out from now on.
+		r.Known = &kv.KeyValue{Key: c.Key, Value: c.Value, ModRevision: 1}
+		b.apply(kv.Event{Type: kv.EventPut, KV: *r.Known}, now)
+	} else {
+		b.apply(kv.Event{Type: kv.EventDelete, KV: kv.KeyValue{Key: c.Key, ModRevision: 1}}, now)
+	}
+	if kind, name := b.dec.Classify(c.Key); kind == ItemRolloutStatus {
+		if s, order := b.statuses[name], b.orders[name]; s.Target == order.Target {
+			s.of = order.First
+			b.statuses[name] = s
+		}
+	}
+	b.carry(r, now)
+}
+
 // expireCarried takes the store's state of keys that nobody wrote in the new era in time, and reports
 // whether there were any.
 func (b *builder) expireCarried(now time.Time) (changed bool) {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -217,6 +219,48 @@
 	f.publishLocked(f.items.Revision(), now)
 }
 
+// StartedInEra reports whether this entry knows of no earlier era of the store.
+func (f *Follower) StartedInEra() bool { return !f.items.HasPast() }
+
+// Carried returns what the store lost and nobody has written again yet, for entries that have started
+// since.
+func (f *Follower) Carried() []Carried {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.viewBuilder.toTell()
+}
+
+// AddCarried adopts what another entry in the same era tells of keys that the store lost. It has no
+// effect on keys whose state in the store is another one here.
+func (f *Follower) AddCarried(from string, era kv.Era, all []Carried) {
+	if len(all) == 0 || f.items.Revision().Era() != era || !f.StartedInEra() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	slices.SortFunc(all, func(a, b Carried) int { return cmp.Compare(a.Key, b.Key) }) // orders before their states
+	adopted := 0
+	for _, c := range all {
+		item, present := f.items.Get(c.Key)
+		if item.ModRevision != c.Stored {
+			continue
+		}
+		var stored *kv.KeyValue
+		if present {
+			stored = &item
+		}
+		if _, known := f.viewBuilder.carried[c.Key]; !known {
+			f.viewBuilder.adopt(c, stored, f.items.Revision(), now)
+			adopted++
+		}
+	}
+	if adopted > 0 {
+		f.log.Info("fleet: the store lost changes that another entry knows of.", "from", from, "changes", adopted)
+		f.publishLocked(f.View().Revision, now)
+	}
+}
+
 func (f *Follower) updateMetrics() {
 	revision := f.items.Revision()
 	f.metrics.Gauge("revision").Update(float64(revision.Number()))
--- a/fleet/items.go
+++ b/fleet/items.go
@@ -246,6 +246,13 @@
 	return out
 }
 
+// HasPast reports whether the copy has been in an earlier era.
+func (s *Items) HasPast() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.past) > 0
+}
+
 // Get returns an item.
 func (s *Items) Get(key string) (kv.KeyValue, bool) {
 	s.mu.Lock()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -305,7 +305,7 @@
 		evidence = slices.DeleteFunc(evidence, func(r rollout.Row) bool { return r.Instance != m.Instance })
 	}
 	out := m.encode(orders, evidence, sessions)
-	out.Unpacks = true
+	out.Unpacks, out.WantsCarried = true, m.Fleet.StartedInEra()
 	return out
 }
 
@@ -377,9 +377,35 @@
 		m.Log.Error("mesh: changes cannot be encoded.", "error", err)
 		return nil, err
 	}
+	if in.WantsCarried {
+		m.addCarried(out)
+	}
 	return out, nil
 }
 
+// addCarried adds what the store lost, if the response is of the era in which that is known.
+func (m *Mesh) addCarried(out *meshpb.ExchangeMessage) {
+	for _, c := range m.Fleet.Carried() {
+		if c.Stored != 0 && c.Stored.Era() != changesEra(out) {
+			continue
+		}
+		out.Carried = append(out.Carried, &meshpb.Carried{Key: c.Key, Value: c.Value, Removed: c.Value == nil, Stored: c.Stored.Number()})
+	}
+}
+
+func (m *Mesh) mergeCarried(got *meshpb.ExchangeMessage) {
+	era := changesEra(got)
+	all := make([]fleet.Carried, 0, len(got.Carried))
+	for _, c := range got.Carried {
+		carried := fleet.Carried{Key: c.Key, Stored: kv.RevisionIn(era, c.Stored)}
+		if !c.Removed {
+			carried.Value = c.Value
+		}
+		all = append(all, carried)
+	}
+	m.Fleet.AddCarried(got.Instance, era, all)
+}
+
 // allowSnapshot reports whether a snapshot may be sent now; if so, it counts as sent.
 func (m *Mesh) allowSnapshot() bool {
 	now := m.Clock.Now()
@@ -409,6 +435,7 @@
 func (m *Mesh) merge(got *meshpb.ExchangeMessage, took time.Duration) {
 	if got.ConfirmedMs >= 0 {
 		m.Fleet.Merge(got.Instance, decodeChanges(got), time.Duration(got.ConfirmedMs)*time.Millisecond+took)
+		m.mergeCarried(got)
 	}
 	m.mergeRollouts(got)
 	m.Quarantine.MergeMessage(got.Suspects, got.SuspectParts)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -488,3 +488,43 @@
 	stop()
 	<-done
 }
+
+// Guards against an entry that starts after a restore bringing back a revoked key, a withdrawn version or a quarantined request.
+func TestAnEntryThatStartsAfterARestoreLearnsWhatTheStoreLost(t *testing.T) {
+	is := is.New(t)
+	inEra := func(era kv.Era, revision int64, events ...kv.Event) fleet.Changes {
+		for i := range events {
+			events[i].KV.ModRevision = kv.RevisionIn(era, int64(events[i].KV.ModRevision))
+			events[i].KV.CreateRevision = events[i].KV.ModRevision
+		}
+		return fleet.Changes{Revision: kv.RevisionIn(era, revision), Whole: true, Events: events}
+	}
+	const oldConfig, newConfig = `{"version":3,"tenants":[{"name":"c","api_keys":["revoked"]}]}`, `{"version":4,"tenants":[{"name":"c","api_keys":["kept"]}]}`
+	const order, rolledBack = `{"service":"s","target":"v2","duration_s":60}`, `{"state":"rolled_back","target":"v2"}`
+	record := fleet.Quarantined{Fingerprint: "7"}
+	copied := func(era kv.Era) fleet.Changes {
+		return inEra(era, 5, put("op/config", oldConfig, 5), put("op/evacuate/d1", "{}", 4))
+	}
+	a, b := newEntry(t, "a"), newEntry(t, "b")
+	mergeChanges(a, copied(1))
+	mergeChanges(a, fleet.Changes{Revision: kv.RevisionIn(1, 10), Events: append(inEra(1, 0, put("op/config", newConfig, 6), put("op/rollout/s", order, 7),
+		put("status/rollout/s", rolledBack, 8), put(record.Key(), `{"crashed":["e"]}`, 9)).Events,
+		kv.Event{Type: kv.EventDelete, KV: kv.KeyValue{Key: "op/evacuate/d1", ModRevision: kv.RevisionIn(1, 10)}})})
+	for _, m := range []*Mesh{a, b} {
+		mergeChanges(m, copied(2))
+	}
+	is.Equal(b.Fleet.View().Config.Version, int64(3))
+	b.ExchangeWith(context.Background(), a.Address)
+	for _, m := range []*Mesh{a, b} {
+		v := m.Fleet.View()
+		is.True(v.Customer("revoked") == nil && v.Customer("kept") != nil)
+		is.Equal(v.Group("s").Rollout.State, fleet.RolloutRolledBack)
+		is.True(v.Quarantine.Has(7))
+		is.Equal(len(v.Evacuated), 0)
+	}
+	// What is written again takes its place.
+	mergeChanges(b, fleet.Changes{Revision: kv.RevisionIn(2, 8), Events: inEra(2, 0, put("op/config", `{"version":5}`, 6), put("op/rollout/s", order, 7), put("op/evacuate/d1", "{}", 8)).Events})
+	is.Equal(b.Fleet.View().Config.Version, int64(5))
+	is.Equal(b.Fleet.View().Group("s").Rollout.State, fleet.RolloutRolledBack)
+	is.Equal(b.Fleet.View().Evacuated, []string{"d1"})
+}
