fleet: an order that was written again keeps its state, also for entries that start later

An order that the store had kept and the operators wrote again was newer than the record of its state: an entry that started then took a rolled-back version for a new order, and after a second restore all did. The record is written again where the order is newer; the bound from which records are an order's keeps its number over eras.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -333,7 +333,8 @@
 	}
 	order.Recorded = s.revision
 	if s.belongsTo(order) {
-		order.State, order.Unrecorded = s.State, s.lost
+		// Entries that start later take a record that is older than the order for another order's.
+		order.State, order.Unrecorded = s.State, s.lost || s.revision < order.Ordered
 	}
 	return &order
 }
--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -98,7 +98,8 @@
 		}
 		for service, order := range b.orders {
 			if service == name || order.Service == name {
-				order.Ordered, order.statusAfter = item.ModRevision, item.ModRevision
+				order.Ordered = item.ModRevision
+				order.statusAfter = kv.RevisionIn(item.ModRevision.Era(), min(order.statusAfter.Number(), item.ModRevision.Number()))
 				b.orders[service] = order
 			}
 		}
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -335,3 +335,31 @@
 	x.is.True(!x.isReady("e1"))
 	x.is.True(x.f.View().Group("s").HasLapsed("e1"))
 }
+
+// Guards against a rolled-back version that gets requests again once its order, which the store kept, was written again.
+func TestAnOrderThatIsWrittenAgainKeepsItsState(t *testing.T) {
+	const order = `{"service":"s","target":"v2","duration_s":20}`
+	x := newFixture(t)
+	x.config(1)
+	x.put("op/rollout/s", order)
+	x.put("status/rollout/s", `{"state":"rolled_back","target":"v2"}`)
+	x.run(t)
+	x.known(t)
+	check := func(unrecorded bool) {
+		t.Helper()
+		r := x.f.View().Group("s").Rollout
+		x.is.Equal(r.State, fleet.RolloutRolledBack)
+		x.is.Equal(r.Unrecorded, unrecorded)
+	}
+	check(false)
+	for range 2 {
+		x.restore(t, x.store.Backup())
+		check(x.f.View().Group("s").Rollout.Unrecorded)
+		x.put("op/rollout/s", order)
+		x.known(t)
+		check(true) // an entry that starts now takes it for a new order
+	}
+	x.put("status/rollout/s", `{"state":"rolled_back","target":"v2"}`)
+	x.known(t)
+	check(false)
+}
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -1,12 +1,10 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,12 +56,6 @@
 	// BulkChanges is the number of changes received at once from which the sender probably has
 	// more: a page of a watch, or what a watcher that is catching up passes on.
 	BulkChanges = 100
-	// probeInterval is the mean time between the first calls of a watcher while the store does not
-	// answer; it grows up to maxProbeInterval. Up to maxProbes may be in progress: they fail after up
-	// to a second if the store is silent.
-	probeInterval    = 150 * time.Millisecond
-	maxProbeInterval = 300 * time.Millisecond
-	maxProbes        = 6
 	// Backoff after a failed call, doubled up to the maximum, which keeps the calls to an
 	// unreachable store near one a second from each entry.
 	minBackoff = 100 * time.Millisecond
@@ -128,9 +120,6 @@
 // ConfigKnown is closed once a configuration is known.
 func (f *Follower) ConfigKnown() <-chan struct{} { return f.configKnown }
 
-// EraEntered signals that this entry entered a new era of the store.
-func (f *Follower) EraEntered() <-chan struct{} { return f.eraEntered }
-
 // EntriesKnown is closed once the entries of the own failure domain are known.
 func (f *Follower) EntriesKnown() <-chan struct{} { return f.entriesKnown }
 
@@ -181,14 +170,6 @@
 	f.apply(c, age)
 }
 
-// StoreEra returns the store's era as of its latest answer to this entry; 0: the store does not tell.
-func (f *Follower) StoreEra() kv.Era {
-	if r, ok := f.store.(kv.EraReader); ok {
-		return r.Era()
-	}
-	return 0
-}
-
 // apply applies changes of the given age, and publishes a view if any was new. A part of the
 // store, which has no revision, does not confirm the rest.
 func (f *Follower) apply(c Changes, age time.Duration) {
@@ -219,48 +200,6 @@
 	f.publishLocked(f.items.Revision(), now)
 }
 
-// StartedInEra reports whether this entry knows of no earlier era of the store.
-func (f *Follower) StartedInEra() bool { return !f.items.HasPast() }
-
-// Carried returns what the store lost and nobody has written again yet, for entries that have started
-// since.
-func (f *Follower) Carried() []Carried {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.viewBuilder.toTell()
-}
-
-// AddCarried adopts what another entry in the same era tells of keys that the store lost. It has no
-// effect on keys whose state in the store is another one here.
-func (f *Follower) AddCarried(from string, era kv.Era, all []Carried) {
-	if len(all) == 0 || f.items.Revision().Era() != era || !f.StartedInEra() {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	slices.SortFunc(all, func(a, b Carried) int { return cmp.Compare(a.Key, b.Key) }) // orders before their states
-	adopted := 0
-	for _, c := range all {
-		item, present := f.items.Get(c.Key)
-		if item.ModRevision != c.Stored {
-			continue
-		}
-		var stored *kv.KeyValue
-		if present {
-			stored = &item
-		}
-		if _, known := f.viewBuilder.carried[c.Key]; !known {
-			f.viewBuilder.adopt(c, stored, f.items.Revision(), now)
-			adopted++
-		}
-	}
-	if adopted > 0 {
-		f.log.Info("fleet: the store lost changes that another entry knows of.", "from", from, "changes", adopted)
-		f.publishLocked(f.View().Revision, now)
-	}
-}
-
 func (f *Follower) updateMetrics() {
 	revision := f.items.Revision()
 	f.metrics.Gauge("revision").Update(float64(revision.Number()))
@@ -268,20 +207,6 @@
 	f.metrics.Gauge("store_era").Update(float64(f.StoreEra()))
 }
 
-// enterEra replaces the data by a snapshot of a later era, and publishes a view.
-func (f *Follower) enterEra(c Changes, now time.Time) {
-	change := f.items.EnterEra(c)
-	if len(change.Events)+len(change.Reverted) >= BulkChanges {
-		f.catchingUp = now
-	}
-	f.viewBuilder.enterEra(change, now)
-	f.publishLocked(change.Revision, now)
-	select {
-	case f.eraEntered <- struct{}{}:
-	default:
-	}
-}
-
 // publishLocked publishes a view at a revision.
 func (f *Follower) publishLocked(rev kv.Revision, now time.Time) {
 	v := f.viewBuilder.view(rev, now)
@@ -390,43 +315,6 @@
 	}
 }
 
-// awaitStore calls the store again and again until it answers, without waiting for the answers to
-// earlier calls: the others depend on how soon a watcher hears it again. It returns an error if this
-// entry is no watcher any more, or ctx has ended.
-func (f *Follower) awaitStore(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answered := make(chan struct{}, 1)
-	calls := make(chan struct{}, maxProbes) // in progress
-	for interval := probeInterval; f.isWatcher(); interval = min(maxProbeInterval, interval*6/5) {
-		select {
-		case <-answered:
-			return nil
-		case <-f.clock.After(time.Duration(float64(interval) * (0.5 + rand.Float64()))):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		select {
-		case calls <- struct{}{}:
-		default:
-			continue
-		}
-		after := f.items.Revision()
-		go func() {
-			defer func() { <-calls }()
-			_, _, err := f.store.WatchOnce(ctx, "", true, after, time.Millisecond)
-			if err != nil && !errors.Is(err, kv.ErrNewEra) && !errors.Is(err, kv.ErrCompacted) {
-				return
-			}
-			select {
-			case answered <- struct{}{}:
-			default:
-			}
-		}()
-	}
-	return kv.ErrUnavailable
-}
-
 // step makes one call to the store: a watch, a read of the entries until this one is listed, or
 // a full read if there is no data yet or the history since the last revision was compacted.
 func (f *Follower) step(ctx context.Context) error {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -198,7 +198,8 @@
 	// the service's last record, also of an earlier order; 0 if there is none.
 	State    RolloutState
 	Recorded kv.Revision
-	// Unrecorded: the store lost the record of the state.
+	// Unrecorded: the state has to be recorded again: the store lost its record, or the order was
+	// written again after it.
 	Unrecorded bool
 
 	// statusAfter is the revision after which records of the service are this order's.
