--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -205,8 +205,9 @@
 
 // Carried is the last known state of a key that the store lost, as one entry tells another.
 type Carried struct {
-	Key   string
-	Value []byte // nil: the key had been removed
+	Key     string
+	Value   []byte
+	Removed bool // the key had been removed
 	// Stored is the revision of the key's state in the store; 0: it has none.
 	Stored kv.Revision
 }
@@ -221,7 +222,7 @@
 			continue
 		case ItemConfig, ItemRollout, ItemRolloutStatus, ItemWithdrawn, ItemQuarantined, ItemQuarantinedPart, ItemEvacuation:
 		}
-		told := Carried{Key: key}
+		told := Carried{Key: key, Removed: c.known == nil}
 		if c.known != nil {
 			told.Value = c.known.Value
 		}
@@ -241,7 +242,7 @@
 		b.entered, b.era.revision = now, revision
 	}
 	r := Reverted{Key: c.Key, Stored: stored}
-	if c.Value != nil {
+	if !c.Removed {
 		// Its revision is not known here: it is older than any that the store gives out from now on.
 		r.Known = &kv.KeyValue{Key: c.Key, Value: c.Value, ModRevision: 1}
 		b.apply(kv.Event{Type: kv.EventPut, KV: *r.Known}, now)
--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -80,15 +80,6 @@
 	return nil
 }
 
-// setRevision sets the revision that a response leads to. If the era has risen since the response was
-// begun, what it says of roll-outs is of the era before.
-func setRevision(out *meshpb.ExchangeMessage, revision kv.Revision) {
-	if era := int64(revision.Era()) + 1; era != out.EraPlusOne {
-		out.EraPlusOne, out.Orders, out.Evidence = era, nil, nil
-	}
-	out.Revision = revision.Number()
-}
-
 // find returns kept changes that lead from one revision to another, or a recent snapshot.
 func (k *packer) find(after, revision kv.Revision, now time.Time) (packed, bool) {
 	k.mu.Lock()
@@ -160,10 +151,6 @@
 	return err
 }
 
-// changesEra returns the era of a message's changes. Those of an entry that does not tell it are of
-// the first: they count only where the store does not tell it either.
-func changesEra(got *meshpb.ExchangeMessage) kv.Era { return kv.Era(max(0, got.EraPlusOne-1)) }
-
 func decodeChanges(got *meshpb.ExchangeMessage) fleet.Changes {
 	era := changesEra(got)
 	c := fleet.Changes{Revision: kv.RevisionIn(era, got.Revision), Whole: got.Whole, Events: make([]kv.Event, 0, len(got.Changes))}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -49,14 +49,6 @@
 	// crashFanout is how many peers are told at once of a request that crashes endpoints. The
 	// request comes again at any entry within a second, and those peers pass it on in turn.
 	crashFanout = 3
-	// eraFanout is how many peers are told at once that the store is in a new era. Those that are
-	// behind ask for its state and tell others in turn.
-	eraFanout = 4
-	// catchUpInterval is the mean time between two requests of an entry that was told of a new era,
-	// catchUpTries how many it makes before it goes on as usual: a peer may send a snapshot to others
-	// first.
-	catchUpInterval = 40 * time.Millisecond
-	catchUpTries    = 12
 	// unreachableFor is how long a peer that did not answer is skipped.
 	unreachableFor = 2 * time.Second
 	// forgetPeerAfter is how long after that a peer is forgotten that was not asked again.
@@ -113,12 +105,6 @@
 	packer packer
 }
 
-// announcement is what a peer told of the store's era.
-type announcement struct {
-	address string
-	era     kv.Era
-}
-
 var _ meshpb.Mesh = (*Mesh)(nil)
 
 // New returns a mesh.
@@ -158,13 +144,13 @@
 			interval = relayInterval
 		}
 		jittered := time.Duration(float64(interval) * (0.75 + rand.Float64()/2))
-		partners := 1
+		partners, pick := 1, m.pickPeer
 		select {
 		case <-m.Clock.After(jittered):
 		case <-m.Quarantine.Updates():
 			partners = crashFanout
 		case <-m.Fleet.EraEntered():
-			partners = eraFanout
+			partners, pick = eraFanout, m.pickListener
 		case a := <-m.announced:
 			m.catchUp(ctx, a)
 			continue
@@ -174,58 +160,14 @@
 		if v := m.Fleet.View(); v.Revision == 0 && len(v.Entries) == 0 && !m.Fleet.StoreUnreachable() {
 			continue // the store is being read, and gives more data at less cost
 		}
-		m.exchangeWithPeers(ctx, partners)
-	}
-}
-
-// catchUp asks peers that are in a later era for its state.
-func (m *Mesh) catchUp(ctx context.Context, a announcement) {
-	for range catchUpTries {
-		if m.Fleet.Revision().Era() >= a.era {
-			return
-		}
-		m.ExchangeWith(ctx, a.address)
-		if m.Fleet.Revision().Era() >= a.era {
-			return
-		}
-		select {
-		case <-m.Clock.After(time.Duration(float64(catchUpInterval) * (0.5 + rand.Float64()))):
-		case <-ctx.Done():
-			return
-		}
-		select {
-		case a = <-m.announced: // another one may have more to spare
-		default:
-		}
+		m.exchangeWithPeers(ctx, partners, pick)
 	}
 }
 
-// noteEra notes the era of a message that a peer sent by itself.
-func (m *Mesh) noteEra(in *meshpb.ExchangeMessage) {
-	era := m.eraOf(in)
-	if own := m.Fleet.Revision(); own == 0 || era <= own.Era() {
-		return
-	}
-	for _, e := range m.Fleet.View().Entries {
-		if e.Instance != in.Instance {
-			continue
-		}
-		select {
-		case m.announced <- announcement{e.Address, era}:
-		default: // there are enough to ask
-		}
-		return
-	}
-}
-
-// exchangeWithPeers exchanges with up to that many random peers concurrently.
-func (m *Mesh) exchangeWithPeers(ctx context.Context, partners int) {
+// exchangeWithPeers exchanges with up to that many peers concurrently.
+func (m *Mesh) exchangeWithPeers(ctx context.Context, partners int, pick func() (address string, ok bool)) {
 	addresses := map[string]bool{}
 	for range partners {
-		pick := m.pickPeer
-		if partners == eraFanout {
-			pick = m.pickListener
-		}
 		if address, ok := pick(); ok {
 			addresses[address] = true
 		}
@@ -383,29 +325,6 @@
 	return out, nil
 }
 
-// addCarried adds what the store lost, if the response is of the era in which that is known.
-func (m *Mesh) addCarried(out *meshpb.ExchangeMessage) {
-	for _, c := range m.Fleet.Carried() {
-		if c.Stored != 0 && c.Stored.Era() != changesEra(out) {
-			continue
-		}
-		out.Carried = append(out.Carried, &meshpb.Carried{Key: c.Key, Value: c.Value, Removed: c.Value == nil, Stored: c.Stored.Number()})
-	}
-}
-
-func (m *Mesh) mergeCarried(got *meshpb.ExchangeMessage) {
-	era := changesEra(got)
-	all := make([]fleet.Carried, 0, len(got.Carried))
-	for _, c := range got.Carried {
-		carried := fleet.Carried{Key: c.Key, Stored: kv.RevisionIn(era, c.Stored)}
-		if !c.Removed {
-			carried.Value = c.Value
-		}
-		all = append(all, carried)
-	}
-	m.Fleet.AddCarried(got.Instance, era, all)
-}
-
 // allowSnapshot reports whether a snapshot may be sent now; if so, it counts as sent.
 func (m *Mesh) allowSnapshot() bool {
 	now := m.Clock.Now()
@@ -452,15 +371,6 @@
 	m.Fleet.AddDepartures(in.Instance, reports)
 }
 
-// eraOf returns the era of the revisions in a message. An entry of a build that does not tell it is
-// taken to be in the same one; changes from it are ignored (decodeChanges).
-func (m *Mesh) eraOf(in *meshpb.ExchangeMessage) kv.Era {
-	if in.EraPlusOne == 0 {
-		return m.Fleet.Revision().Era()
-	}
-	return kv.Era(in.EraPlusOne - 1)
-}
-
 func (m *Mesh) mergeRollouts(in *meshpb.ExchangeMessage) {
 	era := m.eraOf(in)
 	orders := make([]rollout.OrderState, 0, len(in.Orders))
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -528,3 +528,23 @@
 	is.Equal(b.Fleet.View().Group("s").Rollout.State, fleet.RolloutRolledBack)
 	is.Equal(b.Fleet.View().Evacuated, []string{"d1"})
 }
+
+// Guards against data of an earlier era that comes by an entry of a build which does not tell it, and against such entries getting no changes.
+func TestEntriesThatTellNoEraAreSentChangesAndNotFollowed(t *testing.T) {
+	is := is.New(t)
+	a := newEntry(t, "a")
+	config := func(version, revision int64) kv.Event {
+		return put("op/config", fmt.Sprintf(`{"version":%d}`, version), kv.RevisionIn(2, revision))
+	}
+	mergeChanges(a, fleet.Changes{Revision: kv.RevisionIn(2, 5), Whole: true, Events: []kv.Event{config(3, 5)}})
+	mergeChanges(a, fleet.Changes{Revision: kv.RevisionIn(2, 9), Events: []kv.Event{config(4, 9)}})
+	got, err := a.Exchange(context.Background(), &meshpb.ExchangeMessage{Instance: "b", Revision: 7, ConfirmedMs: 0})
+	is.NoErr(err)
+	is.Equal(got.Revision, int64(9))
+	is.True(!got.Whole)
+	is.Equal(len(got.Changes), 1)
+	is.Equal(got.Changes[0].Revision, int64(9))
+	a.merge(&meshpb.ExchangeMessage{Instance: "b", Revision: 30, Whole: true, Changes: encodeChanges([]kv.Event{put("op/config", `{"version":5}`, 30)})}, 0)
+	is.Equal(a.Fleet.View().Config.Version, int64(4))
+	is.Equal(a.Fleet.Revision(), kv.RevisionIn(2, 9))
+}
