--- a/soak/restores.go
+++ b/soak/restores.go
@@ -36,7 +36,7 @@
 	values map[string][]byte
 	// confirmed is when the store confirmed each version of the configuration.
 	confirmed map[int64]time.Time
-	restores  []interval // until all was written again
+	restores  []restore
 }
 
 func newOperator(c *cluster) *operator {
@@ -83,13 +83,14 @@
 			return err
 		}
 	}
-	w := interval{from: time.Now()}
+	w := restore{interval: interval{from: time.Now()}}
 	body := fmt.Sprintf(`{"age_ms":%d,"away_ms":%d}`, age.Milliseconds(), away.Milliseconds())
 	resp, err := http.Post("http://"+o.c.storeAddress+standin.RestorePath, "application/json", bytes.NewReader([]byte(body)))
 	if err != nil {
 		return err
 	}
 	resp.Body.Close()
+	w.back = time.Now()
 	for key, value := range o.values {
 		_, items, err := o.c.storeClient.Get(context.Background(), key, false)
 		if err == nil && len(items) == 0 && value == nil || len(items) == 1 && value != nil && bytes.Equal(items[0].Value, value) {
@@ -99,7 +100,7 @@
 			return err
 		}
 	}
-	w.to = time.Now()
+	w.to, w.era = time.Now(), int64(o.c.storeClient.Era())
 	o.restores = append(o.restores, w)
 	return nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -59,8 +59,11 @@
 	// Restored and Unrestored count the requests around restores of the store, and the others.
 	Restored, Unrestored attemptCount
 	Restores             int
-	Faults               []string
-	Findings             []string
+	// EraTime is the longest time from the store's return until an entry without a fault was in its
+	// new era.
+	EraTime  time.Duration
+	Faults   []string
+	Findings []string
 }
 
 // Failed reports whether a guarantee was violated.
@@ -184,6 +187,14 @@
 		}
 		r.Restored, r.Unrestored = s.countAroundRestores()
 		r.Restores = len(s.c.operator.restores)
+		late, longest, err := s.checkEras(f)
+		if err != nil {
+			return nil, err
+		}
+		for _, finding := range late {
+			s.addFinding("%s", finding)
+		}
+		r.EraTime = longest
 		if finding := s.checkServed(r.Restored, r.Unrestored); finding != "" {
 			s.addFinding("%s", finding)
 		}
