--- a/kv/etcdv3/era.go
+++ b/kv/etcdv3/era.go
@@ -72,7 +72,7 @@
 
 // eraOf returns the era of a response, by its header.
 func (c *Client) eraOf(ctx context.Context, h api.Header) (kv.Era, error) {
-	if era, ok := c.eras.known(h.ClusterID); ok {
+	if era, ok := c.eras.known(h.ClusterID); ok || h.ClusterID == 0 { // 0: it is not told
 		return era, nil
 	}
 	c.eras.resolving.Lock()
