--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -252,3 +253,35 @@
 		}
 	}
 }
+
+// Guards against changes that are late after restores beside other faults: entries that the store turns away, a discarded history, a second restore from an older copy, a silent failure domain.
+func TestChangesAreInForceAfterRestoresBesideOtherFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			playRestored(t, 24, 3, func(x *restoredFleet) {
+				rng := rand.New(rand.NewPCG(seed, 0))
+				var copies []*memkv.Backup
+				leaving := 0
+				for range 6 {
+					copies = append(copies, x.loseWrites(1+rng.IntN(6)))
+					x.turnedAway.Store(rng.IntN(2) == 0)
+					if rng.IntN(2) == 0 {
+						x.startingFleet.store.compacted.Store(int64(x.store.Revision()))
+					}
+					x.restore(copies[rng.IntN(len(copies))], time.Duration(rng.IntN(3000))*time.Millisecond)
+					time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+					x.changeConfig()
+					x.registerEndpoint(leaving, true)
+					x.within(configInForceWithin, "a change is in force", x.configInForce)
+					x.within(leavingKnownWithin, "a leaving is known", knowsLeaving(leaving))
+					leaving++
+					x.turnedAway.Store(false)
+					time.Sleep(time.Duration(rng.IntN(4000)) * time.Millisecond)
+					for i := range leaving { // what left stays out
+						x.within(0, "endpoints that left are out", knowsLeaving(i))
+					}
+				}
+			})
+		})
+	}
+}
