quarantine: entries that are cut off in a storm are not in touch

The users' rule counts what machines in touch send. The test counts arrivals from entries that are not cut off at that moment, without the time that the rule grants after a cut; the bound of three stays.

--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -78,8 +78,8 @@
 	names  []fleet.EndpointID
 	boots  int
 	ids    int
-	// crashed and arrivals are when engines crashed and when requests that crash them reached one, by the
-	// part that does it.
+	// crashed and arrivals are when engines crashed and when requests that crash them reached one, sent
+	// by an entry that was not cut off, by the part that does it.
 	crashed, arrivals map[Fingerprint][]time.Duration
 	sound             int // sent after the storm began
 	refused           int // of these
@@ -167,7 +167,9 @@
 	r.endsAt = r.firstEventAt + time.Duration(s.rng.Int64N(int64(3*time.Second)))
 	if s.crashes(r) {
 		by := s.crashesBy(r)
-		s.arrivals[by] = append(s.arrivals[by], s.now)
+		if !s.isCut(r.entry) {
+			s.arrivals[by] = append(s.arrivals[by], s.now)
+		}
 		r.endsAt = r.headAt + 50*time.Millisecond
 		if s.running {
 			r.endsAt = r.firstEventAt + 50*time.Millisecond
