soak: an entry that every engine asked for a rest has to refuse

In all four logs that were kept, the requests that were not served are 'endpoints_resting' (184 + 35, 406, 132, 472) at the entry that gets most connections: each of the four engines refuses three in a thousand requests and asks that entry for a rest of 1.5 s; at the rate of a favoured entry all four rests overlap some of the time. Nothing may be sent then, and what can't be served is to be refused at once.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -102,6 +102,7 @@
 	version      int64
 	processes    []*process
 	ctl          string
+	engineCount  int           // engines of the service that run at a time
 	skew         bool          // entries have a bounded share of a core
 	restores     bool          // the store comes back from copies
 	alone        bool          // there are no other faults
@@ -111,7 +112,7 @@
 
 // newCluster starts the store, engines and entries.
 func newCluster(o Options) (*cluster, error) {
-	c := &cluster{dir: o.Dir, ctl: o.CtlPath, skew: o.Skew, cuts: o.Cuts, restores: o.Restores, alone: o.Alone, grace: o.grace()}
+	c := &cluster{dir: o.Dir, ctl: o.CtlPath, engineCount: o.Engines, skew: o.Skew, cuts: o.Cuts, restores: o.Restores, alone: o.Alone, grace: o.grace()}
 	c.storeAddress = freeAddress()
 	c.store = &process{name: "store", args: []string{c.ctl, "standin", "platform-store", "--listen", c.storeAddress}}
 	if err := c.startProcess(c.store); err != nil {
--- a/soak/skew.go
+++ b/soak/skew.go
@@ -210,12 +210,13 @@
 
 // check compares what was served at the first try that an entry read, while most new connections went
 // to one entry for stablePeriod, with the times without skew. Requests that met another fault are
-// left out.
+// left out, and those that came to an entry while every engine had asked it for a rest.
 func (k *skewedCallers) check(f *faultInjector, runs *runLog) (findings []string, skewed, even attemptCount) {
 	last := runs.lastRuns()
+	resting := runs.allResting(k.s.noticeContext(f).entryOf, f.c.engineCount)
 	for _, q := range k.requests {
 		read, ok := q.firstRead(runs)
-		if f.interferedWith(read, last[read.id]) || f.otherEntryInterrupted(read) {
+		if f.interferedWith(read, last[read.id]) || f.otherEntryInterrupted(read) || anyOverlaps(resting[read.entry], read.started, read.ended) {
 			continue
 		}
 		one := attemptCount{sent: 1}
