fleet: a lower configuration in the store is told to entries that start, also without a shared history

An entry keeps the configuration in force if the store, back from a copy, has one of a lower version; but it told entries that started later only if it could prove by a shared history that the store's one was from the copy. One that had itself joined after the copy was made could not, and an entry that then started served the lower version, with its revoked keys, until the operator wrote again. Entries tell the configuration in force whenever the store's one is below it.

--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -19,9 +19,13 @@
 	// usable as a last resort.
 	lapsedTTL time.Duration
 
-	config    *Config
-	endpoints map[string]Endpoint // by name
-	lapsed    map[string]Lapsed   // by name
+	config *Config
+	// configItem is the stored value of config; configBehind is the revision of a later one whose
+	// version is lower, which is not in force. 0: there is none.
+	configItem   kv.KeyValue
+	configBehind kv.Revision
+	endpoints    map[string]Endpoint // by name
+	lapsed       map[string]Lapsed   // by name
 	departures
 	era
 	evacuations
@@ -134,9 +138,10 @@
 	}
 	if b.config != nil && c.Version < b.config.Version {
 		b.log.Warn("fleet: configuration has a lower version than the one in force; ignoring it.", "version", c.Version, "in_force", b.config.Version)
+		b.configBehind = item.ModRevision
 		return nil
 	}
-	b.config = c
+	b.config, b.configItem, b.configBehind = c, item, 0
 	b.log.Info("fleet: configuration in force.", "version", c.Version, "revision", item.ModRevision, "routes", len(c.Routes), "customers", len(c.Customers))
 	return nil
 }
--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -231,6 +231,10 @@
 		}
 		out = append(out, told)
 	}
+	key := b.configItem.Key
+	if _, carried := b.carried[key]; b.configBehind != 0 && !carried {
+		out = append(out, Carried{Key: key, Value: b.configItem.Value, Stored: b.configBehind})
+	}
 	return out
 }
 
