fleet, mesh: the first configuration from a store that was restored waits for other entries

An entry that started after a restore served the store's copy, with keys revoked since, until its first exchange (0.3 s). Now it asks up to four entries as soon as it has read the store, and its configuration is in force once they have answered, or after 0.2 s; until then callers wait, as they do while the store is read. Without other entries in reach, and with a store that has never been restored, nothing waits.

Ways weighed: to ask before the store is read (the addresses come from there), to refuse until a peer answers (a fleet of which all entries were killed would not start), to wait longer (0.2 s bounds what frozen peers cost a start). TestTheFirstConfigurationAfterARestoreWaitsForOtherEntries failed before (version 3, then 4).

--- a/edge/module.go
+++ b/edge/module.go
@@ -159,6 +159,7 @@
 func newFollower(s *Settings, b boot, c kv.Client, dec fleet.Decoder, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *fleet.Follower {
 	f := fleet.NewFollower(s.entry(b), c, dec, lapsedGrace(s), clock, log)
 	f.SetMetrics(m.Scope.SubScope("fleet"))
+	f.HoldConfig()
 	return f
 }
 
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -91,6 +91,8 @@
 	start              start // used by Run only
 	metrics            tally.Scope
 	eraEntered         chan struct{} // signals a new era; its capacity is 1
+	holdsConfig        bool          // the configuration waits for AddCarried, see HoldConfig
+	configHeld         chan struct{} // signals that a configuration waits; its capacity is 1
 	// sinceBoot returns the time since the machine started, including suspension.
 	sinceBoot func() time.Duration
 }
@@ -99,7 +101,7 @@
 // registration lapsed remains usable as a last resort.
 func NewFollower(self Entry, store kv.Client, dec Decoder, lapsedTTL time.Duration, clock clockwork.Clock, log *slog.Logger) *Follower {
 	f := &Follower{self: self, store: store, clock: clock, log: log, items: NewItems(), viewBuilder: newBuilder(dec, lapsedTTL, log), onChange: func(*View) {}, configKnown: make(chan struct{}),
-		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot, metrics: tally.NoopScope, eraEntered: make(chan struct{}, 1)}
+		entriesKnown: make(chan struct{}), sinceBoot: sinceBoot, metrics: tally.NoopScope, eraEntered: make(chan struct{}, 1), configHeld: make(chan struct{}, 1)}
 	f.view.Store(EmptyView())
 	return f
 }
@@ -210,6 +212,9 @@
 // publishLocked publishes a view at a revision.
 func (f *Follower) publishLocked(rev kv.Revision, now time.Time) {
 	v := f.viewBuilder.view(rev, now)
+	if f.holdsConfig && v.Config != nil {
+		v = f.withoutConfigLocked(v)
+	}
 	first := v.Config != nil && f.View().Config == nil
 	f.view.Store(v)
 	if len(v.Entries) > 0 {
--- a/fleet/follower_era.go
+++ b/fleet/follower_era.go
@@ -22,6 +22,43 @@
 // StartedInEra reports whether this entry knows of no earlier era of the store.
 func (f *Follower) StartedInEra() bool { return !f.items.HasPast() }
 
+// HoldConfig makes the first configuration wait for ReleaseConfig if it comes from a store that may
+// have lost a later one; set it before Run.
+func (f *Follower) HoldConfig() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holdsConfig = true
+}
+
+// ConfigHeld signals that a configuration waits for ReleaseConfig: other entries may know a later one.
+func (f *Follower) ConfigHeld() <-chan struct{} { return f.configHeld }
+
+// ReleaseConfig puts the configuration that waits in force: other entries have told what the store lost,
+// or cannot.
+func (f *Follower) ReleaseConfig() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holdsConfig {
+		f.holdsConfig = false
+		f.publishLocked(f.items.Revision(), f.clock.Now())
+	}
+}
+
+// withoutConfigLocked returns a view without its configuration, or the view itself if that need not wait.
+func (f *Follower) withoutConfigLocked(v *View) *View {
+	if v.Revision.Era() == 0 || !f.StartedInEra() {
+		f.holdsConfig = false
+		return v
+	}
+	select {
+	case f.configHeld <- struct{}{}:
+	default:
+	}
+	held := *v
+	held.Config = nil
+	return &held
+}
+
 // Carried returns what the store lost and nobody has written again yet, for entries that have started
 // since.
 func (f *Follower) Carried() []Carried {
--- a/mesh/eras.go
+++ b/mesh/eras.go
@@ -20,6 +20,9 @@
 	// first.
 	catchUpInterval = 40 * time.Millisecond
 	catchUpTries    = 12
+	// carriedWait is how long an entry that starts waits for peers to tell what the store lost, before
+	// its configuration is in force.
+	carriedWait = 200 * time.Millisecond
 )
 
 // announcement is what a peer told of the store's era.
@@ -72,6 +75,26 @@
 	}
 }
 
+// releaseConfig asks peers what the store lost, once this entry has a configuration that waits for that.
+func (m *Mesh) releaseConfig(ctx context.Context) {
+	select {
+	case <-m.Fleet.ConfigHeld():
+	case <-ctx.Done():
+		return
+	}
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		m.exchangeWithPeers(ctx, eraFanout, m.pickListener)
+	}()
+	select {
+	case <-told:
+	case <-m.Clock.After(carriedWait):
+	}
+	m.Fleet.ReleaseConfig()
+	<-told
+}
+
 // noteEra notes the era of a message that a peer sent by itself.
 func (m *Mesh) noteEra(in *meshpb.ExchangeMessage) {
 	era := m.eraOf(in)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -135,6 +135,9 @@
 
 // Run exchanges with random peers until ctx ends.
 func (m *Mesh) Run(ctx context.Context) {
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	asking.Go(func() { m.releaseConfig(ctx) })
 	for ctx.Err() == nil {
 		interval := exchangeInterval
 		switch view := m.Fleet.View(); {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -548,3 +549,46 @@
 	is.Equal(a.Fleet.View().Config.Version, int64(4))
 	is.Equal(a.Fleet.Revision(), kv.RevisionIn(2, 9))
 }
+
+// Guards against an entry that starts after a restore serving a revoked key until its first exchange, or nothing if no other entry answers.
+func TestTheFirstConfigurationAfterARestoreWaitsForOtherEntries(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		is := is.New(t)
+		a, b := newEntry(t, "a"), newEntry(t, "b")
+		b.Fleet.HoldConfig()
+		var versions []int64
+		b.Fleet.OnChange(func(v *fleet.View) {
+			if v.Config != nil {
+				versions = append(versions, v.Config.Version)
+			}
+		})
+		peer := fleet.Entry{Instance: "a", Domain: "d", Address: a.Address}
+		if !answers {
+			peer.Address = "127.0.0.1:1"
+		}
+		registration, err := json.Marshal(peer)
+		is.NoErr(err)
+		inEra := func(era kv.Era, version, revision int64) fleet.Changes {
+			c := fleet.Changes{Revision: kv.RevisionIn(era, revision), Whole: true, Events: []kv.Event{put("op/config", fmt.Sprintf(`{"version":%d}`, version), kv.Revision(revision)), put(peer.Key(), string(registration), 1)}}
+			for i := range c.Events {
+				c.Events[i].KV.ModRevision = kv.RevisionIn(era, int64(c.Events[i].KV.ModRevision))
+			}
+			return c
+		}
+		mergeChanges(a, inEra(1, 4, 9))
+		mergeChanges(a, inEra(2, 3, 5))
+		mergeChanges(b, inEra(2, 3, 5))
+		is.True(b.Fleet.View().Config == nil)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); b.Run(ctx) }()
+		<-b.Fleet.ConfigKnown()
+		stop()
+		<-done
+		if answers {
+			is.Equal(versions[0], int64(4))
+		} else {
+			is.Equal(versions[0], int64(3))
+		}
+	}
+}
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -188,6 +188,7 @@
 	for _, e := range f.entries {
 		follower := fleet.NewFollower(e, entryStore{f.store, f, e}, platform.Values{}, time.Second, f.clock, discardLog)
 		follower.SetSinceBoot(func() time.Duration { return time.Since(time.Time{}) })
+		follower.HoldConfig()
 		r := rollout.New(rollout.Deps{Instance: e.Instance, Boot: 1, Store: f.store, Decoder: platform.Values{}, View: follower.View, Clock: f.clock, Log: discardLog})
 		q := quarantine.New(quarantine.Deps{View: follower.View, Clock: f.clock, Log: discardLog})
 		m := New(Deps{Instance: e.Instance, Domain: e.Domain, Address: e.Address, LinkMbps: e.LinkMbps, Fleet: follower, Rollouts: r, Quarantine: q, Limits: newLimits(), Clock: f.clock, Log: discardLog,
