quarantine: cleared parts do not displace the cause in reports to other entries

Cause, by a trace of what each entry knew: after two crashes only the entries that saw one of the part's further crashes quarantined it (3 of 60 after 1 s, 22 after 4.4 s); nobody told the others. Half of the engines crash at once, 44 to 50 parts that were beside that are cleared by answers within the second, and 'contested' parts came before all others in the 32 places of a report; the part's own evidence, first among the rest, was never sent. That they are few was an assumption. They have as many places of their own now.

TestContestedPartsDoNotDisplaceTheCauseInReports failed before.

--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -17,7 +17,7 @@
 	// urgentWeight is the weight from which a request is reported immediately: it had just
 	// started to run at a crash, or was at two and not yet running at one of them.
 	urgentWeight = 3
-	// maxReported bounds the requests, and the parts, reported in one exchange.
+	// maxReported bounds the requests, the parts and the contested parts reported in one exchange.
 	maxReported = 32
 )
 
@@ -89,15 +89,18 @@
 			selected[f] = newRanked(s, t.evidenceLocked(s, nil).weight)
 		}
 	}
-	// Contested parts come first: they are few, and others refuse requests for them.
+	// Contested parts have places of their own: others refuse requests for them, but when many endpoints
+	// crash at once they are many, and must not displace the cause.
+	contested := map[Fingerprint]ranked{}
 	for f, until := range t.contested {
 		if s := t.suspects.all[f]; s != nil && now.Before(until) {
-			selected[f] = newRanked(s, maxCrashes*quarantineWeight)
+			contested[f] = newRanked(s, 0)
+			delete(selected, f)
 		}
 	}
 	var out []SuspectReport
-	for _, part := range []bool{true, false} {
-		for _, r := range heaviest(selected, part, maxReported) {
+	for _, chosen := range [][]ranked{heaviest(contested, true, maxReported), heaviest(selected, true, maxReported), heaviest(selected, false, maxReported)} {
+		for _, r := range chosen {
 			out = append(out, t.reportLocked(r.suspect, now))
 		}
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -182,6 +182,22 @@
 	is.True(len(requests) <= maxReported && size < 32<<10)
 }
 
+// Guards against other entries not learning of the cause while many parts were cleared after crashes of many endpoints.
+func TestContestedPartsDoNotDisplaceTheCauseInReports(t *testing.T) {
+	is := is.New(t)
+	e, other := newIsolatedEntry(t), newIsolatedEntry(t)
+	e.learn()
+	other.learn()
+	for n := range 4 * maxReported {
+		beside := Subject{Request: Fingerprint(100 + n), Parts: []Fingerprint{middlePart + Fingerprint(100+n)}}
+		e.Crashed(beside, endpoint(100+n), 1, Waiting)
+		e.Answering(Subject{Parts: beside.Parts}, 1)
+	}
+	crashTwice(e.Table)
+	other.MergeMessage(e.Message())
+	is.True(other.Check(subject(9)).Quarantined)
+}
+
 // Guards against refusing a part that was recorded as the cause before the true cause was found.
 func TestRecordedPartIsReleasedWhenTheCauseIsFound(t *testing.T) {
 	is := is.New(t)
