--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -144,18 +144,30 @@
 // domainOf returns the failure domain of the entry or engine of a number.
 func domainOf(number int) string { return fmt.Sprintf("d%d", number%domains) }
 
-// domains is the number of failure domains.
-const domains = 2
+// programNames begin the line with which a program ends that cannot run.
+var programNames = []string{"lovageweir: ", "lovagectl: "}
 
-func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+// failedStarts returns a finding for each process that did not start, by its log.
+func (c *cluster) failedStarts() (findings []string) {
+	for _, p := range c.processes {
+		raw, err := os.ReadFile(c.logPath(p.name))
+		if err != nil {
+			findings = append(findings, fmt.Sprintf("log of %s cannot be read: %v", p.name, err))
+			continue
+		}
+		for line := range strings.Lines(string(raw)) {
+			if slices.ContainsFunc(programNames, func(name string) bool { return strings.HasPrefix(line, name) }) {
+				findings = append(findings, fmt.Sprintf("%s did not start: %s", p.name, strings.TrimSpace(line)))
+				break
+			}
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return findings
 }
 
+// domains is the number of failure domains.
+const domains = 2
+
 func (c *cluster) startProcess(p *process) error {
 	c.processes = append(c.processes, p)
 	return p.start(c.logPath(p.name))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -199,6 +199,9 @@
 			s.addFinding("%s", finding)
 		}
 	}
+	for _, finding := range s.c.failedStarts() {
+		s.addFinding("%s", finding)
+	}
 	for _, lost := range f.lostAtStops(s.results, engineRuns) {
 		s.addFinding("%s", lost)
 	}
