fleet, ingress: revoking the last key opens no route (ROUTE)

Cause: a request without a known key was refused only if any key was left (HasCustomers: len(byKey) > 0).

TestNoKeyIsAcceptedOnceTheLastOneIsRevoked failed before (200).

--- a/fleet/types.go
+++ b/fleet/types.go
@@ -112,7 +112,9 @@
 	Routes    []Route
 	Services  map[string]Service
 	Customers []Customer
-	Limits    Limits
+	// KeysRequired: requests on routes that are not public need an API key, also if no customer has one.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // EndpointID identifies one incarnation of an endpoint. State and requests in flight
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -112,8 +112,8 @@
 	return v.byKey[key]
 }
 
-// HasCustomers reports whether requests need an API key at all.
-func (v *View) HasCustomers() bool { return len(v.byKey) > 0 }
+// RequiresKey reports whether requests on a route need an API key.
+func (v *View) RequiresKey(r *Route) bool { return v.Config.KeysRequired && !r.Public }
 
 // IsEvacuated reports whether the endpoints of a failure domain are to get no requests.
 func (v *View) IsEvacuated(domain string) bool { return slices.Contains(v.Evacuated, domain) }
--- a/ingress/admission_test.go
+++ b/ingress/admission_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
@@ -50,6 +51,34 @@
 	}
 }
 
+// Guards against the last key that is revoked, or the last customer that is removed, opening all routes.
+func TestNoKeyIsAcceptedOnceTheLastOneIsRevoked(t *testing.T) {
+	for _, customers := range [][]fleet.Customer{{{Name: "cust"}}, {}} {
+		is := is.New(t)
+		w := newEnv(t, 1)
+		c := testConfig()
+		c.Version, c.Customers, c.KeysRequired = c.Version+1, customers, true
+		w.put("op/config", platformtest.EncodeConfig(c))
+		w.sync()
+		for _, k := range []string{key, "never known", ""} {
+			is.Equal(w.do(http.MethodGet, "/get/x", "", "X-Credential", k).status, http.StatusUnauthorized)
+		}
+		is.Equal(w.do(http.MethodGet, "/open/x", "").status, http.StatusOK)
+		is.Equal(len(w.runs()), 1)
+	}
+}
+
+// A configuration without customers leaves all routes open.
+func TestNoKeyIsNeededWithoutCustomers(t *testing.T) {
+	is := is.New(t)
+	w := newEnv(t, 1)
+	c := testConfig()
+	c.Version, c.Customers = c.Version+1, nil
+	w.put("op/config", platformtest.EncodeConfig(c))
+	w.sync()
+	is.Equal(w.do(http.MethodGet, "/get/x", "").status, http.StatusOK)
+}
+
 func TestABodyBeyondTheLimitIsRefused(t *testing.T) {
 	is := is.New(t)
 	w := newEnv(t, 1)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -203,7 +203,7 @@
 		return refuseStranded
 	}
 	x.customer = x.view.Customer(x.metadata.Key)
-	if x.customer == nil && !x.route.Public && x.view.HasCustomers() {
+	if x.customer == nil && x.view.RequiresKey(x.route) {
 		if s.stale() {
 			return refuseStale
 		}
