--- a/fleet/carried.go
+++ b/fleet/carried.go
@@ -231,6 +231,7 @@
 		}
 		out = append(out, told)
 	}
+	// The version shows that the store lost the configuration in force, also where revisions do not.
 	key := b.configItem.Key
 	if _, carried := b.carried[key]; b.configBehind != 0 && !carried {
 		out = append(out, Carried{Key: key, Value: b.configItem.Value, Stored: b.configBehind})
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -91,7 +91,7 @@
 	start              start // used by Run only
 	metrics            tally.Scope
 	eraEntered         chan struct{} // signals a new era; its capacity is 1
-	holdsConfig        bool          // the configuration waits for AddCarried, see HoldConfig
+	holdsConfig        bool          // the first configuration waits, see HoldConfig
 	configHeld         chan struct{} // signals that a configuration waits; its capacity is 1
 	// sinceBoot returns the time since the machine started, including suspension.
 	sinceBoot func() time.Duration
@@ -212,8 +212,10 @@
 // publishLocked publishes a view at a revision.
 func (f *Follower) publishLocked(rev kv.Revision, now time.Time) {
 	v := f.viewBuilder.view(rev, now)
-	if f.holdsConfig && v.Config != nil {
-		v = f.withoutConfigLocked(v)
+	if v.Config != nil && f.mustHoldConfigLocked(rev) {
+		held := *v
+		held.Config = nil
+		v = &held
 	}
 	first := v.Config != nil && f.View().Config == nil
 	f.view.Store(v)
--- a/fleet/follower_era.go
+++ b/fleet/follower_era.go
@@ -44,19 +44,16 @@
 	}
 }
 
-// withoutConfigLocked returns a view without its configuration, or the view itself if that need not wait.
-func (f *Follower) withoutConfigLocked(v *View) *View {
-	if v.Revision.Era() == 0 || !f.StartedInEra() {
-		f.holdsConfig = false
-		return v
-	}
-	select {
-	case f.configHeld <- struct{}{}:
-	default:
+// mustHoldConfigLocked reports whether the configuration of a revision must wait, and signals ConfigHeld if so.
+func (f *Follower) mustHoldConfigLocked(rev kv.Revision) bool {
+	f.holdsConfig = f.holdsConfig && rev.Era() != 0 && f.StartedInEra()
+	if f.holdsConfig {
+		select {
+		case f.configHeld <- struct{}{}:
+		default:
+		}
 	}
-	held := *v
-	held.Config = nil
-	return &held
+	return f.holdsConfig
 }
 
 // Carried returns what the store lost and nobody has written again yet, for entries that have started
