ingress: tests hold the addresses that are to refuse connections

Its addresses were those of listeners that had just closed, which any other process or connection could take before or while the test used them; an engine of another test that answers there is a domain that is reached. Its checks are what they were.

--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -148,7 +148,9 @@
 func TestCrashesAreRecognizedWhileOtherEntriesReachNothing(t *testing.T) {
 	is := is.New(t)
 	f := newPartitionCluster(t, 3, 1, 0)
-	e := platformtest.NewEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1", Events: 100, Pause: 20 * time.Millisecond, Address: unreachableAddress(t)})
+	address, release := unreachableAddress(t)
+	e := platformtest.NewEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1", Events: 100, Pause: 20 * time.Millisecond, Address: address})
+	release()
 	ln, err := net.Listen("tcp", e.Config.Address)
 	is.NoErr(err)
 	srv := &http.Server{Handler: e}
--- a/ingress/stranded_test.go
+++ b/ingress/stranded_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,15 +16,24 @@
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
-// unreachableAddress returns an address that refuses connections.
-func unreachableAddress(t *testing.T) string {
+// unreachableAddress returns an address that refuses connections, and that nothing else can listen on or
+// connect from until release or the end of the test.
+func unreachableAddress(t *testing.T) (address string, release func()) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	release = sync.OnceFunc(func() { _ = syscall.Close(fd) })
+	t.Cleanup(release)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port), release
 }
 
 // Guards against callers that stay at an entry which reaches no usable domain, also after news of the store.
@@ -33,8 +44,11 @@
 	w.put("op/config", platformtest.EncodeConfig(testConfig()))
 	w.addEngine(platformtest.EngineConfig{ID: "own", Service: service, Domain: "d1", Version: "v1"})
 	var away []*platformtest.Engine
+	var release []func()
 	for i := range 8 {
-		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprint("e", i), Service: service, Domain: "d2", Version: "v1", Address: unreachableAddress(t)})
+		address, free := unreachableAddress(t)
+		release = append(release, free)
+		e := platformtest.NewEngine(platformtest.EngineConfig{ID: fmt.Sprint("e", i), Service: service, Domain: "d2", Version: "v1", Address: address})
 		w.put(e.Registration(false))
 		away = append(away, e)
 	}
@@ -61,7 +75,8 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 
-	for _, e := range away {
+	for i, e := range away {
+		release[i]()
 		ln, err := net.Listen("tcp", e.Config.Address)
 		is.NoErr(err)
 		srv := &http.Server{Handler: e}
