--- a/call/call.go
+++ b/call/call.go
@@ -78,6 +78,8 @@
 // Load is the load that an endpoint reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// SlowdownPercent is how long work takes at the endpoint now, in percent of the usual; 0: not reported.
+	SlowdownPercent int
 }
 
 // ResponseMetadata is the metadata in the head of an endpoint's response.
