--- a/ingress/report.go
+++ b/ingress/report.go
@@ -166,6 +166,9 @@
 		}
 		if a.load != nil {
 			b = fmt.Appendf(b, " load=%d+%d/%d", a.load.Running, a.load.Waiting, a.load.Slots)
+			if a.load.SlowdownPercent > 0 {
+				b = fmt.Appendf(b, "@%d%%", a.load.SlowdownPercent)
+			}
 		}
 		if a.limit > 0 {
 			b = fmt.Appendf(b, " limit=%g/s", a.limit)
