--- a/place/board.go
+++ b/place/board.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/lovageweir/lovageweir/call"
+	"github.com/lovageweir/lovageweir/capacity"
 	"github.com/lovageweir/lovageweir/fleet"
 )
 
@@ -116,6 +117,8 @@
 	// entries have been sent. workGrew holds one pending signal that there is more.
 	work, announcedWork time.Duration
 	workGrew            chan struct{}
+	// capacity holds how long work takes at each endpoint; its lock may be taken under mu.
+	capacity *capacity.Table
 }
 
 // incarnation is one run of a named endpoint.
@@ -128,7 +131,7 @@
 func NewBoard(clock clockwork.Clock) *Board {
 	return &Board{clock: clock, byID: map[fleet.EndpointID]*endpointStats{}, working: map[fleet.EndpointID]*endpointStats{},
 		reported: map[fleet.EndpointID]*endpointStats{}, peerWork: newPeerWork(), heard: map[uint32]heardLoad{}, domains: map[string]*domainStats{},
-		byShortID: map[uint32]fleet.EndpointID{}, services: map[string]*serviceStats{}, born: map[string]incarnation{}, lastSweep: clock.Now(), workGrew: make(chan struct{}, 1),
+		byShortID: map[uint32]fleet.EndpointID{}, services: map[string]*serviceStats{}, born: map[string]incarnation{}, lastSweep: clock.Now(), workGrew: make(chan struct{}, 1), capacity: capacity.New(capacity.Deps{Clock: clock}),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
@@ -271,6 +274,7 @@
 	r.lastActivity = now
 	b.reachedLocked(t.domain)
 	if load != nil {
+		b.observeSlowdownLocked(t.id, load.SlowdownPercent, now)
 		b.updateDeviationLocked(r, *load, now)
 		r.report, r.reportedAt, r.sinceReport, r.ownReport = *load, now, 0, true
 		b.reported[t.id] = r
@@ -380,13 +384,18 @@
 // Standing is the current assessment of an endpoint.
 type Standing struct {
 	InFlight int // of this entry
-	// Wait is the work outstanding there, from this entry and from those that reported theirs.
-	Wait     time.Duration
-	Load     float64 // estimated requests running and waiting there
-	Running  int     // as last reported; 0: no recent report
-	FailRate float64
-	Ejected  bool
-	Full     bool
+	// Wait is the time that the work outstanding there takes, of this entry and of those that
+	// reported theirs.
+	Wait time.Duration
+	// Factor is the time that work takes there now; 1 is the usual time. HasFactor: the endpoint
+	// has reported it.
+	Factor    float64
+	HasFactor bool
+	Load      float64 // estimated requests running and waiting there
+	Running   int     // as last reported; 0: no recent report
+	FailRate  float64
+	Ejected   bool
+	Full      bool
 	// Silent is how long nothing was received while requests were in flight.
 	Silent time.Duration
 	// Latency is the mean time to the first event; 0: unknown.
@@ -406,11 +415,12 @@
 }
 
 func (b *Board) standingOfLocked(r *endpointStats, short uint32, now time.Time) Standing {
-	wait := b.peerWork.at(short, now)
+	factor, known := b.capacity.Reported(short)
+	wait := b.peerWork.at(short, factor, now)
 	if r == nil {
-		return Standing{Wait: wait}
+		return Standing{Wait: wait, Factor: factor, HasFactor: known}
 	}
-	s := Standing{Wait: wait + r.work, InFlight: r.inFlight, Load: float64(r.inFlight), FailRate: r.decayedFailRate(now), Ejected: now.Before(r.ejectedUntil),
+	s := Standing{Wait: wait + scaled(r.work, factor), Factor: factor, HasFactor: known, InFlight: r.inFlight, Load: float64(r.inFlight), FailRate: r.decayedFailRate(now), Ejected: now.Before(r.ejectedUntil),
 		Full: now.Before(r.fullUntil), Latency: time.Duration(r.latency * float64(time.Second))}
 	if now.Sub(r.reportedAt) < reportTTL {
 		s.Load = max(s.Load, float64(r.report.Running+r.report.Waiting+r.sinceReport))
--- a/place/choose.go
+++ b/place/choose.go
@@ -52,6 +52,12 @@
 	// to read it.
 	SharedTokens int
 	PrefillTime  time.Duration
+	// OwnTime is the time that the endpoint takes to begin the answer, at factor 1. It makes a
+	// difference among endpoints of unequal speed.
+	OwnTime time.Duration
+	// ReadTime is the part of OwnTime for reading the prompt, MaxPause the longest pause between
+	// events for which a stream counts as on time; 0: no stream.
+	ReadTime, MaxPause time.Duration
 	// Tried are endpoints that the request was already sent to.
 	Tried map[fleet.EndpointID]bool
 	// Closed reports endpoints that accept no requests now; nil: all accept them.
@@ -63,6 +69,7 @@
 	fleet.Endpoint
 	Score    time.Duration
 	Standing Standing
+	load     float64 // as sampled for the score
 }
 
 // maxConsidered is how many endpoints a choice looks at in a large fleet, at least half of them in
@@ -140,6 +147,7 @@
 	closed := req.closed(candidates)
 	b.mu.Lock()
 	out := make([]Ranked, 0, len(candidates))
+	unequal := false
 	for i, ep := range candidates {
 		if req.Tried[ep.ID] || closed != nil && closed[i] || b.restsLocked(ep.ID, now) {
 			continue
@@ -148,7 +156,13 @@
 		load := b.sampledLoadLocked(r, ep, now)
 		s := b.standingOfLocked(r, uint32(ep.Hash()), now)
 		s.Ejected = s.Ejected || b.domainUnreachableLocked(ep.Domain, now)
-		out = append(out, Ranked{Endpoint: *ep, Standing: s, Score: score(ep, s, load, req, ep == preferred)})
+		unequal = unequal || s.HasFactor
+		out = append(out, Ranked{Endpoint: *ep, Standing: s, Score: score(ep, s, load, req, ep == preferred), load: load})
+	}
+	if unequal {
+		for i := range out {
+			out[i].Score += streamCost(out[i].Standing, out[i].load, req)
+		}
 	}
 	// Ties are broken at random: in an order that all entries share, all would choose the
 	// same endpoint.
@@ -168,11 +182,11 @@
 	return r != nil && now.Before(r.restsUntil)
 }
 
-// score returns the expected wait at an endpoint with the given load, plus penalties and less the
-// value of a cached prompt.
+// score returns the expected time to the first event at an endpoint with the given load, plus penalties
+// and less the value of a cached prompt. All that the endpoint has to work for takes its factor.
 func score(ep *fleet.Endpoint, s Standing, load float64, req Request, preferred bool) time.Duration {
 	utilization := load / float64(slotsOf(ep))
-	v := s.Wait + scaled(busyPenalty, utilization*utilization*utilization) + scaled(failurePenalty, s.FailRate)
+	v := s.Wait + scaled(req.OwnTime, s.Factor) + scaled(busyPenalty, utilization*utilization*utilization*s.Factor) + scaled(failurePenalty, s.FailRate)
 	if ep.Domain != req.Domain {
 		v += domainPenalty
 	}
@@ -180,7 +194,7 @@
 		v += fullPenalty
 	}
 	if preferred {
-		v -= scaled(req.PrefillTime+time.Duration(req.SharedTokens)*cacheMissPerToken, expectedHitRate)
+		v -= scaled(req.PrefillTime+time.Duration(req.SharedTokens)*cacheMissPerToken, expectedHitRate*s.Factor)
 	}
 	return v
 }
--- a/place/loads.go
+++ b/place/loads.go
@@ -39,6 +39,8 @@
 	Running  int
 	Waiting  int
 	Age      time.Duration
+	// SlowdownPercent is as in call.Load.
+	SlowdownPercent int
 }
 
 // heardLoad is a load that an endpoint reported to another entry.
@@ -80,8 +82,10 @@
 	deviation float64
 	// delay is the mean delay of first events beyond the time for their own prompts, in
 	// seconds, over the last answers to this entry.
-	delay    float64
-	observed bool
+	delay float64
+	// plainTime is the mean time of answers to requests without a prompt, in seconds, at factor 1.
+	plainTime float64
+	observed  bool
 }
 
 func (b *Board) serviceLocked(name string) *serviceStats {
@@ -133,7 +137,7 @@
 			delete(b.reported, id)
 			continue
 		}
-		out = append(out, LoadReport{Endpoint: ShortID(id), Running: r.report.Running, Waiting: r.report.Waiting, Age: age})
+		out = append(out, LoadReport{Endpoint: ShortID(id), Running: r.report.Running, Waiting: r.report.Waiting, Age: age, SlowdownPercent: r.report.SlowdownPercent})
 	}
 	slices.SortFunc(out, func(a, b LoadReport) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return out
@@ -149,6 +153,7 @@
 	for _, l := range loads {
 		r := b.byID[b.byShortID[l.Endpoint]]
 		at := now.Add(-l.Age)
+		b.capacity.ObserveHash(l.Endpoint, l.SlowdownPercent, at)
 		if r == nil && at.After(b.heard[l.Endpoint].at) {
 			b.heard[l.Endpoint] = heardLoad{running: int32(l.Running), waiting: int32(l.Waiting), at: at}
 		}
--- a/place/peer_work.go
+++ b/place/peer_work.go
@@ -63,9 +63,9 @@
 	p.byEndpoint[id] = left
 }
 
-// at returns the work outstanding at an endpoint, less the time since the oldest report, in which
-// the endpoint has worked on it.
-func (p peerWork) at(id uint32, now time.Time) time.Duration {
+// at returns the time that the work outstanding at an endpoint takes there, at the given factor, less
+// the time since the oldest report, in which the endpoint has worked on it.
+func (p peerWork) at(id uint32, factor float64, now time.Time) time.Duration {
 	var sum, oldest time.Duration
 	for _, s := range p.byEndpoint[id] {
 		if age := now.Sub(s.at); age <= peerWorkTTL {
@@ -73,7 +73,7 @@
 			oldest = max(oldest, age)
 		}
 	}
-	return max(0, sum-oldest)
+	return max(0, scaled(sum, factor)-oldest)
 }
 
 // sweep removes expired reports.
--- a/place/rates.go
+++ b/place/rates.go
@@ -41,12 +41,14 @@
 // FirstEvent is the time to the first event of an answer.
 type FirstEvent struct {
 	Model  string
-	Tokens int // of the prompt
-	Took   time.Duration
+	Tokens int           // of the prompt
+	Took   time.Duration // at factor 1
 }
 
 // Rates learns the time that engines take to begin an answer, by model, from the answers to this
 // entry and to others: an entry of a large fleet may see one of the largest model in ten seconds.
+// All times are at factor 1: what is observed at an endpoint is divided by its factor, and what is
+// expected there multiplied by it.
 // It is safe for concurrent use.
 type Rates struct {
 	mu      sync.Mutex
@@ -83,7 +85,7 @@
 
 func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
-// Learn updates the estimate with the observed time to the first event of an answer to this entry.
+// Learn updates the estimate with the time to the first event of an answer to this entry, at factor 1.
 func (r *Rates) Learn(model string, tokens int, took time.Duration) {
 	if tokens <= 0 || took <= 0 {
 		return
--- /dev/null
+++ b/place/unequal.go
@@ -0,0 +1,94 @@
+package place
+
+import (
+	"time"
+
+	"github.com/lovageweir/lovageweir/capacity"
+	"github.com/lovageweir/lovageweir/fleet"
+)
+
+// Endpoints that differ in speed. An engine reads prompts in chunks of some thousand tokens between the
+// tokens of its streams. An event is some ten tokens, so that each event of a stream that runs there
+// takes as long as ten chunks while prompts are read: mostly as long as all the reading.
+const (
+	// lateStreamPenalty is for each stream that pauses for its longest allowed pause or more: it is
+	// late, as a request is that waits for its objective, a second or two.
+	lateStreamPenalty = time.Second
+	// Pauses from lateFrom of the longest allowed one count, as the estimates of the reading time
+	// and of the work outstanding are not exact; the penalty is the full one from lateAt.
+	lateFrom = 0.5
+	lateAt   = 1.1
+	// slowdownChange is the ratio of a reported figure to the factor assumed from which other entries
+	// are told at once: a slow period is over before most of the periodic messages.
+	slowdownChange = 1.4
+)
+
+// SetCapacity replaces the table of the endpoints' figures. It is called before the board is used.
+func (b *Board) SetCapacity(t *capacity.Table) { b.capacity = t }
+
+// Factor returns the time that work takes at an endpoint now; 1 is the usual time.
+func (b *Board) Factor(id fleet.EndpointID) float64 { return b.capacity.Factor(id) }
+
+// UsualFactor returns the time that work usually takes at an endpoint.
+func (b *Board) UsualFactor(id fleet.EndpointID) float64 { return b.capacity.Usual(id) }
+
+// observeSlowdownLocked records the figure that an endpoint reported to this entry, and signals a change
+// that other entries need to know of.
+func (b *Board) observeSlowdownLocked(id fleet.EndpointID, percent int, now time.Time) {
+	if !capacity.Valid(percent) {
+		return
+	}
+	assumed, known := b.capacity.Reported(ShortID(id))
+	b.capacity.Observe(id, percent, now)
+	factor := float64(percent) / 100
+	if !known || max(assumed, factor) < slowdownChange*min(assumed, factor) {
+		return
+	}
+	select {
+	case b.workGrew <- struct{}{}:
+	default: // a signal is pending already
+	}
+}
+
+// streamCost returns what a request at an endpoint costs streams: those that run there pause while its
+// prompt is read, and its own one pauses while the prompts are read that wait there.
+func streamCost(s Standing, load float64, req Request) time.Duration {
+	if req.MaxPause <= 0 {
+		return 0
+	}
+	before := lateness(s.Wait, req.MaxPause)
+	after := lateness(s.Wait+scaled(req.ReadTime, s.Factor), req.MaxPause)
+	return scaled(lateStreamPenalty, load*(after-before)+before)
+}
+
+// lateness returns the likelihood that a stream is late that pauses while an endpoint reads prompts for
+// the given time.
+func lateness(reading, maxPause time.Duration) float64 {
+	ratio := float64(reading) / float64(maxPause)
+	return min(1, max(0, (ratio-lateFrom)/(lateAt-lateFrom)))
+}
+
+// plainTimeGain is the weight of one answer in the mean time of answers without a prompt.
+const plainTimeGain = 0.1
+
+// ObservePlainTime records the time of an answer of a service to a request without a prompt, at factor 1.
+func (b *Board) ObservePlainTime(service string, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.serviceLocked(service)
+	if s.plainTime == 0 {
+		s.plainTime = took.Seconds()
+	}
+	s.plainTime += plainTimeGain * (took.Seconds() - s.plainTime)
+}
+
+// PlainTime returns the mean time of answers of a service to requests without a prompt, at factor 1; 0:
+// not known.
+func (b *Board) PlainTime(service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(b.serviceLocked(service).plainTime * float64(time.Second))
+}
