--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -204,7 +204,8 @@
 		msg.Endpoint = append(msg.Endpoint, place.ShortID(id))
 		msg.WorkMs = append(msg.WorkMs, uint32(work.Milliseconds()))
 	}
-	for _, r := range l.Board.LoadReports() {
+	reports := l.Board.LoadReports()
+	for _, r := range reports {
 		if len(msg.Loaded) == maxLoads {
 			break
 		}
@@ -214,6 +215,7 @@
 		msg.LoadAgeMs = append(msg.LoadAgeMs, uint32(r.Age.Milliseconds()))
 	}
 	l.addLimits(msg)
+	addSlowdowns(msg, reports)
 	l.addAnswers(msg)
 	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited)+len(msg.AnsweredModel) == 0
 	for _, c := range l.Budget.Counts() {
@@ -272,7 +274,7 @@
 	loads := make([]place.LoadReport, 0, len(msg.Loaded))
 	for i, id := range msg.Loaded {
 		loads = append(loads, place.LoadReport{Endpoint: id, Running: int(msg.Running[i]), Waiting: int(msg.Waiting[i]),
-			Age: time.Duration(msg.LoadAgeMs[i]) * time.Millisecond})
+			Age: time.Duration(msg.LoadAgeMs[i]) * time.Millisecond, SlowdownPercent: slowdown(&msg, i)})
 	}
 	l.Board.ReceiveLoads(loads)
 	answers := make([]place.FirstEvent, 0, len(msg.AnsweredModel))
@@ -292,7 +294,7 @@
 func columnsMatch(msg *meshpb.Load) bool {
 	loads, services, limits, answers := len(msg.Loaded), len(msg.Service), len(msg.Limited), len(msg.AnsweredModel)
 	return len(msg.Endpoint) == len(msg.WorkMs) &&
-		loads == len(msg.Running) && loads == len(msg.Waiting) && loads == len(msg.LoadAgeMs) &&
+		loads == len(msg.Running) && loads == len(msg.Waiting) && loads == len(msg.LoadAgeMs) && slowdownsMatch(msg) &&
 		services == len(msg.Requests) && services == len(msg.Repeats) && services == len(msg.Failures) &&
 		limits == len(msg.Limit) && limits == len(msg.LimitAgeMs) && limits == len(msg.Sent) &&
 		answers == len(msg.AnsweredTokens) && answers == len(msg.AnsweredMs)
