--- a/edge/serve.go
+++ b/edge/serve.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/fx"
 
+	"github.com/lovageweir/lovageweir/capacity"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -69,6 +70,7 @@
 	Rollouts        *rollout.Controller
 	QuarantineTable *quarantine.Table
 	Limits          *ratelimit.Limits
+	Capacity        *capacity.Table
 	Egress          *egress.Dialer
 	Tunnels         *egress.Server
 	Unread          *unreadConnections
@@ -99,6 +101,8 @@
 	Quarantine quarantine.State `json:"quarantine"`
 	// Limits are the rate limits that endpoints report.
 	Limits []ratelimit.EndpointState `json:"limits"`
+	// Capacity is how long work takes at the endpoints that report it.
+	Capacity []capacity.EndpointState `json:"capacity,omitempty"`
 	// Egress is the state of the links to endpoints.
 	Egress egress.State `json:"egress"`
 	// Evacuated are the failure domains whose endpoints get no requests.
@@ -134,6 +138,7 @@
 	d.Evacuated = p.evacuated(v)
 	for _, g := range v.Groups() {
 		d.Services = append(d.Services, ServiceDump{g.Service.Name, g.Ready, g.Lapsed, g.Rollout})
+		d.Capacity = append(d.Capacity, p.Capacity.State(g.Ready)...)
 	}
 	return d
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -94,6 +94,7 @@
 	status   int
 	load     *call.Load // as the endpoint reported it
 	limit    float64    // requests a second, as the endpoint announced it; 0: none
+	factor   float64    // of the time that work takes there, as assumed when it was chosen; 0: not reported
 	// confidence is the model's own rating of its answer; negative: not given.
 	confidence   int
 	begun        time.Duration // since the request was received
@@ -163,10 +164,11 @@
 	cancel       context.CancelFunc
 	watch        *watchdog
 	hold         *quarantine.Hold
-	firstEventAt time.Time     // when the first event was read
-	cleared      bool          // the answer has cleared the parts of the prompt
-	expectedWait time.Duration // for requests ahead of this one, as estimated when it was sent
-	attemptIndex int           // into attempts
+	firstEventAt time.Time      // when the first event was read
+	cleared      bool           // the answer has cleared the parts of the prompt
+	expectedWait time.Duration  // for requests ahead of this one, as estimated when it was sent
+	standing     place.Standing // of the endpoint when the request was sent
+	attemptIndex int            // into attempts
 }
 
 // end closes the call and records its outcome.
@@ -206,8 +208,8 @@
 	ep := best.Endpoint
 	x.tried[ep.ID] = true
 	ctx, cancel := context.WithCancel(ctx)
-	c := &upstreamCall{group: group, endpoint: ep, permit: taken, ticket: s.Board.Begin(ep, s.Rates.PrefillTime(x.modelName(), x.metadata.Usage.Prompt)), cancel: cancel, attemptIndex: len(x.attempts), expectedWait: best.Standing.Wait}
-	x.attempts = append(x.attempts, attempt{endpoint: ep, lapsed: group.HasLapsed(ep.ID), model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received)})
+	c := &upstreamCall{group: group, endpoint: ep, permit: taken, ticket: s.Board.Begin(ep, s.Rates.PrefillTime(x.modelName(), x.metadata.Usage.Prompt)), cancel: cancel, attemptIndex: len(x.attempts), expectedWait: best.Standing.Wait, standing: best.Standing}
+	x.attempts = append(x.attempts, attempt{endpoint: ep, lapsed: group.HasLapsed(ep.ID), model: x.modelName(), confidence: -1, begun: s.Clock.Since(x.received), factor: knownFactor(best.Standing)})
 	opts := call.ForwardOptions{Endpoint: ep.Name, Remaining: x.remaining(), Model: x.modelName(), ResumeAfter: resumeAfter}
 	opts.Urgency, opts.SetUrgency = x.urgency()
 	if x.customer != nil {
@@ -418,19 +420,19 @@
 	x.attempts[c.attemptIndex].first = took
 	s := x.server
 	model, tokens := x.modelName(), x.metadata.Usage.Prompt
-	a := rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: model, Failed: failed, Took: took, Wait: c.expectedWait}
+	a := rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: model, Failed: failed, Took: took, Wait: c.expectedWait, Factor: max(x.answerFactor(c), c.standing.Factor)}
 	if tokens > 0 {
 		a.Expected = s.Rates.TimeToFirstEvent(model, tokens)
 	}
 	if tokens > 0 && took > 0 {
-		s.Board.ObserveWait(x.target(), took-a.Expected)
+		s.Board.ObserveWait(x.target(), took-scaled(a.Expected, x.answerFactor(c)))
 	}
 	usual := s.Rollouts.Observe(a)
 	if failed {
 		return
 	}
 	if usual {
-		s.Rates.Learn(model, tokens, took)
+		x.learnTime(c, tokens, took)
 	}
 	s.Rollouts.RecordSession(x.metadata.Session, c.group, c.endpoint.Version)
 }
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -22,6 +22,7 @@
 	choice := x.server.Rollouts.Choose(group, rollout.Request{ID: x.metadata.ID, Session: x.metadata.Session, Route: x.route.Name})
 	req := place.Request{Domain: x.server.Domain, Tried: x.tried, SharedTokens: x.metadata.SharedTokens(), Affinity: x.affinity()}
 	req.PrefillTime = x.server.Rates.PrefillTime(x.modelName(), req.SharedTokens)
+	x.addOwnTimes(&req)
 	opensIn := time.Duration(0) // when the first of the closed endpoints accepts a request
 	closed, blocked, blockedAny := x.closed(group, choice, &opensIn), x.blocked(), false
 	req.Closed = func(ep fleet.Endpoint) bool {
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -170,6 +170,9 @@
 				b = fmt.Appendf(b, "@%d%%", a.load.SlowdownPercent)
 			}
 		}
+		if a.factor > 0 {
+			b = fmt.Appendf(b, " factor=%.2f", a.factor)
+		}
 		if a.limit > 0 {
 			b = fmt.Appendf(b, " limit=%g/s", a.limit)
 		}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -150,7 +150,7 @@
 	if ref == nil {
 		e.Wait = max(best.Standing.Wait, x.server.Board.MeanWait(x.target()))
 		e.Utilization = x.server.Board.Utilization(x.target())
-		e.First = x.server.Rates.TimeToFirstEvent(x.modelName(), x.metadata.Usage.Prompt)
+		e.First = scaled(x.server.Rates.TimeToFirstEvent(x.modelName(), x.metadata.Usage.Prompt), best.Standing.Factor)
 	}
 	x.model = previous
 	return e, ref
@@ -230,7 +230,7 @@
 	a := x.attempts[c.attemptIndex]
 	pace := a.streamTime / time.Duration(a.events-1)
 	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(), Took: pace, Pace: true,
-		ShortPause: a.shortPause()})
+		ShortPause: a.shortPause(), Factor: max(x.answerFactor(c), x.server.Board.Factor(c.endpoint.ID))})
 }
 
 // shortPause returns the second shortest of the first pauses, which shows how fast
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -90,7 +90,7 @@
 		return watchLimits{answer: min(3*x.route.Objective, x.remaining()*2/3)}
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(maxGapFactor * float64(x.route.MaxGap))}
-	expected := x.server.Board.Standing(id).Wait + x.server.Rates.TimeToFirstEvent(x.modelName(), x.metadata.Usage.Prompt)
+	expected := x.expectedFirstEvent(id)
 	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack)
 	return l
 }
