--- a/fleet/await.go
+++ b/fleet/await.go
@@ -20,7 +20,8 @@
 
 // awaitStore calls the store again and again until it answers, without waiting for the answers to
 // earlier calls: the others depend on how soon a watcher hears it again. It returns an error if this
-// entry is no watcher any more, or ctx has ended.
+// entry is no watcher any more, or ctx has ended. Calls may still be in progress then; Run waits for
+// them.
 func (f *Follower) awaitStore(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -40,7 +41,7 @@
 			continue
 		}
 		after := f.items.Revision()
-		go func() {
+		f.probes.Go(func() {
 			defer func() { <-calls }()
 			_, _, err := f.store.WatchOnce(ctx, "", true, after, time.Millisecond)
 			if err != nil && !errors.Is(err, kv.ErrNewEra) && !errors.Is(err, kv.ErrCompacted) {
@@ -50,7 +51,7 @@
 			case answered <- struct{}{}:
 			default:
 			}
-		}()
+		})
 	}
 	return kv.ErrUnavailable
 }
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -88,7 +88,8 @@
 	configOnce         sync.Once
 	entriesKnown       chan struct{} // closed once the entries of the own failure domain are known
 	entriesOnce        sync.Once
-	start              start // used by Run only
+	start              start          // used by Run only
+	probes             sync.WaitGroup // calls of awaitStore in progress
 	metrics            tally.Scope
 	eraEntered         chan struct{} // signals a new era; its capacity is 1
 	holdsConfig        bool          // the first configuration waits, see HoldConfig
@@ -286,8 +287,9 @@
 	}
 }
 
-// Run follows the store until ctx ends.
+// Run follows the store until ctx ends. It returns once its calls to the store have ended.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.probes.Wait()
 	pause := minBackoff
 	for ctx.Err() == nil {
 		relying := f.relies()
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -242,12 +242,13 @@
 			t.Run(fmt.Sprintf("%d entries, away for %v", size.entries, away), func(t *testing.T) {
 				playRestored(t, size.entries, size.domains, func(x *restoredFleet) {
 					b := x.loseWrites(10)
-					calls := x.startingFleet.store.calls
+					_, before := x.startingFleet.store.sent()
 					x.restore(b, away)
 					era := x.store.Era()
 					x.within(newEraWithin, "all are in the new era", func(f *fleet.Follower) bool { return f.Revision().Era() == era })
 					time.Sleep(time.Second)
-					t.Logf("%d calls to the store, items %d", x.startingFleet.store.calls-calls, x.startingFleet.store.items)
+					items, calls := x.startingFleet.store.sent()
+					t.Logf("%d calls to the store, items %d", calls-before, items)
 				})
 			})
 		}
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -48,6 +48,13 @@
 	s.calls++
 }
 
+// sent returns how many items the store has sent, and in how many calls.
+func (s *countingStore) sent() (items, calls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items, s.calls
+}
+
 func (s *countingStore) Get(ctx context.Context, key string, prefix bool) (kv.Revision, []kv.KeyValue, error) {
 	if _, away := s.isAway(); away {
 		return 0, nil, kv.ErrUnavailable
@@ -272,14 +279,24 @@
 	all := len(f.entries) + endpoints
 	// Watchers may read all and then watch what came meanwhile; the others read the list of
 	// their failure domain before and after they registered, and a page.
-	if most := 3*startingWatchers*all + (3*domain+storePage)*len(f.entries); f.store.items > most {
-		t.Errorf("%d entries, %d endpoints: the store sent %d items, %d at most", len(f.entries), endpoints, f.store.items, most)
+	items, calls := f.store.sent()
+	if most := 3*startingWatchers*all + (3*domain+storePage)*len(f.entries); items > most {
+		t.Errorf("%d entries, %d endpoints: the store sent %d items, %d at most", len(f.entries), endpoints, items, most)
 	}
-	busiest := 0
+	busiest, _ := f.sentBytes()
+	t.Logf("%d entries, %d endpoints: %v; the store sent %d items in %d calls; the busiest entry %d KB", len(f.entries), endpoints, took, items, calls, busiest>>10)
+}
+
+// sentBytes returns what the busiest entry and all entries together sent in answers. Exchanges run
+// meanwhile: without the lock, the iteration ends the process.
+func (f *startingFleet) sentBytes() (busiest, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, n := range f.bytes {
 		busiest = max(busiest, n)
+		all += n
 	}
-	t.Logf("%d entries, %d endpoints: %v; the store sent %d items in %d calls; the busiest entry %d KB", len(f.entries), endpoints, took, f.store.items, f.store.calls, busiest>>10)
+	return busiest, all
 }
 
 func (f *startingFleet) configure(t *testing.T, version int) {
@@ -310,9 +327,10 @@
 				t.Errorf("%d entries took %v", n, took)
 			}
 			time.Sleep(2 * time.Second)
-			calls := f.store.calls
+			_, before := f.store.sent()
 			time.Sleep(10 * time.Second)
-			if perSecond := float64(f.store.calls-calls) / 10; perSecond > 2.5*startingWatchers {
+			_, calls := f.store.sent()
+			if perSecond := float64(calls-before) / 10; perSecond > 2.5*startingWatchers {
 				t.Errorf("%d entries: %.1f calls to the store a second", n, perSecond)
 			}
 			f.configure(t, 2)
@@ -347,7 +365,7 @@
 			defer f.start(t)()
 			f.awaitStart(t, 3*n)
 			time.Sleep(3 * time.Second)
-			calls := f.store.calls
+			_, before := f.store.sent()
 			f.mu.Lock()
 			for _, e := range f.entries {
 				if e.Domain == "d0" && fleet.IsWatcher(f.entries, e) {
@@ -359,12 +377,14 @@
 			f.configure(t, 2)
 			late := f.await(t, func(follower *fleet.Follower) bool { return follower.View().Config.Version == 2 })
 			time.Sleep(5*time.Second - late)
-			t.Logf("%d entries: a change is in force after %v; %d calls in 5 s", n, late, f.store.calls-calls)
+			_, calls := f.store.sent()
+			calls -= before
+			t.Logf("%d entries: a change is in force after %v; %d calls in 5 s", n, late, calls)
 			if late > 3*time.Second {
 				t.Errorf("%d entries: a change is in force after %v", n, late)
 			}
-			if most := n/4 + 5*5*startingWatchers/2; f.store.calls-calls > most {
-				t.Errorf("%d entries: %d calls to the store, %d at most", n, f.store.calls-calls, most)
+			if most := n/4 + 5*5*startingWatchers/2; calls > most {
+				t.Errorf("%d entries: %d calls to the store, %d at most", n, calls, most)
 			}
 		})
 	}
@@ -378,7 +398,7 @@
 			defer f.start(t)()
 			f.awaitStart(t, 3*n)
 			time.Sleep(3 * time.Second)
-			calls := f.store.calls
+			_, before := f.store.sent()
 			f.turnedAway.Store(true)
 			var slowest time.Duration
 			for version := 2; version < 5; version++ {
@@ -386,7 +406,8 @@
 				f.configure(t, version)
 				slowest = max(slowest, f.await(t, func(follower *fleet.Follower) bool { return follower.View().Config.Version == int64(version) }))
 			}
-			calls = f.store.calls - calls
+			_, calls := f.store.sent()
+			calls -= before
 			t.Logf("%d entries: a change is in force after %v at most; %d calls in 10 s", n, slowest, calls)
 			if slowest > 2*time.Second {
 				t.Errorf("%d entries: a change is in force after %v", n, slowest)
@@ -414,11 +435,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			items := f.store.items
+			before, _ := f.store.sent()
 			f.store.compacted.Store(int64(rev))
 			f.store.silent.Store(false)
 			took := f.await(t, func(follower *fleet.Follower) bool { return follower.View().Config.Version == 2 && follower.Current() })
-			items = f.store.items - items
+			items, _ := f.store.sent()
+			items -= before
 			t.Logf("%d entries: all are current after %v; the store sent %d items", n, took, items)
 			if took > 4*time.Second {
 				t.Errorf("%d entries: all are current after %v", n, took)
@@ -440,7 +462,9 @@
 			f.awaitStart(t, 3*n)
 			tables := make([]*quarantine.Table, 0, n)
 			for _, e := range f.entries {
+				f.mu.Lock()
 				q := f.meshes[e.Address].Quarantine
+				f.mu.Unlock()
 				q.Answering(quarantine.Subject{}, 0)
 				tables = append(tables, q)
 			}
@@ -467,10 +491,7 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			took := time.Since(fifth)
-			sent := 0
-			for _, b := range f.bytes {
-				sent += b
-			}
+			_, sent := f.sentBytes()
 			t.Logf("%d entries: all know %v after the fifth crash, %d bytes an entry meanwhile", n, took, sent/n)
 			if took > time.Second {
 				t.Errorf("%d entries: %v after the fifth crash", n, took)
