--- a/quarantine/causes.go
+++ b/quarantine/causes.go
@@ -162,7 +162,7 @@
 		if len(found) == 0 {
 			return causes, pending
 		}
-		for _, group := range groupByCrashes(found, explained) {
+		for _, group := range t.firstGroupsLocked(groupByCrashes(found, explained), explained) {
 			members := make([]Fingerprint, len(group))
 			for i, s := range group {
 				members[i] = s.fingerprint
@@ -253,6 +253,39 @@
 	return out
 }
 
+// firstGroupsLocked returns the groups of one rank, without those that share an unexplained crash with a
+// group that has more evidence in all. Of the crashes of a part that crashes endpoints, some may be
+// explained by a recorded request with it, so that its rank is no higher than that of a part that was
+// beside it once.
+func (t *Table) firstGroupsLocked(groups [][]*suspect, explained map[fleet.EndpointID]bool) [][]*suspect {
+	if len(groups) == 1 {
+		return groups
+	}
+	total := func(group []*suspect) int {
+		weight := t.evidenceLocked(group[0], nil).weight
+		if !group[0].part {
+			weight += requestLead
+		}
+		return weight
+	}
+	slices.SortStableFunc(groups, func(a, b []*suspect) int { return total(b) - total(a) })
+	heaviest := map[fleet.EndpointID]int{} // weight of the first group with a crash
+	var out [][]*suspect
+	for _, group := range groups {
+		weight := total(group)
+		if slices.ContainsFunc(group[0].endpoints(), func(ep fleet.EndpointID) bool { return heaviest[ep] > weight }) {
+			continue
+		}
+		out = append(out, group)
+		for ep := range group[0].crashes {
+			if !explained[ep] {
+				heaviest[ep] = max(heaviest[ep], weight)
+			}
+		}
+	}
+	return out
+}
+
 // groupByCrashes groups parts that were at the same unexplained crashes; requests stay alone.
 func groupByCrashes(found []*suspect, explained map[fleet.EndpointID]bool) [][]*suspect {
 	var out [][]*suspect
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -53,6 +53,29 @@
 	is.True(!e.Check(beside).Quarantined)
 }
 
+// Guards against refusing a part that was beside the crashing one at one crash and beside a request that crashes
+// endpoints at another: most crashes of the crashing part count for a quarantined request with it, so that both
+// parts have the same rank.
+func TestPartBesideTheCrashingOneIsNotRefusedForASharedCrash(t *testing.T) {
+	is := is.New(t)
+	e := newIsolatedEntry(t)
+	e.learn()
+	crashed := func(request, endpointNumber int, parts ...Fingerprint) {
+		e.Crashed(Subject{Request: Fingerprint(request), Parts: parts}, endpoint(endpointNumber), 1, Started)
+	}
+	crashed(1, 1, firstPart, deadlyPart)
+	crashed(1, 2, firstPart, deadlyPart)
+	e.clock.Advance(settleTime)
+	e.Tick(context.Background())
+	e.sync() // the request is recorded
+	crashed(2, 3, firstPart, deadlyPart)
+	crashed(3, 4, firstPart+1, middlePart) // by itself
+	crashed(4, 5, firstPart+1, deadlyPart)
+	is.True(e.Check(Subject{Request: 5, Parts: []Fingerprint{firstPart + 2, deadlyPart}}).Quarantined)
+	is.True(!e.Check(Subject{Request: 6, Parts: []Fingerprint{firstPart + 1, middlePart + 1}}).Quarantined)
+	is.True(!e.Check(Subject{Request: 7, Parts: []Fingerprint{firstPart, middlePart + 1}}).Quarantined)
+}
+
 // Guards against a part that one version answers all the time, and that crashes another, being sent there.
 func TestPartIsBlockedForTheVersionThatItCrashes(t *testing.T) {
 	is := is.New(t)
