--- a/concurrency/ledger.go
+++ b/concurrency/ledger.go
@@ -81,15 +81,21 @@
 	g.lastRefused = now
 }
 
-// closedFor returns how long the endpoint gets no requests because it turned away half of those that
-// it bears in refusedWindow; it may turn away more that are under way.
-func (g *ledger) closedFor(limit int, now time.Time) time.Duration {
+// closedFor returns how long the endpoint gets no requests because it turned away more than half of those
+// that it bears in refusedWindow, or all of them; it may turn away more that are under way. At half of them,
+// it gets fewer: the owner itself causes one as it finds out how many may wait (waitingStep), and an endpoint
+// of two slots lost five requests for that while it was closed for the whole window.
+func (g *ledger) closedFor(limit int, now time.Time) (wait time.Duration, fewer bool) {
 	g.refused = slices.DeleteFunc(g.refused, func(at time.Time) bool { return now.Sub(at) >= refusedWindow })
 	bearable := max(1, limit/2)
-	if len(g.refused) < bearable {
-		return 0
+	switch n := len(g.refused); {
+	case n < bearable:
+		return 0, false
+	case n == bearable && n < limit:
+		return 0, true
+	default:
+		return refusedWindow - now.Sub(g.refused[n-bearable]), false
 	}
-	return refusedWindow - now.Sub(g.refused[len(g.refused)-bearable])
 }
 
 // Grant answers an entry that takes this one for the owner of an endpoint.
@@ -111,11 +117,12 @@
 	if a.Update {
 		return Verdict{}
 	}
-	if wait := g.closedFor(a.Brittle, now); wait > 0 {
+	wait, fewer := g.closedFor(a.Brittle, now)
+	if wait > 0 {
 		return Verdict{Wait: wait}
 	}
 	permits := a.Slots + g.waiting(a.Slots, now)
-	if l.standsInLocked(a) || now.Sub(g.since) < learningTime {
+	if fewer || l.standsInLocked(a) || now.Sub(g.since) < learningTime {
 		permits = max(1, permits/2)
 	}
 	needed := 1
--- a/concurrency/limiter_test.go
+++ b/concurrency/limiter_test.go
@@ -180,6 +180,32 @@
 	}
 }
 
+// Guards against an endpoint that is idle for a whole window because it turned one request away, and against
+// filling it meanwhile.
+func TestAnEndpointThatTurnedHalfAwayGetsFewer(t *testing.T) {
+	for _, tt := range []struct{ limit, refused, granted int }{{1, 1, 0}, {2, 1, 2}, {2, 2, 0}, {3, 1, 2}, {3, 2, 0}, {10, 4, 4}, {10, 5, 2}, {10, 6, 0}} {
+		is := is.New(t)
+		f := newFleet(1)
+		l := f.limiters["i0"]
+		l.Observe(service, tt.limit)
+		ep := fleet.Endpoint{ID: "e1", Service: service, Domain: "d1", Slots: 4}
+		if p, ok := l.Take(context.Background(), ep); ok { // the owner begins to count
+			p.Release(false)
+		}
+		f.renew()
+		f.clock.Advance(learningTime)
+		l.owned[uint32(ep.Hash())].noteRefused(tt.refused, f.clock.Now())
+		granted := 0
+		for range 5 {
+			if _, ok := l.Take(context.Background(), ep); ok {
+				granted++
+			}
+		}
+		t.Logf("%d of %d a second turned away: %d granted", tt.refused, tt.limit, granted)
+		is.Equal(granted, tt.granted)
+	}
+}
+
 // Guards against asking owners while no service is brittle.
 func TestNobodyIsAskedWhileNoServiceIsBrittle(t *testing.T) {
 	is := is.New(t)
