--- a/soak/notices.go
+++ b/soak/notices.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -54,14 +55,23 @@
 
 // entrySend is one send of a request by an entry.
 type entrySend struct {
-	entry string
-	at    time.Time
+	entry   string
+	at      time.Time
+	refused bool // the engine refused it, as one that rests does
 }
 
-// sender returns the entry that sent a request as it arrived at an engine; empty: not known.
+// sender returns the entry that sent a request as it arrived at an engine; empty: not known. A request that an
+// engine refused may reach it from the next entry within milliseconds: of the sends, those with another outcome
+// are left out if any has the right one.
 func (c noticeContext) sender(r run) string {
 	entry, nearest := c.entryOf[r.id], time.Duration(math.MaxInt64)
-	for _, s := range c.handedOff[sentTo{r.id, r.engine}] {
+	sends := c.handedOff[sentTo{r.id, r.engine}]
+	sameOutcome := func(s entrySend) bool { return s.refused == (r.rest > 0) }
+	anySame := slices.ContainsFunc(sends, sameOutcome)
+	for _, s := range sends {
+		if anySame && !sameOutcome(s) {
+			continue
+		}
 		if d := s.at.Sub(r.at).Abs(); d < nearest {
 			entry, nearest = s.entry, d
 		}
@@ -125,12 +135,12 @@
 	several := map[string]bool{}   // requests that several entries sent
 	all := map[sentTo][]entrySend{}
 	for _, e := range s.c.entries {
-		err := readSends(s.c.logPath(e.name), c.handedOn, func(id, engine string, at time.Time) {
+		err := readSends(s.c.logPath(e.name), c.handedOn, func(id, engine string, at time.Time, refused bool) {
 			if first, ok := handled[id]; ok && first != e.name {
 				several[id] = true
 			}
 			handled[id] = e.name
-			all[sentTo{id, engine}] = append(all[sentTo{id, engine}], entrySend{e.name, at})
+			all[sentTo{id, engine}] = append(all[sentTo{id, engine}], entrySend{e.name, at, refused})
 		})
 		if err != nil {
 			s.addFinding("log of %s cannot be read: %v", e.name, err)
@@ -144,14 +154,18 @@
 	return c
 }
 
-// sendPattern matches one send in an entry's line on a request: the engine, and ms since the request came.
-var sendPattern = regexp.MustCompile(`(?:^|; )(\S+) .*?\bat=(\d+)ms`)
+// sendPattern matches one send in an entry's line on a request: the engine, ms since the request came, and what
+// came of it.
+var sendPattern = regexp.MustCompile(`(?:^|; )(\S+) .*?\bat=(\d+)ms([^;]*)`)
+
+// refusedSend is in a send that its engine refused.
+const refusedSend = " refused (endpoint refused)"
 
 // unansweredHandoff is logged for a request that was handed to an entry which did not answer.
 const unansweredHandoff = "ingress: entry does not answer a request that was handed to it."
 
 // readSends calls f for each send to an engine in an entry's log, and records the requests that it handed on.
-func readSends(log string, handedOn map[string]bool, f func(id, engine string, at time.Time)) error {
+func readSends(log string, handedOn map[string]bool, f func(id, engine string, at time.Time, refused bool)) error {
 	file, err := os.Open(log)
 	if err != nil {
 		return err
@@ -178,7 +192,7 @@
 		came := line.Time.Add(-time.Duration(line.MS) * time.Millisecond)
 		for _, m := range sendPattern.FindAllStringSubmatch(line.Sends, -1) {
 			ms, _ := strconv.Atoi(m[2]) // digits
-			f(line.ID, m[1], came.Add(time.Duration(ms)*time.Millisecond))
+			f(line.ID, m[1], came.Add(time.Duration(ms)*time.Millisecond), strings.Contains(m[3], refusedSend))
 		}
 	}
 	return lines.Err()
