--- a/edge/module.go
+++ b/edge/module.go
@@ -44,6 +44,9 @@
 // collector's headroom.
 const bodyMemoryDivisor = 8
 
+// answerMemoryDivisor sets the part of the process's memory that buffered answers may take up.
+const answerMemoryDivisor = 8
+
 // requestsPerMB bounds the requests in flight per MB of memory: one with its two
 // connections holds some 60 KB, so that at the bound they take half of the
 // memory.
@@ -237,6 +240,6 @@
 func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
 	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
-		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
+		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, AnswerMemory: int64(s.MemoryMB) << 20 / answerMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- /dev/null
+++ b/ingress/bounds.go
@@ -0,0 +1,192 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/place"
+	"github.com/lovageweir/lovageweir/upstream"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is buffered before it is returned.
+	maxAnswerBytes = 8 << 20
+	// maxCopyBytes bounds the discarded answer of a copy. Those of trials are streams of up to four
+	// seconds, of some hundred KB.
+	maxCopyBytes = 1 << 20
+	// shortAnswerBytes is the size up to which answers may use all of the memory for answers. Longer ones
+	// leave shortAnswerShare of it, so that answers without end do not keep out short ones.
+	shortAnswerBytes = 64 << 10
+	shortAnswerShare = 0.25
+	// firstAnswerBuffer is the first buffer of an answer of unknown length.
+	firstAnswerBuffer = 4 << 10
+)
+
+// answerMemory counts the bytes of buffered answers against their part of the process's memory. It is safe
+// for concurrent use.
+type answerMemory struct {
+	limit int64 // 0: unlimited
+	used  atomic.Int64
+}
+
+// reserve takes n more bytes for an answer that then has total bytes, and reports whether there was room.
+func (m *answerMemory) reserve(n, total int64) bool {
+	limit := m.limit
+	if total > shortAnswerBytes {
+		limit -= int64(shortAnswerShare * float64(m.limit))
+	}
+	if m.used.Add(n) > limit && m.limit > 0 {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (m *answerMemory) release(n int64) { m.used.Add(-n) }
+
+// answerBuffer holds a buffered answer. Its memory is reserved before it is allocated.
+type answerBuffer struct {
+	memory *answerMemory
+	bytes  []byte
+	held   int64
+}
+
+// grow makes room for more bytes.
+func (a *answerBuffer) grow(size int64) error {
+	if size > maxAnswerBytes {
+		return &upstream.BoundError{Bound: upstream.AnswerBytes}
+	}
+	if !a.memory.reserve(size, size) {
+		return &upstream.BoundError{Bound: upstream.AnswersMemory}
+	}
+	grown := make([]byte, len(a.bytes), size)
+	copy(grown, a.bytes)
+	a.memory.release(a.held)
+	a.bytes, a.held = grown, size
+	return nil
+}
+
+// release gives the memory back; the bytes must not be used afterwards.
+func (a *answerBuffer) release() {
+	a.memory.release(a.held)
+	a.bytes, a.held = nil, 0
+}
+
+// read reads a whole body of a length; negative: unknown.
+func (a *answerBuffer) read(r io.Reader, length int64) error {
+	if length >= 0 {
+		if err := a.grow(length); err != nil {
+			return err
+		}
+		n, err := io.ReadFull(r, a.bytes[:length])
+		a.bytes = a.bytes[:n]
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	for {
+		if len(a.bytes) == cap(a.bytes) {
+			size := max(firstAnswerBuffer, 2*int64(cap(a.bytes)))
+			if cap(a.bytes) < maxAnswerBytes {
+				size = min(size, maxAnswerBytes)
+			}
+			if err := a.grow(size); err != nil {
+				return err
+			}
+		}
+		n, err := r.Read(a.bytes[len(a.bytes):cap(a.bytes)])
+		a.bytes = a.bytes[:len(a.bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// readAnswer reads the whole body. Its memory is held until releaseAnswer.
+func (x *exchange) readAnswer(c *upstreamCall) ([]byte, error) {
+	x.releaseAnswer() // of an earlier attempt
+	x.answer.memory = &x.server.answers
+	length := c.resp.Length
+	if c.resp.Body == http.NoBody {
+		length = 0 // the head of an answer to HEAD may tell another
+	}
+	if err := x.answer.read(c.resp.Body, length); err != nil {
+		x.releaseAnswer()
+		return nil, err
+	}
+	return x.answer.bytes, x.checkEnd(c)
+}
+
+// releaseAnswer gives back the memory of a buffered answer once it is written or not used.
+func (x *exchange) releaseAnswer() {
+	if x.answer.held > 0 {
+		x.answer.release()
+	}
+}
+
+// endBroken ends a call whose answer broke off, and records which bound it exceeded, if it did.
+func (x *exchange) endBroken(c *upstreamCall, err error) {
+	outcome := place.Broken
+	if c.bound = upstream.BoundOf(err); c.bound != "" {
+		x.server.bounds.note(c.bound, x.metadata.ID, c.endpoint.ID)
+	}
+	if c.bound == upstream.AnswersMemory && c.resp.Length >= 0 {
+		outcome = place.Abandoned // other answers fill the memory
+	}
+	x.end(c, outcome, err.Error())
+}
+
+// boundLog logs and counts exceeded bounds. It is safe for concurrent use.
+type boundLog struct {
+	clock clockwork.Clock
+	log   *slog.Logger
+	scope tally.Scope
+
+	mu      sync.Mutex
+	logged  map[upstream.Bound]time.Time
+	skipped map[upstream.Bound]int
+}
+
+// boundLogInterval is the least time between two log lines of one bound. The requests' own lines have the
+// bound of each attempt.
+const boundLogInterval = time.Second
+
+func newBoundLog(clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *boundLog {
+	return &boundLog{clock: clock, log: log, scope: scope, logged: map[upstream.Bound]time.Time{}, skipped: map[upstream.Bound]int{}}
+}
+
+func (b *boundLog) note(bound upstream.Bound, request string, endpoint fleet.EndpointID) {
+	b.scope.Tagged(map[string]string{"bound": string(bound)}).Counter("bounds_exceeded_total").Inc(1)
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if last, ok := b.logged[bound]; ok && now.Sub(last) < boundLogInterval {
+		b.skipped[bound]++
+		return
+	}
+	b.log.Warn("ingress: answer exceeds its bound; connection closed.", "bound", bound, "id", request, "endpoint", endpoint, "not_logged", b.skipped[bound])
+	b.logged[bound], b.skipped[bound] = now, 0
+}
+
+// copyOutcome returns the outcome of a discarded answer. Only an exceeded bound counts for its endpoint.
+func (s *Server) copyOutcome(sent sentRequest, ep fleet.Endpoint, err error) place.Outcome {
+	bound := upstream.BoundOf(err)
+	if bound == "" {
+		return place.Abandoned
+	}
+	s.bounds.note(bound, sent.id, ep.ID)
+	return place.Broken
+}
--- a/ingress/buffered.go
+++ b/ingress/buffered.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,9 +11,6 @@
 	"github.com/lovageweir/lovageweir/retry"
 )
 
-// maxAnswerBytes bounds an answer that is buffered before it is returned.
-const maxAnswerBytes = 8 << 20
-
 // runBuffered answers a request whose answer is not a stream. The answer is buffered
 // completely before any of it is returned, so that one that breaks off can be
 // replaced by another endpoint's.
@@ -44,7 +40,7 @@
 		x.giveUpAtStop()
 		return false
 	case x.r.Context().Err() != nil:
-		x.outcome = "caller_left"
+		x.outcome = x.leftOutcome()
 		return false
 	case errors.Is(err, errRetry):
 		return true
@@ -108,6 +104,7 @@
 	}
 	x.runs++
 	body, err := x.readAnswer(c)
+	defer x.releaseAnswer()
 	took := c.ticket.FirstEvent()
 	if err != nil && cutByStop(ctx) {
 		x.end(c, place.Abandoned, "entry stops")
@@ -118,7 +115,7 @@
 		return errQuarantined
 	}
 	if err != nil {
-		x.end(c, place.Broken, err.Error())
+		x.endBroken(c, err)
 		x.noteCrash(c, quarantine.Started)
 		return errMayHaveRun
 	}
@@ -169,15 +166,3 @@
 func (x *exchange) mismatched(c *upstreamCall) bool {
 	return c.head.ID != "" && c.head.ID != x.metadata.ID || c.head.Success() && !c.head.Sealed
 }
-
-// readAnswer reads the whole body.
-func (x *exchange) readAnswer(c *upstreamCall) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(c.resp.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, errors.New("answer is too large")
-	}
-	return body, x.checkEnd(c)
-}
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -55,7 +55,7 @@
 
 // noteCrash records that the endpoint of an attempt crashed, if it did.
 func (x *exchange) noteCrash(c *upstreamCall, stage quarantine.Stage) {
-	if c.watch.cause() == "" {
+	if c.watch.cause() == "" && c.bound == "" { // one that sends without end has not crashed
 		a := &x.attempts[c.attemptIndex]
 		a.crashed = x.server.noteCrash(x.sentRequest(a.model), c.endpoint, stage)
 	}
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -5,55 +5,172 @@
 	"bytes"
 	"errors"
 	"io"
-)
+	"os"
+	"time"
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 1 << 20
+	"github.com/lovageweir/lovageweir/upstream"
+)
 
-// errEventTooLarge: the endpoint sent an event of more than maxEventBytes.
-var errEventTooLarge = errors.New("event is too large")
+const (
+	// maxEventBytes bounds the size of one event of a stream, and of what comes between two.
+	maxEventBytes = 1 << 20
+	// eventBufferBytes holds several events of the usual size, some hundred bytes.
+	eventBufferBytes = 2 << 10
+	// firstEventBuffer is the first buffer for an event.
+	firstEventBuffer = 512
+	// keptEventBytes is the largest buffer that a stream keeps for its next event.
+	keptEventBytes = 16 << 10
+)
 
 // eventReader reads a stream of events (text/event-stream), one event at a time. An
 // event ends with an empty line, which is part of it.
 type eventReader struct {
 	r   *bufio.Reader
 	id  func(line []byte) ([]byte, bool)
-	buf []byte
+	buf answerBuffer
+	// progress bounds the time in which bytes must form an event; nil: unbounded.
+	progress *progress
+	// idle counts the bytes since the last event that are none: comments and empty lines. pending: some of
+	// them are to be followed by an event in time.
+	idle    int
+	pending bool
 }
 
-// eventBufferBytes holds several events of the usual size, some hundred bytes.
-const eventBufferBytes = 2 << 10
-
 func newEventReader(r io.Reader, id func(line []byte) ([]byte, bool)) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), id: id}
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), id: id, buf: answerBuffer{memory: &answerMemory{}}}
+}
+
+// newBoundedEventReader returns a reader that fails with EventTime if bytes of an answer form no event
+// within limit; 0: unbounded. Its buffer counts against memory until release.
+func newBoundedEventReader(resp *upstream.Response, limit time.Duration, memory *answerMemory, id func(line []byte) ([]byte, bool)) *eventReader {
+	e := newEventReader(resp.Body, id)
+	e.buf.memory = memory
+	if limit > 0 {
+		e.progress = &progress{body: resp.Body, setDeadline: resp.SetReadDeadline, limit: limit}
+		e.progress.partial = func() bool { return e.pending || len(e.buf.bytes) > 0 || e.r.Buffered() > 0 }
+		e.r.Reset(e.progress)
+	}
+	return e
 }
 
 // next returns the next complete event and its id, if it has one. At the end of
 // the stream it returns io.EOF, or io.ErrUnexpectedEOF in the middle of an
-// event. The event is valid until the next call.
+// event. The event is valid until the next call. Comments and empty lines are
+// returned like events.
 func (e *eventReader) next() (event, id []byte, err error) {
-	e.buf = e.buf[:0]
+	if e.buf.held > keptEventBytes {
+		e.buf.release()
+	}
+	e.buf.bytes = e.buf.bytes[:0]
+	hasField, isNewLine := false, true
 	for {
-		start := len(e.buf)
+		start := len(e.buf.bytes)
 		line, err := e.r.ReadSlice('\n')
-		e.buf = append(e.buf, line...)
+		if err := e.add(line); err != nil {
+			return nil, nil, err
+		}
+		hasField = hasField || isNewLine && isField(line)
+		isNewLine = err == nil
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(e.buf) > maxEventBytes {
-				return nil, nil, errEventTooLarge
-			}
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.buf) > 0 {
+			if errors.Is(err, io.EOF) && len(e.buf.bytes) > 0 {
 				return nil, nil, io.ErrUnexpectedEOF
 			}
 			return nil, nil, err
 		}
-		if lineID, ok := e.id(e.buf[start:]); ok {
+		if lineID, ok := e.id(e.buf.bytes[start:]); ok {
 			id = bytes.Clone(lineID)
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return e.buf, id, nil
+			return e.buf.bytes, id, e.ended(hasField)
 		}
 	}
 }
+
+// add appends bytes to the event.
+func (e *eventReader) add(line []byte) error {
+	size := len(e.buf.bytes) + len(line)
+	if e.idle+size > maxEventBytes {
+		return &upstream.BoundError{Bound: upstream.EventBytes}
+	}
+	if size > cap(e.buf.bytes) {
+		if err := e.buf.grow(int64(max(firstEventBuffer, size, 2*cap(e.buf.bytes)))); err != nil {
+			return err
+		}
+	}
+	e.buf.bytes = append(e.buf.bytes, line...)
+	return nil
+}
+
+// release gives back the memory of the reader's buffer.
+func (e *eventReader) release() { e.buf.release() }
+
+// isField reports whether a line, or its beginning, is a field of an event.
+func isField(line []byte) bool {
+	return len(line) > 0 && line[0] != ':' && line[0] != '\n' && line[0] != '\r'
+}
+
+// ended records what the bytes up to an empty line were: an event, a comment or nothing.
+func (e *eventReader) ended(isEvent bool) error {
+	e.idle += len(e.buf.bytes)
+	if isEvent {
+		e.idle = 0
+	}
+	if e.progress == nil {
+		return nil
+	}
+	isComment := !isEvent && e.buf.bytes[0] == ':'
+	e.pending = !isEvent && (!isComment || e.progress.hasEvent)
+	if e.pending {
+		return nil
+	}
+	return e.progress.made(isEvent)
+}
+
+// progress reads a body and fails with EventTime once its bytes have formed no event within a limit,
+// however many or few come. Between events, a silent endpoint is the watchdog's concern. Before the first
+// event, comments count as events: an endpoint may send them while it reads the prompt.
+type progress struct {
+	body        io.Reader
+	setDeadline func(time.Time) error
+	limit       time.Duration
+	// partial reports whether bytes of an unfinished event have been read.
+	partial  func() bool
+	hasEvent bool
+	deadline time.Time // for the end of the event that has begun; zero: none has
+}
+
+// Read implements io.Reader.
+func (p *progress) Read(b []byte) (int, error) {
+	if p.deadline.IsZero() && p.partial() {
+		p.deadline = time.Now().Add(p.limit)
+		if err := p.setDeadline(p.deadline); err != nil {
+			return 0, err
+		}
+	}
+	n, err := p.body.Read(b)
+	if !p.deadline.IsZero() && (errors.Is(err, os.ErrDeadlineExceeded) || n > 0 && time.Now().After(p.deadline)) {
+		return 0, &upstream.BoundError{Bound: upstream.EventTime}
+	}
+	return n, err
+}
+
+// made records that an event or comment is complete.
+func (p *progress) made(isEvent bool) error {
+	p.hasEvent = p.hasEvent || isEvent
+	if p.deadline.IsZero() {
+		return nil
+	}
+	p.deadline = time.Time{}
+	return p.setDeadline(time.Time{})
+}
+
+// extend gives the event that has begun more time, as reads were held up for it.
+func (p *progress) extend(d time.Duration) {
+	if p != nil && !p.deadline.IsZero() {
+		p.deadline = p.deadline.Add(d)
+		_ = p.setDeadline(p.deadline) // a closed connection fails to be read
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -81,6 +81,9 @@
 	logged        bool        // the log line is written
 	copied        bool        // a copy was sent to an endpoint on trial
 	answered      atomic.Bool // completely, before the caller left
+
+	writeUntil time.Time    // when the caller's connection is closed
+	answer     answerBuffer // a buffered answer
 }
 
 // attempt records one send for the log.
@@ -167,6 +170,9 @@
 	cleared      bool          // the answer has cleared the parts of the prompt
 	expectedWait time.Duration // for requests ahead of this one, as estimated when it was sent
 	attemptIndex int           // into attempts
+
+	heldUp time.Duration  // by the caller, which did not read
+	bound  upstream.Bound // that the answer exceeded; empty: none
 }
 
 // end closes the call and records its outcome.
@@ -384,7 +390,7 @@
 		x.runs++
 		return errDeadline
 	default:
-		x.end(c, place.Broken, err.Error())
+		x.endBroken(c, err)
 		x.noteCrash(c, quarantine.Waiting)
 	}
 	x.runs++
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -72,6 +72,8 @@
 	Overload *overload.Detector
 	// BodyMemory bounds the total size of the request bodies in memory, in bytes.
 	BodyMemory int64
+	// AnswerMemory bounds the total size of the buffered answers, in bytes; 0: unlimited.
+	AnswerMemory int64
 	// MaxInFlight bounds the requests served at a time; 0: unlimited.
 	MaxInFlight int64
 	// LapsedGrace is how long an endpoint whose registration ended without
@@ -89,6 +91,8 @@
 	Deps
 	metrics   metrics
 	bodyBytes atomic.Int64
+	answers   answerMemory
+	bounds    *boundLog
 	prober    upstream.Prober
 	// exits has a call for each address whose endpoint is being checked for its exit.
 	exits    singleflight.Group
@@ -100,7 +104,7 @@
 }
 
 func New(d Deps) *Server {
-	return &Server{Deps: d, metrics: newMetrics(d.Scope)}
+	return &Server{Deps: d, metrics: newMetrics(d.Scope), answers: answerMemory{limit: d.AnswerMemory}, bounds: newBoundLog(d.Clock, d.Log, d.Scope)}
 }
 
 // Ready reports whether the server accepts new connections: it has a
@@ -185,11 +189,15 @@
 	defer unbind()
 	x := &exchange{server: s, w: w, r: r, received: s.Clock.Now(), metadata: s.HeaderCodec.Request(r.Header)}
 	defer x.logRequest()
+	x.boundWrites(time.Now().Add(defaultRouteTimeout + writeMargin))
 	if ref := x.admit(ctx); ref != nil {
 		x.refuse(ref)
 		return
 	}
 	defer func() { s.bodyBytes.Add(-x.bodyReserved) }()
+	x.boundWrites(time.Now().Add(x.remaining() + writeMargin))
+	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.remaining()), errDeadline)
+	defer cancel()
 	if ref := x.readBody(ctx); ref != nil {
 		x.refuse(ref)
 		return
@@ -200,8 +208,6 @@
 		x.refuse(ref)
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.remaining()), errDeadline)
-	defer cancel()
 	x.run(ctx)
 	x.answered.Store(x.outcome == "answered")
 }
@@ -333,6 +339,8 @@
 		return refuseMemory
 	case err != nil && cutByStop(ctx):
 		return refuseStopping
+	case err != nil && errors.Is(context.Cause(ctx), errDeadline):
+		return refuseDeadline
 	case err != nil:
 		return refuseBrokenBody
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -15,6 +15,7 @@
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // runStream answers a request with a stream of events. Only complete events are
@@ -75,6 +76,11 @@
 		return errRetry
 	}
 	body, err := x.readAnswer(c)
+	defer x.releaseAnswer()
+	if upstream.BoundOf(err) != "" {
+		x.endBroken(c, err)
+		return errBroken
+	}
 	if err != nil || x.started {
 		x.end(c, place.Failed, "endpoint failed")
 		return errBroken
@@ -158,7 +164,8 @@
 
 // relayEvents forwards the events until the stream ends.
 func (x *exchange) relayEvents(ctx context.Context, c *upstreamCall, lastID string) (string, error) {
-	in := newEventReader(c.resp.Body, x.server.HeaderCodec.EventID)
+	in := newBoundedEventReader(c.resp, x.eventTime(), &x.server.answers, x.server.HeaderCodec.EventID)
+	defer in.release()
 	first := true
 	for {
 		event, id, err := in.next()
@@ -185,11 +192,10 @@
 		if !follows(string(id), lastID) {
 			continue // already forwarded
 		}
-		if _, err := x.w.Write(event); err != nil {
+		if err := x.forward(c, in, event); err != nil {
 			x.end(c, place.Abandoned, "caller left")
 			return lastID, errCallerLeft
 		}
-		x.w.Flush()
 		if len(id) > 0 {
 			lastID = string(id)
 		}
@@ -198,7 +204,7 @@
 
 // noteEvent records an event of a stream.
 func (x *exchange) noteEvent(c *upstreamCall) {
-	now := x.server.Clock.Now()
+	now := x.server.Clock.Now().Add(-c.heldUp)
 	a := &x.attempts[c.attemptIndex]
 	if a.events == 0 {
 		c.firstEventAt = now
@@ -285,7 +291,11 @@
 		x.end(c, place.Abandoned, "quarantined")
 		return errQuarantined
 	}
-	x.end(c, place.Broken, err.Error())
+	if c.heldUpLong() && upstream.BoundOf(err) == "" && c.watch.cause() == "" {
+		x.end(c, place.Abandoned, "caller reads slowly: "+err.Error())
+		return errMayHaveRun
+	}
+	x.endBroken(c, err)
 	stage := quarantine.Started
 	if x.attempts[c.attemptIndex].events > 0 {
 		stage = quarantine.Running
@@ -304,7 +314,7 @@
 	case cutByStop(ctx):
 		x.abortResponse("cut_by_stop")
 	case errors.Is(err, errCallerLeft) || x.r.Context().Err() != nil:
-		x.abortResponse("caller_left")
+		x.abortResponse(x.leftOutcome())
 	case errors.Is(err, errRetry):
 		return true
 	case errors.Is(err, errNotSent), errors.Is(err, errNoPath):
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -11,7 +11,6 @@
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
-	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
@@ -113,7 +112,7 @@
 	ticket := s.Board.Begin(ep, 0)
 	resp, err := upstream.Send(ctx, req)
 	if err != nil {
-		ticket.End(place.Abandoned)
+		ticket.End(s.copyOutcome(sent, ep, err))
 		s.noteCopyCrash(ctx, sent, ep, err, quarantine.Waiting)
 		s.Log.Info("ingress: copy not answered.", "id", sent.id, "endpoint", ep.ID, "version", ep.Version, "error", err, "ms", s.Clock.Since(begun).Milliseconds())
 		return
@@ -128,11 +127,14 @@
 	if !head.NotRun && !head.WrongEndpoint {
 		s.Rollouts.ObserveTrial(g, trial, load.Running+load.Waiting, head.Status >= http.StatusInternalServerError)
 	}
-	read, err := io.Copy(io.Discard, resp.Body)
+	read, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxCopyBytes))
+	if err == nil && read == maxCopyBytes {
+		err = &upstream.BoundError{Bound: upstream.CopyBytes}
+	}
 	if err == nil {
 		err = s.checkEnd(ep, resp)
 	}
-	ticket.End(place.Abandoned)
+	ticket.End(s.copyOutcome(sent, ep, err))
 	stage := quarantine.Started
 	if read > 0 {
 		stage = quarantine.Running
@@ -149,7 +151,7 @@
 // that this entry cancelled, such as those whose caller left.
 func (s *Server) noteCopyCrash(ctx context.Context, sent sentRequest, ep fleet.Endpoint, err error, stage quarantine.Stage) {
 	var notSent *upstream.NotSentError
-	if err == nil || ctx.Err() != nil || errors.As(err, &notSent) {
+	if err == nil || ctx.Err() != nil || errors.As(err, &notSent) || upstream.BoundOf(err) != "" {
 		return
 	}
 	s.noteCrash(sent, ep, stage)
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -69,6 +69,8 @@
 	viaChecked  time.Time // when that entry was last checked
 	// reserveRetry takes a retry from the budget.
 	reserveRetry func() bool
+	// suspended: the entry waits for its caller and does not read.
+	suspended bool
 }
 
 // watchLimits bound how long a call may go without an answer; 0: as long as the
@@ -220,6 +222,9 @@
 	if w.last.IsZero() {
 		return -1
 	}
+	if w.suspended {
+		return 0
+	}
 	return now.Sub(w.last)
 }
 
--- a/upstream/export_test.go
+++ b/upstream/export_test.go
@@ -4,5 +4,5 @@
 
 // ReadHead reads the head of a response from any connection.
 func ReadHead(conn net.Conn, method string) (*Response, error) {
-	return readHead(&Conn{Conn: conn}, method)
+	return readHead(&Conn{Conn: conn}, method, nil)
 }
--- a/upstream/probes.go
+++ b/upstream/probes.go
@@ -17,6 +17,10 @@
 // probeInterval is the pause between probes of an endpoint that drops them.
 const probeInterval = time.Millisecond
 
+// maxProbeBytes bounds what is read from an endpoint that sends bytes though nothing was asked; it has
+// not exited.
+const maxProbeBytes = 64 << 10
+
 // Prober checks whether endpoints whose connections broke have exited. Concurrent checks
 // of an endpoint share one probe. The zero value is ready to use.
 type Prober struct {
@@ -73,7 +77,7 @@
 	if err := conn.SetReadDeadline(until); err != nil {
 		return false
 	}
-	_, err := io.Copy(io.Discard, conn)
+	n, err := io.Copy(io.Discard, io.LimitReader(conn, maxProbeBytes))
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return n == maxProbeBytes || errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,7 +28,7 @@
 	// read.
 	maxInlineBody = 16 << 10
 	readBuffer    = 4 << 10
-	// maxInformational bounds the 1xx responses that are skipped.
+	// maxInformational bounds the 1xx responses that are skipped before the answer.
 	maxInformational = 8
 )
 
@@ -81,6 +81,9 @@
 // Close closes the connection, which ends the call.
 func (r *Response) Close() { r.conn.Close() }
 
+// SetReadDeadline bounds the time for reads of the body; the zero time: unbounded.
+func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
+
 // Conn is the connection of one call; closing it ends the call.
 type Conn struct {
 	net.Conn
@@ -157,7 +160,7 @@
 		// wait for each other.
 		go writeLong(conn, head, r.Body)
 	}
-	return readHead(conn, r.Method)
+	return readHead(conn, r.Method, conn.SetReadDeadline)
 }
 
 func writeLong(conn *Conn, head, body []byte) {
@@ -181,21 +184,32 @@
 	return b.Bytes()
 }
 
-func readHead(conn *Conn, method string) (*Response, error) {
-	br := bufio.NewReaderSize(conn, readBuffer)
+func readHead(conn *Conn, method string, setDeadline func(time.Time) error) (*Response, error) {
+	bounded := NewHeadReader(conn, setDeadline)
+	br := bufio.NewReaderSize(bounded, readBuffer)
 	req := &http.Request{Method: method}
-	for range maxInformational {
+	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(br, req)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode/100 == 1 {
+			if err := bounded.next(br.Buffered() > 0); err != nil {
+				return nil, err
+			}
 			continue
 		}
+		if err := bounded.HeadRead(); err != nil {
+			return nil, err
+		}
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, Framed: framed, conn: conn}, nil
+		var body io.Reader = resp.Body
+		if len(resp.TransferEncoding) > 0 {
+			body = chunkedBody{body}
+		}
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body, Framed: framed, conn: conn}, nil
 	}
-	return nil, errors.New("too many informational answers")
+	return nil, &BoundError{Informational}
 }
 
 // Check opens a connection to an endpoint and closes it again. It fails if the
