--- a/edge/serve.go
+++ b/edge/serve.go
@@ -167,7 +167,7 @@
 func (p serverParams) peers() http.Handler {
 	r := gin.New()
 	s := meshpb.NewMeshServer(p.Mesh)
-	r.Any(s.PathPrefix()+"*method", gin.WrapH(s))
+	r.Any(s.PathPrefix()+"*method", gin.WrapH(mesh.Bounded(s)))
 	r.GET("/metrics", gin.WrapH(p.Metrics.Handler))
 	r.GET("/debug/state", func(c *gin.Context) {
 		c.Header("Content-Type", "application/json")
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -30,6 +30,8 @@
 	failuresToGiveUp = 8
 	// reachedLately is how long after some entry reached a service it is worth a try.
 	reachedLately = time.Second
+	// maxAskHeaderBytes bounds the head of an answer to the question whether an entry opens tunnels.
+	maxAskHeaderBytes = 16 << 10
 	// timedPeers is how many other entries show whether this one's link is slow.
 	timedPeers = 4
 	// blameSelfFor is how long after the last connect that succeeded timeouts may be this entry's own fault.
@@ -111,6 +113,8 @@
 		MaxIdleConns:        16,
 		IdleConnTimeout:     5 * time.Second,
 		DisableCompression:  true,
+		// The body of an answer is not read.
+		MaxResponseHeaderBytes: maxAskHeaderBytes,
 	}
 	return &Dialer{Deps: d, links: newLinks(d.Clock), peers: newPeers(d.Clock), asks: &http.Client{Transport: asks}, wake: make(chan struct{}, 1)}
 }
--- a/egress/tunnel.go
+++ b/egress/tunnel.go
@@ -126,9 +126,14 @@
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return nil, nil, err
 	}
-	br := bufio.NewReaderSize(conn, tunnelBuffer)
+	// The time is bounded by the caller.
+	bounded := upstream.NewHeadReader(conn, nil)
+	br := bufio.NewReaderSize(bounded, tunnelBuffer)
 	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
-	return resp, br, err
+	if err != nil {
+		return nil, nil, bounded.Explain(err)
+	}
+	return resp, br, bounded.HeadRead()
 }
 
 // responseError returns the error that a response which opens no tunnel stands for.
--- a/endpoints/poll.go
+++ b/endpoints/poll.go
@@ -27,6 +27,7 @@
 	// pollWorkers limits the concurrent load requests of a poller.
 	pollWorkers      = 8
 	maxResponseBytes = 1 << 20
+	maxHeaderBytes   = 16 << 10
 	// listPollers is how many entries of a domain read the instance list.
 	listPollers = 2
 )
@@ -61,7 +62,7 @@
 // earlier one.
 func NewPoller(table *Table, currentTable func() *route.Table, assignments Assignments, domain string, incarnation int64, listURL string, log *slog.Logger) *Poller {
 	return &Poller{table: table, currentTable: currentTable, assignments: assignments, domain: domain, incarnation: incarnation, listURL: listURL, log: log,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Poll runs one polling round.
--- a/gateway/connpool.go
+++ b/gateway/connpool.go
@@ -16,6 +16,7 @@
 	dialTimeout     = 2 * time.Second
 	maxIdlePerHost  = 16
 	idleConnTimeout = 30 * time.Second
+	maxHeaderBytes  = 64 << 10 // of an answer
 )
 
 // keepAlive detects connections that the peer or a middlebox has dropped without
@@ -44,7 +45,7 @@
 func newClient(singleUse bool) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: singleUse,
-		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout}}
+		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}}
 }
 
 // client returns the client for calls to address; singleUse is set for a call that may
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// maxEventBytes bounds the size of one event of a stream, and of what comes between two.
+	// maxEventBytes bounds the size of one event of a stream, maxIdleBytes that of the comments and empty
+	// lines between two. Each comment is forwarded on its own, which costs some 15 us.
 	maxEventBytes = 1 << 20
+	maxIdleBytes  = 64 << 10
 	// eventBufferBytes holds several events of the usual size, some hundred bytes.
 	eventBufferBytes = 2 << 10
 	// firstEventBuffer is the first buffer for an event.
@@ -55,18 +57,20 @@
 
 // next returns the next complete event and its id, if it has one. At the end of
 // the stream it returns io.EOF, or io.ErrUnexpectedEOF in the middle of an
-// event. The event is valid until the next call. Comments and empty lines are
-// returned like events.
+// event. The event is valid until the next call. Comments are returned like events, further empty
+// lines with the event that follows.
 func (e *eventReader) next() (event, id []byte, err error) {
 	if e.buf.held > keptEventBytes {
 		e.buf.release()
 	}
 	e.buf.bytes = e.buf.bytes[:0]
-	hasField, isNewLine := false, true
+	hasField, isNewLine, isEmpty := false, true, true
 	for {
 		start := len(e.buf.bytes)
 		line, err := e.r.ReadSlice('\n')
-		if err := e.add(line); err != nil {
+		blank := err == nil && isNewLine && len(bytes.TrimRight(line, "\r\n")) == 0
+		isEmpty = isEmpty && (blank || len(line) == 0)
+		if err := e.add(line, isEmpty); err != nil {
 			return nil, nil, err
 		}
 		hasField = hasField || isNewLine && isField(line)
@@ -75,6 +79,9 @@
 			continue
 		}
 		if err != nil {
+			if errors.Is(err, io.EOF) && len(e.buf.bytes) > 0 && isEmpty {
+				return e.buf.bytes, nil, nil
+			}
 			if errors.Is(err, io.EOF) && len(e.buf.bytes) > 0 {
 				return nil, nil, io.ErrUnexpectedEOF
 			}
@@ -83,16 +90,16 @@
 		if lineID, ok := e.id(e.buf.bytes[start:]); ok {
 			id = bytes.Clone(lineID)
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if blank && !isEmpty {
 			return e.buf.bytes, id, e.ended(hasField)
 		}
 	}
 }
 
-// add appends bytes to the event.
-func (e *eventReader) add(line []byte) error {
+// add appends bytes to the event, which may have empty lines only so far.
+func (e *eventReader) add(line []byte, isEmpty bool) error {
 	size := len(e.buf.bytes) + len(line)
-	if e.idle+size > maxEventBytes {
+	if size > maxEventBytes || e.idle > maxIdleBytes || isEmpty && size > maxIdleBytes {
 		return &upstream.BoundError{Bound: upstream.EventBytes}
 	}
 	if size > cap(e.buf.bytes) {
@@ -121,8 +128,7 @@
 	if e.progress == nil {
 		return nil
 	}
-	isComment := !isEvent && e.buf.bytes[0] == ':'
-	e.pending = !isEvent && (!isComment || e.progress.hasEvent)
+	e.pending = !isEvent && e.progress.hasEvent
 	if e.pending {
 		return nil
 	}
--- a/mesh/changes.go
+++ b/mesh/changes.go
@@ -26,7 +26,7 @@
 	// its receivers get the rest with their next exchange.
 	snapshotReuse = time.Second
 	// maxUnpackedBytes bounds what a peer's changes may take up uncompressed.
-	maxUnpackedBytes = 64 << 20
+	maxUnpackedBytes = maxMessageBytes
 )
 
 // packer compresses changes for other entries. Its lock is not held together with another.
@@ -185,10 +185,13 @@
 func unpack(packed []byte) ([]*meshpb.Change, error) {
 	r := flate.NewReader(bytes.NewReader(packed))
 	defer r.Close()
-	raw, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	raw, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(raw) > maxUnpackedBytes {
+		return nil, errUnpackedTooLarge
+	}
 	var out meshpb.Changes
 	err = proto.Unmarshal(raw, &out)
 	return out.Changes, err
--- a/mesh/limits.go
+++ b/mesh/limits.go
@@ -28,12 +28,12 @@
 // NewLimitOwners returns a client with a connection pool of its own, so that questions do not wait
 // behind exchanges.
 func NewLimitOwners() LimitOwners {
-	return LimitOwners{&http.Client{Transport: &http.Transport{
+	return LimitOwners{newClient(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxOwnerConns,
 		IdleConnTimeout:     15 * time.Second,
 		DisableCompression:  true,
-	}}}
+	}, maxOwnerBytes)}
 }
 
 // TakeLimit implements ratelimit.Owners.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -120,7 +120,7 @@
 		d.Concurrency = concurrency.New(concurrency.Deps{Instance: d.Instance, Clock: d.Clock, Log: d.Log})
 	}
 	if d.Peer == nil {
-		client := &http.Client{Transport: t}
+		client := newClient(t, maxMessageBytes)
 		d.Peer = func(address string) meshpb.Mesh { return meshpb.NewMeshProtobufClient("http://"+address, client) }
 	}
 	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}, announced: make(chan announcement, eraFanout)}
--- a/upstream/bounds.go
+++ b/upstream/bounds.go
@@ -59,6 +59,7 @@
 	left        int                   // negative: unlimited
 	begun       bool                  // a part of the head was read
 	timed       bool                  // the deadline is set
+	exceeded    *BoundError           // nil: none
 }
 
 // NewHeadReader returns a reader of at most MaxHeadBytes.
@@ -72,7 +73,8 @@
 	case h.left < 0:
 		return h.r.Read(b)
 	case h.left == 0:
-		return 0, &BoundError{HeadBytes}
+		h.exceeded = &BoundError{HeadBytes}
+		return 0, h.exceeded
 	case h.begun && !h.timed && h.setDeadline != nil:
 		h.timed = true
 		if err := h.setDeadline(time.Now().Add(headTime)); err != nil {
@@ -83,11 +85,21 @@
 	h.left -= n
 	h.begun = h.begun || n > 0
 	if h.timed && errors.Is(err, os.ErrDeadlineExceeded) {
-		err = &BoundError{HeadTime}
+		h.exceeded = &BoundError{HeadTime}
+		err = h.exceeded
 	}
 	return n, err
 }
 
+// Explain returns the bound that made reading a head fail, or else its error: net/http reports a line that
+// breaks off as malformed.
+func (h *HeadReader) Explain(err error) error {
+	if err != nil && h.exceeded != nil {
+		return h.exceeded
+	}
+	return err
+}
+
 // next ends the time of a head; buffered reports whether a part of the next one was read.
 func (h *HeadReader) next(buffered bool) error {
 	h.begun = buffered
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -191,7 +191,7 @@
 	for range maxInformational + 1 {
 		resp, err := http.ReadResponse(br, req)
 		if err != nil {
-			return nil, err
+			return nil, bounded.Explain(err)
 		}
 		if resp.StatusCode/100 == 1 {
 			if err := bounded.next(br.Buffered() > 0); err != nil {
