--- a/edge/serve.go
+++ b/edge/serve.go
@@ -204,7 +204,7 @@
 func serve(lc fx.Lifecycle, p serverParams) {
 	gin.SetMode(gin.ReleaseMode)
 	callers := newListener("callers", p.EntrySettings.Listen.Callers, p.Ingress.Handler())
-	callers.SetAdmission(listen.Admission{Refuse: p.Ingress.RefusesConnection, Wrap: p.Overload.Link.Meter, MaxOpen: p.EntrySettings.maxCallerConnections(), OnTurnedAway: p.Unread.note})
+	callers.SetAdmission(listen.Admission{Refuse: p.Ingress.RefusesConnection, Wrap: p.wrapCaller, MaxOpen: p.EntrySettings.maxCallerConnections(), OnTurnedAway: p.Unread.note})
 	if p.Options.Callers != nil {
 		callers.SetListener(p.Options.Callers)
 	}
@@ -233,6 +233,18 @@
 	})
 }
 
+// callerSendBuffer bounds what the kernel holds of an answer that its caller does not read; it would grow to
+// 4 MB.
+const callerSendBuffer = 128 << 10
+
+// wrapCaller prepares an accepted connection of a caller.
+func (p serverParams) wrapCaller(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(callerSendBuffer) // the kernel's own bound holds otherwise
+	}
+	return p.Overload.Link.Meter(c)
+}
+
 // drain shuts the entry down gracefully: it reports not ready, makes each answer
 // close its connection, admits only requests that will be answered in time, and
 // waits for them.
--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -190,3 +190,27 @@
 	s.bounds.note(bound, sent.id, ep.ID)
 	return place.Broken
 }
+
+// handedOffBody returns the body of another entry's answer. It has as many bytes as the entry may buffer,
+// unless it is a stream, whose events the entry bounds.
+func (x *exchange) handedOffBody(resp *upstream.Response) io.Reader {
+	if x.route.Kind == fleet.Streaming {
+		return resp.Body
+	}
+	return &boundedReader{r: resp.Body, left: maxAnswerBytes}
+}
+
+// boundedReader fails with AnswerBytes if there are more bytes than left.
+type boundedReader struct {
+	r    io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p[:min(len(p), b.left+1)])
+	if b.left -= n; b.left < 0 {
+		return 0, &upstream.BoundError{Bound: upstream.AnswerBytes}
+	}
+	return n, err
+}
--- a/ingress/buffered.go
+++ b/ingress/buffered.go
@@ -137,7 +137,7 @@
 	}
 	x.outcome = "answered"
 	x.writeHead(c, int64(len(body)))
-	_, _ = x.w.Write(body) // a caller that left needs no answer
+	x.writeAnswer(body)
 	return nil
 }
 
--- a/ingress/handoff.go
+++ b/ingress/handoff.go
@@ -149,9 +149,9 @@
 	x.closeConnIfStopping()
 	x.started, x.status, x.outcome = true, resp.Status, "handed_off"
 	x.w.WriteHeader(resp.Status)
-	buf := make([]byte, handoffBuffer)
+	buf, body := make([]byte, handoffBuffer), x.handedOffBody(resp)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 {
 			if _, err := x.w.Write(buf[:n]); err != nil {
 				x.outcome = "caller_left"
--- a/ingress/slow.go
+++ b/ingress/slow.go
@@ -63,3 +63,10 @@
 	}
 	return "caller_left"
 }
+
+// writeAnswer writes a buffered answer, which is held in memory for as long as the caller takes.
+func (x *exchange) writeAnswer(body []byte) {
+	if _, err := x.w.Write(body); err != nil && !time.Now().Before(x.writeUntil) {
+		x.outcome = x.leftOutcome()
+	}
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -88,7 +88,7 @@
 	x.end(c, place.Failed, "endpoint failed")
 	x.outcome = "answered"
 	x.writeHead(c, int64(len(body)))
-	_, _ = x.w.Write(body) // a caller that left needs no answer
+	x.writeAnswer(body)
 	return nil
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,6 +28,9 @@
 	// read.
 	maxInlineBody = 16 << 10
 	readBuffer    = 4 << 10
+	// receiveBuffer bounds what the kernel holds of an answer that is not read because its caller reads
+	// slowly; it would grow to 6 MB. It is enough for 50 Mbit/s over 20 ms.
+	receiveBuffer = 128 << 10
 	// maxInformational bounds the 1xx responses that are skipped before the answer.
 	maxInformational = 8
 )
@@ -62,7 +65,11 @@
 
 // Dial opens a TCP connection, within MaxDialTimeout.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	return dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+		_ = tcp.SetReadBuffer(receiveBuffer) // the kernel's own bound holds otherwise
+	}
+	return conn, err
 }
 
 // Response is a response whose body has not been read. Close must be called.
