--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -325,6 +325,10 @@
 
 // noteUnhelpful records that an entry opened no tunnel.
 func (d *Dialer) noteUnhelpful(address, service string, err error) {
+	if bound := upstream.BoundOf(err); bound != "" {
+		d.Scope.Tagged(map[string]string{"bound": string(bound)}).Counter("bounds_exceeded_total").Inc(1)
+		d.Log.Warn("egress: entry's answer exceeds its bound; connection closed.", "bound", bound, "address", address)
+	}
 	var p *peerError
 	switch {
 	case !errors.As(err, &p):
