--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -31,6 +31,10 @@
 	cmd.Flag("skew", "Give entries a bounded share of a core, and most new connections to one after the other.").BoolVar(&o.Skew)
 	cmd.Flag("restores", "Take the store away again and again, and bring it back from a copy some seconds old.").BoolVar(&o.Restores)
 	cmd.Flag("alone", "With --restores, play no other faults, and check that requests are served as at other times.").BoolVar(&o.Alone)
+	cmd.Flag("surge", "Let one customer send six times its usual demand, again and again.").BoolVar(&o.Surge)
+	cmd.Flag("unequal", "Run engines of unequal speed that report it.").BoolVar(&o.Unequal)
+	cmd.Flag("slow-readers", "Let some callers read slowly.").BoolVar(&o.SlowReaders)
+	cmd.Flag("endless", "Let engines answer some requests with bytes without end.").BoolVar(&o.Endless)
 	cmd.Flag("ignore-evacuations", "Do not check what reaches evacuated failure domains and cold engines, for builds that know of neither.").BoolVar(&o.IgnoreEvacuations)
 	cmd.Flag("ignore-notices", "Do not check what entries send after an engine said that it leaves or rests, for builds that do not read that.").BoolVar(&o.IgnoreNotices)
 	cmd.Flag("edge", "The lovageweir program; default: beside this one.").StringVar(&o.EdgePath)
@@ -71,7 +75,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	fmt.Printf("seed %d: %d requests, %d faults, %d planned stops, %d engines crashed, %v served at entries that were cut off and %v at others, %v while connections were skewed and %v else, %d restores, in the new era after %v, %v served around them and %v else, %d findings, %v\n", r.Seed, r.Requests, len(r.Faults), r.Stops, r.Crashes, r.Cut, r.Others, r.Skewed, r.Even, r.Restores, r.EraTime.Round(time.Millisecond), r.Restored, r.Unrestored, len(r.Findings), time.Since(started).Round(time.Second))
+	fmt.Printf("seed %d: %d requests, %d faults, %d planned stops, %d engines crashed, %v served at entries that were cut off and %v at others, %v while connections were skewed and %v else, %d restores, in the new era after %v, %v served around them and %v else, %v of others served while a customer surged and %v else, %d MB used at most, %d findings, %v\n", r.Seed, r.Requests, len(r.Faults), r.Stops, r.Crashes, r.Cut, r.Others, r.Skewed, r.Even, r.Restores, r.EraTime.Round(time.Millisecond), r.Restored, r.Unrestored, r.Surged, r.Calm, r.PeakMB, len(r.Findings), time.Since(started).Round(time.Second))
 	if finding := r.UnreadFinding(); finding != "" {
 		r.Findings = append(r.Findings, finding)
 	}
--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -102,6 +103,8 @@
 	advertise string
 	store     string
 	faults    float64
+	endless   float64 // share of requests that are answered without end
+	slowdown  int     // how long work takes, in percent of the usual; 0: it does not report that
 	crashOn   string  // body of a request that ends the process; "": none
 	crashPart string  // id of a prompt part that ends the process; "": none
 	limit     float64 // requests a second that it reports as its limit; 0: none
@@ -128,6 +131,13 @@
 	cmd.Flag("events", "Events of a stream.").Default("20").IntVar(&e.config.Events)
 	cmd.Flag("pause", "Pause between events.").Default("20ms").DurationVar(&e.config.Pause)
 	cmd.Flag("faults", "Share of requests that meet a fault.").Default("0").Float64Var(&e.faults)
+	cmd.Flag("endless", "Share of requests that it answers with bytes without end.").Default("0").Float64Var(&e.endless)
+	cmd.Flag("slowdown", "How long its work takes, in percent of the usual, which it reports; 2.5 times as long for 15% of the time. 0: it reports nothing.").Default("0").IntVar(&e.slowdown)
+	cmd.Flag("slots", "Slots; with --capacity, how many requests run at a time.").Default("8").IntVar(&e.config.Slots)
+	cmd.Flag("capacity", "Requests that it holds, running or waiting; 0: any number, all of them running.").Default("0").IntVar(&e.config.Capacity)
+	cmd.Flag("event-bytes", "Bytes added to each event of a stream.").Default("0").IntVar(&e.config.EventBytes)
+	cmd.Flag("padded-ids", "Only streams of requests whose ids begin with this get them.").StringVar(&e.config.PaddedIDs)
+	cmd.Flag("cut-slow", "How long a caller may hold up a stream by not reading; 0: for any time.").Default("0s").DurationVar(&e.config.CutSlowAfter)
 	cmd.Flag("crash-on", "Body of a request that ends the process; none: no request does.").StringVar(&e.crashOn)
 	cmd.Flag("crash-on-part", "Prompt part, but not the last, that ends the process; none: no part does.").StringVar(&e.crashPart)
 	cmd.Flag("limit", "Requests a second that it names in its answers; 0: none.").Default("0").Float64Var(&e.limit)
@@ -144,6 +154,9 @@
 		e.config.Address = e.advertise
 	}
 	e.config.Confidence = confidence
+	if e.slowdown > 0 {
+		e.config.Slowdown = e.slowdownNow
+	}
 	if e.crashOn != "" {
 		e.config.CrashOn = func(body []byte) bool { return string(body) == e.crashOn }
 	}
@@ -187,6 +200,9 @@
 
 // faultOf returns a random fault for the configured share of requests.
 func (e *platformEngine) faultOf(*http.Request) platformtest.Fault {
+	if rand.Float64() < e.endless {
+		return endlessFaults[rand.IntN(len(endlessFaults))]
+	}
 	if rand.Float64() >= e.faults {
 		return platformtest.NoFault
 	}
@@ -195,6 +211,26 @@
 	return all[rand.IntN(len(all))]
 }
 
+// endlessFaults leave out comments, which callers get before the answer is cut off.
+var endlessFaults = slices.DeleteFunc(slices.Clone(platformtest.Endless), func(f platformtest.Fault) bool { return f == platformtest.EndlessComments })
+
+// An engine that shares its machine is slow for slowPeriod of every slowEvery, slowFactor times as slow.
+const (
+	slowEvery  = 4 * time.Second
+	slowPeriod = 600 * time.Millisecond
+	slowFactor = 2.5
+)
+
+// slowdownNow returns how long work takes now, in percent of the usual. Engines are slow at different times.
+func (e *platformEngine) slowdownNow() int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(e.config.ID))
+	if time.Duration(time.Now().UnixNano()+int64(h.Sum32()))%slowEvery < slowPeriod {
+		return int(slowFactor * float64(e.slowdown))
+	}
+	return e.slowdown
+}
+
 // register keeps the engine registered in the store under a lease until ctx ends.
 func (e *platformEngine) register(ctx context.Context, warmAt time.Time) {
 	store := platform.NewStore(e.store)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
@@ -52,6 +51,8 @@
 	slowStart bool
 	fragile   bool // most requests go to the fragile service, and one kind crashes its engines
 	cold      bool // requests that crash engines come from the first moment on
+	surge     surge
+	slow      bool // some callers read slowly
 	restores  bool // some requests have keys that were revoked
 	alone     bool // there are no faults but restores
 	series    bool // some callers keep long streams open, some use a new connection for each request
@@ -69,6 +70,7 @@
 }
 
 func (s *callers) run(ctx context.Context, n int) {
+	s.surge.started = time.Now()
 	var wg sync.WaitGroup
 	for i := range n {
 		wg.Add(1)
@@ -77,12 +79,13 @@
 			s.runCaller(ctx, i)
 		}()
 	}
+	s.surges(ctx, n, &wg)
 	wg.Wait()
 }
 
 func (s *callers) runCaller(ctx context.Context, number int) {
 	rng := rand.New(rand.NewPCG(s.seed, uint64(number)))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	client := newCallerClient(s.readsSlowly(number))
 	defer client.CloseIdleConnections()
 	if s.series && number%longStreamEvery == 0 {
 		s.runLongStreams(ctx, client, number)
@@ -99,7 +102,7 @@
 		if crashesEngines(kind) && !s.cold && time.Since(started) < fragileCalm {
 			kind = kindFragile
 		}
-		s.call(client, e, fmt.Sprintf("r%d-%d-%d", s.seed, number, i), kind)
+		s.call(client, e, fmt.Sprintf("%s%d-%d-%d", s.idPrefix(number), s.seed, number, i), kind)
 		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 	}
 }
@@ -119,6 +122,9 @@
 	req.Host = host
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Credential", apiKey)
+	if strings.HasPrefix(id, surgingIDs) {
+		req.Header.Set("X-Credential", surgingKey)
+	}
 	if kind == kindRevoked {
 		req.Header.Set("X-Credential", keyOf(version-1))
 	}
@@ -136,7 +142,7 @@
 	req = req.WithContext(traceSent(ctx, &sent))
 	resp, err := client.Do(req)
 	if err == nil {
-		raw, readErr := io.ReadAll(resp.Body)
+		raw, readErr := readAnswer(id, resp.Body)
 		resp.Body.Close()
 		r.status, r.body, r.complete = resp.StatusCode, string(raw), readErr == nil
 		r.quarantined = r.status == http.StatusServiceUnavailable && strings.Contains(r.body, "quarantined")
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -105,17 +105,18 @@
 	version      int64
 	processes    []*process
 	ctl          string
-	engineCount  int           // engines of the service that run at a time
-	skew         bool          // entries have a bounded share of a core
-	restores     bool          // the store comes back from copies
-	alone        bool          // there are no other faults
-	cuts         bool          // entries have a proxy between them and all engines
+	engineCount  int  // engines of the service that run at a time
+	skew         bool // entries have a bounded share of a core
+	restores     bool // the store comes back from copies
+	alone        bool // there are no other faults
+	cuts         bool // entries have a proxy between them and all engines
+	options      Options
 	grace        time.Duration // time of entries between SIGTERM and SIGKILL
 }
 
 // newCluster starts the store, engines and entries.
 func newCluster(o Options) (*cluster, error) {
-	c := &cluster{dir: o.Dir, ctl: o.CtlPath, engineCount: o.Engines, skew: o.Skew, cuts: o.Cuts, restores: o.Restores, alone: o.Alone, grace: o.grace()}
+	c := &cluster{dir: o.Dir, ctl: o.CtlPath, engineCount: o.Engines, skew: o.Skew, cuts: o.Cuts, restores: o.Restores, alone: o.Alone, options: o, grace: o.grace()}
 	c.storeAddress = freeAddress()
 	c.store = &process{name: "store", args: []string{c.ctl, "standin", "platform-store", "--listen", c.storeAddress}}
 	if err := c.startProcess(c.store); err != nil {
@@ -189,6 +190,7 @@
 	e := &engine{proxy: proxy, logPath: c.logPath(name), service: service, domain: domain, process: &process{name: name, args: []string{c.ctl, "standin", "platform-engine", "--listen", address,
 		"--advertise", proxy.Address, "--store", c.storeAddress, "--id", name, "--service", service, "--domain", domain, "--software", version, "--cold", coldTimeOf(i).String(),
 		"--faults", c.engineFaults(), "--events", strconv.Itoa(streamEvents), "--pause", eventPause(service).String(), "--work", callWork.String(), "--serves-on", drainTime.String(), "--retry-after", fmt.Sprint(restTime.Seconds()), "--announces-after", announceDelayOf(i).String()}}}
+	e.args = append(e.args, c.options.engineArgs(i)...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.engines = append(c.engines, e)
@@ -223,6 +225,10 @@
 		}
 		extra += fmt.Sprintf("memory_mb: %d\ncpu_share: %g\nlink_mbps: %g\negress_proxy: %q\n", e.memoryMB, e.share, e.link.mbps, e.egress.Address)
 	}
+	if c.options.boundsMemory() {
+		e.memoryMB = loadedEntryMemoryMB
+		extra += fmt.Sprintf("memory_mb: %d\n", e.memoryMB)
+	}
 	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
 	settings := fmt.Sprintf("instance: entry-%d\ndomain: %s\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %g}\n%s",
 		i, domainOf(i), proxy.Address, callers, e.readiness, freeAddress(), freeAddress(), c.grace.Seconds(), extra)
@@ -249,6 +255,9 @@
 		Customers: []fleet.Customer{{Name: "cust", Keys: []string{apiKey, keyOf(c.version)}}}, Limits: fleet.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20},
 		Routes: []fleet.Route{route("post", fleet.NonIdempotent, 1, false), route("get", fleet.Idempotent, 3, false),
 			route("once", fleet.Streaming, 3, false), route("resume", fleet.Streaming, 3, true), route(versionRoute(c.version), fleet.Idempotent, 2, false)}}
+	if c.options.Surge {
+		cfg.Customers = append(cfg.Customers, fleet.Customer{Name: "surging", Keys: []string{surgingKey}})
+	}
 	cfg.Routes[3].Models = []string{"small", "large"}
 	cfg.Services[slowService] = fleet.Service{Name: slowService}
 	long, call := route(kindLong, fleet.Streaming, 1, false), route(kindCall, fleet.NonIdempotent, 1, false)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -94,7 +94,7 @@
 // untilNext returns the time to the next fault.
 func (f *faultInjector) untilNext() time.Duration {
 	d := time.Duration(100+f.rng.IntN(500)) * time.Millisecond
-	if f.skew || f.c.restores {
+	if f.skew || f.c.restores || f.c.options.Surge {
 		d *= rareFaults
 	}
 	return d
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,15 @@
 	// Alone: with Restores, there are no other faults, but engines are replaced, and requests must be
 	// served around restores as at other times.
 	Alone bool
+	// Surge: one customer sends six times its usual demand, again and again, to engines that hold a bounded
+	// number of requests.
+	Surge bool
+	// Unequal: engines differ in speed, are slow at times, and report that.
+	Unequal bool
+	// SlowReaders: some callers read slowly, and engines cut off streams that are not read.
+	SlowReaders bool
+	// Endless: engines answer some requests with bytes without end.
+	Endless bool
 	// IgnoreNotices: requests after an engine said that it leaves or rests are no finding, as some
 	// entries are of a build that does not read that.
 	IgnoreNotices bool
@@ -59,6 +68,10 @@
 	// Restored and Unrestored count the requests around restores of the store, and the others.
 	Restored, Unrestored attemptCount
 	Restores             int
+	// Surged and Calm count the requests of other customers while one surged, and else.
+	Surged, Calm attemptCount
+	// PeakMB is the most memory that an entry used, where that is checked.
+	PeakMB int64
 	// EraTime is the longest time from the store's return until an entry without a fault was in its
 	// new era.
 	EraTime  time.Duration
@@ -71,7 +84,9 @@
 
 // evacuates reports whether failure domains are evacuated. Where entries are cut off, that is so in
 // one seed of three: requests during evacuations are not compared.
-func (o Options) evacuates() bool { return !o.Alone && !o.Skew && (!o.Cuts || o.Seed%3 == 0) }
+func (o Options) evacuates() bool {
+	return !o.Alone && !o.Skew && !o.Surge && (!o.Cuts || o.Seed%3 == 0)
+}
 
 // settle is how long the cluster runs without faults before they start, and at the
 // end, so that requests in flight can finish.
@@ -91,7 +106,7 @@
 	}
 	defer c.stop()
 	time.Sleep(settle)
-	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, cold: o.Cold, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, restores: o.Restores, alone: o.Alone, served: map[string]servedVersion{}}
+	s := &callers{c: c, seed: o.Seed, series: o.Series, fragile: o.Fragile, cold: o.Cold, notices: !o.IgnoreNotices, slowStart: !o.IgnoreEvacuations, restores: o.Restores, alone: o.Alone, slow: o.SlowReaders, surge: surge{on: o.Surge, lasts: min(surgeFor, o.FaultDuration/surgeParts)}, served: map[string]servedVersion{}}
 	f := &faultInjector{c: c, rng: rand.New(rand.NewPCG(o.Seed, 0)), series: o.Series, skew: o.Skew, spareEntries: o.Skew && o.Seed%3 != 0, faulted: map[string][]interval{}, interrupted: map[string][]interval{}, linkFaults: map[string][]interval{}}
 	engineCtx, stopEngines := context.WithCancel(context.Background())
 	defer stopEngines()
@@ -199,6 +214,16 @@
 			s.addFinding("%s", finding)
 		}
 	}
+	var surgeFinding string
+	if surgeFinding, r.Surged, r.Calm = s.checkSurges(f, engineRuns); surgeFinding != "" {
+		s.addFinding("%s", surgeFinding)
+	}
+	if s.c.options.boundsMemory() {
+		for _, finding := range s.c.checkMemory() {
+			s.addFinding("%s", finding)
+		}
+		r.PeakMB = s.c.peakMB()
+	}
 	for _, finding := range s.c.failedStarts() {
 		s.addFinding("%s", finding)
 	}
