--- a/soak/lost.go
+++ b/soak/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -55,6 +56,8 @@
 		return "" // its deadline had passed
 	case q.mayOutlast(s, f.c.grace):
 		return ""
+	case strings.HasPrefix(q.id, slowIDs) && isStream(q.kind) && !mayRepeat(q.kind):
+		return "" // its endpoint cuts it off as its caller does not read, and it may not be resumed
 	case last == nil && q.ended.Sub(q.sent) <= closeRaceWindow:
 		return "" // it was sent while its connection closed
 	case last == nil:
