--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -95,12 +95,11 @@
 		return err
 	}
 	for {
+		if len(a.bytes) == maxAnswerBytes {
+			return expectEnd(r)
+		}
 		if len(a.bytes) == cap(a.bytes) {
-			size := max(firstAnswerBuffer, 2*int64(cap(a.bytes)))
-			if cap(a.bytes) < maxAnswerBytes {
-				size = min(size, maxAnswerBytes)
-			}
-			if err := a.grow(size); err != nil {
+			if err := a.grow(min(max(firstAnswerBuffer, 2*int64(cap(a.bytes))), maxAnswerBytes)); err != nil {
 				return err
 			}
 		}
@@ -115,6 +114,17 @@
 	}
 }
 
+// expectEnd returns nil if nothing follows in a body of maxAnswerBytes.
+func expectEnd(r io.Reader) error {
+	switch _, err := io.ReadFull(r, make([]byte, 1)); {
+	case err == nil:
+		return &upstream.BoundError{Bound: upstream.AnswerBytes}
+	case !errors.Is(err, io.EOF):
+		return err
+	}
+	return nil
+}
+
 // readAnswer reads the whole body. Its memory is held until releaseAnswer.
 func (x *exchange) readAnswer(c *upstreamCall) ([]byte, error) {
 	x.releaseAnswer() // of an earlier attempt
@@ -214,3 +224,10 @@
 	}
 	return n, err
 }
+
+// noteHandoffBound records that another entry's answer exceeded a bound, if it did.
+func (x *exchange) noteHandoffBound(err error) {
+	if bound := upstream.BoundOf(err); bound != "" {
+		x.server.bounds.note(bound, x.metadata.ID, fleet.EndpointID(x.handedTo))
+	}
+}
