--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -1,6 +1,9 @@
 package cascade
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // EscalationPolicy decides which of a route's models answers first, and whether an answer
 // of low confidence is dropped in favour of one of a larger model.
@@ -12,7 +15,8 @@
 //
 // The largest model takes many times the engine time. When engines are
 // overloaded, its answer is late and delays others; then only answers that are
-// almost certainly poor are dropped.
+// almost certainly poor are dropped. Where requests differ in urgency, the time and the
+// capacity are those at the request's own: the least urgent ones yield first.
 type EscalationPolicy struct {
 	// MinConfidence is the confidence, 0 to 100, below which an answer is dropped while
 	// neither time nor engine capacity is short.
@@ -58,6 +62,8 @@
 	EnginesBusy Verdict = "engines busy"
 	// Suspect: endpoints crashed while they held the request.
 	Suspect Verdict = "endpoints crashed under it"
+	// OverShare: the request is in excess of its customer's share of a service that is short of capacity.
+	OverShare Verdict = "over its share"
 	// NoRetry: the retry budget or the number of attempts is exhausted.
 	NoRetry Verdict = "no repeat"
 )
@@ -71,11 +77,29 @@
 	// Utilization is the number of requests that run and wait at the service's engines, as
 	// a fraction of their slots, by their latest reports.
 	Utilization float64
+	// Urgent is set while the service is short of capacity and its requests differ in urgency; engines then serve
+	// them by urgency, and the figures over all of them do not apply. nil: they do.
+	Urgent *UrgentEstimate
+	// InExcess: the request is in excess of its customer's share, and the service is short of capacity.
+	InExcess bool
+}
+
+// UrgentEstimate is the part of an estimate that depends on the urgency of the request.
+type UrgentEstimate struct {
+	// Wait is the larger of the known wait at the chosen engine and the present delay at the request's urgency.
+	Wait time.Duration
+	// Shortage, 0 to 1, is that among requests at least as urgent.
+	Shortage float64
+	// Cost is the engine time of the larger model in relation to its mean for requests of the same urgency.
+	Cost float64
 }
 
 // headroom is the capacity left for a larger model's answer, from 1 at relaxedLoad
-// or less to 0 at maxLoad or more.
+// or less to 0 at maxLoad or more. By urgency it is what is not short, and less for a costlier answer.
 func (e Estimate) headroom() float64 {
+	if u := e.Urgent; u != nil {
+		return math.Pow(1-min(1, max(0, u.Shortage)), u.Cost)
+	}
 	return min(1, max(0, (maxLoad-e.Utilization)/(maxLoad-relaxedLoad)))
 }
 
@@ -84,7 +108,11 @@
 	if e.Objective <= 0 {
 		return 1
 	}
-	return 1 - float64(e.Elapsed+waitFactor*e.Wait+e.First)/float64(e.Objective)
+	wait := waitFactor * e.Wait
+	if e.Urgent != nil {
+		wait = e.Urgent.Wait
+	}
+	return 1 - float64(e.Elapsed+wait+e.First)/float64(e.Objective)
 }
 
 // First returns the index of the model that a request starts with.
@@ -103,6 +131,9 @@
 // Decide decides whether to ask the larger model, by the time left and the engines'
 // load.
 func (p EscalationPolicy) Decide(confidence int, e Estimate) Verdict {
+	if e.InExcess {
+		return OverShare
+	}
 	slack := e.slack()
 	if slack < minSlack {
 		return NoTime
--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -60,3 +60,33 @@
 		}
 	})
 }
+
+// Guards against the wait of less urgent requests taking the larger model from urgent ones: it counts only where
+// requests do not differ in urgency.
+func TestUrgentRequestsAreJudgedByTheirOwnDelay(t *testing.T) {
+	is := is.New(t)
+	p := EscalationPolicy{MinConfidence: DefaultMinConfidence}
+	e := idleEstimate()
+	e.Wait, e.Utilization = time.Second, maxLoad
+	is.Equal(p.Decide(10, e), NoTime)
+	e.Urgent = &UrgentEstimate{Wait: 100 * time.Millisecond, Cost: 1}
+	is.Equal(p.Decide(10, e), Escalate)
+	e.Urgent.Wait = 1700 * time.Millisecond
+	is.Equal(p.Decide(10, e), NoTime)
+	e.Urgent = &UrgentEstimate{Shortage: 1, Cost: 1}
+	is.Equal(p.Decide(0, e), EnginesBusy)
+}
+
+// A costly request of an urgency yields before a cheap one, and one in excess gets no larger model at all.
+func TestCostlyRequestsYieldFirst(t *testing.T) {
+	is := is.New(t)
+	p := EscalationPolicy{MinConfidence: DefaultMinConfidence}
+	e := idleEstimate()
+	e.Urgent = &UrgentEstimate{Shortage: 0.5, Cost: 0.5}
+	is.Equal(p.Decide(30, e), Escalate)
+	e.Urgent.Cost = 2
+	is.Equal(p.Decide(30, e), EnginesBusy)
+	is.Equal(p.Decide(5, e), Escalate) // the most doubt
+	e.InExcess = true
+	is.Equal(p.Decide(5, e), OverShare)
+}
--- a/edge/module.go
+++ b/edge/module.go
@@ -30,6 +30,7 @@
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/shares"
 	"github.com/lovageweir/lovageweir/slowstart"
 	"github.com/lovageweir/lovageweir/upstream"
 )
@@ -117,6 +118,7 @@
 			newSlowStart,
 			newLoadExchange,
 			newBudget,
+			newShares,
 			newQuarantine,
 			newMesh,
 			drain.NewGate,
@@ -198,8 +200,16 @@
 	return slowstart.New(slowstart.Deps{Instance: s.Instance, Entries: func() []fleet.Entry { return f.View().Entries }, Clock: clock, Scope: m.Scope.SubScope("slowstart")})
 }
 
-func newLoadExchange(s *Settings, f *fleet.Follower, board *place.Board, rates *place.Rates, budget *retry.Budget, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *mesh.LoadExchange {
-	return mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Rates: rates, Budget: budget, Limits: limits,
+// newShares returns the table of delays and shares; nil: they are turned off.
+func newShares(s *Settings, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *shares.Table {
+	if !s.Shares.Enabled {
+		return nil
+	}
+	return shares.New(shares.Deps{Clock: clock, Log: log, Scope: m.Scope.SubScope("shares")})
+}
+
+func newLoadExchange(s *Settings, f *fleet.Follower, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, limits *ratelimit.Limits, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *mesh.LoadExchange {
+	return mesh.NewLoadExchange(mesh.LoadExchangeDeps{Instance: s.Instance, Domain: s.Domain, Address: s.Listen.Loads, Fleet: f, Board: board, Rates: rates, Budget: budget, Shares: table, Limits: limits,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("mesh")})
 }
 
@@ -234,9 +244,9 @@
 	return &egress.Server{Dialer: d, Gate: gate, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
 }
 
-func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
+func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
 	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
-	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Shares: table, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
 		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -37,6 +37,14 @@
 	// empty: none.
 	EgressProxy string `yaml:"egress_proxy"`
 	Bounds      Bounds `yaml:"bounds"`
+	Shares      Shares `yaml:"shares"`
+}
+
+// Shares are the settings of customers' shares and of delays by urgency.
+type Shares struct {
+	// Enabled: requests are told apart by urgency and by their customers' shares while a service is short of
+	// capacity.
+	Enabled bool `yaml:"enabled"`
 }
 
 // Listen holds the addresses that an entry listens on, host:port.
@@ -80,7 +88,7 @@
 // defaults returns the values of omitted settings; the bounds are those of the
 // users' platform.
 func defaults() *Settings {
-	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}}
+	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}, Shares: Shares{Enabled: true}}
 }
 
 // Load reads and validates a settings file.
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -55,6 +55,19 @@
 	is.True(strings.Contains(err.Error(), "memory"))
 }
 
+// Shares are on unless they are turned off: an omitted section must not turn them off.
+func TestSharesAreOnByDefault(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(validSettings))
+	is.NoErr(err)
+	is.True(s.Shares.Enabled)
+	s, err = Parse([]byte(validSettings + "shares: {enabled: false}\n"))
+	is.NoErr(err)
+	is.True(!s.Shares.Enabled)
+	_, err = Parse([]byte(validSettings + "shares: {enabled: often}\n"))
+	is.True(err != nil)
+}
+
 func FuzzSettings(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte("listen: 5"))
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/shares"
 	"github.com/lovageweir/lovageweir/upstream"
 )
 
@@ -50,6 +51,7 @@
 	route    *fleet.Route
 	customer *fleet.Customer
 	service  string
+	share    *shares.Standing // as of the first send; nil: not sent yet
 	body     []byte
 	hasBody  bool
 	// bodyReserved is the memory reserved for the body, in bytes.
@@ -424,6 +426,7 @@
 	}
 	if tokens > 0 && took > 0 {
 		s.Board.ObserveWait(x.target(), took-a.Expected)
+		x.observeDelay(took - a.Expected)
 	}
 	usual := s.Rollouts.Observe(a)
 	if failed {
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -167,15 +167,20 @@
 	return place.Hash(shared[len(shared)-1].ID, x.modelName())
 }
 
-// urgency returns the request's priority at the engines: the customer's priority
-// overrides the route's. An engine that gets none assumes 5.
+// urgency returns the request's priority at the engines, which is the last one while the request is in excess of
+// its customer's share. An engine that gets none assumes 5.
 func (x *exchange) urgency() (int, bool) {
 	if x.route.Kind != fleet.Streaming {
 		return 0, false
 	}
+	return x.standing().Urgency, true
+}
+
+// ownUrgency returns the urgency of the request itself: the customer's priority overrides the route's.
+func (x *exchange) ownUrgency() int {
 	p := x.route.Priority
 	if x.customer != nil && x.customer.Priority != nil {
 		p = *x.customer.Priority
 	}
-	return min(max(2*p+2, 0), 9), true
+	return min(max(2*p+2, 0), 9)
 }
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -110,6 +110,7 @@
 	if x.metadata.Usage.Prompt > 0 {
 		attrs = append(attrs, slog.Int("prompt_tokens", x.metadata.Usage.Prompt))
 	}
+	attrs = append(attrs, x.standingAttrs()...)
 	if late := s.Overload.Lateness(); late > 0 {
 		attrs = append(attrs, slog.Int64("late_ms", late.Milliseconds()), slog.Int64("link_wait_ms", s.Overload.LinkWait().Milliseconds()))
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -26,6 +26,7 @@
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/shares"
 	"github.com/lovageweir/lovageweir/slowstart"
 	"github.com/lovageweir/lovageweir/upstream"
 )
@@ -52,6 +53,7 @@
 	Board       *place.Board
 	Rates       *place.Rates
 	Budget      *retry.Budget
+	Shares      *shares.Table // nil: requests are not told apart by urgency and customer
 	Rollouts    *rollout.Controller
 	// Quarantine holds the requests that crash endpoints.
 	Quarantine *quarantine.Table
@@ -271,6 +273,7 @@
 	x.deadline = x.received.Add(x.timeLimit())
 	if !x.isHandedOff() { // it is counted where its caller sent it
 		s.Budget.AddRequest(x.target())
+		s.Shares.AddDemand(x.target(), x.customerName(), x.engineTime(x.modelName()))
 	}
 	return nil
 }
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -77,7 +77,7 @@
 // stopping process sends no copies, as they would end with it. A request that may
 // have crashed an endpoint is not copied either.
 func (x *exchange) mayCopy() bool {
-	return !x.copied && !x.suspect() && !x.server.Gate.Stopping() && x.route.MayRepeat() && x.runs+2 < x.route.MaxAttempts && x.metadata.ResumeAfter == "" &&
+	return !x.copied && !x.suspect() && !x.standing().InExcess && !x.server.Gate.Stopping() && x.route.MayRepeat() && x.runs+2 < x.route.MaxAttempts && x.metadata.ResumeAfter == "" &&
 		x.metadata.Usage.Output >= minTrialOutput && x.server.Rates.PrefillTime(x.trialModel(), x.metadata.Usage.Prompt) <= maxTrialPromptTime
 }
 
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -91,7 +91,7 @@
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(maxGapFactor * float64(x.route.MaxGap))}
 	expected := x.server.Board.Standing(id).Wait + x.server.Rates.TimeToFirstEvent(x.modelName(), x.metadata.Usage.Prompt)
-	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack)
+	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack) + x.usualDelay()
 	return l
 }
 
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -17,6 +17,7 @@
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
+	"github.com/lovageweir/lovageweir/shares"
 )
 
 // Publishing of loads.
@@ -58,6 +59,7 @@
 	Board            *place.Board
 	Rates            *place.Rates // nil: no estimates are exchanged
 	Budget           *retry.Budget
+	Shares           *shares.Table // nil: no delays and demands are exchanged
 	Limits           *ratelimit.Limits
 	Clock            clockwork.Clock
 	Log              *slog.Logger
@@ -194,7 +196,7 @@
 	}
 }
 
-// Datagram encodes what this entry publishes now; empty reports that it carries no work, loads or limits.
+// Datagram encodes what this entry publishes now; empty reports that it carries no work, loads, limits, delays or demand.
 func (l *LoadExchange) Datagram() (raw []byte, empty bool, err error) {
 	msg := &meshpb.Load{Instance: l.Instance, GrantsLimits: true}
 	for id, work := range l.Board.Outstanding() {
@@ -214,6 +216,7 @@
 		msg.LoadAgeMs = append(msg.LoadAgeMs, uint32(r.Age.Milliseconds()))
 	}
 	l.addLimits(msg)
+	l.addDelays(msg)
 	l.addAnswers(msg)
 	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited)+len(msg.AnsweredModel) == 0
 	for _, c := range l.Budget.Counts() {
@@ -222,6 +225,8 @@
 		msg.Repeats = append(msg.Repeats, uint32(c.Repeats))
 		msg.Failures = append(msg.Failures, uint32(c.Failures))
 	}
+	l.addDemands(msg)
+	empty = empty && len(msg.DelayService)+len(msg.DemandService) == 0
 	raw, err = proto.Marshal(msg)
 	return raw, empty, err
 }
@@ -286,12 +291,13 @@
 			Count: retry.Count{Requests: float64(msg.Requests[i]), Repeats: float64(msg.Repeats[i]), Failures: float64(msg.Failures[i])}})
 	}
 	l.Budget.ReceiveCounts(msg.Instance, counts)
+	l.receiveShares(&msg)
 }
 
 // columnsMatch reports whether the parallel arrays of a datagram have equal lengths.
 func columnsMatch(msg *meshpb.Load) bool {
 	loads, services, limits, answers := len(msg.Loaded), len(msg.Service), len(msg.Limited), len(msg.AnsweredModel)
-	return len(msg.Endpoint) == len(msg.WorkMs) &&
+	return shareColumnsMatch(msg) && len(msg.Endpoint) == len(msg.WorkMs) &&
 		loads == len(msg.Running) && loads == len(msg.Waiting) && loads == len(msg.LoadAgeMs) &&
 		services == len(msg.Requests) && services == len(msg.Repeats) && services == len(msg.Failures) &&
 		limits == len(msg.Limit) && limits == len(msg.LimitAgeMs) && limits == len(msg.Sent) &&
