--- a/edge/serve.go
+++ b/edge/serve.go
@@ -25,6 +25,7 @@
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
+	"github.com/lovageweir/lovageweir/shares"
 )
 
 // Times of a graceful shutdown.
@@ -69,6 +70,7 @@
 	Rollouts        *rollout.Controller
 	QuarantineTable *quarantine.Table
 	Limits          *ratelimit.Limits
+	Shares          *shares.Table
 	Egress          *egress.Dialer
 	Tunnels         *egress.Server
 	Unread          *unreadConnections
@@ -99,6 +101,8 @@
 	Quarantine quarantine.State `json:"quarantine"`
 	// Limits are the rate limits that endpoints report.
 	Limits []ratelimit.EndpointState `json:"limits"`
+	// Shares are the delays by urgency and the demand of customers.
+	Shares shares.State `json:"shares"`
 	// Egress is the state of the links to endpoints.
 	Egress egress.State `json:"egress"`
 	// Evacuated are the failure domains whose endpoints get no requests.
@@ -124,7 +128,7 @@
 	v := p.Fleet.View()
 	d := Dump{Instance: p.EntrySettings.Instance, Domain: p.EntrySettings.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
 		InFlight: p.Gate.InFlight(), Revision: v.Revision.Number(), Era: int64(v.Revision.Era()), StoreEra: int64(p.Fleet.StoreEra()), AgeMS: -1, Away: p.Fleet.StoreUnreachable(), Entries: v.Entries,
-		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Egress: p.Egress.State()}
+		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Shares: p.Shares.State(), Egress: p.Egress.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -188,6 +188,9 @@
 	c.ticket.End(o)
 	a := &x.attempts[c.attemptIndex]
 	a.outcome, a.cause = o, cause
+	if cause == noFirstEvent {
+		x.observeNoFirstEvent(a)
+	}
 	x.server.metrics.attempt(o)
 	c.permit.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
 }
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/shares"
 )
 
@@ -79,6 +80,13 @@
 	}
 }
 
+// observeNoFirstEvent records the delay of a call that was cancelled because it had no first event. Without these, delays
+// over the limit would never be seen and the limit would not grow.
+func (x *exchange) observeNoFirstEvent(a *attempt) {
+	waited := x.server.Clock.Since(x.received) - a.begun
+	x.observeDelay(waited - x.server.Rates.TimeToFirstEvent(a.model, x.metadata.Usage.Prompt))
+}
+
 // standingAttrs returns what the request's log line tells of its standing, while its service was short of capacity.
 func (x *exchange) standingAttrs() []slog.Attr {
 	st := x.share
@@ -88,3 +96,12 @@
 	return []slog.Attr{slog.Int("urgency", st.Urgency), slog.Int("delay_permille", int(1000*st.Delay)), slog.Int("shortage_permille", int(1000*st.Shortage)),
 		slog.Int("service_shortage_permille", int(1000*st.ServiceShortage)), slog.Bool("in_excess", st.InExcess)}
 }
+
+// qualityPurpose returns the purpose of asking a larger model: under shortage, urgent requests come first.
+func (x *exchange) qualityPurpose() retry.Purpose {
+	st := x.standing()
+	if !st.SeveralUrgencies {
+		return retry.ForQuality
+	}
+	return retry.QualityUnder(st.Shortage)
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -108,7 +108,7 @@
 	if verdict == cascade.Escalate && x.suspect() {
 		verdict = cascade.Suspect
 	}
-	if verdict == cascade.Escalate && !x.mayRetry(retry.ForQuality) {
+	if verdict == cascade.Escalate && !x.mayRetry(x.qualityPurpose()) {
 		verdict = cascade.NoRetry
 	}
 	if verdict == cascade.Escalate && !x.reserveModel(ctx, next, c.endpoint.ID) {
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -233,6 +233,9 @@
 	return l
 }
 
+// noFirstEvent is why a call was cancelled whose first event did not come in time.
+const noFirstEvent = "no first event in time"
+
 // exceeded returns which limit a call has exceeded; empty: none.
 func (l watchLimits) exceeded(waited, sinceLast time.Duration, unreachable bool) string {
 	switch {
@@ -241,7 +244,7 @@
 	case l.reachable && unreachable:
 		return "endpoint or the path to it is lost"
 	case l.first > 0 && sinceLast < 0 && waited > l.first:
-		return "no first event in time"
+		return noFirstEvent
 	case l.gap > 0 && sinceLast > l.gap:
 		return "no further event in time"
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -42,6 +42,20 @@
 	ForTrial Purpose = 0.7
 )
 
+// QualityUnder returns the purpose of a quality repeat while capacity is short: shortage, 0 to 1, is that among requests
+// at least as urgent. The shorter, the more room such repeats leave for those after failures and for larger models of
+// more urgent requests.
+func QualityUnder(shortage float64) Purpose {
+	return ForQuality - Purpose(min(1, max(0, shortage)))*(ForQuality-leastQuality)
+}
+
+// leastQuality is the share of the bound that quality repeats may use up at the greatest shortage; more than that for
+// trial copies.
+const leastQuality = ForTrial + 0.01
+
+// quality reports whether repeats of a purpose are for quality.
+func (p Purpose) quality() bool { return p >= leastQuality && p <= ForQuality }
+
 // reservedPerFailure is how many further repeats after failures are expected for each one
 // in the last recentBuckets buckets; quality repeats leave room for them. Failures come in
 // bursts: when half of the endpoints of a service crashed, quality repeats used up the budget
@@ -160,7 +174,7 @@
 
 // usedFor returns the repeats charged against the share of a purpose.
 func (c Count) usedFor(purpose Purpose) float64 {
-	if purpose == ForQuality {
+	if purpose.quality() {
 		return c.Repeats + reservedPerFailure*c.Failures
 	}
 	return c.Repeats
--- a/shares/table.go
+++ b/shares/table.go
@@ -141,13 +141,18 @@
 	st.Delay = s.delays[st.Urgency].mean(slot)
 	st.Shortage = s.shortage(st.Urgency, slot)
 	st.ServiceShortage = s.shortage(LeastUrgent, slot)
+	st.SeveralUrgencies = s.severalUrgencies(now)
+}
+
+// severalUrgencies reports whether this entry's requests for the service differ in urgency.
+func (s *service) severalUrgencies(now time.Time) bool {
 	n := 0
 	for _, at := range s.asked {
 		if !at.IsZero() && now.Sub(at) < askedWithin {
 			n++
 		}
 	}
-	st.SeveralUrgencies = n > 1
+	return n > 1
 }
 
 func clampUrgency(urgency int) int { return min(max(urgency, 0), LeastUrgent) }
