--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -77,8 +77,8 @@
 	// Utilization is the number of requests that run and wait at the service's engines, as
 	// a fraction of their slots, by their latest reports.
 	Utilization float64
-	// Urgent is set while the service is short of capacity and its requests differ in urgency; engines then serve
-	// them by urgency, and the figures over all of them do not apply. nil: they do.
+	// Urgent is set while requests wait and differ in urgency; engines then serve them by urgency, and the figures over
+	// all of them do not apply. nil: they do.
 	Urgent *UrgentEstimate
 	// InExcess: the request is in excess of its customer's share, and the service is short of capacity.
 	InExcess bool
@@ -86,7 +86,7 @@
 
 // UrgentEstimate is the part of an estimate that depends on the urgency of the request.
 type UrgentEstimate struct {
-	// Wait is the larger of the known wait at the chosen engine and the present delay at the request's urgency.
+	// Wait is the present delay at the request's urgency, or the known wait at the chosen engine if that is longer.
 	Wait time.Duration
 	// Shortage, 0 to 1, is that among requests at least as urgent.
 	Shortage float64
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -55,7 +55,7 @@
 // capacity. If all engines are equally busy, a request that is sent again only adds load.
 func (x *exchange) usualDelay() time.Duration {
 	st := x.standing()
-	if st.ServiceShortage == 0 {
+	if !st.Short {
 		return 0
 	}
 	return time.Duration(st.Delay * float64(x.route.Objective))
@@ -65,12 +65,12 @@
 // wait is that at the chosen engine.
 func (x *exchange) addStanding(e *cascade.Estimate, wait time.Duration) {
 	st := x.standing()
-	e.InExcess = st.InExcess && st.ServiceShortage > 0
+	e.InExcess = st.InExcess && st.Short
 	cost := x.server.Shares.CostRatio(x.target(), st.Urgency, x.engineTime(x.modelName()))
-	if st.ServiceShortage == 0 || !st.SeveralUrgencies {
+	if !st.ByUrgency {
 		return
 	}
-	e.Urgent = &cascade.UrgentEstimate{Wait: max(wait, time.Duration(st.Delay*float64(x.route.Objective))), Shortage: st.Shortage, Cost: cost}
+	e.Urgent = &cascade.UrgentEstimate{Wait: st.Wait(wait, x.route.Objective), Shortage: st.Shortage, Cost: cost}
 }
 
 // observeDelay records the delay of an answer's first event at the urgency that the request was sent with.
@@ -90,11 +90,11 @@
 // standingAttrs returns what the request's log line tells of its standing, while its service was short of capacity.
 func (x *exchange) standingAttrs() []slog.Attr {
 	st := x.share
-	if st == nil || st.ServiceShortage == 0 {
+	if st == nil || !st.Short && !st.ByUrgency {
 		return nil
 	}
 	return []slog.Attr{slog.Int("urgency", st.Urgency), slog.Int("delay_permille", int(1000*st.Delay)), slog.Int("shortage_permille", int(1000*st.Shortage)),
-		slog.Int("service_shortage_permille", int(1000*st.ServiceShortage)), slog.Bool("in_excess", st.InExcess)}
+		slog.Int("service_shortage_permille", int(1000*st.ServiceShortage)), slog.Bool("by_urgency", st.ByUrgency), slog.Bool("in_excess", st.InExcess)}
 }
 
 // qualityPurpose returns the purpose of asking a larger model: under shortage, urgent requests come first.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -151,8 +151,8 @@
 		e.Wait = max(best.Standing.Wait, x.server.Board.MeanWait(x.target()))
 		e.Utilization = x.server.Board.Utilization(x.target())
 		e.First = x.server.Rates.TimeToFirstEvent(x.modelName(), x.metadata.Usage.Prompt)
-		x.addStanding(&e, best.Standing.Wait)
 	}
+	x.addStanding(&e, best.Standing.Wait)
 	x.model = previous
 	return e, ref
 }
--- a/shares/delays.go
+++ b/shares/delays.go
@@ -30,6 +30,8 @@
 	slots [delaySlots]delaySlot
 	// sinceSent are the answers to this entry since its last datagram.
 	sinceSent delaySum
+	// objective is that of the last answer to this entry; 0: unknown.
+	objective time.Duration
 	// costs is the mean engine time of the larger models that requests were considered for, in seconds; 0: unknown.
 	costs float64
 }
@@ -99,6 +101,7 @@
 	d := &s.delays[clampUrgency(urgency)]
 	d.add(t.delaySlot(now), 1, fraction)
 	d.sinceSent.add(1, fraction)
+	d.objective = objective
 	t.noteShortageLocked(s, now)
 }
 
@@ -174,30 +177,49 @@
 	return min(maxCostRatio, max(minCostRatio, ratio))
 }
 
-// shortageHold is how long a service is reported as short after its last shortage, which bounds the log.
-const shortageHold = 2 * time.Second
+// shortageHold is how long a service counts as short of capacity after its last shortage. Decisions by urgency end a
+// shortage as soon as the least urgent requests yield; if those for a service with capacity applied at once, the wait of
+// these requests would take the larger models from urgent ones until the shortage is back.
+const shortageHold = 5 * time.Second
+
+// shortAt reports whether the service counts as short of capacity.
+func (s *service) shortAt(now time.Time) bool { return now.Before(s.shortUntil) }
 
 // noteShortageLocked logs when a service becomes short of capacity.
 func (t *Table) noteShortageLocked(s *service, now time.Time) {
-	if s.name == "" {
-		return // this entry has no requests for it
-	}
 	slot := t.delaySlot(now)
+	if s.delaysUnequal(slot) {
+		s.unequalUntil = now.Add(shortageHold)
+	}
 	if s.shortage(LeastUrgent, slot) == 0 {
 		t.noteCapacityLocked(s, now)
 		return
 	}
 	s.shortUntil = now.Add(shortageHold)
-	if !s.short {
+	if !s.short && s.name != "" {
 		s.short = true
 		t.Scope.Counter("shortages_total").Inc(1)
 		t.Log.Info("shares: service is short of capacity.", "service", s.name, "delays_permille", s.delaysPermille(slot))
 	}
 }
 
+// delaysUnequal reports whether the mean delay at some urgency would be a shortage at the service's strictest objective.
+// Objectives differ: a wait that is short for requests with six seconds is all the time of those with one and a half.
+func (s *service) delaysUnequal(slot int64) bool {
+	strictest, longest := time.Duration(0), 0.0
+	for u := range s.delays {
+		d := &s.delays[u]
+		if d.objective > 0 && (strictest == 0 || d.objective < strictest) {
+			strictest = d.objective
+		}
+		longest = max(longest, d.mean(slot)*float64(d.objective))
+	}
+	return strictest > 0 && longest > shortageFrom*float64(strictest)
+}
+
 // noteCapacityLocked logs when a service is no longer short of capacity.
 func (t *Table) noteCapacityLocked(s *service, now time.Time) {
-	if s.short && now.After(s.shortUntil) {
+	if s.short && !s.shortAt(now) {
 		s.short = false
 		t.Log.Info("shares: service has capacity again.", "service", s.name, "delays_permille", s.delaysPermille(t.delaySlot(now)))
 	}
--- a/shares/demand.go
+++ b/shares/demand.go
@@ -229,16 +229,23 @@
 	}
 }
 
-// usualRate returns the usual demand of a customer; known: there were enough samples.
+// usualRate returns the usual demand of a customer; known: there were enough samples. It is the median over the slots,
+// so that a customer's demand of some seconds does not become its usual one while it lasts.
 func (t *Table) usualRate(d *demand) (rate float64, known bool) {
-	n, sum := 0, 0.0
-	for i := range t.usual.counts {
-		if int64(i) != t.usual.slot%(usualSlots+1) {
-			n += t.usual.counts[i]
-			sum += float64(d.usual[i])
+	var rates [usualSlots]float64
+	n, samples := 0, 0
+	for i, count := range t.usual.counts {
+		if count > 0 && int64(i) != t.usual.slot%(usualSlots+1) {
+			rates[n] = float64(d.usual[i]) / float64(count)
+			n++
+			samples += count
 		}
 	}
-	return sum / float64(max(1, n)), n >= minSamples
+	slices.Sort(rates[:n])
+	if n > 0 {
+		rate = (rates[(n-1)/2] + rates[n/2]) / 2
+	}
+	return rate, samples >= minSamples
 }
 
 // claim is the demand of one customer for the computation of shares.
@@ -258,21 +265,23 @@
 		claims[k.service] = append(claims[k.service], c)
 		byDemand[d] = c
 	}
-	shortages := map[uint32]float64{}
 	worst := 0.0
-	for hash, s := range t.services {
-		shortages[hash] = s.shortage(LeastUrgent, t.delaySlot(now))
-		worst = max(worst, shortages[hash])
+	for _, s := range t.services {
+		worst = max(worst, s.shortage(LeastUrgent, t.delaySlot(now)))
 		t.noteCapacityLocked(s, now)
 	}
 	for hash, of := range claims {
-		share(of, known, shortages[hash])
+		shortage := 0.0
+		if s := t.services[hash]; s != nil {
+			shortage = s.shortage(LeastUrgent, t.delaySlot(now))
+		}
+		share(of, known, shortage)
 	}
 	t.overShare = 0
 	for k, d := range t.demands {
 		c := byDemand[d]
 		d.excess = float32(c.excess())
-		t.noteOverShareLocked(k, d, c, shortages[k.service])
+		t.noteOverShareLocked(k, d, c, now)
 	}
 	t.Scope.Gauge("shortage").Update(worst)
 	t.Scope.Gauge("customers_over_share").Update(float64(t.overShare))
@@ -280,25 +289,35 @@
 
 // noteOverShareLocked logs when a customer of a service that is short of capacity gets over its share, and when it is
 // back within it.
-func (t *Table) noteOverShareLocked(k demandKey, d *demand, c *claim, shortage float64) {
-	if d.excess > 0 && shortage > 0 {
-		t.overShare++
-	}
+func (t *Table) noteOverShareLocked(k demandKey, d *demand, c *claim, now time.Time) {
 	s := t.services[k.service]
 	if s == nil || d.customer == "" {
 		return // not seen at this entry
 	}
+	isOver := d.excess > 0 && s.shortAt(now)
+	if isOver {
+		t.overShare++
+	}
 	switch {
-	case !d.isOver && d.excess > 0 && shortage > 0:
+	case !d.isOver && isOver:
 		d.isOver = true
 		t.Log.Info("shares: customer is over its share.", "service", s.name, "customer", d.customer, "demand", int(c.recent), "usual", int(c.usual),
-			"share", int(c.share), "excess_permille", int(1000*d.excess), "shortage_permille", int(1000*shortage), "entries", len(t.told)+1)
+			"share", int(c.share), "excess_permille", int(1000*d.excess), "shortage_permille", int(1000*s.shortage(LeastUrgent, t.delaySlot(now))), "entries", len(t.told)+1,
+			"oldest_ms", t.oldestTold(now).Milliseconds())
 	case d.isOver && d.excess == 0:
 		d.isOver = false
 		t.Log.Info("shares: customer is within its share.", "service", s.name, "customer", d.customer, "demand", int(c.recent), "usual", int(c.usual), "share", int(c.share))
 	}
 }
 
+// oldestTold returns the age of the oldest demand told by another entry that is included.
+func (t *Table) oldestTold(now time.Time) (oldest time.Duration) {
+	for _, told := range t.told {
+		oldest = max(oldest, now.Sub(told.at))
+	}
+	return oldest
+}
+
 // excess returns the part of the demand that is over the share.
 func (c *claim) excess() float64 {
 	if c.recent <= tolerance*c.share {
--- a/shares/table.go
+++ b/shares/table.go
@@ -58,9 +58,11 @@
 	// asked is when this entry last had a request of each urgency, as its route and customer set it.
 	asked [urgencies]time.Time
 	used  time.Time
-	// short is the shortage as logged; shortUntil is when it counts as over unless it is seen again.
+	// short: the service is short of capacity as logged; shortUntil is when it counts as over unless it is seen again.
 	short      bool
 	shortUntil time.Time
+	// unequalUntil is when the delays of less urgent requests no longer matter to requests of the strictest objective.
+	unequalUntil time.Time
 }
 
 func (t *Table) serviceLocked(hash uint32, now time.Time) *service {
@@ -87,13 +89,18 @@
 	Delay float64
 	// Shortage, 0 to 1, is that among requests at least as urgent as Urgency.
 	Shortage float64
-	// ServiceShortage is the shortage among all requests of the service.
+	// ServiceShortage is the shortage among all requests of the service. Short: it is above 0, or was within the last
+	// seconds.
 	ServiceShortage float64
+	Short           bool
 	// OverShare: the request is in the part of its customer's demand that is over the share. InExcess: it is, and the
 	// service is short of capacity.
 	OverShare, InExcess bool
 	// SeveralUrgencies: the service's requests differ in urgency.
 	SeveralUrgencies bool
+	// ByUrgency: they do, and the delays at some urgency are, or were within the last seconds, a shortage in relation to
+	// the service's strictest objective. A mean delay over all requests does not apply then.
+	ByUrgency bool
 }
 
 // askedWithin is how long an urgency counts as one of the service's after its last request.
@@ -112,11 +119,11 @@
 	t.refreshLocked(now)
 	s := t.namedLocked(name, now)
 	s.asked[urgency] = now
-	out := Standing{Urgency: urgency, ServiceShortage: s.shortage(LeastUrgent, t.delaySlot(now))}
+	out := Standing{Urgency: urgency}
 	if d := t.demands[demandKey{hashOf(name), hashOf(customer)}]; d != nil {
 		out.OverShare = idFraction(id) < float64(d.excess)
 	}
-	if out.OverShare && out.ServiceShortage > 0 {
+	if out.OverShare && s.shortAt(now) {
 		out.InExcess, out.Urgency = true, LeastUrgent
 	}
 	t.fillDelaysLocked(s, &out, now)
@@ -140,8 +147,9 @@
 	slot := t.delaySlot(now)
 	st.Delay = s.delays[st.Urgency].mean(slot)
 	st.Shortage = s.shortage(st.Urgency, slot)
-	st.ServiceShortage = s.shortage(LeastUrgent, slot)
+	st.ServiceShortage, st.Short = s.shortage(LeastUrgent, slot), s.shortAt(now)
 	st.SeveralUrgencies = s.severalUrgencies(now)
+	st.ByUrgency = st.SeveralUrgencies && (st.Short || now.Before(s.unequalUntil))
 }
 
 // severalUrgencies reports whether this entry's requests for the service differ in urgency.
@@ -161,3 +169,14 @@
 
 // idFraction maps a request's id to a number from 0 to 1.
 func idFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
+// maxWaitFactor bounds the known wait at an endpoint by the delay at the request's urgency: the work that waits there is
+// also that of less urgent requests, which are served later.
+const maxWaitFactor = 2
+
+// Wait returns how long a request is expected to wait, by the known wait at the endpoint for it and the delay at its
+// urgency.
+func (s Standing) Wait(known, objective time.Duration) time.Duration {
+	delay := time.Duration(s.Delay * float64(objective))
+	return max(delay, min(known, maxWaitFactor*delay))
+}
--- a/shares/table_test.go
+++ b/shares/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -213,3 +214,35 @@
 		is.Equal(strings.Count(logs.String(), want), 1)
 	}
 }
+
+// Guards against a table that outgrows the memory of a small entry: 300 entries, 2,000 customers.
+func TestMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	names := make([]string, 2000)
+	for i := range names {
+		names[i] = fmt.Sprint("customer-", i)
+	}
+	before := heap()
+	table := New(Deps{Clock: clock})
+	for i, name := range names {
+		table.AddDemand(svc, name, time.Duration(i+1)*time.Millisecond)
+	}
+	rows := table.Demands()
+	for i := range 300 {
+		from := rows[i : i+80] // as many as fit a datagram
+		table.ReceiveDemands(fmt.Sprint("entry-", i), append([]DemandRow(nil), from...))
+		table.ReceiveDelays([]DelayRow{{hashOf(svc), 2, 10, 100}, {hashOf(svc), 4, 10, 100}, {hashOf(svc), 6, 10, 100}})
+	}
+	rows = nil
+	used := heap() - before
+	t.Logf("%d KB", used>>10)
+	is.True(used < 1<<20)
+	runtime.KeepAlive(table)
+}
