--- a/edge/serve.go
+++ b/edge/serve.go
@@ -26,6 +26,7 @@
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rollout"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
+	"github.com/lovageweir/lovageweir/shares"
 )
 
 // Times of a graceful shutdown.
@@ -71,6 +72,7 @@
 	QuarantineTable *quarantine.Table
 	Limits          *ratelimit.Limits
 	Capacity        *capacity.Table
+	Shares          *shares.Table
 	Egress          *egress.Dialer
 	Tunnels         *egress.Server
 	Unread          *unreadConnections
@@ -103,6 +105,8 @@
 	Limits []ratelimit.EndpointState `json:"limits"`
 	// Capacity is how long work takes at the endpoints that report it.
 	Capacity []capacity.EndpointState `json:"capacity,omitempty"`
+	// Shares are the delays by urgency and the demand of customers.
+	Shares shares.State `json:"shares"`
 	// Egress is the state of the links to endpoints.
 	Egress egress.State `json:"egress"`
 	// Evacuated are the failure domains whose endpoints get no requests.
@@ -128,7 +132,7 @@
 	v := p.Fleet.View()
 	d := Dump{Instance: p.EntrySettings.Instance, Domain: p.EntrySettings.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
 		InFlight: p.Gate.InFlight(), Revision: v.Revision.Number(), Era: int64(v.Revision.Era()), StoreEra: int64(p.Fleet.StoreEra()), AgeMS: -1, Away: p.Fleet.StoreUnreachable(), Entries: v.Entries,
-		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Egress: p.Egress.State()}
+		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Shares: p.Shares.State(), Egress: p.Egress.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/rollout"
+	"github.com/lovageweir/lovageweir/shares"
 	"github.com/lovageweir/lovageweir/upstream"
 )
 
@@ -50,6 +51,7 @@
 	route    *fleet.Route
 	customer *fleet.Customer
 	service  string
+	share    *shares.Standing // as of the first send; nil: not sent yet
 	body     []byte
 	hasBody  bool
 	// bodyReserved is the memory reserved for the body, in bytes.
@@ -193,6 +195,9 @@
 	c.ticket.End(o)
 	a := &x.attempts[c.attemptIndex]
 	a.outcome, a.cause = o, cause
+	if cause == noFirstEvent {
+		x.observeNoFirstEvent(a)
+	}
 	x.server.metrics.attempt(o)
 	c.permit.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
 }
@@ -430,7 +435,9 @@
 		a.Expected = s.Rates.TimeToFirstEvent(model, tokens)
 	}
 	if tokens > 0 && took > 0 {
-		s.Board.ObserveWait(x.target(), took-scaled(a.Expected, x.answerFactor(c)))
+		delay := took - scaled(a.Expected, x.answerFactor(c))
+		s.Board.ObserveWait(x.target(), delay)
+		x.observeDelay(delay)
 	}
 	usual := s.Rollouts.Observe(a)
 	if failed {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -114,7 +114,7 @@
 	if verdict == cascade.Escalate && x.suspect() {
 		verdict = cascade.Suspect
 	}
-	if verdict == cascade.Escalate && !x.mayRetry(retry.ForQuality) {
+	if verdict == cascade.Escalate && !x.mayRetry(x.qualityPurpose()) {
 		verdict = cascade.NoRetry
 	}
 	if verdict == cascade.Escalate && !x.reserveModel(ctx, next, c.endpoint.ID) {
@@ -158,6 +158,7 @@
 		e.Utilization = x.server.Board.Utilization(x.target())
 		e.First = scaled(x.server.Rates.TimeToFirstEvent(x.modelName(), x.metadata.Usage.Prompt), best.Standing.Factor)
 	}
+	x.addStanding(&e, best.Standing.Wait)
 	x.model = previous
 	return e, ref
 }
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -93,7 +93,7 @@
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(maxGapFactor * float64(x.route.MaxGap))}
 	expected := x.expectedFirstEvent(id)
-	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack)
+	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack) + x.usualDelay()
 	return l
 }
 
@@ -238,6 +238,9 @@
 	return l
 }
 
+// noFirstEvent is why a call was cancelled whose first event did not come in time.
+const noFirstEvent = "no first event in time"
+
 // exceeded returns which limit a call has exceeded; empty: none.
 func (l watchLimits) exceeded(waited, sinceLast time.Duration, unreachable bool) string {
 	switch {
@@ -246,7 +249,7 @@
 	case l.reachable && unreachable:
 		return "endpoint or the path to it is lost"
 	case l.first > 0 && sinceLast < 0 && waited > l.first:
-		return "no first event in time"
+		return noFirstEvent
 	case l.gap > 0 && sinceLast > l.gap:
 		return "no further event in time"
 	}
