--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -35,6 +35,9 @@
 	// minSlack is the share below which a larger model's answer would be late,
 	// and the present one is kept.
 	minSlack = 0.1
+	// urgentRelaxedSlack replaces relaxedSlack where the wait is that at the request's own urgency, which is not
+	// multiplied.
+	urgentRelaxedSlack = 0.25
 	// waitFactor multiplies the wait: if the best engine has a queue all engines
 	// have, and any added request makes others wait as well.
 	waitFactor = 3
@@ -80,7 +83,8 @@
 	// Urgent is set while requests wait and differ in urgency; engines then serve them by urgency, and the figures over
 	// all of them do not apply. nil: they do.
 	Urgent *UrgentEstimate
-	// InExcess: the request is in excess of its customer's share, and the service is short of capacity.
+	// InExcess: the request is in excess of its customer's share, the service is short of capacity, and the larger model
+	// takes more than a little of it.
 	InExcess bool
 }
 
@@ -90,7 +94,7 @@
 	Wait time.Duration
 	// Shortage, 0 to 1, is that among requests at least as urgent.
 	Shortage float64
-	// Cost is the engine time of the larger model in relation to its mean for requests of the same urgency.
+	// Cost is the engine time of the larger model in relation to its mean for the service's requests.
 	Cost float64
 }
 
@@ -138,7 +142,11 @@
 	if slack < minSlack {
 		return NoTime
 	}
-	timeFactor := min(1, (slack-minSlack)/(relaxedSlack-minSlack))
+	relaxed := relaxedSlack
+	if e.Urgent != nil {
+		relaxed = urgentRelaxedSlack
+	}
+	timeFactor := min(1, (slack-minSlack)/(relaxed-minSlack))
 	threshold := float64(p.MinConfidence) * timeFactor
 	switch {
 	case float64(confidence) >= threshold:
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -11,10 +11,13 @@
 )
 
 const (
-	// outputWeight is the engine time of an event in relation to that of a prompt's token. With all of twelve slots
-	// taken an event comes every 57 ms instead of every 24, so that each stream adds 3 ms to an event, while a
-	// mid-sized model reads a token in 0.03 ms.
-	outputWeight = 100
+	// outputWeight is the engine time of a generated token in relation to that of a prompt's token. With all of twelve
+	// slots taken an event of six tokens comes every 57 ms instead of every 24, so that each stream adds some 0.5 ms to a
+	// token, while a mid-sized model reads one in 0.03 ms.
+	outputWeight = 15
+	// minExcessCost is the engine time of a larger model, in relation to the mean of the service's, from which a request
+	// in excess gets none. Cheaper ones hardly take capacity from others.
+	minExcessCost = 1
 	// plainWork stands for the work of a request that is not a stream, of which nothing tells the size; only
 	// the relation between the requests of a service matters.
 	plainWork = 50 * time.Millisecond
@@ -65,8 +68,8 @@
 // wait is that at the chosen engine.
 func (x *exchange) addStanding(e *cascade.Estimate, wait time.Duration) {
 	st := x.standing()
-	e.InExcess = st.InExcess && st.Short
-	cost := x.server.Shares.CostRatio(x.target(), st.Urgency, x.engineTime(x.modelName()))
+	cost := x.server.Shares.CostRatio(x.target(), x.engineTime(x.modelName()))
+	e.InExcess = st.InExcess && st.Short && cost >= minExcessCost
 	if !st.ByUrgency {
 		return
 	}
--- a/shares/delays.go
+++ b/shares/delays.go
@@ -32,8 +32,6 @@
 	sinceSent delaySum
 	// objective is that of the last answer to this entry; 0: unknown.
 	objective time.Duration
-	// costs is the mean engine time of the larger models that requests were considered for, in seconds; 0: unknown.
-	costs float64
 }
 
 type delaySlot struct {
@@ -160,20 +158,20 @@
 	costGain                   = 0.1
 )
 
-// CostRatio returns the engine time of a larger model in relation to the mean of those that requests of the same urgency
-// were considered for, and counts it in the mean.
-func (t *Table) CostRatio(name string, urgency int, cost time.Duration) float64 {
+// CostRatio returns the engine time of a larger model in relation to the mean of those that the service's requests were
+// considered for, and counts it in the mean.
+func (t *Table) CostRatio(name string, cost time.Duration) float64 {
 	if t == nil || cost <= 0 {
 		return 1
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	d := &t.namedLocked(name, t.Clock.Now()).delays[clampUrgency(urgency)]
-	if d.costs == 0 {
-		d.costs = cost.Seconds()
+	s := t.namedLocked(name, t.Clock.Now())
+	if s.meanCost == 0 {
+		s.meanCost = cost.Seconds()
 	}
-	ratio := cost.Seconds() / d.costs
-	d.costs += costGain * (cost.Seconds() - d.costs)
+	ratio := cost.Seconds() / s.meanCost
+	s.meanCost += costGain * (cost.Seconds() - s.meanCost)
 	return min(maxCostRatio, max(minCostRatio, ratio))
 }
 
--- a/shares/sim_test.go
+++ b/shares/sim_test.go
@@ -318,7 +318,7 @@
 	work := simLarger * q.work
 	est := cascade.Estimate{Elapsed: p.now - q.came, Wait: max(e.work, time.Duration(p.wait[q.entry]*float64(time.Second))), First: work, Objective: q.kind.objective,
 		Utilization: p.busy[q.entry], InExcess: st.InExcess && st.Short}
-	cost := t.CostRatio(svc, st.Urgency, work)
+	cost := t.CostRatio(svc, work)
 	if st.ByUrgency {
 		est.Urgent = &cascade.UrgentEstimate{Wait: st.Wait(e.work, q.kind.objective), Shortage: st.Shortage, Cost: cost}
 	}
--- a/shares/table.go
+++ b/shares/table.go
@@ -58,6 +58,8 @@
 	// asked is when this entry last had a request of each urgency, as its route and customer set it.
 	asked [urgencies]time.Time
 	used  time.Time
+	// meanCost is the mean engine time of the larger models that requests were considered for, in seconds; 0: unknown.
+	meanCost float64
 	// short: the service is short of capacity as logged; shortUntil is when it counts as over unless it is seen again.
 	short      bool
 	shortUntil time.Time
--- a/shares/table_test.go
+++ b/shares/table_test.go
@@ -77,7 +77,7 @@
 	table.AddDemand(svc, "c", time.Second)
 	table.ObserveDelay(svc, 2, time.Second, time.Second)
 	is.Equal(table.Standing(svc, "c", 4, "a"), Standing{Urgency: 4})
-	is.Equal(table.CostRatio(svc, 4, time.Second), 1.0)
+	is.Equal(table.CostRatio(svc, time.Second), 1.0)
 	is.Equal(len(table.Demands())+len(table.TakeDelays()), 0)
 }
 
