--- a/capacity/state.go
+++ b/capacity/state.go
@@ -1,10 +1,6 @@
 package capacity
 
-import (
-	"time"
-
-	"github.com/lovageweir/lovageweir/fleet"
-)
+import "github.com/lovageweir/lovageweir/fleet"
 
 // EndpointState is the state of one endpoint, for the state dump.
 type EndpointState struct {
@@ -18,7 +14,7 @@
 
 // State returns the state of those of the given endpoints that have reported a figure.
 func (t *Table) State(endpoints []fleet.Endpoint) []EndpointState {
-	now := t.Clock.Now().UnixNano()
+	now := t.sinceStart()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []EndpointState
@@ -28,7 +24,7 @@
 		if !known {
 			continue
 		}
-		age := time.Duration(now - s.at)
+		age := now - s.at
 		out = append(out, EndpointState{Endpoint: endpoints[i].ID, Hash: hash, Factor: s.factor(age), Last: int(s.last), AgeMS: age.Milliseconds(), Usual: int(s.usual)})
 	}
 	return out
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -47,8 +47,8 @@
 
 // endpointState is what an endpoint incarnation reported. It is small, as there may be thousands.
 type endpointState struct {
-	at      int64 // of the last report, in Unix nanoseconds
-	votedAt int64 // of the last report that counted as a vote
+	at      time.Duration // of the last report, since the table's start
+	votedAt time.Duration // of the last report that counted as a vote
 	last    uint16
 	usual   uint16
 	votes   uint8 // lead of usual over other figures
@@ -58,6 +58,9 @@
 type Table struct {
 	Deps
 	observed, ignored, changed, unlogged tally.Counter
+	// started is when the table was made. Times are kept since then, by the monotonic clock: with
+	// wall-clock times, all reports would be ignored for as long as that clock was set back.
+	started time.Time
 
 	mu      sync.Mutex
 	byHash  map[uint32]endpointState
@@ -76,7 +79,7 @@
 		d.Log = slog.New(slog.DiscardHandler)
 	}
 	return &Table{Deps: d, observed: d.Scope.Counter("reports"), ignored: d.Scope.Counter("reports_ignored"), changed: d.Scope.Counter("usual_changes"),
-		unlogged: d.Scope.Counter("lines_dropped"), byHash: map[uint32]endpointState{}, swept: d.Clock.Now(), tokens: logBurst}
+		unlogged: d.Scope.Counter("lines_dropped"), started: d.Clock.Now(), byHash: map[uint32]endpointState{}, swept: d.Clock.Now(), tokens: logBurst}
 }
 
 // Hash returns the short id of an endpoint incarnation, by which entries exchange figures. It equals
@@ -86,6 +89,8 @@
 // Valid reports whether a figure counts as reported.
 func Valid(percent int) bool { return percent >= MinPercent && percent <= MaxPercent }
 
+func (t *Table) sinceStart() time.Duration { return t.Clock.Now().Sub(t.started) }
+
 // Observe records the figure that an endpoint reported at the given time.
 func (t *Table) Observe(id fleet.EndpointID, percent int, at time.Time) {
 	t.ObserveHash(Hash(id), percent, at)
@@ -108,16 +113,16 @@
 	defer t.mu.Unlock()
 	t.sweepLocked(now)
 	s, known := t.byHash[hash]
-	nanos := at.UnixNano()
-	if known && nanos < s.at || !known && len(t.byHash) >= maxEndpoints {
+	since := at.Sub(t.started)
+	if known && since < s.at || !known && len(t.byHash) >= maxEndpoints {
 		t.ignored.Inc(1)
 		return
 	}
 	t.observed.Inc(1)
-	s.last, s.at = uint16(percent), nanos
+	s.last, s.at = uint16(percent), since
 	previous := s.usual
-	if !known || nanos-s.votedAt >= int64(voteInterval) {
-		s.votedAt = nanos
+	if !known || since-s.votedAt >= voteInterval {
+		s.votedAt = since
 		s.vote(s.last)
 	}
 	t.byHash[hash] = s
@@ -158,14 +163,14 @@
 // Reported returns the factor of an endpoint by its short id, and whether the endpoint has reported a
 // figure.
 func (t *Table) Reported(hash uint32) (factor float64, known bool) {
-	now := t.Clock.Now().UnixNano()
+	now := t.sinceStart()
 	t.mu.Lock()
 	s, known := t.byHash[hash]
 	t.mu.Unlock()
 	if !known {
 		return 1, false
 	}
-	return s.factor(time.Duration(now - s.at)), true
+	return s.factor(now - s.at), true
 }
 
 func (s endpointState) factor(age time.Duration) float64 {
@@ -195,7 +200,7 @@
 		return
 	}
 	t.swept = now
-	oldest := now.Add(-evictAfter).UnixNano()
+	oldest := now.Sub(t.started) - evictAfter
 	for hash, s := range t.byHash {
 		if s.at < oldest {
 			delete(t.byHash, hash)
@@ -215,6 +220,6 @@
 	}
 	t.tokens--
 	t.Log.Info("capacity: usual slowdown of an endpoint.", "endpoint_hash", hash, "percent", s.usual, "previous_percent", previous,
-		"report_age_ms", now.Sub(time.Unix(0, s.at)).Milliseconds(), "lines_dropped", t.skipped)
+		"report_age_ms", (now.Sub(t.started) - s.at).Milliseconds(), "lines_dropped", t.skipped)
 	t.skipped = 0
 }
--- a/capacity/table_test.go
+++ b/capacity/table_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -144,3 +145,37 @@
 	clock.Advance(50 * time.Millisecond)
 	is.Equal(table.State([]fleet.Endpoint{{ID: "a"}, {ID: "b"}}), []EndpointState{{Endpoint: "a", Hash: Hash("a"), Factor: 1.7, Last: 170, AgeMS: 50, Usual: 170}})
 }
+
+// steppedClock is a clock with a monotonic reading whose wall clock was set back.
+type steppedClock struct {
+	clockwork.Clock
+	now  time.Time
+	back time.Duration
+}
+
+// Now returns the time with the wall clock set back. Package time has no function that changes the wall
+// clock only: its seconds are in the bits from 30 of the first word of a Time with a monotonic reading.
+func (c *steppedClock) Now() time.Time {
+	now := c.now
+	*(*uint64)(unsafe.Pointer(&now)) -= uint64(c.back/time.Second) << 30
+	return now
+}
+
+// Guards against all reports being ignored after the wall clock was set back.
+func TestReportsCountAfterClockStepsBack(t *testing.T) {
+	is := is.New(t)
+	clock := &steppedClock{now: time.Now()}
+	table := New(Deps{Clock: clock})
+	table.Observe("e", 70, clock.Now())
+	before := clock.Now()
+	clock.now, clock.back = clock.now.Add(time.Second), time.Hour
+	is.Equal(clock.Now().UnixNano()-before.UnixNano(), int64(time.Second-time.Hour))
+	is.Equal(clock.Now().Sub(before), time.Second)
+	table.Observe("e", 170, clock.Now())
+	is.Equal(table.Factor("e"), 1.7)
+	clock.now = clock.now.Add(staleAfter)
+	is.Equal(table.Factor("e"), table.Usual("e"))
+	clock.now = clock.now.Add(evictAfter)
+	table.Observe("other", 70, clock.Now())
+	is.Equal(len(table.byHash), 1)
+}
