--- a/capacity/state.go
+++ b/capacity/state.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		age := now - s.at
-		out = append(out, EndpointState{Endpoint: endpoints[i].ID, Hash: hash, Factor: s.factor(age), Last: int(s.last), AgeMS: age.Milliseconds(), Usual: int(s.usual)})
+		out = append(out, EndpointState{Endpoint: endpoints[i].ID, Hash: hash, Factor: s.factor(now), Last: int(s.last), AgeMS: age.Milliseconds(), Usual: int(s.usual)})
 	}
 	return out
 }
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -16,6 +16,10 @@
 	// MinPercent and MaxPercent bound the figures that count as reported.
 	MinPercent = 1
 	MaxPercent = 10000
+	// MinFactor and MaxFactor bound the factors that are used. The figures seen are 70 to 425; one
+	// of 10,000 would keep requests from an endpoint, and make its answers be awaited, without end.
+	MinFactor = 0.2
+	MaxFactor = 5.0
 	// A slow period lasts some 600 ms. A report of one was on average made in its middle, so that
 	// the chance that it still lasts falls steadily from freshFor until staleAfter.
 	freshFor   = 100 * time.Millisecond
@@ -28,6 +32,10 @@
 	maxVotes = 8
 	// sameTolerance is the relative difference up to which two figures count as the same one.
 	sameTolerance = 0.15
+	// A usual figure that no report has agreed with for confirmedFor moves to 1 within forgetAfter,
+	// so that an endpoint that reported a high figure once is tried again.
+	confirmedFor = 10 * time.Second
+	forgetAfter  = 20 * time.Second
 	// evictAfter is how long the figures of an endpoint that reports nothing are kept: an entry of a
 	// large fleet sends an endpoint a request every 16 s, and may receive no datagrams.
 	evictAfter = 5 * time.Minute
@@ -49,9 +57,11 @@
 type endpointState struct {
 	at      time.Duration // of the last report, since the table's start
 	votedAt time.Duration // of the last report that counted as a vote
-	last    uint16
-	usual   uint16
-	votes   uint8 // lead of usual over other figures
+	// confirmedAt is when the last report that agreed with the usual figure was made.
+	confirmedAt time.Duration
+	last        uint16
+	usual       uint16
+	votes       uint8 // lead of usual over other figures
 }
 
 // Table holds the figures of endpoints. It is safe for concurrent use.
@@ -125,6 +135,9 @@
 		s.votedAt = since
 		s.vote(s.last)
 	}
+	if same(s.last, s.usual) {
+		s.confirmedAt = since
+	}
 	t.byHash[hash] = s
 	if s.usual != previous {
 		t.logUsualLocked(hash, previous, s, now)
@@ -170,12 +183,24 @@
 	if !known {
 		return 1, false
 	}
-	return s.factor(now - s.at), true
+	return s.factor(now), true
 }
 
-func (s endpointState) factor(age time.Duration) float64 {
-	fresh := min(1, max(0, float64(staleAfter-age)/float64(staleAfter-freshFor)))
-	return (float64(s.usual) + fresh*(float64(s.last)-float64(s.usual))) / 100
+// Bounded returns the factor as it is used, within MinFactor and MaxFactor.
+func Bounded(factor float64) float64 { return min(MaxFactor, max(MinFactor, factor)) }
+
+// factor returns the factor that is used at the given time since the table's start.
+func (s endpointState) factor(now time.Duration) float64 {
+	fresh := min(1, max(0, float64(staleAfter-(now-s.at))/float64(staleAfter-freshFor)))
+	usual := s.usualFactor(now)
+	return usual + fresh*(Bounded(float64(s.last)/100)-usual)
+}
+
+// usualFactor returns the usual factor that is used at the given time since the table's start.
+func (s endpointState) usualFactor(now time.Duration) float64 {
+	forgotten := min(1, max(0, float64(now-s.confirmedAt-confirmedFor)/float64(forgetAfter)))
+	usual := Bounded(float64(s.usual) / 100)
+	return usual + forgotten*(1-usual)
 }
 
 // Usual returns the time that work usually takes at an endpoint; 1 if it has reported nothing.
@@ -186,13 +211,14 @@
 
 // UsualOfHash is like Usual for a short id, and reports whether the endpoint has reported a figure.
 func (t *Table) UsualOfHash(hash uint32) (usual float64, known bool) {
+	now := t.sinceStart()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, known := t.byHash[hash]
 	if !known {
 		return 1, false
 	}
-	return float64(s.usual) / 100, true
+	return s.usualFactor(now), true
 }
 
 func (t *Table) sweepLocked(now time.Time) {
--- a/capacity/table_test.go
+++ b/capacity/table_test.go
@@ -179,3 +179,40 @@
 	table.Observe("other", 70, clock.Now())
 	is.Equal(len(table.byHash), 1)
 }
+
+// Guards against a figure without bounds keeping all requests from an endpoint, or drawing all of them.
+func TestFactorsAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := New(Deps{Clock: clock})
+	table.Observe("slow", MaxPercent, clock.Now())
+	table.Observe("quick", MinPercent, clock.Now())
+	for range 2 {
+		is.Equal(table.Factor("slow"), MaxFactor)
+		is.Equal(table.Usual("slow"), MaxFactor)
+		is.Equal(table.Factor("quick"), MinFactor)
+		is.Equal(table.Usual("quick"), MinFactor)
+		clock.Advance(staleAfter)
+	}
+}
+
+// Guards against an endpoint that reported a high figure once being avoided for minutes, as without
+// requests it reports no other one.
+func TestUnconfirmedUsualIsForgotten(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := New(Deps{Clock: clock})
+	table.Observe("e", 500, clock.Now())
+	clock.Advance(confirmedFor)
+	is.Equal(table.Usual("e"), 5.0)
+	is.Equal(table.Factor("e"), 5.0)
+	clock.Advance(forgetAfter / 2)
+	is.Equal(table.Usual("e"), 3.0)
+	is.Equal(table.Factor("e"), 3.0)
+	clock.Advance(forgetAfter)
+	is.Equal(table.Usual("e"), 1.0)
+	is.Equal(table.Factor("e"), 1.0)
+	// A report that agrees confirms it.
+	table.Observe("e", 490, clock.Now())
+	is.True(table.Usual("e") > 4.9)
+}
--- a/ingress/capacity.go
+++ b/ingress/capacity.go
@@ -30,10 +30,10 @@
 }
 
 // answerFactor returns the factor of the endpoint of an answer: as the answer tells it, or as it was
-// assumed when the request was sent.
+// assumed when the request was sent. It is bounded like the factors of the table.
 func (x *exchange) answerFactor(c *upstreamCall) float64 {
 	if load := c.head.Load; load != nil && capacity.Valid(load.SlowdownPercent) {
-		return float64(load.SlowdownPercent) / 100
+		return capacity.Bounded(float64(load.SlowdownPercent) / 100)
 	}
 	return c.standing.Factor
 }
--- a/ingress/capacity_test.go
+++ b/ingress/capacity_test.go
@@ -59,6 +59,7 @@
 		{"slow at the end only", 70, 175, 0.7},
 		{"slow at the start only", 175, 70, 0.7},
 		{"answer without a figure", 170, 0, 1.7},
+		{"figure beyond the bounds", 10000, 10000, 5},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/place/choose.go
+++ b/place/choose.go
@@ -185,10 +185,11 @@
 }
 
 // score returns the expected time to the first event at an endpoint with the given load, plus penalties
-// and less the value of a cached prompt. All that the endpoint has to work for takes its factor.
+// and less the value of a cached prompt. All that the endpoint has to work for takes its factor. The penalty
+// for taken slots is never less than at factor 1, so that a low figure doesn't draw requests to a full endpoint.
 func score(ep *fleet.Endpoint, s Standing, load float64, req Request, preferred bool) time.Duration {
 	utilization := load / float64(slotsOf(ep))
-	v := s.Wait + scaled(req.OwnTime, s.Factor) + scaled(busyPenalty, busyShare(s)*utilization*utilization*utilization*s.Factor) + scaled(failurePenalty, s.FailRate)
+	v := s.Wait + scaled(req.OwnTime, s.Factor) + scaled(busyPenalty, busyShare(s)*utilization*utilization*utilization*max(1, s.Factor)) + scaled(failurePenalty, s.FailRate)
 	if ep.Domain != req.Domain {
 		v += domainPenalty
 	}
--- a/place/unequal.go
+++ b/place/unequal.go
@@ -57,7 +57,7 @@
 	}
 	assumed, known := b.capacity.Reported(ShortID(id))
 	b.capacity.Observe(id, percent, now)
-	factor := float64(percent) / 100
+	factor := capacity.Bounded(float64(percent) / 100)
 	if !known || max(assumed, factor) < slowdownChange*min(assumed, factor) {
 		return
 	}
--- a/place/unequal_test.go
+++ b/place/unequal_test.go
@@ -49,8 +49,23 @@
 	is.Equal(b.Standing("b").Wait, 1700*time.Millisecond)
 	// One of 16 slots is taken.
 	taken := scaled(busyPenalty, figuresBusyShare/(16*16*16))
-	is.True((got["a"] - scaled(2*time.Second+taken, 0.7)).Abs() < time.Millisecond)
-	is.True((got["b"] - scaled(2*time.Second+taken, 1.7)).Abs() < time.Millisecond)
+	// The penalty for taken slots is not lowered by a figure under 100.
+	is.True((got["a"] - scaled(2*time.Second, 0.7) - taken).Abs() < 10*time.Microsecond)
+	is.True((got["b"] - scaled(2*time.Second+taken, 1.7)).Abs() < 10*time.Microsecond)
+}
+
+// Guards against a full endpoint being chosen for a low figure, and against figures without bounds.
+func TestScoreBoundsFactor(t *testing.T) {
+	is := is.New(t)
+	b := newSimBoard(clockwork.NewFakeClock(), 1)
+	eps := reportedEndpoints(b, 16, 1, 100, 10000)
+	for _, ep := range eps {
+		b.Begin(ep, time.Second)
+	}
+	got := scores(b.Rank(eps, Request{Domain: "d0"}))
+	is.Equal(got["b"]-got["a"], 800*time.Millisecond)
+	is.Equal(b.Standing("a").Wait, 200*time.Millisecond)
+	is.Equal(b.Standing("c").Wait, 5*time.Second)
 }
 
 // Guards against the work that other entries reported counting at factor 1, or the time since counting
