--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -30,6 +30,9 @@
 	// many datagrams (place.TestLargeFleetSpreadsLoad).
 	publishInterval    = 250 * time.Millisecond
 	largeFleetInterval = time.Second
+	// figuresInterval is the least time between datagrams that are sent for a changed figure only
+	// (place.Board.SlowdownChanged) and the ones before. A slow period lasts some 600 ms.
+	figuresInterval = 250 * time.Millisecond
 	// datagramInterval is the average time between datagrams sent by one entry, so that an
 	// entry sends and receives no more than some hundred a second; datagramBurst is how many
 	// it may send after a pause.
@@ -75,6 +78,7 @@
 	conn        net.PacketConn
 	lastEmpty   bool // the last datagram carried no work, loads or limits
 	sendLimiter sendLimiter
+	published   time.Time // when the last datagrams were sent, by awaitPublish's goroutine
 }
 
 // NewLoadExchange returns a LoadExchange; Run starts it.
@@ -103,6 +107,7 @@
 	for l.awaitPublish(ctx) {
 		recipients := l.recipients()
 		l.sendLimiter.sent(len(recipients))
+		l.published = l.Clock.Now()
 		l.publish(recipients)
 	}
 }
@@ -114,11 +119,24 @@
 	if len(l.Fleet.View().Entries) > publishToAllLimit {
 		interval = largeFleetInterval
 	}
-	select {
-	case <-l.Clock.After(time.Duration(float64(interval) * (0.9 + rand.Float64()/5))):
-	case <-l.Board.WorkGrew():
-	case <-ctx.Done():
-		return false
+	periodic := l.Clock.After(time.Duration(float64(interval) * (0.9 + rand.Float64()/5)))
+	changed := l.Board.SlowdownChanged()
+	var figuresDue <-chan time.Time
+	for due := false; !due; {
+		select {
+		case <-periodic:
+			due = true
+		case <-l.Board.WorkGrew():
+			due = true
+		case <-changed:
+			changed, figuresDue = nil, l.Clock.After(figuresInterval-l.Clock.Since(l.published))
+		case <-figuresDue:
+			// Without datagrams to spare, the figures are sent with the next periodic message.
+			figuresDue = nil
+			due = l.sendLimiter.spare(l.Clock.Now())
+		case <-ctx.Done():
+			return false
+		}
 	}
 	wait := l.sendLimiter.wait(l.Clock.Now())
 	if wait <= 0 {
@@ -141,9 +159,20 @@
 
 // wait returns how long to wait before sending more.
 func (s *sendLimiter) wait(now time.Time) time.Duration {
+	s.update(now)
+	return time.Duration(max(0, -s.tokens) * float64(datagramInterval))
+}
+
+// spare reports whether at least half of a burst is left, so that figures don't delay the announcement of
+// long work.
+func (s *sendLimiter) spare(now time.Time) bool {
+	s.update(now)
+	return s.tokens >= datagramBurst/2
+}
+
+func (s *sendLimiter) update(now time.Time) {
 	s.tokens = min(datagramBurst, s.tokens+float64(now.Sub(s.updated))/float64(datagramInterval))
 	s.updated = now
-	return time.Duration(max(0, -s.tokens) * float64(datagramInterval))
 }
 
 // sent takes the tokens for n datagrams that were sent.
--- a/mesh/slowdown_test.go
+++ b/mesh/slowdown_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -83,3 +84,53 @@
 	is.NoErr(proto.Unmarshal(raw, &msg))
 	is.Equal(len(msg.SlowdownPercent), len(msg.Loaded))
 }
+
+// Guards against figures that change with each answer using up the datagrams that announce long work.
+func TestChangedFiguresLeaveDatagramsForWork(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	m := newEntry(t, "a")
+	var events []kv.Event
+	for i := range publishToAllLimit + 1 { // the periodic datagrams come every second
+		events = append(events, put(fmt.Sprintf("%si%03d", fleet.EntryPrefix, i), fmt.Sprintf(`{"instance":"i%03d","loads":"127.0.0.1:%d"}`, i, 1000+i), kv.Revision(i+1)))
+	}
+	mergeChanges(m, fleet.Changes{Revision: publishToAllLimit + 1, Whole: true, Events: events})
+	board := place.NewBoard(clock)
+	l := NewLoadExchange(LoadExchangeDeps{Instance: "a", Fleet: m.Fleet, Board: board, Clock: clock, Log: discardLog})
+	change := func(percent int) {
+		board.Begin(fleet.Endpoint{ID: "e"}, 0).HeadReceived(&call.Load{Slots: 12, SlowdownPercent: percent})
+	}
+	await := func() chan bool {
+		done := make(chan bool, 1)
+		go func() { done <- l.awaitPublish(t.Context()) }()
+		return done
+	}
+	notDone := func(done chan bool) {
+		t.Helper()
+		select {
+		case <-done:
+			t.Error("datagrams are due")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	change(70)
+	change(170)
+	l.published = clock.Now()
+	done := await()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 2))
+	clock.Advance(figuresInterval - time.Millisecond)
+	notDone(done)
+	clock.Advance(time.Millisecond)
+	is.True(<-done)
+
+	// With less than half of a burst left, only long work is announced.
+	l.sendLimiter.sent(datagramBurst * 3 / 4)
+	l.published = clock.Now()
+	change(70)
+	done = await()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 3)) // one timer is left from before
+	clock.Advance(figuresInterval)
+	notDone(done)
+	board.Begin(fleet.Endpoint{ID: "e"}, time.Second)
+	is.True(<-done)
+}
--- a/place/board.go
+++ b/place/board.go
@@ -118,6 +118,8 @@
 	// entries have been sent. workGrew holds one pending signal that there is more.
 	work, announcedWork time.Duration
 	workGrew            chan struct{}
+	// slowdownChanged holds one pending signal that a figure changed.
+	slowdownChanged chan struct{}
 	// capacity holds how long work takes at each endpoint; its lock may be taken under mu.
 	capacity *capacity.Table
 	// loads holds the loads of the endpoints of a service that report a figure, by their speed.
@@ -134,7 +136,7 @@
 func NewBoard(clock clockwork.Clock) *Board {
 	return &Board{clock: clock, byID: map[fleet.EndpointID]*endpointStats{}, working: map[fleet.EndpointID]*endpointStats{},
 		reported: map[fleet.EndpointID]*endpointStats{}, peerWork: newPeerWork(), heard: map[uint32]heardLoad{}, domains: map[string]*domainStats{},
-		byShortID: map[uint32]fleet.EndpointID{}, services: map[string]*serviceStats{}, born: map[string]incarnation{}, lastSweep: clock.Now(), workGrew: make(chan struct{}, 1), capacity: capacity.New(capacity.Deps{Clock: clock}), loads: map[serviceSpeed]*loadStats{},
+		byShortID: map[uint32]fleet.EndpointID{}, services: map[string]*serviceStats{}, born: map[string]incarnation{}, lastSweep: clock.Now(), workGrew: make(chan struct{}, 1), slowdownChanged: make(chan struct{}, 1), capacity: capacity.New(capacity.Deps{Clock: clock}), loads: map[serviceSpeed]*loadStats{},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
--- a/place/fleet_sim_test.go
+++ b/place/fleet_sim_test.go
@@ -93,6 +93,8 @@
 	byID    map[fleet.EndpointID]*simEngine
 	eps     []fleet.Endpoint
 	result  simResult
+	// reportedAt is when each entry last reported to the others.
+	reportedAt map[int]time.Duration
 }
 
 // simResult holds the measurements of a run.
@@ -263,6 +265,7 @@
 	simReportInterval     = 1050 * time.Millisecond
 	simSmallFleetInterval = 250 * time.Millisecond
 	simDelay              = time.Millisecond
+	simFiguresInterval    = 250 * time.Millisecond
 )
 
 func (p *simRun) reportPeriodically(from int) {
@@ -279,11 +282,18 @@
 	select {
 	case <-p.boards[from].WorkGrew():
 		p.report(from)
+	case <-p.boards[from].SlowdownChanged():
+		// As mesh.LoadExchange, at most every simFiguresInterval.
+		p.after(max(0, p.reportedAt[from]+simFiguresInterval-p.now), func() { p.report(from) })
 	default:
 	}
 }
 
 func (p *simRun) report(from int) {
+	if p.reportedAt == nil {
+		p.reportedAt = map[int]time.Duration{}
+	}
+	p.reportedAt[from] = p.now
 	work := map[uint32]time.Duration{}
 	for id, w := range p.boards[from].Outstanding() {
 		work[ShortID(id)] = w
--- a/place/unequal.go
+++ b/place/unequal.go
@@ -49,6 +49,11 @@
 // UsualFactor returns the time that work usually takes at an endpoint.
 func (b *Board) UsualFactor(id fleet.EndpointID) float64 { return b.capacity.Usual(id) }
 
+// SlowdownChanged returns a channel that signals when an endpoint reported a figure to this entry that other
+// entries should know of before the next periodic message. It is not the channel of WorkGrew: there
+// may be a change with each answer, and announcements of long work come first.
+func (b *Board) SlowdownChanged() <-chan struct{} { return b.slowdownChanged }
+
 // observeSlowdownLocked records the figure that an endpoint reported to this entry, and signals a change
 // that other entries need to know of.
 func (b *Board) observeSlowdownLocked(id fleet.EndpointID, percent int, now time.Time) {
@@ -62,7 +67,7 @@
 		return
 	}
 	select {
-	case b.workGrew <- struct{}{}:
+	case b.slowdownChanged <- struct{}{}:
 	default: // a signal is pending already
 	}
 }
--- a/place/unequal_test.go
+++ b/place/unequal_test.go
@@ -141,6 +141,9 @@
 		b.Begin(fleet.Endpoint{ID: "a"}, 0).HeadReceived(&call.Load{Slots: 16, SlowdownPercent: percent})
 		select {
 		case <-b.WorkGrew():
+			t.Error("signalled as long work")
+			return false
+		case <-b.SlowdownChanged():
 			return true
 		default:
 			return false
