--- a/capacity/table.go
+++ b/capacity/table.go
@@ -16,6 +16,10 @@
 	// MinPercent and MaxPercent bound the figures that count as reported.
 	MinPercent = 1
 	MaxPercent = 10000
+	// MinFactor and MaxFactor bound the factors that are used. The figures seen are 70 to 425; one
+	// of 10,000 would keep requests from an endpoint, and make its answers be awaited, without end.
+	MinFactor = 0.2
+	MaxFactor = 5.0
 	// A slow period lasts some 600 ms. A report of one was on average made in its middle, so that
 	// the chance that it still lasts falls steadily from freshFor until staleAfter.
 	freshFor   = 100 * time.Millisecond
@@ -28,6 +32,10 @@
 	maxVotes = 8
 	// sameTolerance is the relative difference up to which two figures count as the same one.
 	sameTolerance = 0.15
+	// A usual figure that no report has agreed with for confirmedFor moves to 1 within forgetAfter,
+	// so that an endpoint that reported a high figure once is tried again.
+	confirmedFor = 10 * time.Second
+	forgetAfter  = 20 * time.Second
 	// evictAfter is how long the figures of an endpoint that reports nothing are kept: an entry of a
 	// large fleet sends an endpoint a request every 16 s, and may receive no datagrams.
 	evictAfter = 5 * time.Minute
@@ -47,17 +55,22 @@
 
 // endpointState is what an endpoint incarnation reported. It is small, as there may be thousands.
 type endpointState struct {
-	at      int64 // of the last report, in Unix nanoseconds
-	votedAt int64 // of the last report that counted as a vote
-	last    uint16
-	usual   uint16
-	votes   uint8 // lead of usual over other figures
+	at      time.Duration // of the last report, since the table's start
+	votedAt time.Duration // of the last report that counted as a vote
+	// confirmedAt is when the last report that agreed with the usual figure was made.
+	confirmedAt time.Duration
+	last        uint16
+	usual       uint16
+	votes       uint8 // lead of usual over other figures
 }
 
 // Table holds the figures of endpoints. It is safe for concurrent use.
 type Table struct {
 	Deps
 	observed, ignored, changed, unlogged tally.Counter
+	// started is when the table was made. Times are kept since then, by the monotonic clock: with
+	// wall-clock times, all reports would be ignored for as long as that clock was set back.
+	started time.Time
 
 	mu      sync.Mutex
 	byHash  map[uint32]endpointState
@@ -76,7 +89,7 @@
 		d.Log = slog.New(slog.DiscardHandler)
 	}
 	return &Table{Deps: d, observed: d.Scope.Counter("reports"), ignored: d.Scope.Counter("reports_ignored"), changed: d.Scope.Counter("usual_changes"),
-		unlogged: d.Scope.Counter("lines_dropped"), byHash: map[uint32]endpointState{}, swept: d.Clock.Now(), tokens: logBurst}
+		unlogged: d.Scope.Counter("lines_dropped"), started: d.Clock.Now(), byHash: map[uint32]endpointState{}, swept: d.Clock.Now(), tokens: logBurst}
 }
 
 // Hash returns the short id of an endpoint incarnation, by which entries exchange figures. It equals
@@ -86,6 +99,8 @@
 // Valid reports whether a figure counts as reported.
 func Valid(percent int) bool { return percent >= MinPercent && percent <= MaxPercent }
 
+func (t *Table) sinceStart() time.Duration { return t.Clock.Now().Sub(t.started) }
+
 // Observe records the figure that an endpoint reported at the given time.
 func (t *Table) Observe(id fleet.EndpointID, percent int, at time.Time) {
 	t.ObserveHash(Hash(id), percent, at)
@@ -108,18 +123,21 @@
 	defer t.mu.Unlock()
 	t.sweepLocked(now)
 	s, known := t.byHash[hash]
-	nanos := at.UnixNano()
-	if known && nanos < s.at || !known && len(t.byHash) >= maxEndpoints {
+	since := at.Sub(t.started)
+	if known && since < s.at || !known && len(t.byHash) >= maxEndpoints {
 		t.ignored.Inc(1)
 		return
 	}
 	t.observed.Inc(1)
-	s.last, s.at = uint16(percent), nanos
+	s.last, s.at = uint16(percent), since
 	previous := s.usual
-	if !known || nanos-s.votedAt >= int64(voteInterval) {
-		s.votedAt = nanos
+	if !known || since-s.votedAt >= voteInterval {
+		s.votedAt = since
 		s.vote(s.last)
 	}
+	if same(s.last, s.usual) {
+		s.confirmedAt = since
+	}
 	t.byHash[hash] = s
 	if s.usual != previous {
 		t.logUsualLocked(hash, previous, s, now)
@@ -158,19 +176,31 @@
 // Reported returns the factor of an endpoint by its short id, and whether the endpoint has reported a
 // figure.
 func (t *Table) Reported(hash uint32) (factor float64, known bool) {
-	now := t.Clock.Now().UnixNano()
+	now := t.sinceStart()
 	t.mu.Lock()
 	s, known := t.byHash[hash]
 	t.mu.Unlock()
 	if !known {
 		return 1, false
 	}
-	return s.factor(time.Duration(now - s.at)), true
+	return s.factor(now), true
+}
+
+// Bounded returns the factor as it is used, within MinFactor and MaxFactor.
+func Bounded(factor float64) float64 { return min(MaxFactor, max(MinFactor, factor)) }
+
+// factor returns the factor that is used at the given time since the table's start.
+func (s endpointState) factor(now time.Duration) float64 {
+	fresh := min(1, max(0, float64(staleAfter-(now-s.at))/float64(staleAfter-freshFor)))
+	usual := s.usualFactor(now)
+	return usual + fresh*(Bounded(float64(s.last)/100)-usual)
 }
 
-func (s endpointState) factor(age time.Duration) float64 {
-	fresh := min(1, max(0, float64(staleAfter-age)/float64(staleAfter-freshFor)))
-	return (float64(s.usual) + fresh*(float64(s.last)-float64(s.usual))) / 100
+// usualFactor returns the usual factor that is used at the given time since the table's start.
+func (s endpointState) usualFactor(now time.Duration) float64 {
+	forgotten := min(1, max(0, float64(now-s.confirmedAt-confirmedFor)/float64(forgetAfter)))
+	usual := Bounded(float64(s.usual) / 100)
+	return usual + forgotten*(1-usual)
 }
 
 // Usual returns the time that work usually takes at an endpoint; 1 if it has reported nothing.
@@ -181,13 +211,14 @@
 
 // UsualOfHash is like Usual for a short id, and reports whether the endpoint has reported a figure.
 func (t *Table) UsualOfHash(hash uint32) (usual float64, known bool) {
+	now := t.sinceStart()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, known := t.byHash[hash]
 	if !known {
 		return 1, false
 	}
-	return float64(s.usual) / 100, true
+	return s.usualFactor(now), true
 }
 
 func (t *Table) sweepLocked(now time.Time) {
@@ -195,7 +226,7 @@
 		return
 	}
 	t.swept = now
-	oldest := now.Add(-evictAfter).UnixNano()
+	oldest := now.Sub(t.started) - evictAfter
 	for hash, s := range t.byHash {
 		if s.at < oldest {
 			delete(t.byHash, hash)
@@ -215,6 +246,6 @@
 	}
 	t.tokens--
 	t.Log.Info("capacity: usual slowdown of an endpoint.", "endpoint_hash", hash, "percent", s.usual, "previous_percent", previous,
-		"report_age_ms", now.Sub(time.Unix(0, s.at)).Milliseconds(), "lines_dropped", t.skipped)
+		"report_age_ms", (now.Sub(t.started) - s.at).Milliseconds(), "lines_dropped", t.skipped)
 	t.skipped = 0
 }
--- a/capacity/table_test.go
+++ b/capacity/table_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -144,3 +145,74 @@
 	clock.Advance(50 * time.Millisecond)
 	is.Equal(table.State([]fleet.Endpoint{{ID: "a"}, {ID: "b"}}), []EndpointState{{Endpoint: "a", Hash: Hash("a"), Factor: 1.7, Last: 170, AgeMS: 50, Usual: 170}})
 }
+
+// steppedClock is a clock with a monotonic reading whose wall clock was set back.
+type steppedClock struct {
+	clockwork.Clock
+	now  time.Time
+	back time.Duration
+}
+
+// Now returns the time with the wall clock set back. Package time has no function that changes the wall
+// clock only: its seconds are in the bits from 30 of the first word of a Time with a monotonic reading.
+func (c *steppedClock) Now() time.Time {
+	now := c.now
+	*(*uint64)(unsafe.Pointer(&now)) -= uint64(c.back/time.Second) << 30
+	return now
+}
+
+// Guards against all reports being ignored after the wall clock was set back.
+func TestReportsCountAfterClockStepsBack(t *testing.T) {
+	is := is.New(t)
+	clock := &steppedClock{now: time.Now()}
+	table := New(Deps{Clock: clock})
+	table.Observe("e", 70, clock.Now())
+	before := clock.Now()
+	clock.now, clock.back = clock.now.Add(time.Second), time.Hour
+	is.Equal(clock.Now().UnixNano()-before.UnixNano(), int64(time.Second-time.Hour))
+	is.Equal(clock.Now().Sub(before), time.Second)
+	table.Observe("e", 170, clock.Now())
+	is.Equal(table.Factor("e"), 1.7)
+	clock.now = clock.now.Add(staleAfter)
+	is.Equal(table.Factor("e"), table.Usual("e"))
+	clock.now = clock.now.Add(evictAfter)
+	table.Observe("other", 70, clock.Now())
+	is.Equal(len(table.byHash), 1)
+}
+
+// Guards against a figure without bounds keeping all requests from an endpoint, or drawing all of them.
+func TestFactorsAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := New(Deps{Clock: clock})
+	table.Observe("slow", MaxPercent, clock.Now())
+	table.Observe("quick", MinPercent, clock.Now())
+	for range 2 {
+		is.Equal(table.Factor("slow"), MaxFactor)
+		is.Equal(table.Usual("slow"), MaxFactor)
+		is.Equal(table.Factor("quick"), MinFactor)
+		is.Equal(table.Usual("quick"), MinFactor)
+		clock.Advance(staleAfter)
+	}
+}
+
+// Guards against an endpoint that reported a high figure once being avoided for minutes, as without
+// requests it reports no other one.
+func TestUnconfirmedUsualIsForgotten(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	table := New(Deps{Clock: clock})
+	table.Observe("e", 500, clock.Now())
+	clock.Advance(confirmedFor)
+	is.Equal(table.Usual("e"), 5.0)
+	is.Equal(table.Factor("e"), 5.0)
+	clock.Advance(forgetAfter / 2)
+	is.Equal(table.Usual("e"), 3.0)
+	is.Equal(table.Factor("e"), 3.0)
+	clock.Advance(forgetAfter)
+	is.Equal(table.Usual("e"), 1.0)
+	is.Equal(table.Factor("e"), 1.0)
+	// A report that agrees confirms it.
+	table.Observe("e", 490, clock.Now())
+	is.True(table.Usual("e") > 4.9)
+}
