--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -94,7 +94,8 @@
 	Wait time.Duration
 	// Shortage, 0 to 1, is that among requests at least as urgent.
 	Shortage float64
-	// Cost is the engine time of the larger model in relation to its mean for the service's requests.
+	// Cost is the engine time of the larger model in relation to its mean for the service's requests, times a weight
+	// that grows with the number of more urgent kinds of requests.
 	Cost float64
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -195,7 +195,7 @@
 	c.ticket.End(o)
 	a := &x.attempts[c.attemptIndex]
 	a.outcome, a.cause = o, cause
-	if cause == noFirstEvent {
+	if cause == noFirstEvent || c.resp == nil && (cause == "deadline" || cause == "caller left") {
 		x.observeNoFirstEvent(a)
 	}
 	x.server.metrics.attempt(o)
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -15,6 +15,9 @@
 	// slots taken an event of six tokens comes every 57 ms instead of every 24, so that each stream adds some 0.5 ms to a
 	// token, while a mid-sized model reads one in 0.03 ms.
 	outputWeight = 15
+	// mostUrgentCost and the number of more urgent kinds of requests weigh the cost of a larger model, so that under
+	// shortage the least urgent yield first.
+	mostUrgentCost = 0.5
 	// minExcessCost is the engine time of a larger model, in relation to the mean of the service's, from which a request
 	// in excess gets none. Cheaper ones hardly take capacity from others.
 	minExcessCost = 1
@@ -58,7 +61,7 @@
 // capacity. If all engines are equally busy, a request that is sent again only adds load.
 func (x *exchange) usualDelay() time.Duration {
 	st := x.standing()
-	if !st.Short {
+	if !st.Short || !st.SeveralUrgencies {
 		return 0
 	}
 	return time.Duration(st.Delay * float64(x.route.Objective))
@@ -73,7 +76,7 @@
 	if !st.ByUrgency {
 		return
 	}
-	e.Urgent = &cascade.UrgentEstimate{Wait: st.Wait(wait, x.route.Objective), Shortage: st.Shortage, Cost: cost}
+	e.Urgent = &cascade.UrgentEstimate{Wait: st.Wait(wait, x.route.Objective), Shortage: st.Shortage, Cost: cost * (mostUrgentCost + float64(st.Rank))}
 }
 
 // observeDelay records the delay of an answer's first event at the urgency that the request was sent with.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -292,15 +292,20 @@
 		x.end(c, place.Abandoned, "quarantined")
 		return errQuarantined
 	}
-	if c.heldUpLong() && upstream.BoundOf(err) == "" && c.watch.cause() == "" {
-		x.end(c, place.Abandoned, "caller reads slowly: "+err.Error())
-		return errMayHaveRun
-	}
-	x.endBroken(c, err)
 	stage := quarantine.Started
 	if x.attempts[c.attemptIndex].events > 0 {
 		stage = quarantine.Running
 	}
+	if c.heldUpLong() && upstream.BoundOf(err) == "" && c.watch.cause() == "" {
+		x.noteCrash(c, stage)
+		if !x.attempts[c.attemptIndex].crashed {
+			x.end(c, place.Abandoned, "caller reads slowly: "+err.Error())
+			return errMayHaveRun
+		}
+		x.endBroken(c, err)
+		return errMayHaveRun
+	}
+	x.endBroken(c, err)
 	x.noteCrash(c, stage)
 	return errMayHaveRun
 }
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -93,7 +93,10 @@
 	}
 	l := watchLimits{reachable: true, gap: time.Duration(maxGapFactor * float64(x.route.MaxGap))}
 	expected := x.expectedFirstEvent(id)
-	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack) + x.usualDelay()
+	l.first = max(time.Duration(firstEventMinShare*float64(x.route.Objective)), firstEventFactor*expected+firstEventSlack)
+	if delay := x.usualDelay(); delay > 0 {
+		l.first = max(l.first, min(l.first+delay, x.remaining()/2)) // leaves time for another endpoint
+	}
 	return l
 }
 
--- a/mesh/delays.go
+++ b/mesh/delays.go
@@ -13,6 +13,8 @@
 	delayColumnsBytes  = 4 * 4
 	demandRowBytes     = 4 + 4 + 4
 	demandColumnsBytes = 3 * 4
+	// reservedBytes are left for delays and answers: some twenty rows.
+	reservedBytes = 200
 	// maxRowAnswers is the largest number of answers that fits a row.
 	maxRowAnswers = 1<<14 - 1
 )
@@ -32,9 +34,10 @@
 	}
 }
 
-// addDemands adds what customers ask of this entry, the largest figures first, as many as fit.
+// addDemands adds what customers ask of this entry, the largest figures first, as many as fit beside some
+// delays and answers.
 func (l *LoadExchange) addDemands(msg *meshpb.Load) {
-	left := maxDatagramBytes - proto.Size(msg) - demandColumnsBytes
+	left := maxDatagramBytes - proto.Size(msg) - demandColumnsBytes - reservedBytes
 	for _, r := range l.Shares.Demands() {
 		if left -= demandRowBytes; left < 0 {
 			return
--- a/mesh/loads.go
+++ b/mesh/loads.go
@@ -246,18 +246,17 @@
 		msg.LoadAgeMs = append(msg.LoadAgeMs, uint32(r.Age.Milliseconds()))
 	}
 	l.addLimits(msg)
-	addSlowdowns(msg, reports)
-	l.addDelays(msg)
-	l.addAnswers(msg)
-	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited)+len(msg.AnsweredModel) == 0
 	for _, c := range l.Budget.Counts() {
 		msg.Service = append(msg.Service, c.Service)
 		msg.Requests = append(msg.Requests, uint32(c.Requests))
 		msg.Repeats = append(msg.Repeats, uint32(c.Repeats))
 		msg.Failures = append(msg.Failures, uint32(c.Failures))
 	}
+	addSlowdowns(msg, reports)
 	l.addDemands(msg)
-	empty = empty && len(msg.DelayService)+len(msg.DemandService) == 0
+	l.addDelays(msg)
+	l.addAnswers(msg)
+	empty = len(msg.Endpoint)+len(msg.Loaded)+len(msg.Limited)+len(msg.AnsweredModel)+len(msg.DelayService)+len(msg.DemandService) == 0
 	raw, err = proto.Marshal(msg)
 	return raw, empty, err
 }
--- a/shares/delays.go
+++ b/shares/delays.go
@@ -1,6 +1,8 @@
 package shares
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -55,15 +57,21 @@
 	s.add(answers, sum)
 }
 
-// mean returns the mean delay in objectives.
-func (d *delayStats) mean(slot int64) float64 {
+// meanOf returns the mean delay in objectives, and known whether it is one of enough answers.
+func (d *delayStats) meanOf(slot int64) (mean float64, known bool) {
 	var all delaySum
 	for _, s := range d.slots {
 		if slot-s.index < delaySlots {
 			all.add(s.answers, s.sum)
 		}
 	}
-	return all.sum / max(minAnswers, all.answers)
+	return all.sum / max(minAnswers, all.answers), all.answers >= minAnswers
+}
+
+// mean returns the mean delay in objectives.
+func (d *delayStats) mean(slot int64) float64 {
+	mean, _ := d.meanOf(slot)
+	return mean
 }
 
 // shortage returns the shortage among requests of an urgency or more urgent: the largest at any of them.
@@ -127,6 +135,7 @@
 			}
 		}
 	}
+	slices.SortFunc(out, func(a, b DelayRow) int { return cmp.Compare(b.Answers, a.Answers) })
 	return out
 }
 
--- a/shares/demand.go
+++ b/shares/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -131,7 +132,7 @@
 	var out []DemandRow
 	for k, d := range t.demands {
 		if rate := d.ownRate(now.Sub(t.start)); rate >= 0.5 {
-			out = append(out, DemandRow{k.service, k.customer, uint32(rate + 0.5)})
+			out = append(out, DemandRow{k.service, k.customer, uint32(min(rate+0.5, math.MaxInt32))})
 		}
 	}
 	slices.SortFunc(out, func(a, b DemandRow) int { return cmp.Compare(b.Rate, a.Rate) })
@@ -146,10 +147,10 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expireLocked(entry)
 	if len(rows) == 0 {
-		return
+		return // they may not have fit; what was told before expires
 	}
+	t.expireLocked(entry)
 	if len(rows) > maxToldRows {
 		rows = rows[:maxToldRows]
 	}
@@ -330,8 +331,9 @@
 // more; of what is not used, those that ask for more get equal parts (max-min fairness).
 //
 // Engine capacity is not measured. The usual demand stands for it, raised with the demand of most customers: when all
-// rise together, as in a daily wave, none is over its share. A capacity that is taken too low does no harm, as requests
-// in excess are served from what is left.
+// rise together, as in a daily wave, none is over its share. While no usual demand is known, nobody who asks for an equal
+// part of the demand or less is over its share: otherwise all customers would be, after each start. A capacity that is
+// taken too low does no harm, as requests in excess are served from what is left.
 func share(claims []*claim, known bool, shortage float64) {
 	asking, demand, usual := 0, 0.0, 0.0
 	for _, c := range claims {
@@ -341,14 +343,17 @@
 		demand += c.recent
 		usual += c.usual
 	}
+	known = known && usual > 0
 	growth, capacity := 1.0, demand*(1-shortage/2)
-	if known && usual > 0 {
+	equalPart := demand / float64(max(1, asking))
+	if known {
 		growth = max(1, medianGrowth(claims, usual))
 		capacity = max(usual*growth, demand/2)
+		equalPart = capacity / float64(max(1, asking))
 	}
 	left := capacity
 	for _, c := range claims {
-		c.share = capacity / float64(max(1, asking))
+		c.share = equalPart
 		if known {
 			c.share = max(c.share, c.usual*growth)
 		}
--- a/shares/table.go
+++ b/shares/table.go
@@ -100,9 +100,13 @@
 	OverShare, InExcess bool
 	// SeveralUrgencies: the service's requests differ in urgency.
 	SeveralUrgencies bool
+	// Rank is the number of more urgent kinds of requests that the service has.
+	Rank int
 	// ByUrgency: they do, and the delays at some urgency are, or were within the last seconds, a shortage in relation to
 	// the service's strictest objective. A mean delay over all requests does not apply then.
 	ByUrgency bool
+	// delayKnown: Delay is the mean of enough answers.
+	delayKnown bool
 }
 
 // askedWithin is how long an urgency counts as one of the service's after its last request.
@@ -147,10 +151,11 @@
 
 func (t *Table) fillDelaysLocked(s *service, st *Standing, now time.Time) {
 	slot := t.delaySlot(now)
-	st.Delay = s.delays[st.Urgency].mean(slot)
+	st.Delay, st.delayKnown = s.delays[st.Urgency].meanOf(slot)
 	st.Shortage = s.shortage(st.Urgency, slot)
 	st.ServiceShortage, st.Short = s.shortage(LeastUrgent, slot), s.shortAt(now)
 	st.SeveralUrgencies = s.severalUrgencies(now)
+	st.Rank = s.rank(st.Urgency, now)
 	st.ByUrgency = st.SeveralUrgencies && (st.Short || now.Before(s.unequalUntil))
 }
 
@@ -165,6 +170,17 @@
 	return n > 1
 }
 
+// rank returns the number of this entry's urgencies that go before the given one.
+func (s *service) rank(urgency int, now time.Time) int {
+	n := 0
+	for _, at := range s.asked[:urgency] {
+		if !at.IsZero() && now.Sub(at) < askedWithin {
+			n++
+		}
+	}
+	return n
+}
+
 func clampUrgency(urgency int) int { return min(max(urgency, 0), LeastUrgent) }
 
 func hashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
@@ -180,5 +196,8 @@
 // urgency.
 func (s Standing) Wait(known, objective time.Duration) time.Duration {
 	delay := time.Duration(s.Delay * float64(objective))
+	if !s.delayKnown {
+		return max(delay, known)
+	}
 	return max(delay, min(known, maxWaitFactor*delay))
 }
