--- a/edge/module.go
+++ b/edge/module.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
+	"github.com/lovageweir/lovageweir/admission"
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/concurrency"
@@ -125,6 +126,7 @@
 			overload.NewLimiter,
 			newOverload,
 			newUnreadConnections,
+			newQueue,
 			newIngress,
 		),
 		fx.StopTimeout(o.Settings.Bounds.Grace()+stopTimeoutMargin),
@@ -234,9 +236,19 @@
 	return &egress.Server{Dialer: d, Gate: gate, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
 }
 
+// queueDivisor sets the part of the memory for request bodies that waiting requests may take up.
+const queueDivisor = 4
+
+func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB) << 20 / bodyMemoryDivisor }
+
+func newQueue(s *Settings, f *fleet.Follower, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *admission.Queue {
+	return admission.New(admission.Deps{MaxWaiting: s.Admission.MaxWaiting, MaxBytes: s.bodyMemory() / queueDivisor, Stopping: gate.Stopping,
+		Capacity: func(service string) admission.Capacity { return ingress.QueueCapacity(f.View(), service) }, Clock: clock, Log: log, Scope: m.Scope.SubScope("admission")})
+}
+
 func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
-	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
-	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
-		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
+	gate *drain.Gate, queue *admission.Queue, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
+	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart, Queue: queue,
+		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: s.bodyMemory(), MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/fx"
 
+	"github.com/lovageweir/lovageweir/admission"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -69,6 +70,7 @@
 	Rollouts        *rollout.Controller
 	QuarantineTable *quarantine.Table
 	Limits          *ratelimit.Limits
+	Queue           *admission.Queue
 	Egress          *egress.Dialer
 	Tunnels         *egress.Server
 	Unread          *unreadConnections
@@ -99,6 +101,8 @@
 	Quarantine quarantine.State `json:"quarantine"`
 	// Limits are the rate limits that endpoints report.
 	Limits []ratelimit.EndpointState `json:"limits"`
+	// Queues are the services whose requests wait here, or whose callers were told to come back.
+	Queues []admission.ServiceState `json:"queues,omitempty"`
 	// Egress is the state of the links to endpoints.
 	Egress egress.State `json:"egress"`
 	// Evacuated are the failure domains whose endpoints get no requests.
@@ -124,7 +128,7 @@
 	v := p.Fleet.View()
 	d := Dump{Instance: p.EntrySettings.Instance, Domain: p.EntrySettings.Domain, Boot: int64(p.Boot), Ready: p.Ingress.Ready(), Stopping: p.Gate.Stopping(),
 		InFlight: p.Gate.InFlight(), Revision: v.Revision.Number(), Era: int64(v.Revision.Era()), StoreEra: int64(p.Fleet.StoreEra()), AgeMS: -1, Away: p.Fleet.StoreUnreachable(), Entries: v.Entries,
-		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Egress: p.Egress.State()}
+		Rollouts: p.Rollouts.State(), Mesh: p.Mesh.State(), Quarantine: p.QuarantineTable.State(), Limits: p.Limits.State(), Queues: p.Queue.State(), Egress: p.Egress.State()}
 	if v.Config != nil {
 		d.Config = v.Config.Version
 	}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -11,6 +11,8 @@
 
 	"github.com/gravitational/trace"
 	"go.yaml.in/yaml/v3"
+
+	"github.com/lovageweir/lovageweir/admission"
 )
 
 // Settings of an entry on the platform.
@@ -37,8 +39,20 @@
 	// empty: none.
 	EgressProxy string `yaml:"egress_proxy"`
 	Bounds      Bounds `yaml:"bounds"`
+	// Admission is how requests wait while no endpoint has capacity.
+	Admission Admission `yaml:"admission"`
+}
+
+// Admission configures the queue of requests for which no endpoint has capacity.
+type Admission struct {
+	// MaxWaiting is how many requests of each service wait at most; 0: none.
+	MaxWaiting int `yaml:"max_waiting"`
 }
 
+// maxMaxWaiting bounds admission.max_waiting: the order of a longer queue takes more of a small entry's
+// processor share than it is worth.
+const maxMaxWaiting = 4096
+
 // Listen holds the addresses that an entry listens on, host:port.
 type Listen struct {
 	Callers   string `yaml:"callers"`
@@ -80,7 +94,8 @@
 // defaults returns the values of omitted settings; the bounds are those of the
 // users' platform.
 func defaults() *Settings {
-	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}}
+	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000},
+		Admission: Admission{MaxWaiting: admission.DefaultMaxWaiting}}
 }
 
 // Load reads and validates a settings file.
@@ -163,6 +178,9 @@
 			add(p.path, "%v is not above 0", p.value)
 		}
 	}
+	if n := s.Admission.MaxWaiting; n < 0 || n > maxMaxWaiting {
+		add("admission.max_waiting", "%d is not within 0 to %d", n, maxMaxWaiting)
+	}
 	if s.MaxFDs < 0 {
 		add("max_fds", "%d is below 0", s.MaxFDs)
 	}
--- a/ingress/buffered.go
+++ b/ingress/buffered.go
@@ -22,8 +22,8 @@
 	for {
 		c, ref, err := x.send(ctx, "")
 		if ref != nil {
-			if !x.handOff(ctx, ref) {
-				x.giveUp(ref)
+			if x.resolveRefusal(ctx, ref, x.giveUp) {
+				continue
 			}
 			return
 		}
@@ -67,7 +67,7 @@
 		x.giveUp(refuseNoEndpoint)
 		return false
 	case errors.Is(err, errNotRun):
-		if x.mayRetryRefused() {
+		if x.mayRetryRefused() || x.mayWaitForRetry() {
 			return true
 		}
 		x.giveUp(refuseEndpointsFull)
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -79,6 +79,7 @@
 	attempts      []attempt
 	handedTo      string      // entry that answered; empty: this one
 	logged        bool        // the log line is written
+	queued        queued      // its place among the requests that wait for capacity
 	copied        bool        // a copy was sent to an endpoint on trial
 	answered      atomic.Bool // completely, before the caller left
 }
@@ -136,6 +137,7 @@
 
 func (x *exchange) run(ctx context.Context) {
 	x.tried = map[fleet.EndpointID]bool{}
+	defer x.leaveQueue()
 	if x.route.Kind == fleet.Streaming {
 		x.runStream(ctx)
 		return
@@ -185,6 +187,7 @@
 	}
 	c.ticket.End(o)
 	a := &x.attempts[c.attemptIndex]
+	x.noteCapacity(c, o)
 	a.outcome, a.cause = o, cause
 	x.server.metrics.attempt(o)
 	c.permit.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
@@ -197,10 +200,14 @@
 		return nil, ref, nil
 	}
 	s := x.server
+	if ref := x.awaitsTurn(); ref != nil {
+		return nil, ref, nil
+	}
 	group, best, ref := x.acquire(ctx)
 	if ref != nil {
 		return nil, ref, nil
 	}
+	x.tookCapacity(best.Endpoint.ID)
 	taken := x.permit
 	x.permit = nil
 	ep := best.Endpoint
@@ -229,6 +236,7 @@
 	c.ticket.HeadReceived(c.head.Load)
 	if c.head.Load != nil {
 		s.Board.ObserveLoad(x.target(), *c.head.Load)
+		x.noteFreeSlot(c)
 	}
 	return c, nil, nil
 }
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -24,15 +24,19 @@
 	req.PrefillTime = x.server.Rates.PrefillTime(x.modelName(), req.SharedTokens)
 	opensIn := time.Duration(0) // when the first of the closed endpoints accepts a request
 	closed, blocked, blockedAny := x.closed(group, choice, &opensIn), x.blocked(), false
+	full, fullAny := x.fullEndpoints(), false
 	req.Closed = func(ep fleet.Endpoint) bool {
-		is := blocked(ep)
-		blockedAny = blockedAny || is
-		return is || closed(ep)
+		is, isFull := blocked(ep), full[ep.ID]
+		blockedAny, fullAny = blockedAny || is, fullAny || isFull
+		return is || isFull || closed(ep)
 	}
 	ranked := x.server.Board.Rank(choice.Preferred, req)
 	if len(ranked) == 0 || ranked[0].Standing.Ejected {
 		ranked = append(ranked, x.server.Board.Rank(choice.Fallback, req)...)
 	}
+	if fullAny && (len(ranked) == 0 || ranked[0].Standing.Ejected) {
+		return nil, place.Ranked{}, x.refuseFull(choice, opensIn)
+	}
 	if len(ranked) == 0 {
 		ranked = x.server.Board.Rank(x.recentlyLapsed(choice.LastResort), req)
 	}
@@ -167,15 +171,18 @@
 	return place.Hash(shared[len(shared)-1].ID, x.modelName())
 }
 
-// urgency returns the request's priority at the engines: the customer's priority
-// overrides the route's. An engine that gets none assumes 5.
+// urgency returns the request's priority at the engines. An engine that gets none assumes 5.
 func (x *exchange) urgency() (int, bool) {
 	if x.route.Kind != fleet.Streaming {
 		return 0, false
 	}
-	p := x.route.Priority
+	return min(max(2*x.priority()+2, 0), 9), true
+}
+
+// priority returns the request's priority: the customer's overrides the route's.
+func (x *exchange) priority() int {
 	if x.customer != nil && x.customer.Priority != nil {
-		p = *x.customer.Priority
+		return *x.customer.Priority
 	}
-	return min(max(2*p+2, 0), 9), true
+	return x.route.Priority
 }
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -105,8 +105,8 @@
 	if ref == refuseStranded || ref == refuseUnreached || ref == refuseLinkFull {
 		h.Set("Connection", "close")
 	}
-	if ref.retryAfter > 0 {
-		x.server.HeaderCodec.RetryAfter(h, ref.retryAfter)
+	if after := x.retryAfter(ref); after > 0 {
+		x.server.HeaderCodec.RetryAfter(h, after)
 	}
 	body, err := json.Marshal(refusalBody{ref.code})
 	if err != nil {
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -113,6 +113,7 @@
 	if late := s.Overload.Lateness(); late > 0 {
 		attrs = append(attrs, slog.Int64("late_ms", late.Milliseconds()), slog.Int64("link_wait_ms", s.Overload.LinkWait().Milliseconds()))
 	}
+	attrs = x.appendQueued(attrs)
 	if x.handedTo != "" {
 		attrs = append(attrs, slog.String("handed_to", x.handedTo))
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/lovageweir/lovageweir/admission"
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/concurrency"
@@ -60,7 +61,9 @@
 	// Concurrency bounds the requests at brittle endpoints.
 	Concurrency *concurrency.Limiter
 	// SlowStart bounds the requests to cold endpoints.
-	SlowStart        *slowstart.Gate
+	SlowStart *slowstart.Gate
+	// Queue holds the requests that wait for capacity; nil: none waits.
+	Queue            *admission.Queue
 	EscalationPolicy cascade.EscalationPolicy
 	// Gate counts the requests and decides which are accepted during a planned
 	// stop.
@@ -269,6 +272,7 @@
 		return refuseNoID
 	}
 	x.deadline = x.received.Add(x.timeLimit())
+	s.Queue.ObserveLimit(x.route.Name, x.timeLimit())
 	if !x.isHandedOff() { // it is counted where its caller sent it
 		s.Budget.AddRequest(x.target())
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -33,8 +33,8 @@
 			x.copyForTrial(c.group)
 		}
 		if ref != nil {
-			if !x.handOff(ctx, ref) {
-				x.giveUpStream(ref)
+			if x.resolveRefusal(ctx, ref, x.giveUpStream) {
+				continue
 			}
 			return
 		}
