--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -187,10 +187,10 @@
 	}
 	c.ticket.End(o)
 	a := &x.attempts[c.attemptIndex]
-	x.noteCapacity(c, o)
 	a.outcome, a.cause = o, cause
 	x.server.metrics.attempt(o)
 	c.permit.Release(o == place.Refused || o == place.Unreached || o == place.Broken && c.resp == nil)
+	x.noteCapacity(c, o)
 }
 
 // send sends the request to one endpoint and reads the head of its response.
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -24,14 +24,15 @@
 	req.PrefillTime = x.server.Rates.PrefillTime(x.modelName(), req.SharedTokens)
 	opensIn := time.Duration(0) // when the first of the closed endpoints accepts a request
 	closed, blocked, blockedAny := x.closed(group, choice, &opensIn), x.blocked(), false
-	full, fullAny := x.fullEndpoints(), false
+	full, fullAny, fullUntried := x.fullEndpoints(), false, false
 	req.Closed = func(ep fleet.Endpoint) bool {
 		is, isFull := blocked(ep), full[ep.ID]
 		blockedAny, fullAny = blockedAny || is, fullAny || isFull
+		fullUntried = fullUntried || isFull && !x.tried[ep.ID]
 		return is || isFull || closed(ep)
 	}
 	ranked := x.server.Board.Rank(choice.Preferred, req)
-	if len(ranked) == 0 || ranked[0].Standing.Ejected {
+	if !fullUntried && (len(ranked) == 0 || ranked[0].Standing.Ejected) { // else the preferred version is only full
 		ranked = append(ranked, x.server.Board.Rank(choice.Fallback, req)...)
 	}
 	if fullAny && (len(ranked) == 0 || ranked[0].Standing.Ejected) {
--- a/ingress/queue_test.go
+++ b/ingress/queue_test.go
@@ -258,3 +258,41 @@
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(len(e.Runs()), 1)
 }
+
+// Guards against requests that are refused though a limit has room again within their objective.
+func TestRequestsWaitForALimit(t *testing.T) {
+	is := is.New(t)
+	w := newUnconfiguredEnv(t)
+	w.setQueue(admission.DefaultMaxWaiting)
+	w.put("op/config", platformtest.EncodeConfig(testConfig()))
+	e := w.addEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1"})
+	e.SetLimit(8)
+	w.sync()
+	answered, waits := 0, `"waited_ms"`
+	for i := 0; i < 40 && !strings.Contains(w.logs.String(), waits); i++ {
+		got := <-w.sendAsync("/resume/stream", fmt.Sprint("r", i))
+		is.Equal(got.status, http.StatusOK)
+		answered++
+	}
+	is.True(strings.Contains(w.logs.String(), waits))
+	is.Equal(len(w.runs()), answered)
+}
+
+// Guards against requests that wait though waiting is turned off, and against a constant Retry-After then.
+func TestNoRequestWaitsWhenWaitingIsOff(t *testing.T) {
+	is := is.New(t)
+	w := newQueueEnv(t, platformtest.EngineConfig{})
+	w.setQueue(0)
+	w.occupy()
+	told := map[string]bool{}
+	for i := range 4 {
+		began := time.Now()
+		got := w.do(http.MethodPost, "/post/x", "body", "X-Attempt-Id", fmt.Sprint("r", i))
+		is.True(time.Since(began) < time.Second/8)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(got.body, "endpoints_full"))
+		told[got.header.Get("Retry-After")] = true
+	}
+	is.True(len(told) > 2)
+	is.True(!strings.Contains(w.logs.String(), "waited_ms"))
+}
