--- a/admission/queue.go
+++ b/admission/queue.go
@@ -206,7 +206,7 @@
 	prior := s.meter.prior(s.capacity, 0, s.opensAt.Sub(now))
 	rate, _ := s.meter.rate(now, s.capacity, 0, prior)
 	q.Log.Info("admission: requests of a service wait for capacity.", "service", s.name, "cause", s.code, "per_second", rate, "per_second_by_slots", prior,
-		"slots", s.capacity.Slots, "entries", s.capacity.Entries, "request_ms", s.meter.held.Milliseconds(), "opens_in_ms", max(0, s.opensAt.Sub(now)).Milliseconds(), "full_endpoints", len(s.refusing))
+		"slots", s.capacity.Slots, "entries", s.capacity.Entries, "request_ms", s.meter.held.Milliseconds(), "measured_ms", s.meter.sums(now).short.Milliseconds(), "opens_in_ms", max(0, s.opensAt.Sub(now)).Milliseconds(), "full_endpoints", len(s.refusing))
 }
 
 // measureLocked adds the time since the last call to the measurement of the rate.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -261,6 +261,47 @@
 	is.Equal(m.prior(Capacity{Slots: 36, Entries: 4}, 0, 500*time.Millisecond), 2.0) // a limit
 }
 
+// Guards against callers that gain time for their objectives by coming back, and against requests of callers
+// that never left being taken for such.
+func TestObjectiveOfCallersThatComeBack(t *testing.T) {
+	const objective, allowed = 300 * time.Millisecond, 3 * time.Second
+	now := time.Unix(1_800_000_000, 0)
+	for _, tt := range []struct {
+		name           string
+		left           time.Duration
+		inTime         time.Duration // from now; the objective's end
+		hasty, overdue bool
+	}{
+		{"first send", allowed, objective, false, false},
+		{"first send, rounded", allowed - time.Millisecond, objective - time.Millisecond, false, false},
+		{"at once", allowed - 5*time.Millisecond, objective - 5*time.Millisecond, true, false},
+		{"when told", allowed - 100*time.Millisecond, objective - 100*time.Millisecond, false, false},
+		{"too late for the objective", allowed - time.Second, objective, false, true},
+		{"short of time", 100 * time.Millisecond, 100 * time.Millisecond, false, true},
+	} {
+		r := Request{Received: now, Deadline: now.Add(tt.left), Takes: 60 * time.Millisecond}
+		r.SetObjective(objective, allowed)
+		if got := r.ObjectiveAt.Sub(now); got != tt.inTime || r.Hasty != tt.hasty || r.Overdue != tt.overdue {
+			t.Errorf("%s: in time for %v, hasty %v, overdue %v", tt.name, got, r.Hasty, r.Overdue)
+		}
+	}
+}
+
+// Guards against a time that one caller allowed long ago counting for ever.
+func TestUsualLimitIsForgotten(t *testing.T) {
+	is := is.New(t)
+	q, run := newTestQueue(64, 1<<20, Capacity{})
+	is.Equal(q.UsualLimit("r"), time.Duration(0))
+	q.ObserveLimit("r", 10*time.Second)
+	q.ObserveLimit("r", 3*time.Second)
+	is.Equal(q.UsualLimit("r"), 10*time.Second)
+	for range 2 {
+		run(limitsKept)
+		q.ObserveLimit("r", 3*time.Second)
+	}
+	is.Equal(q.UsualLimit("r"), 3*time.Second)
+}
+
 // Guards against state that grows with the endpoints or with the callers that were refused.
 func TestStateIsBounded(t *testing.T) {
 	q, run := newTestQueue(64, 1<<20, Capacity{Slots: 100_000, Entries: 300})
