--- a/ingress/capacity.go
+++ b/ingress/capacity.go
@@ -38,15 +38,20 @@
 	return c.standing.Factor
 }
 
-// learnTime updates the estimates of how long answers take with one that took the given time. An
-// endpoint may have become slow only before the end, and estimates follow the quickest answers: a
-// factor that is too high would lower them, so that the smaller of two counts.
-func (x *exchange) learnTime(c *upstreamCall, tokens int, took time.Duration) {
+// leastFactor returns the smaller of the factors of the endpoint at the send and at the answer.
+func (x *exchange) leastFactor(c *upstreamCall) float64 {
 	factor := x.answerFactor(c)
 	if c.standing.HasFactor {
 		factor = min(factor, c.standing.Factor)
 	}
-	took = scaled(took, 1/factor)
+	return factor
+}
+
+// learnTime updates the estimates of how long answers take with one that took the given time. An
+// endpoint may have become slow only before the end, and estimates follow the quickest answers: a
+// factor that is too high would lower them, so that the smaller of two counts.
+func (x *exchange) learnTime(c *upstreamCall, tokens int, took time.Duration) {
+	took = scaled(took, 1/x.leastFactor(c))
 	if tokens > 0 {
 		x.server.Rates.Learn(x.modelName(), tokens, took)
 		return
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -430,7 +430,7 @@
 	x.attempts[c.attemptIndex].first = took
 	s := x.server
 	model, tokens := x.modelName(), x.metadata.Usage.Prompt
-	a := rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: model, Failed: failed, Took: took, Wait: c.expectedWait, Factor: max(x.answerFactor(c), c.standing.Factor)}
+	a := rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: model, Failed: failed, Took: took, Wait: c.expectedWait, Factor: x.leastFactor(c)}
 	if tokens > 0 {
 		a.Expected = s.Rates.TimeToFirstEvent(model, tokens)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -237,7 +237,7 @@
 	a := x.attempts[c.attemptIndex]
 	pace := a.streamTime / time.Duration(a.events-1)
 	x.server.Rollouts.Observe(rollout.Answer{Group: c.group, Endpoint: c.endpoint, Route: x.route.Name, Model: x.modelName(), Took: pace, Pace: true,
-		ShortPause: a.shortPause(), Factor: max(x.answerFactor(c), x.server.Board.Factor(c.endpoint.ID))})
+		ShortPause: a.shortPause(), Factor: min(x.leastFactor(c), x.server.Board.Factor(c.endpoint.ID))})
 }
 
 // shortPause returns the second shortest of the first pauses, which shows how fast
--- a/rollout/badrates_test.go
+++ b/rollout/badrates_test.go
@@ -47,6 +47,7 @@
 
 // simulatedAnswer is an endpoint's answer to a request.
 type simulatedAnswer struct {
+	factor float64 // 0: not reported
 	took   time.Duration
 	failed bool
 }
@@ -70,7 +71,7 @@
 		if ep.Version == "v2" {
 			out.toNew++
 		}
-		e.Observe(Answer{Group: g, Endpoint: ep, Route: q.Route, Took: a.took, Failed: a.failed})
+		e.Observe(Answer{Group: g, Endpoint: ep, Route: q.Route, Took: a.took, Failed: a.failed, Factor: a.factor})
 		if !x.clock.Now().Before(nextTick) {
 			nextTick = x.clock.Now().Add(Interval)
 			e.Tick(t.Context())
--- a/rollout/controller.go
+++ b/rollout/controller.go
@@ -63,6 +63,8 @@
 	sessions *sessions
 	strata   map[string]*strata // by service
 	lost     map[string]lostRecord
+	// otherFactors are the factors of endpoints of versions that are not being rolled out, by service.
+	otherFactors map[string]*reportedFactors
 }
 
 // tracker holds what the entry knows of one order.
@@ -95,7 +97,7 @@
 
 // New returns a controller.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, trackers: map[string]*tracker{}, baseline: map[baselineKey]*baseline{}, sessions: newSessions(d.SessionLife), strata: map[string]*strata{}, lost: map[string]lostRecord{}}
+	return &Controller{Deps: d, trackers: map[string]*tracker{}, baseline: map[baselineKey]*baseline{}, sessions: newSessions(d.SessionLife), strata: map[string]*strata{}, lost: map[string]lostRecord{}, otherFactors: map[string]*reportedFactors{}}
 }
 
 // trackerLocked returns the tracker of a group's order and creates one for a new order.
--- a/rollout/observe.go
+++ b/rollout/observe.go
@@ -24,7 +24,8 @@
 	Pace bool
 	// ShortPause is the second shortest of these pauses; 0: unknown.
 	ShortPause time.Duration
-	// Factor is the factor of the endpoint at the time of the answer (package capacity); 0: not known.
+	// Factor is the smaller of the factors of the endpoint at the send and at the answer (package
+	// capacity); 0: not known.
 	Factor float64
 }
 
@@ -64,9 +65,9 @@
 // Observe counts an answer as evidence if its version is being rolled out, and towards the
 // latency baseline otherwise. It reports whether the answer counted towards the baseline.
 func (c *Controller) Observe(a Answer) bool {
-	a = a.atUsualSpeed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	a = c.boundFactorLocked(a).atUsualSpeed()
 	key := baselineKey{a.Model, a.Pace}
 	if a.Model == "" {
 		key.name = a.Route
