--- a/overload/link.go
+++ b/overload/link.go
@@ -20,8 +20,8 @@
 	queueWindow = 100 * time.Millisecond
 	// baseWindow is the time over which the fastest connect is one that did not wait.
 	baseWindow = 30 * time.Second
-	// minWait is the wait from which it counts. Of 284 waits of 20 to 60 ms, in a soak of entries with a tenth of a
-	// core and 20 Mbit/s, 276 came while callers used less than half of linkBurst: most are stalls of the process.
+	// minWait is the wait from which it counts. Most shorter ones, at entries with a tenth of a core, are stalls of the
+	// process and not of the link.
 	minWait = 60 * time.Millisecond
 	// chokedFrom is the wait from which no request can be served in time.
 	chokedFrom = 300 * time.Millisecond
--- a/place/unequal.go
+++ b/place/unequal.go
@@ -12,9 +12,8 @@
 // tokens of its streams. An event is some ten tokens, so that each event of a stream that runs there
 // takes as long as ten chunks while prompts are read: mostly as long as all the reading.
 const (
-	// lateStreamPenalty is for each stream that pauses for its longest allowed pause or more. With 3 s
-	// instead of 5, the 95th percentile of first events was 948 ms instead of 862 among 300 entries
-	// (the simulation of TestUnequalEnginesAreUsedBySpeed, two seeds).
+	// lateStreamPenalty is for each stream that pauses for its longest allowed pause or more. It exceeds
+	// the usual waits, as one long prompt makes all streams at its endpoint late.
 	lateStreamPenalty = 5 * time.Second
 	// Pauses from lateFrom of the longest allowed one count, as the estimates of the reading time
 	// and of the work outstanding are not exact; the penalty is the full one from lateAt.
@@ -22,13 +21,11 @@
 	lateAt   = 0.9
 	// figuresBusyShare is the part of busyPenalty that applies to endpoints that report a figure. The
 	// wait and the request's own time there are known better than the slots taken, which most
-	// entries know from old reports. With 0.15, too little keeps requests from full engines, and
-	// the 95th percentile of first events was 1.25 s instead of 0.9 s among 74 entries.
+	// entries know from old reports. With much less, nothing keeps requests from full engines.
 	figuresBusyShare = 0.5
 	// A queue of longQueueAt times the longest allowed pause or more costs at least as much as any
-	// shorter one. With a cost that never falls as the wait grows, long prompts don't gather, and the
-	// 95th percentile of first events among 74 entries was 1.47 s instead of 0.96 s. With 3 and 5
-	// instead of 4 and 6 it was 1.04 s, with 4 and 6 it is 0.99 s.
+	// shorter one. If the cost rose from shorter queues on, long prompts would spread over all
+	// endpoints and make more streams late.
 	longQueueFrom = 4
 	longQueueAt   = 6
 	// An endpoint is sound up to soundFailRate; from mostFailRate on it has no advantage from having
