--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -7,7 +7,8 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
-	"order": playOrder,
+	"order":  playOrder,
+	"poison": playPoison,
 }
 
 // Exit codes of a case.
