--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -9,6 +9,7 @@
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
 	"order":  playOrder,
 	"poison": playPoison,
+	"status": playStatus,
 }
 
 // Exit codes of a case.
