--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -7,6 +7,7 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
+	"cutoff": playCutoff,
 	"late":   playLate,
 	"order":  playOrder,
 	"poison": playPoison,
--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -172,17 +172,23 @@
 
 // startEntry starts an entry with the command of the deploy file, and waits until it is ready.
 func (w *world) startEntry(name, domain string) (*entry, error) {
+	e := w.newEntry(name, domain)
+	if err := w.run(e); err != nil {
+		return nil, err
+	}
+	return e, eventually(10*time.Second, e.ready)
+}
+
+// newEntry returns an entry with its settings file.
+func (w *world) newEntry(name, domain string) *entry {
 	e := &entry{name: name, domain: domain, callers: freeAddress(), readiness: freeAddress(), peers: freeAddress(), loads: freeAddress()}
 	e.settings = filepath.Join(w.dir, name+".yaml")
 	text := fmt.Sprintf(settingsForm, name, domain, e.callers, e.readiness, e.peers, e.loads, w.store)
 	if err := os.WriteFile(e.settings, []byte(text), 0o644); err != nil {
-		return nil, err
+		panic(err)
 	}
 	w.entries = append(w.entries, e)
-	if err := w.run(e); err != nil {
-		return nil, err
-	}
-	return e, eventually(10*time.Second, e.ready)
+	return e
 }
 
 // run starts the process of an entry, which has none.
