--- a/review/harness2/cutoff.go
+++ b/review/harness2/cutoff.go
@@ -38,7 +38,7 @@
 }
 
 func newEgressLink() (*egressLink, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +129,7 @@
 	s.w.note("engine %s runs %s from piece %d", s.id, id, next)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s\r\nX-Confidence: 100\r\n%s\r\n", id, platformtest.Seal(s.id, id), leaving)
 	for n := next; n <= pieces; n++ {
-		if _, err := io.WriteString(conn, piece(n, false, "")); err != nil {
+		if _, err := io.WriteString(conn, piece(n)); err != nil {
 			s.w.note("engine %s: %s ended at piece %d", s.id, id, n)
 			return
 		}
@@ -283,3 +283,6 @@
 	}
 	return eventually(10*time.Second, e.ready)
 }
+
+// piece returns the nth event of a stream.
+func piece(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d of the draft\n\n", n, n) }
--- a/review/harness2/late.go
+++ b/review/harness2/late.go
@@ -69,7 +69,7 @@
 		return false, err
 	}
 	link := &storeLink{w: w}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return false, err
 	}
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -9,9 +9,9 @@
 var cases = map[string]func(w *world, trouble bool) (held bool, err error){
 	"cutoff": playCutoff,
 	"late":   playLate,
-	"order":  playOrder,
 	"poison": playPoison,
 	"status": playStatus,
+	"reuse":  playReuse,
 }
 
 // Exit codes of a case.
--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,14 +89,21 @@
 	return cmd, nil
 }
 
+// Ports of the case: below those that outgoing connections get by themselves.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if ln, err := net.Listen("tcp", address); err == nil {
+			_ = ln.Close()
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 // startStore starts the project's stand-in of the platform's store.
