--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -196,9 +196,23 @@
 		panic(err)
 	}
 	w.entries = append(w.entries, e)
+	go w.probe(e)
 	return e
 }
 
+// probe asks an entry whether it is ready once a second, as the platform does. Entries look at some of
+// their state only then.
+func (w *world) probe(e *entry) {
+	was := false
+	for {
+		if is := e.ready(); is != was {
+			w.note("%s is ready: %v", e.name, is)
+			was = is
+		}
+		time.Sleep(time.Second)
+	}
+}
+
 // run starts the process of an entry, which has none.
 func (w *world) run(e *entry) error {
 	cmd, err := w.start(e.name+".log", "target/lovageweir", "edge", "--settings", e.settings)
