--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# MIXED: engines spoil the status line of some answers. Exit 1: broken, 0: held, 2: could not run.
+# DRAIN: a heartbeat that got no answer is executed after the engine has reported that it drains.
+# Exit 1: broken, 0: held, 2: could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/harness2 status review/8/record.txt
+exec target/harness2 late review/8/record.txt
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -10,7 +10,7 @@
 	"cutoff": playCutoff,
 	"late":   playLate,
 	"poison": playPoison,
-	"status": playStatus,
+	"twice":  playTwice,
 	"reuse":  playReuse,
 }
 
