--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // cases are the cases by name. Each returns whether the rule held.
@@ -36,6 +39,7 @@
 		return exitNotRun
 	}
 	defer w.end()
+	go w.endIfStopped()
 	held, err := play(w, trouble)
 	switch {
 	case err != nil:
@@ -49,3 +53,18 @@
 	w.note("the rule held")
 	return exitHeld
 }
+
+// maxTime is the longest time that a case may run.
+const maxTime = 115 * time.Second
+
+// endIfStopped ends all processes if this one gets a signal, or runs for too long.
+func (w *world) endIfStopped() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	w.end()
+	os.Exit(exitNotRun)
+}
