quarantine, ingress, egress: log who told of a crash, why a broken answer is none, and tunnels for quarantined requests

The record of the incident does not tell whether an entry in between knew of the cause, nor why crashes were not counted. An entry that asks for a tunnel names the fingerprints of its request and what is to run it; the entry in between logs and counts those that it refuses itself. Nothing is refused yet.

--- a/agent/suspects.go
+++ b/agent/suspects.go
@@ -19,7 +19,7 @@
 // Merge implements peers.Topic. It always returns false, as forwardUpdates
 // propagates new suspects.
 func (s suspectTopic) Merge(_ context.Context, d peers.Received) (changed bool) {
-	s.table.MergeMessage(d.Suspects, d.SuspectParts)
+	s.table.MergeMessage("peer", d.Suspects, d.SuspectParts)
 	return false
 }
 
--- a/edge/module.go
+++ b/edge/module.go
@@ -244,8 +244,8 @@
 	}}
 }
 
-func newTunnels(s *Settings, d *egress.Dialer, gate *drain.Gate) *egress.Server {
-	return &egress.Server{Dialer: d, Gate: gate, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
+func newTunnels(s *Settings, d *egress.Dialer, q *quarantine.Table, gate *drain.Gate) *egress.Server {
+	return &egress.Server{Dialer: d, Gate: gate, Quarantine: q, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
 }
 
 func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/upstream"
 )
 
@@ -130,6 +132,32 @@
 type Purpose struct {
 	Request string        // id; empty: none
 	Lasts   time.Duration // how long it is needed
+	// Subject and Variant are what other entries may refuse to connect; zero: nothing is sent.
+	Subject quarantine.Subject
+	Variant quarantine.Variant
+}
+
+// header returns what an entry in between is told.
+func (p Purpose) header(instance string, ep fleet.Endpoint, timeout time.Duration) http.Header {
+	h := http.Header{headerService: {ep.Service}, headerTimeout: {formatMS(timeout)}, headerLasts: {formatMS(p.Lasts)}, headerFrom: {instance}}
+	if p.Request != "" {
+		h.Set(headerRequest, p.Request)
+	}
+	if p.Subject.Request != 0 {
+		h.Set(headerSubject, p.Subject.Encode())
+		h.Set(headerVariant, strconv.FormatUint(uint64(p.Variant), 16))
+	}
+	return h
+}
+
+// parsePurpose reads what a tunnel is for; ok is false if its client does not say, as one of an earlier build.
+func parsePurpose(h http.Header) (subject quarantine.Subject, variant quarantine.Variant, ok bool) {
+	subject, err := quarantine.ParseSubject(h.Get(headerSubject))
+	if err != nil {
+		return quarantine.Subject{}, 0, false
+	}
+	v, err := strconv.ParseUint(h.Get(headerVariant), 16, 32)
+	return subject, quarantine.Variant(v), err == nil
 }
 
 // Connect connects to an endpoint, within timeout on each way that it tries. Its error says that the
@@ -291,10 +319,7 @@
 func (d *Dialer) tryPeers(ctx context.Context, ep fleet.Endpoint, timeout time.Duration, p Purpose, tried map[string]bool) (*Conn, error) {
 	entries := d.View().Entries
 	last := errors.New("no other entry is known to reach them")
-	header := http.Header{headerService: {ep.Service}, headerTimeout: {formatMS(timeout)}, headerLasts: {formatMS(p.Lasts)}, headerFrom: {d.Instance}}
-	if p.Request != "" {
-		header.Set(headerRequest, p.Request)
-	}
+	header := p.header(d.Instance, ep, timeout)
 	for range maxPeersTried {
 		e, ok := d.peers.choose(ep.Service, d.self(), entries, tried)
 		if !ok || ctx.Err() != nil {
--- a/egress/server.go
+++ b/egress/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/upstream"
 )
 
@@ -37,6 +38,8 @@
 	Dialer *Dialer
 	// Gate counts tunnels as requests in progress, which a planned stop waits for.
 	Gate *drain.Gate
+	// Quarantine holds the requests that crash endpoints; nil: none are known.
+	Quarantine *quarantine.Table
 	// MaxTunnels bounds the tunnels open at a time; 0: unlimited.
 	MaxTunnels int64
 }
@@ -123,6 +126,10 @@
 		timeout = upstream.DialTimeout
 	}
 	log := s.Dialer.Log.With("id", clip(r.Header.Get(headerRequest)), "endpoint", ep.ID, "from", clip(r.Header.Get(headerFrom)))
+	if s.refuses(r) {
+		s.Dialer.Scope.Counter("tunnels_for_quarantined").Inc(1)
+		log.Warn("egress: tunnel for a request that this entry refuses itself.", "fingerprints", clip(r.Header.Get(headerSubject)))
+	}
 	started := s.Dialer.Clock.Now()
 	conn, err := s.Dialer.direct(r.Context(), ep, timeout)
 	if err != nil {
@@ -142,6 +149,12 @@
 	log.Info("egress: tunnel for another entry ended.", "ms", s.Dialer.Clock.Since(begun).Milliseconds(), "error", err)
 }
 
+// refuses reports whether this entry's quarantine has the request that a tunnel is for.
+func (s *Server) refuses(r *http.Request) bool {
+	subject, variant, ok := parsePurpose(r.Header)
+	return ok && s.Quarantine != nil && s.Quarantine.Refuses(subject, variant)
+}
+
 // endpoint returns the endpoint of a service at an address: tunnels lead nowhere else.
 func (s *Server) endpoint(service, address string) (fleet.Endpoint, bool) {
 	g := s.Dialer.View().Group(service)
--- a/egress/tunnel.go
+++ b/egress/tunnel.go
@@ -25,12 +25,14 @@
 const (
 	reachPath     = "/tunnel/reach"
 	headerService = "Tunnel-Service"
-	headerTimeout = "Tunnel-Timeout-Ms" // to connect to the endpoint
-	headerLasts   = "Tunnel-Lasts-Ms"   // how long the request may take
-	headerRequest = "Tunnel-Request"    // id of the request
-	headerFrom    = "Tunnel-From"       // instance of the entry that asks
-	headerFailure = "Tunnel-Failure"    // why the endpoint did not accept a connection
-	headerHints   = "Tunnel-Peers"      // addresses of entries that reach the service
+	headerTimeout = "Tunnel-Timeout-Ms"   // to connect to the endpoint
+	headerLasts   = "Tunnel-Lasts-Ms"     // how long the request may take
+	headerRequest = "Tunnel-Request"      // id of the request
+	headerFrom    = "Tunnel-From"         // instance of the entry that asks
+	headerSubject = "Tunnel-Fingerprints" // of the request and its prompt parts
+	headerVariant = "Tunnel-Variant"      // what is to run it
+	headerFailure = "Tunnel-Failure"      // why the endpoint did not accept a connection
+	headerHints   = "Tunnel-Peers"        // addresses of entries that reach the service
 	// headerFraming with the value framingChunked: the bytes from the endpoint come in chunks, so
 	// that their end differs from the end of the entry in between.
 	headerFraming  = "Tunnel-Framing"
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -110,7 +110,7 @@
 	return servers, func() {
 		for _, from := range tables {
 			for _, to := range tables {
-				to.Merge(from.Reports())
+				to.Merge("other", from.Reports())
 			}
 		}
 	}
--- a/ingress/cluster_test.go
+++ b/ingress/cluster_test.go
@@ -43,7 +43,7 @@
 		e := newEnvInDomain(t, store, clock, fmt.Sprintf("i%d", i), domainOf(i, domains))
 		f.all = append(f.all, e)
 		m := mesh.New(mesh.Deps{Instance: fmt.Sprintf("i%d", i), Domain: domainOf(i, domains), Fleet: e.fleet, Rollouts: e.rolloutController, Quarantine: e.quarantine, Limits: e.limits, Concurrency: e.concurrency, Clock: clock, Log: slog.New(slog.DiscardHandler)})
-		srv := httptest.NewServer(e.server.HandoffMiddleware((&egress.Server{Dialer: e.egress, Gate: e.gate}).Middleware(meshpb.NewMeshServer(m))))
+		srv := httptest.NewServer(e.server.HandoffMiddleware((&egress.Server{Dialer: e.egress, Gate: e.gate, Quarantine: e.quarantine}).Middleware(meshpb.NewMeshServer(m))))
 		t.Cleanup(srv.Close)
 		m.Address = strings.TrimPrefix(srv.URL, "http://")
 		f.meshes = append(f.meshes, m)
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -65,15 +65,19 @@
 // crashed. An endpoint that was leaving has exited as planned.
 func (s *Server) noteCrash(r sentRequest, ep fleet.Endpoint, stage quarantine.Stage) bool {
 	group := s.Fleet.View().Group(ep.Service)
-	known := group != nil && (group.IsReady(ep.ID) || group.HasLapsed(ep.ID))
-	if !known || !s.exited(ep) {
-		s.Log.Info("ingress: answer broke off, endpoint did not crash.", "id", r.id, "fingerprint", r.subject.Request, "endpoint", ep.ID, "stage", stage.String(), "leaving", !known)
+	found := exitCheck{why: "leaving or unknown"}
+	if group != nil && (group.IsReady(ep.ID) || group.HasLapsed(ep.ID)) {
+		found = s.checkExit(ep)
+	}
+	s.metrics.brokenAnswer(found)
+	if !found.exited {
+		s.Log.Info("ingress: answer broke off, endpoint did not crash.", "id", r.id, "fingerprint", r.subject.Request, "endpoint", ep.ID, "stage", stage.String(), "why", found.why)
 		return false
 	}
 	s.Quarantine.Crashed(r.subject, ep.ID, quarantine.VariantOf(r.model, ep.Version), stage)
 	s.metrics.crash(stage)
 	s.Log.Info("ingress: endpoint crashed under a request.", "id", r.id, "fingerprint", r.subject.Request, "endpoint", ep.ID, "version", ep.Version, "stage", stage.String(),
-		"route", r.route, "customer", r.customer, "model", r.model, "parts", r.subject.PartsString())
+		"route", r.route, "customer", r.customer, "model", r.model, "parts", r.subject.PartsString(), "why", found.why)
 	return true
 }
 
@@ -91,18 +95,27 @@
 // errCutOff: the endpoint exited as it answered.
 var errCutOff = errors.New("answer without a length ended with its endpoint")
 
-// exited reports whether an endpoint's process has ended. What this entry's own link shows may be the
+// exited reports whether an endpoint's process has ended.
+func (s *Server) exited(ep fleet.Endpoint) bool { return s.checkExit(ep).exited }
+
+// exitCheck is whether an endpoint's process has ended, as far as connections show it.
+type exitCheck struct {
+	exited bool
+	why    string // what shows it, for the log
+}
+
+// checkExit checks whether an endpoint's process has ended. What this entry's own link shows may be the
 // link's fault: if another entry is accepted by the endpoint, it has not.
-func (s *Server) exited(ep fleet.Endpoint) bool {
-	exited, _, _ := s.exits.Do(ep.Address, func() (any, error) { return s.findExited(ep), nil })
-	return exited.(bool)
+func (s *Server) checkExit(ep fleet.Endpoint) exitCheck {
+	found, _, _ := s.exits.Do(ep.Address, func() (any, error) { return s.findExited(ep), nil })
+	return found.(exitCheck)
 }
 
-func (s *Server) findExited(ep fleet.Endpoint) bool {
+func (s *Server) findExited(ep fleet.Endpoint) exitCheck {
 	refused := s.prober.ExitedBy(ep.Address, s.Egress.DialDirect(ep))
 	_, down := s.Egress.DownSince(ep.Service)
 	if !refused && !down {
-		return false
+		return exitCheck{why: "accepts connections or does not answer"}
 	}
 	known := false
 	refusedElsewhere := s.prober.ExitedBy(ep.Address, func(ctx context.Context, _ string) (net.Conn, error) {
@@ -110,10 +123,15 @@
 		known = known || err == nil || errors.Is(err, syscall.ECONNREFUSED)
 		return conn, err
 	})
-	if known {
-		return refusedElsewhere
+	switch {
+	case known && refusedElsewhere:
+		return exitCheck{exited: true, why: "refuses another entry"}
+	case known:
+		return exitCheck{why: "accepts another entry"}
+	case refused:
+		return exitCheck{exited: true, why: "refuses this entry, no other reaches it"}
 	}
-	return refused
+	return exitCheck{why: "no entry reaches it"}
 }
 
 // checkQuarantine refuses a request that crashes endpoints, unless it is sent once as a probe.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -248,7 +248,7 @@
 // connector returns a function that connects a call to its endpoint.
 func (x *exchange) connector(c *upstreamCall) func(context.Context, time.Duration) (net.Conn, error) {
 	return func(ctx context.Context, timeout time.Duration) (net.Conn, error) {
-		conn, err := x.server.Egress.Connect(ctx, c.endpoint, timeout, egress.Purpose{Request: x.metadata.ID, Lasts: x.remaining()})
+		conn, err := x.server.Egress.Connect(ctx, c.endpoint, timeout, x.purpose(c))
 		if err != nil {
 			return nil, err
 		}
@@ -258,6 +258,11 @@
 	}
 }
 
+// purpose describes a call to an entry that connects it.
+func (x *exchange) purpose(c *upstreamCall) egress.Purpose {
+	return egress.Purpose{Request: x.metadata.ID, Lasts: x.remaining(), Subject: x.subject, Variant: x.variant(c)}
+}
+
 // acquire returns the endpoint for the next send, and takes the request from its limit.
 func (x *exchange) acquire(ctx context.Context) (*fleet.Group, place.Ranked, *refusal) {
 	if r := x.reserved; r != nil {
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -46,6 +47,11 @@
 	m.scope.Tagged(map[string]string{"stage": stage.String()}).Counter("crashes_total").Inc(1)
 }
 
+// brokenAnswer counts an answer that broke off, by what became of its endpoint.
+func (m metrics) brokenAnswer(found exitCheck) {
+	m.scope.Tagged(map[string]string{"why": strings.ReplaceAll(found.why, " ", "_")}).Counter("broken_answers_total").Inc(1)
+}
+
 // unreached counts a send for which the endpoint did not accept a connection.
 func (m metrics) unreached(err error) {
 	m.scope.Tagged(map[string]string{"reason": upstream.Reason(err)}).Counter("unreached_total").Inc(1)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -308,7 +308,7 @@
 func (m *Mesh) Exchange(_ context.Context, in *meshpb.ExchangeMessage) (*meshpb.ExchangeMessage, error) {
 	m.noteEra(in)
 	m.mergeRollouts(in)
-	m.Quarantine.MergeMessage(in.Suspects, in.SuspectParts)
+	m.Quarantine.MergeMessage(in.Instance, in.Suspects, in.SuspectParts)
 	m.Limits.MergeMessage(in.Limits)
 	m.Concurrency.MergeMessage(in.Brittle)
 	m.mergeDepartures(in)
@@ -360,7 +360,7 @@
 		m.mergeCarried(got)
 	}
 	m.mergeRollouts(got)
-	m.Quarantine.MergeMessage(got.Suspects, got.SuspectParts)
+	m.Quarantine.MergeMessage(got.Instance, got.Suspects, got.SuspectParts)
 	m.Limits.MergeMessage(got.Limits)
 	m.Concurrency.MergeMessage(got.Brittle)
 	m.mergeDepartures(got)
--- a/quarantine/crashed.go
+++ b/quarantine/crashed.go
@@ -16,9 +16,11 @@
 	crashedFor          = 10 * time.Second
 )
 
-func (c crashedEndpoints) add(ep fleet.EndpointID, at, now time.Time) {
-	if known, ok := c[ep]; ok && !at.Before(known) {
-		return
+// add records when an endpoint crashed, and reports whether that was not known.
+func (c crashedEndpoints) add(ep fleet.EndpointID, at, now time.Time) bool {
+	known, ok := c[ep]
+	if ok && !at.Before(known) {
+		return false
 	}
 	if len(c) >= maxCrashedEndpoints {
 		for old, at := range c {
@@ -27,10 +29,11 @@
 			}
 		}
 		if len(c) >= maxCrashedEndpoints {
-			return
+			return false
 		}
 	}
 	c[ep] = at
+	return !ok
 }
 
 // since returns how many endpoints crashed at or after a time.
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -80,6 +80,34 @@
 	return false
 }
 
+// maxEncodedParts bounds the parts in an encoded subject, which has to fit into a header.
+const maxEncodedParts = 512
+
+// Encode returns the request and the first parts for a message to another entry; ParseSubject reads it.
+func (s Subject) Encode() string {
+	return joined(append([]Fingerprint{s.Request}, s.Parts[:min(len(s.Parts), maxEncodedParts)]...))
+}
+
+// ParseSubject reads the result of Subject.Encode.
+func ParseSubject(encoded string) (Subject, error) {
+	var s Subject
+	for i, word := range strings.Split(encoded, ",") {
+		if i > maxEncodedParts {
+			break
+		}
+		f, err := strconv.ParseUint(word, 16, 64)
+		if err != nil {
+			return Subject{}, err
+		}
+		if i == 0 {
+			s.Request = Fingerprint(f)
+			continue
+		}
+		s.Parts = append(s.Parts, Fingerprint(f))
+	}
+	return s, nil
+}
+
 // String returns the fingerprint as written in logs and store keys.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -161,7 +161,7 @@
 }
 
 // Merge merges the suspects that another entry reported.
-func (t *Table) Merge(reports []SuspectReport) {
+func (t *Table) Merge(from string, reports []SuspectReport) {
 	if len(reports) == 0 {
 		return
 	}
@@ -177,7 +177,7 @@
 		for _, c := range r.Crashes {
 			stage := min(max(c.Stage, Waiting), Running)
 			merged := crash{stage: stage, at: now.Add(-max(0, c.Age)), request: c.Request, variant: c.Variant}
-			reevaluate = t.addCrashLocked(r.Fingerprint, r.Part, c.Endpoint, merged) || reevaluate
+			reevaluate = t.addCrashLocked(r.Fingerprint, r.Part, c.Endpoint, merged, from) || reevaluate
 		}
 		if r.Part {
 			t.answerBackLocked(r, now)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -97,7 +97,7 @@
 	a.learn()
 	b.learn()
 	crashTwice(a.Table)
-	b.Merge(a.Reports())
+	b.Merge("other", a.Reports())
 	is.True(b.Check(subject(3)).Quarantined)
 	a.clock.Advance(time.Second)
 	a.Answering(subject(4), 1) // it was under way
@@ -108,7 +108,7 @@
 		t.Fatal("others are not told at once")
 	}
 	b.clock.Advance(time.Second)
-	b.Merge(a.Reports())
+	b.Merge("other", a.Reports())
 	is.True(!b.Check(subject(3)).Quarantined)
 }
 
@@ -125,8 +125,8 @@
 	b.clock.Advance(time.Millisecond)
 	a.clock.Advance(time.Millisecond)
 	b.Answering(subject(7), 1)
-	b.Merge(a.Reports())
-	a.Merge(b.Reports())
+	b.Merge("other", a.Reports())
+	a.Merge("other", b.Reports())
 	a.clock.Advance(maxSettleDelay)
 	a.Tick(context.Background())
 	is.True(!a.Check(subject(9)).Quarantined)
@@ -217,7 +217,8 @@
 		e.Answering(Subject{Parts: beside.Parts}, 1)
 	}
 	crashTwice(e.Table)
-	other.MergeMessage(e.Message())
+	requests, parts := e.Message()
+	other.MergeMessage("other", requests, parts)
 	is.True(other.Check(subject(9)).Quarantined)
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -110,6 +110,12 @@
 	return false
 }
 
+// Refuses reports whether a request must not reach endpoints of a variant.
+func (t *Table) Refuses(s Subject, v Variant) bool {
+	verdict := t.Check(s)
+	return verdict.Quarantined || verdict.Restricted && t.Blocks(s, v)
+}
+
 // matchLocked returns the causes that a request contains.
 func (t *Table) matchLocked(s Subject) []*cause {
 	if len(t.quarantined) == 0 {
@@ -170,26 +176,29 @@
 	defer t.mu.Unlock()
 	reevaluate := false
 	if !t.served.has(s.Request) {
-		reevaluate = t.addCrashLocked(s.Request, false, ep, crash{stage: stage, at: now, local: true})
+		reevaluate = t.addCrashLocked(s.Request, false, ep, crash{stage: stage, at: now, local: true}, "")
 	}
 	for _, part := range s.Parts {
-		reevaluate = t.addCrashLocked(part, true, ep, crash{stage: stage, at: now, local: true, request: s.Request, variant: v}) || reevaluate
+		reevaluate = t.addCrashLocked(part, true, ep, crash{stage: stage, at: now, local: true, request: s.Request, variant: v}, "") || reevaluate
 	}
 	if reevaluate {
 		t.reevaluateLocked()
 	}
 }
 
-// addCrashLocked adds a crash to a suspect, and reports whether that may change the set of
-// quarantined requests.
-func (t *Table) addCrashLocked(f Fingerprint, part bool, ep fleet.EndpointID, c crash) bool {
+// addCrashLocked adds a crash, which another entry reported unless from is empty, to a suspect. It reports
+// whether that may change the set of quarantined requests.
+func (t *Table) addCrashLocked(f Fingerprint, part bool, ep fleet.EndpointID, c crash, from string) bool {
 	s := t.suspects.getOrAdd(f, part)
 	if s.part != part || !s.addCrash(ep, c) {
 		return false
 	}
 	now := t.Clock.Now()
+	s.from = from
 	t.suspects.touch(s, now)
-	t.crashed.add(ep, c.at, now)
+	if t.crashed.add(ep, c.at, now) {
+		t.Log.Info("quarantine: learned that an endpoint crashed.", "endpoint", ep, "from", from, "age_ms", now.Sub(c.at).Milliseconds(), "fingerprint", f, "part", part)
+	}
 	t.notifyLocked(s)
 	return t.quarantined[f] != nil || len(s.crashes) > 1 && t.evidenceLocked(s, nil).strength(part) != none
 }
@@ -303,7 +312,8 @@
 	attrs := []any{"fingerprint", c.key(), "part", c.part, "recorded", t.records.has(c.members[0])}
 	if s := t.suspects.all[c.members[0]]; s != nil {
 		e := t.evidenceLocked(s, nil)
-		attrs = append(attrs, "endpoints", s.endpoints(), "weight", e.weight, "requests", e.requests)
+		attrs = append(attrs, "endpoints", s.endpoints(), "weight", e.weight, "requests", e.requests, "answered", e.answered,
+			"first_ms", now.Sub(e.first).Milliseconds(), "latest_ms", now.Sub(s.latest).Milliseconds(), "from", s.from)
 	}
 	t.Log.Warn("quarantine: request crashes endpoints; no endpoint gets it.", attrs...)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -96,7 +96,7 @@
 		crashed(e, bystander, endpoint(n), Waiting)
 	}
 	is.True(e.quarantined(bystander))
-	e.Merge([]SuspectReport{{Fingerprint: crashing, Crashes: []CrashReport{{Endpoint: endpoint(0), Stage: Started}, {Endpoint: endpoint(1), Stage: Started}, {Endpoint: endpoint(2), Stage: Started}}}})
+	e.Merge("other", []SuspectReport{{Fingerprint: crashing, Crashes: []CrashReport{{Endpoint: endpoint(0), Stage: Started}, {Endpoint: endpoint(1), Stage: Started}, {Endpoint: endpoint(2), Stage: Started}}}})
 	is.True(e.quarantined(crashing))
 	is.True(!e.quarantined(bystander))
 }
@@ -129,7 +129,7 @@
 	}
 	for _, a := range all {
 		for _, b := range all {
-			b.Merge(a.Reports())
+			b.Merge("other", a.Reports())
 		}
 	}
 	for _, e := range all {
@@ -144,7 +144,7 @@
 	for range 5 {
 		crashed(e, bystander, endpoint(0), Waiting)
 		crashed(e, bystander, endpoint(1), Running)
-		e.Merge(e.Reports())
+		e.Merge("other", e.Reports())
 	}
 	is.True(!e.quarantined(bystander))
 }
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -173,8 +173,8 @@
 		}
 		for range partners {
 			other := s.tables[s.rng.IntN(simEntries)]
-			other.Merge(t.Reports())
-			t.Merge(other.Reports())
+			other.Merge("other", t.Reports())
+			t.Merge("other", other.Reports())
 		}
 	}
 	s.now += simStep
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -345,8 +345,8 @@
 				continue
 			}
 			there := s.tables[other]
-			there.Merge(t.Reports())
-			t.Merge(there.Reports())
+			there.Merge("other", t.Reports())
+			t.Merge("other", there.Reports())
 		}
 		if n%20 == 0 {
 			t.Tick(context.Background())
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -39,6 +39,7 @@
 	part        bool
 	crashes     map[fleet.EndpointID]crash
 	latest      time.Time // time of the latest crash
+	from        string    // instance that told of the crash added last; empty: this one
 	updated     time.Time // when a crash was last added
 	element     *list.Element
 }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -41,7 +41,7 @@
 func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // MergeMessage merges the suspects in another entry's messages.
-func (t *Table) MergeMessage(requests []*sharedpb.Suspect, parts []*sharedpb.SuspectPart) {
+func (t *Table) MergeMessage(from string, requests []*sharedpb.Suspect, parts []*sharedpb.SuspectPart) {
 	reports := make([]SuspectReport, 0, len(requests)+len(parts))
 	for _, s := range requests {
 		r := SuspectReport{Fingerprint: Fingerprint(s.Fingerprint)}
@@ -60,5 +60,5 @@
 		}
 		reports = append(reports, r)
 	}
-	t.Merge(reports)
+	t.Merge(from, reports)
 }
