--- a/command/standin/platform.go
+++ b/command/standin/platform.go
@@ -107,6 +107,7 @@
 	slowdown  int     // how long work takes, in percent of the usual; 0: it does not report that
 	crashOn   string  // body of a request that ends the process; "": none
 	crashPart string  // id of a prompt part that ends the process; "": none
+	crashFrom int64   // from when both do, in Unix milliseconds
 	limit     float64 // requests a second that it reports as its limit; 0: none
 	// coldFor is how long it says that it is cold after its start.
 	coldFor time.Duration
@@ -140,6 +141,9 @@
 	cmd.Flag("cut-slow", "How long a caller may hold up a stream by not reading; 0: for any time.").Default("0s").DurationVar(&e.config.CutSlowAfter)
 	cmd.Flag("crash-on", "Body of a request that ends the process; none: no request does.").StringVar(&e.crashOn)
 	cmd.Flag("crash-on-part", "Prompt part, but not the last, that ends the process; none: no part does.").StringVar(&e.crashPart)
+	cmd.Flag("crash-from", "From when on they do, in Unix milliseconds.").Default("0").Int64Var(&e.crashFrom)
+	cmd.Flag("crash-before-head", "They do so before the head of the answer.").BoolVar(&e.config.CrashBeforeHead)
+	cmd.Flag("crash-delay", "How long after the head they do so, while the answer goes on.").Default("0s").DurationVar(&e.config.CrashDelay)
 	cmd.Flag("limit", "Requests a second that it names in its answers; 0: none.").Default("0").Float64Var(&e.limit)
 	cmd.Flag("retry-after", "Retry-After of its refusals, in seconds; none: none.").StringVar(&e.config.RetryAfter)
 	cmd.Flag("cold", "How long it says that it is cold after its start.").Default("0s").DurationVar(&e.coldFor)
@@ -158,10 +162,10 @@
 		e.config.Slowdown = e.slowdownNow
 	}
 	if e.crashOn != "" {
-		e.config.CrashOn = func(body []byte) bool { return string(body) == e.crashOn }
+		e.config.CrashOn = func(body []byte) bool { return string(body) == e.crashOn && e.crashesNow() }
 	}
 	if e.crashPart != "" {
-		e.config.CrashOnPart = func(id string) bool { return id == e.crashPart }
+		e.config.CrashOnPart = func(id string) bool { return id == e.crashPart && e.crashesNow() }
 	}
 	engine := platformtest.NewEngine(e.config)
 	engine.SetLimit(e.limit)
@@ -190,6 +194,8 @@
 	return srv.Close()
 }
 
+func (e *platformEngine) crashesNow() bool { return time.Now().UnixMilli() >= e.crashFrom }
+
 // confidence returns a score from 0 to 100 that depends only on the request id and the
 // model, so that a good part of the smaller model's answers are in doubt.
 func confidence(id, model string) int {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,9 +1,6 @@
 package soak_test
 
 import (
-	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -12,16 +9,7 @@
 	"github.com/lovageweir/lovageweir/soak"
 )
 
-// buildPrograms builds lovageweir and lovagectl.
-func buildPrograms(t *testing.T) (edge, ctl string) {
-	t.Helper()
-	dir := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", dir+string(os.PathSeparator), "../cmd/lovageweir", "../cmd/lovagectl").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return filepath.Join(dir, "lovageweir"), filepath.Join(dir, "lovagectl")
-}
+func buildPrograms(t *testing.T) (edge, ctl string) { return soak.BuildPrograms(t) }
 
 // A short seeded soak; docs/SOAK.md lists the longer ones. Seeds that have failed
 // before run here as well, each with its cause.
