egress, ingress: an entry in between refuses requests that it has quarantined

An entry in between passed on whatever its client sent; what it knew itself did not count.

The entry in between refuses what it refuses itself, with the time after which it may come again, and closes a tunnel whose request is quarantined before the endpoint has answered. The client refuses its caller then, and tries no other entry. Requests sent by earlier builds, which name nothing, are passed on as before; a probe names nothing, so that it is not held back.

An entry checks once more when the connection is open, on each way that sends to an endpoint: the request may have waited for a permit, for the connection, or for the process to run, and the hold on it was registered after the first check only.

Tests fail without the check: the request gets 200 from an engine.

--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -150,14 +150,14 @@
 	return h
 }
 
-// parsePurpose reads what a tunnel is for; ok is false if its client does not say, as one of an earlier build.
-func parsePurpose(h http.Header) (subject quarantine.Subject, variant quarantine.Variant, ok bool) {
+// parsePurpose reads of a purpose's header what the quarantine needs. Clients of an earlier build do not send it.
+func parsePurpose(h http.Header) Purpose {
 	subject, err := quarantine.ParseSubject(h.Get(headerSubject))
-	if err != nil {
-		return quarantine.Subject{}, 0, false
+	variant, errVariant := strconv.ParseUint(h.Get(headerVariant), 16, 32)
+	if err != nil || errVariant != nil {
+		return Purpose{}
 	}
-	v, err := strconv.ParseUint(h.Get(headerVariant), 16, 32)
-	return subject, quarantine.Variant(v), err == nil
+	return Purpose{Subject: subject, Variant: quarantine.Variant(variant)}
 }
 
 // Connect connects to an endpoint, within timeout on each way that it tries. Its error says that the
@@ -328,6 +328,7 @@
 		tried[e.Address] = true
 		conn, err := openTunnel(ctx, d.DialPeer, e.Address, ep, timeout, header)
 		var atEndpoint *endpointError
+		var quarantined *QuarantinedError
 		switch {
 		case err == nil:
 			d.Scope.Counter("tunnels_opened").Inc(1)
@@ -338,6 +339,8 @@
 		case errors.As(err, &atEndpoint):
 			d.peers.reaches(e.Address, ep.Service)
 			return nil, err
+		case errors.As(err, &quarantined):
+			return nil, err
 		case ctx.Err() != nil:
 			return nil, err
 		}
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -26,6 +26,7 @@
 	"github.com/lovageweir/lovageweir/overload"
 	"github.com/lovageweir/lovageweir/platform"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/quarantine"
 )
 
 const service = "svc"
@@ -200,9 +201,14 @@
 }
 
 func (x *fixture) open(ep fleet.Endpoint) (net.Conn, error) {
+	return x.openFor(ep, Purpose{Lasts: 5 * time.Second})
+}
+
+func (x *fixture) openFor(ep fleet.Endpoint, p Purpose) (net.Conn, error) {
+	const timeout = 200 * time.Millisecond
 	d := &net.Dialer{}
 	return openTunnel(context.Background(), func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) }, x.address, ep,
-		200*time.Millisecond, http.Header{headerService: {ep.Service}, headerLasts: {"5000"}})
+		timeout, p.header("i2", ep, timeout))
 }
 
 // Guards against an answer that looks complete although its endpoint, or the entry in between, broke off.
@@ -361,3 +367,70 @@
 		})
 	}
 }
+
+// quarantineWith returns a quarantine, and a function that makes it refuse a prompt part.
+func quarantineWith(part quarantine.Fingerprint) (*quarantine.Table, func()) {
+	q := quarantine.New(quarantine.Deps{Clock: clockwork.NewRealClock(), Log: slog.New(slog.DiscardHandler)})
+	return q, func() {
+		for n := range 4 {
+			q.Crashed(quarantine.Subject{Request: quarantine.Fingerprint(100 + n), Parts: []quarantine.Fingerprint{part}}, endpoint(100+n).ID, 1, quarantine.Started)
+		}
+		for until := time.Now().Add(2 * time.Second); !q.Refuses(quarantine.Subject{Request: 1, Parts: []quarantine.Fingerprint{part}}, 1) && time.Now().Before(until); {
+			time.Sleep(quarantine.Interval / 4)
+			q.Tick(context.Background())
+		}
+	}
+}
+
+// Guards against a request that crashes endpoints reaching them through an entry that knows of it, for one that does not.
+func TestNoTunnelIsOpenedForAQuarantinedRequest(t *testing.T) {
+	is := is.New(t)
+	const part = quarantine.Fingerprint(7)
+	var connections atomic.Int64
+	x := newFixture(t, func(c net.Conn) {
+		connections.Add(1)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	q, refuse := quarantineWith(part)
+	x.server.Quarantine = q
+	refuse()
+	_, err := x.openFor(x.ep, Purpose{Subject: quarantine.Subject{Request: 1, Parts: []quarantine.Fingerprint{6, part}}, Variant: 1})
+	var quarantined *QuarantinedError
+	is.True(errors.As(err, &quarantined))
+	is.True(quarantined.RetryAfter > 0)
+	is.Equal(connections.Load(), int64(0))
+	for _, p := range []Purpose{{Subject: quarantine.Subject{Request: 2, Parts: []quarantine.Fingerprint{6}}, Variant: 1}, {}} {
+		conn, err := x.openFor(x.ep, p)
+		is.NoErr(err)
+		is.NoErr(conn.Close())
+	}
+}
+
+// Guards against the same where the entry in between learns of it once the tunnel is open; an answer that has begun goes on.
+func TestATunnelIsClosedIfItsRequestIsQuarantinedBeforeTheAnswer(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		t.Run(fmt.Sprint("answer begun: ", answers), func(t *testing.T) {
+			is := is.New(t)
+			const part = quarantine.Fingerprint(7)
+			x := newFixture(t, func(c net.Conn) {
+				if answers {
+					_, _ = io.WriteString(c, "head")
+				}
+				_, _ = io.Copy(io.Discard, c)
+			})
+			q, refuse := quarantineWith(part)
+			x.server.Quarantine = q
+			conn, err := x.openFor(x.ep, Purpose{Subject: quarantine.Subject{Request: 1, Parts: []quarantine.Fingerprint{part}}, Variant: 1})
+			is.NoErr(err)
+			defer conn.Close()
+			if answers {
+				_, err = io.ReadFull(conn, make([]byte, 4))
+				is.NoErr(err)
+			}
+			refuse()
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond)))
+			_, err = conn.Read(make([]byte, 1))
+			is.Equal(errors.Is(err, os.ErrDeadlineExceeded), answers)
+		})
+	}
+}
--- a/egress/server.go
+++ b/egress/server.go
@@ -126,9 +126,13 @@
 		timeout = upstream.DialTimeout
 	}
 	log := s.Dialer.Log.With("id", clip(r.Header.Get(headerRequest)), "endpoint", ep.ID, "from", clip(r.Header.Get(headerFrom)))
-	if s.refuses(r) {
+	request := parsePurpose(r.Header)
+	if retry := s.quarantined(request); retry > 0 {
 		s.Dialer.Scope.Counter("tunnels_for_quarantined").Inc(1)
-		log.Warn("egress: tunnel for a request that this entry refuses itself.", "fingerprints", clip(r.Header.Get(headerSubject)))
+		log.Warn("egress: no tunnel for a request that this entry refuses itself.", "fingerprints", clip(r.Header.Get(headerSubject)))
+		w.Header().Set(headerRetry, formatMS(retry))
+		w.WriteHeader(statusQuarantined)
+		return
 	}
 	started := s.Dialer.Clock.Now()
 	conn, err := s.Dialer.direct(r.Context(), ep, timeout)
@@ -143,16 +147,56 @@
 		w.WriteHeader(statusEndpoint)
 		return
 	}
+	conn = s.holdUntilAnswered(request, conn)
 	defer conn.Close()
+	if s.quarantined(request) > 0 { // found while the endpoint was connected
+		w.WriteHeader(statusQuarantined)
+		return
+	}
 	begun := s.Dialer.Clock.Now()
 	err = s.splice(w, r, conn)
 	log.Info("egress: tunnel for another entry ended.", "ms", s.Dialer.Clock.Since(begun).Milliseconds(), "error", err)
 }
 
-// refuses reports whether this entry's quarantine has the request that a tunnel is for.
-func (s *Server) refuses(r *http.Request) bool {
-	subject, variant, ok := parsePurpose(r.Header)
-	return ok && s.Quarantine != nil && s.Quarantine.Refuses(subject, variant)
+// quarantined returns for how long the request that a tunnel is for must not reach an endpoint; 0: it may. Its
+// entry may not know what this one knows.
+func (s *Server) quarantined(p Purpose) time.Duration {
+	if s.Quarantine == nil || p.Subject.Request == 0 || !s.Quarantine.Refuses(p.Subject, p.Variant) {
+		return 0
+	}
+	return max(time.Second, s.Quarantine.Check(p.Subject).RetryAfter)
+}
+
+// holdUntilAnswered closes a connection if the request that it is for is quarantined before the endpoint answers.
+func (s *Server) holdUntilAnswered(p Purpose, endpoint net.Conn) net.Conn {
+	if s.Quarantine == nil || p.Subject.Request == 0 {
+		return endpoint
+	}
+	hold := s.Quarantine.Hold(p.Subject, func() { _ = endpoint.Close() })
+	return &heldConn{Conn: endpoint, hold: hold}
+}
+
+// heldConn releases a hold with the first bytes that are read from it.
+type heldConn struct {
+	net.Conn
+	hold *quarantine.Hold
+	read bool // guarded by its only reader
+}
+
+// Read implements net.Conn.
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.read {
+		c.read = true
+		c.hold.Release()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *heldConn) Close() error {
+	c.hold.Release()
+	return c.Conn.Close()
 }
 
 // endpoint returns the endpoint of a service at an address: tunnels lead nowhere else.
--- a/egress/tunnel.go
+++ b/egress/tunnel.go
@@ -31,6 +31,7 @@
 	headerFrom    = "Tunnel-From"         // instance of the entry that asks
 	headerSubject = "Tunnel-Fingerprints" // of the request and its prompt parts
 	headerVariant = "Tunnel-Variant"      // what is to run it
+	headerRetry   = "Tunnel-Retry-Ms"     // when a quarantined request may come again
 	headerFailure = "Tunnel-Failure"      // why the endpoint did not accept a connection
 	headerHints   = "Tunnel-Peers"        // addresses of entries that reach the service
 	// headerFraming with the value framingChunked: the bytes from the endpoint come in chunks, so
@@ -47,6 +48,7 @@
 	statusOpen        = http.StatusOK
 	statusEndpoint    = http.StatusBadGateway         // the endpoint accepts no connection
 	statusUnavailable = http.StatusServiceUnavailable // this entry opens no tunnel now
+	statusQuarantined = http.StatusForbidden          // the request crashes endpoints
 )
 
 const (
@@ -87,8 +89,16 @@
 // Unwrap returns the cause.
 func (e *peerError) Unwrap() error { return e.err }
 
-// openTunnel connects to an endpoint through the entry at an address. It returns an endpointError or
-// a peerError if that fails.
+// QuarantinedError says that another entry refuses a request as crashing endpoints.
+type QuarantinedError struct {
+	Via        string // address of that entry
+	RetryAfter time.Duration
+}
+
+func (e *QuarantinedError) Error() string { return "entry " + e.Via + " has quarantined the request" }
+
+// openTunnel connects to an endpoint through the entry at an address. It returns an endpointError, a
+// peerError or a QuarantinedError if that fails.
 func openTunnel(ctx context.Context, dial upstream.DialFunc, address string, ep fleet.Endpoint, timeout time.Duration, header http.Header) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout+timeout)
 	defer cancel()
@@ -143,6 +153,8 @@
 	switch resp.StatusCode {
 	case statusEndpoint:
 		return &endpointError{reason: resp.Header.Get(headerFailure), via: via}
+	case statusQuarantined:
+		return &QuarantinedError{Via: via, RetryAfter: parseMS(resp.Header.Get(headerRetry))}
 	case statusUnavailable:
 		var hints []string
 		if h := resp.Header.Get(headerHints); h != "" {
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -136,6 +136,9 @@
 
 // checkQuarantine refuses a request that crashes endpoints, unless it is sent once as a probe.
 func (x *exchange) checkQuarantine() *refusal {
+	if x.refusedElsewhere > 0 {
+		return refuseQuarantined(x.refusedElsewhere)
+	}
 	v := x.server.Quarantine.Check(x.subject)
 	x.restricted, x.quarantinedFor = v.Restricted, v.RetryAfter
 	if !v.Quarantined || x.probe && len(x.attempts) == 0 {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -63,6 +63,8 @@
 	// and sent once nevertheless.
 	restricted, probe bool
 	quarantinedFor    time.Duration
+	// refusedElsewhere is for how long an entry in between has quarantined the request; 0: none has.
+	refusedElsewhere time.Duration
 
 	tried map[fleet.EndpointID]bool
 	// runs counts the sends that may have run, refused those that did not run.
@@ -248,7 +250,7 @@
 // connector returns a function that connects a call to its endpoint.
 func (x *exchange) connector(c *upstreamCall) func(context.Context, time.Duration) (net.Conn, error) {
 	return func(ctx context.Context, timeout time.Duration) (net.Conn, error) {
-		conn, err := x.server.Egress.Connect(ctx, c.endpoint, timeout, x.purpose(c))
+		conn, err := x.server.connect(ctx, c.endpoint, timeout, x.purpose(c))
 		if err != nil {
 			return nil, err
 		}
@@ -258,9 +260,27 @@
 	}
 }
 
-// purpose describes a call to an entry that connects it.
+// purpose describes a call to entries in between. They do not hold back a probe.
 func (x *exchange) purpose(c *upstreamCall) egress.Purpose {
-	return egress.Purpose{Request: x.metadata.ID, Lasts: x.remaining(), Subject: x.subject, Variant: x.variant(c)}
+	p := egress.Purpose{Request: x.metadata.ID, Lasts: x.remaining()}
+	if !x.probe {
+		p.Subject, p.Variant = x.subject, x.variant(c)
+	}
+	return p
+}
+
+// connect connects to an endpoint for a request. The request may have been quarantined since it was last
+// checked: it waited for a permit, for the connection, or for this process to run.
+func (s *Server) connect(ctx context.Context, ep fleet.Endpoint, timeout time.Duration, p egress.Purpose) (*egress.Conn, error) {
+	conn, err := s.Egress.Connect(ctx, ep, timeout, p)
+	if err != nil {
+		return nil, err
+	}
+	if p.Subject.Request != 0 && s.Quarantine.Refuses(p.Subject, p.Variant) {
+		_ = conn.Close()
+		return nil, errQuarantined
+	}
+	return conn, nil
 }
 
 // acquire returns the endpoint for the next send, and takes the request from its limit.
@@ -370,6 +390,7 @@
 // request may have run.
 func (x *exchange) failedSend(ctx context.Context, c *upstreamCall, err error) error {
 	var notSent *upstream.NotSentError
+	var elsewhere *egress.QuarantinedError
 	switch {
 	case cutByStop(ctx):
 		x.end(c, place.Abandoned, "entry stops")
@@ -380,7 +401,11 @@
 		return errCutByStop
 	case x.r.Context().Err() != nil:
 		x.end(c, place.Abandoned, "caller left")
-	case c.hold.Stopped():
+	case errors.As(err, &elsewhere):
+		x.end(c, place.Abandoned, err.Error())
+		x.refusedElsewhere = max(time.Second, elsewhere.RetryAfter)
+		return errNotSent
+	case c.hold.Stopped(), errors.Is(err, errQuarantined):
 		x.end(c, place.Abandoned, "quarantined")
 		if errors.As(err, &notSent) {
 			return errNotSent
--- a/ingress/parts_test.go
+++ b/ingress/parts_test.go
@@ -296,3 +296,27 @@
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	w.do(http.MethodPost, "/resume/stream", "body", append(header, "sound")...).assertCompleteStream(is)
 }
+
+// Guards against sending a request that crashes engines through an entry that knows of it, for one that does not.
+func TestARequestThatTheEntryInBetweenRefusesIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newPartitionCluster(t, 2, 1, 4)
+	f.all[0].link.set(linkRefuses)
+	sound := []string{"X-Prompt-Prefix", "f:10,m:10,own:10"}
+	for range 10 { // finds the link lost
+		f.all[0].do(http.MethodPost, "/resume/stream", "body", sound...)
+	}
+	f.all[0].do(http.MethodPost, "/resume/stream", "body", sound...).assertCompleteStream(is)
+	part := quarantine.PartFingerprints(service, []string{"deadly"})
+	for n := range 4 {
+		f.all[1].quarantine.Crashed(quarantine.Subject{Request: quarantine.Fingerprint(n), Parts: part}, fleet.EndpointID(fmt.Sprint(n)), quarantine.VariantOf("", "v1"), quarantine.Started)
+	}
+	time.Sleep(2 * quarantine.Interval)
+	f.all[1].quarantine.Tick(context.Background())
+	runs := len(f.all[0].runs())
+	a := f.all[0].do(http.MethodPost, "/resume/stream", "body", "X-Prompt-Prefix", "f:10,deadly:10,own:10")
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(a.header.Get("Retry-After") != "")
+	is.Equal(len(f.all[0].runs()), runs)
+	f.all[0].do(http.MethodPost, "/resume/stream", "body", sound...).assertCompleteStream(is)
+}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -57,7 +57,7 @@
 		Header: s.HeaderCodec.Forward(x.r.Header, opts), Body: x.body, HasBody: x.hasBody}
 	sent, lasts := x.sentRequest(opts.Model), opts.Remaining
 	req.Connect = func(ctx context.Context, timeout time.Duration) (net.Conn, error) {
-		return s.Egress.Connect(ctx, trial.Endpoint, timeout, egress.Purpose{Request: sent.id, Lasts: lasts, Subject: sent.subject, Variant: quarantine.VariantOf(sent.model, trial.Endpoint.Version)})
+		return s.connect(ctx, trial.Endpoint, timeout, egress.Purpose{Request: sent.id, Lasts: lasts, Subject: sent.subject, Variant: quarantine.VariantOf(sent.model, trial.Endpoint.Version)})
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.r.Context()), lasts)
 	context.AfterFunc(x.r.Context(), func() {
