ingress: an entry whose endpoints are back reads connections again without being asked

After all engines had ended, an entry took itself for stranded and left connections unread; it looked again only when its readiness was asked or a request was admitted, and none is while connections are left unread. It looks at each new connection now. The test fails without the change (unread for 2 s).

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -153,7 +153,7 @@
 		reason = unreadRequests
 	case float64(s.bodyBytes.Load()) > bodyShare*float64(s.BodyMemory):
 		reason = unreadBodies
-	case s.wasStranded.Load():
+	case s.wasStranded.Load() && s.stranded(): // endpoints may be reached again
 		reason = unreadStranded
 	case busy < measuredFrom:
 		return "", 0
--- a/ingress/stranded_test.go
+++ b/ingress/stranded_test.go
@@ -100,3 +100,22 @@
 	}
 	w.t.Fatalf("entry is ready: %v, not %v", !want, want)
 }
+
+// Guards against an entry that leaves connections unread after its endpoints are back, until it is asked for its readiness.
+func TestAnEntryWhoseEndpointsAreBackReadsConnectionsAgain(t *testing.T) {
+	is := is.New(t)
+	w := newEnv(t, 4)
+	w.link.set(linkRefuses)
+	unread := func() bool { reason, _ := w.server.RefusesConnection(0); return reason != "" }
+	until := time.Now().Add(5 * time.Second)
+	for !unread() && time.Now().Before(until) {
+		w.do(http.MethodPost, "/get/x", "body")
+	}
+	is.True(unread())
+	w.link.set(linkUp)
+	for until := time.Now().Add(2 * time.Second); unread() && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(!unread())
+	is.Equal(w.do(http.MethodPost, "/get/x", "body").status, http.StatusOK)
+}
