egress: a link that a check found down is checked again

Only a failed connect for a request woke it; where a check for another entry took the link down, none followed, as requests go through other entries then and a stranded entry reads none. Any failure wakes it now.

The test fails without the change (down for 2 s).

--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -200,10 +200,6 @@
 		err = errors.Join(ErrLate, err)
 	default:
 		d.failed(ep, err)
-		select {
-		case d.wake <- struct{}{}:
-		default: // Run is to look already
-		}
 	}
 	return conn, err
 }
@@ -215,7 +211,14 @@
 	}
 }
 
+// failed records that an endpoint accepted no connection, whoever asked for it.
 func (d *Dialer) failed(ep fleet.Endpoint, err error) {
+	defer func() {
+		select {
+		case d.wake <- struct{}{}:
+		default: // Run is to look already
+		}
+	}()
 	endpoints := 0
 	if g := d.View().Group(ep.Service); g != nil {
 		endpoints = len(g.Ready)
@@ -230,7 +233,6 @@
 	}
 }
 
-// self is this entry as one of the fleet.
 // allow returns the time for a connect that takes at most timeout while this process is on time.
 func (d *Dialer) allow(timeout time.Duration) time.Duration {
 	return min(timeout+latenessFactor*d.Lateness(), max(timeout, upstream.MaxDialTimeout))
@@ -294,6 +296,7 @@
 	}
 }
 
+// self is this entry as one of the fleet.
 func (d *Dialer) self() fleet.Entry { return fleet.Entry{Instance: d.Instance, Domain: d.Domain} }
 
 // tunnel connects through another entry.
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -325,6 +325,31 @@
 	is.True(dials.Load() < 10) // a check each 250 ms, and the first request
 }
 
+// Guards against a link that is never checked again, as it was found down by a check for another entry.
+func TestALinkThatACheckFoundDownIsCheckedAgain(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	d := x.server.Dialer
+	var refuses atomic.Bool
+	dial := d.Dial
+	d.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if refuses.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
+		return dial(ctx, address)
+	}
+	go d.Run(t.Context())
+	time.Sleep(50 * time.Millisecond)
+	refuses.Store(true)
+	is.True(askPeer(t.Context(), http.DefaultClient, x.address, service) != nil)
+	is.True(d.AnyDown())
+	refuses.Store(false)
+	for until := time.Now().Add(2 * time.Second); d.AnyDown() && time.Now().Before(until); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(!d.AnyDown())
+}
+
 // Guards against an entry that takes its own slow link for the endpoints' and refuses callers.
 func TestASlowLinkOfThisEntryIsNoLostLink(t *testing.T) {
 	for name, tt := range map[string]struct {
