quarantine, ingress: broken answers whose endpoints nobody can judge become evidence once the crash is known

As engines end one after the other, the entry with links takes its own link for lost and tells the others nothing of an engine; so "nobody knows" meant "it lives".

A broken answer is judged in three ways now: a crash, if the endpoint refuses an entry that reaches others at that moment, this one or one asked; none, if it accepts an entry; undecided else. Undecided ones are kept for 15 s and count as crashes, with the time at which they happened, once another entry reports that crash or another incarnation is registered at the address; an answer of the endpoint drops them. Requests with them get no optional runs meanwhile, and an answer without length is not taken for whole.

TestCrashesAreRecognizedWhileOtherEntriesReachNothing asks for more than before: all three crashes of three incarnations count in the end.

--- a/egress/checks.go
+++ b/egress/checks.go
@@ -86,6 +86,18 @@
 	return reached.(bool)
 }
 
+// ReachesNow reports whether this entry's own link reaches an endpoint of a service, by a connection that is begun
+// now.
+func (d *Dialer) ReachesNow(ctx context.Context, service string) bool {
+	now := d.Clock.Now()
+	for range 2 { // the first check may have begun before
+		if d.check(ctx, service); d.links.provenSince(service, now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dialer) checkOnce(ctx context.Context, service string) bool {
 	g := d.View().Group(service)
 	if g == nil || len(g.Ready) == 0 {
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -70,6 +70,9 @@
 		found = s.checkExit(ep)
 	}
 	s.metrics.brokenAnswer(found)
+	if found.undecided {
+		s.Quarantine.BrokeOff(r.subject, ep, quarantine.VariantOf(r.model, ep.Version), stage)
+	}
 	if !found.exited {
 		s.Log.Info("ingress: answer broke off, endpoint did not crash.", "id", r.id, "fingerprint", r.subject.Request, "endpoint", ep.ID, "stage", stage.String(), "why", found.why)
 		return false
@@ -82,11 +85,14 @@
 }
 
 // checkEnd returns an error if an answer that ended with its connection, and says of itself neither its
-// length nor its end, may have been cut off: its endpoint has exited.
+// length nor its end, may have been cut off: its endpoint has exited, or is not reached.
 func (x *exchange) checkEnd(c *upstreamCall) error { return x.server.checkEnd(c.endpoint, c.resp) }
 
 func (s *Server) checkEnd(ep fleet.Endpoint, resp *upstream.Response) error {
-	if resp.Framed || !s.exited(ep) {
+	if resp.Framed {
+		return nil
+	}
+	if found := s.checkExit(ep); !found.exited && !found.undecided {
 		return nil
 	}
 	return errCutOff
@@ -95,17 +101,16 @@
 // errCutOff: the endpoint exited as it answered.
 var errCutOff = errors.New("answer without a length ended with its endpoint")
 
-// exited reports whether an endpoint's process has ended.
-func (s *Server) exited(ep fleet.Endpoint) bool { return s.checkExit(ep).exited }
-
 // exitCheck is whether an endpoint's process has ended, as far as connections show it.
 type exitCheck struct {
 	exited bool
-	why    string // what shows it, for the log
+	// undecided: nothing shows it yet, as no endpoint accepts connections.
+	undecided bool
+	why       string // what shows it, for the log
 }
 
 // checkExit checks whether an endpoint's process has ended. What this entry's own link shows may be the
-// link's fault: if another entry is accepted by the endpoint, it has not.
+// link's fault, unless it reaches other endpoints; else other entries may tell.
 func (s *Server) checkExit(ep fleet.Endpoint) exitCheck {
 	found, _, _ := s.exits.Do(ep.Address, func() (any, error) { return s.findExited(ep), nil })
 	return found.(exitCheck)
@@ -113,10 +118,12 @@
 
 func (s *Server) findExited(ep fleet.Endpoint) exitCheck {
 	refused := s.prober.ExitedBy(ep.Address, s.Egress.DialDirect(ep))
-	_, down := s.Egress.DownSince(ep.Service)
-	if !refused && !down {
+	if _, down := s.Egress.DownSince(ep.Service); !refused && !down {
 		return exitCheck{why: "accepts connections or does not answer"}
 	}
+	if refused && s.Egress.ReachesNow(context.Background(), ep.Service) {
+		return exitCheck{exited: true, why: "refuses this entry, others accept"}
+	}
 	known := false
 	refusedElsewhere := s.prober.ExitedBy(ep.Address, func(ctx context.Context, _ string) (net.Conn, error) {
 		conn, err := s.Egress.ConnectThroughPeers(ctx, ep)
@@ -129,9 +136,9 @@
 	case known:
 		return exitCheck{why: "accepts another entry"}
 	case refused:
-		return exitCheck{exited: true, why: "refuses this entry, no other reaches it"}
+		return exitCheck{undecided: true, why: "refuses this entry, which reaches none"}
 	}
-	return exitCheck{why: "no entry reaches it"}
+	return exitCheck{undecided: true, why: "no entry reaches it"}
 }
 
 // checkQuarantine refuses a request that crashes endpoints, unless it is sent once as a probe.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -354,6 +354,7 @@
 	if head.WrongEndpoint {
 		return head // it is about another endpoint
 	}
+	s.Quarantine.Answers(ep.ID)
 	if head.Limit > 0 || head.Sealed {
 		s.Limits.Observe(ep, head.Limit)
 	}
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovageweir/lovageweir/platform/platformtest"
+	"github.com/lovageweir/lovageweir/quarantine"
 )
 
 // Guards against endpoints that are silent for a second taking entries out of service or costing requests.
@@ -166,4 +167,55 @@
 	is.NoErr(srv.Close())
 	wg.Wait()
 	is.Equal(f.all[0].quarantine.State().Suspects, 1)
+	f.all[0].assertEvidenceOfThreeCrashes(is, e, "body")
+}
+
+// assertEvidenceOfThreeCrashes ends two further incarnations of an engine under the request that ended the first,
+// and checks that all three count once the next one is known.
+func (w *testEnv) assertEvidenceOfThreeCrashes(is *is.I, e *platformtest.Engine, body string) {
+	is.Helper()
+	for _, id := range []string{"e2", "e3"} {
+		c := e.Config
+		c.ID = id
+		next := platformtest.NewEngine(c)
+		var ln net.Listener
+		var err error
+		for range 100 { // connections of the one before may still hold the address
+			if ln, err = net.Listen("tcp", c.Address); err == nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.NoErr(err)
+		srv := &http.Server{Handler: next}
+		go func() { _ = srv.Serve(ln) }() // ends with Close
+		_, err = w.kv.Delete(context.Background(), "servers/"+e.Config.ID, false)
+		is.NoErr(err)
+		w.put(next.Registration(false))
+		w.sync()
+		e = next
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for until := time.Now().Add(2 * time.Second); len(next.Runs()) == 0 && time.Now().Before(until); { // the link may count as down
+				w.do(http.MethodPost, "/resume/stream", body)
+			}
+		})
+		for until := time.Now().Add(2 * time.Second); len(next.Runs()) == 0 && time.Now().Before(until); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(len(next.Runs()), 1)
+		is.NoErr(srv.Close())
+		wg.Wait()
+	}
+	last := platformtest.NewEngine(e.Config)
+	last.Config.ID = "e4"
+	_, err := w.kv.Delete(context.Background(), "servers/"+e.Config.ID, false)
+	is.NoErr(err)
+	w.put(last.Registration(false))
+	w.sync()
+	w.quarantine.Tick(context.Background())
+	reports := w.quarantine.Reports()
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Fingerprint, quarantine.FingerprintOf("cust", http.MethodPost, host, "/resume/stream", []byte(body)))
+	is.Equal(len(reports[0].Crashes), 3)
 }
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -186,6 +186,7 @@
 	if reevaluate {
 		t.reevaluateLocked()
 	}
+	t.decideLocked(now)
 }
 
 // mergeAnswersLocked merges the answers in a report, and passes them on at once if they clear
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -43,6 +44,11 @@
 	// silence.
 	firstAnswer, lastAnswer, answering time.Time
 	crashed                            crashedEndpoints
+	// undecided are broken answers that may become evidence, undecidedCount how many.
+	undecided      []brokenAnswer
+	undecidedCount atomic.Int64
+	// decidedBy is the view that they were last judged by.
+	decidedBy *fleet.View
 	// contested are parts whose answers other entries are to be told of, with the time until which.
 	contested map[Fingerprint]time.Time
 	// records are the store's records that quarantined was last computed from; recordedAt is when
@@ -70,8 +76,8 @@
 
 // Verdict is the status of a request.
 type Verdict struct {
-	// Suspect: an endpoint crashed while the request, or one with a part of its prompt that was not
-	// answered since, was in flight there.
+	// Suspect: an endpoint crashed, or may have crashed, while the request, or one with a part of its prompt that
+	// was not answered since, was in flight there.
 	Suspect bool
 	// Quarantined: the request crashes endpoints and must not be sent to any for the
 	// time in RetryAfter.
@@ -94,7 +100,7 @@
 		v.Quarantined = v.Quarantined || !restricted
 		v.RetryAfter = max(v.RetryAfter, time.Second, retention-t.Clock.Since(c.since))
 	}
-	v.Suspect = v.Suspect || t.suspectedLocked(s)
+	v.Suspect = v.Suspect || t.suspectedLocked(s) || t.undecidedLocked(s)
 	return v
 }
 
@@ -174,16 +180,22 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reevaluate := false
-	if !t.served.has(s.Request) {
-		reevaluate = t.addCrashLocked(s.Request, false, ep, crash{stage: stage, at: now, local: true}, "")
+	if t.addCrashesLocked(brokenAnswer{subject: s, endpoint: fleet.Endpoint{ID: ep}, variant: v, stage: stage, at: now}) {
+		t.reevaluateLocked()
 	}
-	for _, part := range s.Parts {
-		reevaluate = t.addCrashLocked(part, true, ep, crash{stage: stage, at: now, local: true, request: s.Request, variant: v}, "") || reevaluate
+	t.decideLocked(now)
+}
+
+// addCrashesLocked adds a crash that this entry observed to a request and its parts, and reports whether that may
+// change the set of quarantined requests.
+func (t *Table) addCrashesLocked(b brokenAnswer) (reevaluate bool) {
+	if !t.served.has(b.subject.Request) {
+		reevaluate = t.addCrashLocked(b.subject.Request, false, b.endpoint.ID, crash{stage: b.stage, at: b.at, local: true}, "")
 	}
-	if reevaluate {
-		t.reevaluateLocked()
+	for _, part := range b.subject.Parts {
+		reevaluate = t.addCrashLocked(part, true, b.endpoint.ID, crash{stage: b.stage, at: b.at, local: true, request: b.subject.Request, variant: b.variant}, "") || reevaluate
 	}
+	return reevaluate
 }
 
 // addCrashLocked adds a crash, which another entry reported unless from is empty, to a suspect. It reports
@@ -258,6 +270,11 @@
 		return
 	}
 	v := t.View()
+	if v != t.decidedBy {
+		t.decidedBy = v
+		t.findReplacedLocked(t.undecided)
+		t.decideLocked(t.Clock.Now())
+	}
 	current := recordSet{v.Quarantine, v.QuarantinedParts}
 	if current == t.records {
 		return
@@ -332,7 +349,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.syncRecordsLocked()
-	s := State{Suspects: len(t.suspects.all), Recorded: t.records.len()}
+	s := State{Suspects: len(t.suspects.all) + t.undecidedRequestsLocked(), Recorded: t.records.len()}
 	for f, c := range t.quarantined {
 		if c.part {
 			s.Parts = append(s.Parts, f.String())
