quarantine: find prompt parts that were answered before they begin to crash endpoints

Where a part had been answered until it began to crash engines, it reached them on and on, and nearly all sound requests of the service were lost with it.

- Requests explain their own parts away.
Each request with the part is quarantined after its own two or three crashes and recorded; these crashes then counted no more for the part.
That a request crashes endpoints does not speak for its own parts now; only requests beside it are explained.
- Evidence was not told.
- Answers cleared crashes that came after them.
An answer counted as of its end, so that streams begun before the part turned cleared the first crashes; and its age grew with each telling between entries (0.5 s in a second), until it released a part that had been found.
An answer counts as of its beginning, and what is told within 0.1 s of what is known is no news.
- Popular parts had the same evidence meanwhile, as an answer clears only after 0.5 s.
An answer clears by how far it got: a head clears crashes before the head at once.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -71,6 +71,6 @@
 // recordServed reports to the quarantine that a request was answered completely.
 func (g *Gateway) recordServed(q *request, b route.BackendInfo) {
 	if g.Quarantine != nil {
-		g.Quarantine.Served(q.subject, variantOf(b))
+		g.Quarantine.Served(q.subject, variantOf(b), g.Quarantine.Clock.Now())
 	}
 }
--- a/ingress/buffered.go
+++ b/ingress/buffered.go
@@ -133,7 +133,7 @@
 		x.end(c, place.Failed, "endpoint failed")
 	} else {
 		x.end(c, place.Served, "")
-		x.server.Quarantine.Served(x.subject, x.variant(c))
+		x.server.Quarantine.Served(x.subject, x.variant(c), c.headAt)
 	}
 	x.outcome = "answered"
 	x.writeHead(c, int64(len(body)))
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -168,6 +168,7 @@
 	permit       *concurrency.Permit
 	resp         *upstream.Response
 	head         call.ResponseMetadata
+	headAt       time.Time // when it was read
 	cancel       context.CancelFunc
 	watch        *watchdog
 	hold         *quarantine.Hold
@@ -235,12 +236,16 @@
 		return c, nil, x.failedSend(ctx, c, err)
 	}
 	c.resp = resp
+	c.headAt = s.Clock.Now()
 	c.head = s.readHead(ep, resp)
 	x.attempts[c.attemptIndex].status = resp.Status
 	x.attempts[c.attemptIndex].load = c.head.Load
 	x.attempts[c.attemptIndex].limit = c.head.Limit
 	x.attempts[c.attemptIndex].confidence = c.head.Confidence
 	c.ticket.HeadReceived(c.head.Load)
+	if c.head.Sealed && c.head.Success() {
+		s.Quarantine.Passed(x.subject, x.variant(c), quarantine.Waiting, c.headAt)
+	}
 	if c.head.Load != nil {
 		s.Board.ObserveLoad(x.target(), *c.head.Load)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -184,6 +184,7 @@
 		if first {
 			first = false
 			c.hold.Release()
+			x.server.Quarantine.Passed(x.subject, x.variant(c), quarantine.Started, c.headAt)
 			x.observe(c, false, c.ticket.FirstEvent())
 			if !x.started {
 				x.writeHead(c, -1)
@@ -216,7 +217,7 @@
 	a.events++
 	if !c.cleared && now.Sub(c.firstEventAt) >= quarantine.SoundAfter {
 		c.cleared = true
-		x.server.Quarantine.Answering(x.subject, x.variant(c))
+		x.server.Quarantine.Answering(x.subject, x.variant(c), c.headAt)
 	}
 	a.longestPause = max(a.longestPause, now.Sub(c.firstEventAt)-a.streamTime)
 	a.streamTime = now.Sub(c.firstEventAt)
@@ -270,7 +271,7 @@
 		x.writeHead(c, -1)
 	}
 	x.outcome = "answered"
-	x.server.Quarantine.Served(x.subject, x.variant(c))
+	x.server.Quarantine.Served(x.subject, x.variant(c), c.headAt)
 	return nil
 }
 
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -118,6 +118,7 @@
 		return
 	}
 	defer resp.Close()
+	answered := s.Clock.Now()
 	head := s.readHead(ep, resp)
 	ticket.HeadReceived(head.Load)
 	load := call.Load{}
@@ -141,7 +142,7 @@
 	}
 	s.noteCopyCrash(ctx, sent, ep, err, stage)
 	if err == nil && head.Success() && head.Sealed {
-		s.Quarantine.Answering(sent.subject, variant)
+		s.Quarantine.Answering(sent.subject, variant, answered)
 	}
 	s.Log.Info("ingress: copy ended.", "id", sent.id, "endpoint", ep.ID, "version", ep.Version, "status", resp.Status, "not_run", head.NotRun,
 		"running", load.Running, "waiting", load.Waiting, "slots", load.Slots, "whole", err == nil, "ms", s.Clock.Since(begun).Milliseconds())
--- a/ingress/trial_test.go
+++ b/ingress/trial_test.go
@@ -154,7 +154,7 @@
 func TestQuarantineCancelsAWaitingCopy(t *testing.T) {
 	is := is.New(t)
 	w := newTrialEnv(t)
-	w.quarantine.Answering(quarantine.Subject{}, 0)
+	w.quarantine.Answering(quarantine.Subject{}, 0, time.Now())
 	time.Sleep(1100 * time.Millisecond) // its evidence counts at once from then on
 	w.engines[1].FaultOf = func(*http.Request) platformtest.Fault { return platformtest.Hang }
 	ended := sendAsync(w.request(http.MethodPost, "/sized/stream", "body", append([]string{"X-Prompt-Prefix", "f:10,m:10,own:10"}, trialHeaders...)...))
--- a/mesh/start_test.go
+++ b/mesh/start_test.go
@@ -465,7 +465,7 @@
 				f.mu.Lock()
 				q := f.meshes[e.Address].Quarantine
 				f.mu.Unlock()
-				q.Answering(quarantine.Subject{}, 0)
+				q.Answering(quarantine.Subject{}, 0, q.Clock.Now())
 				tables = append(tables, q)
 			}
 			time.Sleep(2 * time.Second)
--- a/quarantine/causes.go
+++ b/quarantine/causes.go
@@ -24,6 +24,11 @@
 	answeredStarted = 3
 	answeredUnbegun = 4
 	answeredShare   = 0.8
+	answeredSpan    = 100 * time.Millisecond // from the first of these crashes to the last
+	// A part that no endpoint ever answered, of manyRequests different requests at manyCrashes crashes, is there for
+	// no other reason, however far these had come.
+	manyRequests = 4
+	manyCrashes  = 5
 	// settleDelay is how long weak evidence must last before it counts, while endpoints answer: an
 	// answer clears the part, and entries that know of one tell the others.
 	settleDelay = 300 * time.Millisecond
@@ -47,11 +52,13 @@
 // evidence is what the crashes of a suspect amount to.
 type evidence struct {
 	weight   int
+	crashes  int
 	started  int // crashes when it was just starting
 	requests int // different requests
 	// answered: endpoints of the same variant answered the part before the crashes.
 	answered bool
 	first    time.Time // of the crashes
+	latest   time.Time // of the crashes
 	unbegun  int       // crashes when it was not yet running
 	all      int       // all crashes since the first one, of whatever cause; only if answered
 	learned  bool      // this entry has seen answers for long enough to know most sound parts
@@ -61,15 +68,18 @@
 	switch {
 	case e.weight < quarantineWeight, part && e.requests < minRequests, part && e.answered && !e.outweighsAnswers():
 		return none
-	case e.started >= 2 && !e.answered && e.learned:
+	case e.answered || !e.learned:
+		return weak
+	case e.started >= 2, e.requests >= manyRequests && e.crashes >= manyCrashes:
 		return strong
 	}
 	return weak
 }
 
-// outweighsAnswers reports whether a part that was answered before may crash endpoints now.
+// outweighsAnswers reports whether a part that was answered before may crash endpoints now. Endpoints that end at
+// the same time do so for another reason.
 func (e evidence) outweighsAnswers() bool {
-	return e.started >= answeredStarted || e.unbegun >= answeredUnbegun && float64(e.unbegun) >= answeredShare*float64(e.all)
+	return e.latest.Sub(e.first) >= answeredSpan && (e.started >= answeredStarted || e.unbegun >= answeredUnbegun && float64(e.unbegun) >= answeredShare*float64(e.all))
 }
 
 // judgesLocked reports whether this entry has enough evidence of its own on a recorded part: with what is
@@ -79,18 +89,56 @@
 	return s != nil && t.evidenceLocked(s, nil).strength(true) != none
 }
 
+// explanations are the causes of crashes found so far, by endpoint: parts, or requests.
+type explanations map[fleet.EndpointID]explanation
+
+type explanation struct {
+	part     bool
+	requests []Fingerprint
+}
+
+func (x explanations) add(ep fleet.EndpointID, part bool, members ...Fingerprint) {
+	one := x[ep]
+	one.part = one.part || part
+	if !part {
+		one.requests = append(one.requests, members...)
+	}
+	x[ep] = one
+}
+
+// covers reports whether a crash is explained for a suspect. That a request crashes endpoints does not speak for
+// its own parts: one of them may be why.
+func (x explanations) covers(s *suspect, ep fleet.EndpointID, c crash) bool {
+	one, ok := x[ep]
+	switch {
+	case !ok:
+		return false
+	case !s.part || one.part:
+		return true
+	}
+	return !slices.ContainsFunc(one.requests, s.isPartOf)
+}
+
+// beside reports whether the request that a crash of a part is known by was only beside a request that explains
+// the crash.
+func (x explanations) beside(ep fleet.EndpointID, c crash) bool {
+	one, ok := x[ep]
+	return ok && !slices.Contains(one.requests, c.request)
+}
+
 // evidenceLocked returns the evidence against a suspect from crashes that are neither explained nor
-// older than an answer that clears it, nor came as a part that was answered before was being answered.
-func (t *Table) evidenceLocked(s *suspect, explained map[fleet.EndpointID]bool) evidence {
+// older than an answer that got further, nor came as a part that was answered before was being answered.
+func (t *Table) evidenceLocked(s *suspect, explained explanations) evidence {
 	var e evidence
 	var requests []Fingerprint
 	for ep, c := range s.crashes {
-		if explained[ep] {
+		if explained.covers(s, ep, c) {
 			continue
 		}
 		if s.part {
-			at, answered := t.cleared.at(s.fingerprint, c.variant)
-			if answered && (c.stage == Running || !c.at.After(at)) {
+			by, _ := t.cleared.by(s.fingerprint, c.variant)
+			answered := !by.passed[Running].IsZero()
+			if answered && c.stage == Running || !c.at.After(by.passed[c.stage]) {
 				continue
 			}
 			e.answered = e.answered || answered
@@ -98,14 +146,18 @@
 		if e.weight == 0 || c.at.Before(e.first) {
 			e.first = c.at
 		}
+		if c.at.After(e.latest) {
+			e.latest = c.at
+		}
 		e.weight += s.weightOf(c.stage)
+		e.crashes++
 		if c.stage == Started {
 			e.started++
 		}
 		if c.stage != Running {
 			e.unbegun++
 		}
-		if !slices.Contains(requests, c.request) {
+		if !slices.Contains(requests, c.request) && !explained.beside(ep, c) {
 			requests = append(requests, c.request)
 		}
 	}
@@ -134,7 +186,7 @@
 // comes first, as a cause is at all the crashes that it causes while others are there by chance;
 // crashes that it explains do not count against the rest.
 func (t *Table) findCausesLocked(now time.Time) (causes []*cause, pending map[Fingerprint]time.Time) {
-	explained := map[fleet.EndpointID]bool{}
+	explained := explanations{}
 	known := map[Fingerprint]bool{}
 	add := func(part bool, members ...Fingerprint) {
 		causes = append(causes, &cause{members: members, part: part})
@@ -142,7 +194,7 @@
 			known[f] = true
 			if s := t.suspects.all[f]; s != nil {
 				for ep := range s.crashes {
-					explained[ep] = true
+					explained.add(ep, part, members...)
 				}
 			}
 		}
@@ -153,7 +205,7 @@
 		}
 		add(r.part, r.fingerprint)
 		for _, ep := range r.endpoints {
-			explained[ep] = true
+			explained.add(ep, r.part, r.fingerprint)
 		}
 	}
 	candidates, pending := t.candidatesLocked(known, now)
@@ -228,7 +280,7 @@
 }
 
 // heaviestLocked returns the candidates with the highest rank among those with enough evidence.
-func (t *Table) heaviestLocked(candidates map[*suspect]struct{}, explained map[fleet.EndpointID]bool) []*suspect {
+func (t *Table) heaviestLocked(candidates map[*suspect]struct{}, explained explanations) []*suspect {
 	var out []*suspect
 	highest := 0
 	for s := range candidates {
@@ -257,7 +309,7 @@
 // group that has more evidence in all. Of the crashes of a part that crashes endpoints, some may be
 // explained by a recorded request with it, so that its rank is no higher than that of a part that was
 // beside it once.
-func (t *Table) firstGroupsLocked(groups [][]*suspect, explained map[fleet.EndpointID]bool) [][]*suspect {
+func (t *Table) firstGroupsLocked(groups [][]*suspect, explained explanations) [][]*suspect {
 	if len(groups) == 1 {
 		return groups
 	}
@@ -277,8 +329,8 @@
 			continue
 		}
 		out = append(out, group)
-		for ep := range group[0].crashes {
-			if !explained[ep] {
+		for ep, c := range group[0].crashes {
+			if !explained.covers(group[0], ep, c) {
 				heaviest[ep] = max(heaviest[ep], weight)
 			}
 		}
@@ -287,7 +339,7 @@
 }
 
 // groupByCrashes groups parts that were at the same unexplained crashes; requests stay alone.
-func groupByCrashes(found []*suspect, explained map[fleet.EndpointID]bool) [][]*suspect {
+func groupByCrashes(found []*suspect, explained explanations) [][]*suspect {
 	var out [][]*suspect
 	byCrashes := map[string]int{} // index into out
 	slices.SortFunc(found, func(a, b *suspect) int { return strings.Compare(a.fingerprint.String(), b.fingerprint.String()) })
@@ -298,7 +350,7 @@
 		}
 		var b strings.Builder
 		for _, ep := range s.endpoints() {
-			if !explained[ep] {
+			if !explained.covers(s, ep, s.crashes[ep]) {
 				b.WriteString(string(ep))
 				b.WriteByte(0)
 			}
--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -15,8 +15,38 @@
 // clearance says when a variant last answered a request with a part.
 type clearance struct {
 	variant Variant
-	at      time.Time
-	local   bool // observed by this entry
+	// passed is when the latest answers began that got beyond each stage: their heads came, then events, then they
+	// lasted for SoundAfter or were complete. Zero: none did.
+	passed [Running + 1]time.Time
+	local  bool // observed by this entry
+}
+
+// heardTolerance is by how much the time of an answer grows on its way between entries, at most: it is told as an
+// age, and entries tell each other again and again.
+const heardTolerance = 100 * time.Millisecond
+
+// latestOf returns a clearance with the later of the times of two.
+func (c clearance) latestOf(other clearance) (latest clearance, changed bool) {
+	tolerance := heardTolerance
+	if other.local {
+		tolerance = 0
+	}
+	for stage, at := range other.passed {
+		if c.passed[stage].IsZero() && !at.IsZero() || at.After(c.passed[stage].Add(tolerance)) {
+			c.passed[stage], changed = at, true
+		}
+	}
+	c.local = c.local || other.local
+	return c, changed
+}
+
+// passedAt returns the clearance by an answer that began at a time and got beyond a stage.
+func passedAt(v Variant, stage Stage, begun time.Time) clearance {
+	c := clearance{variant: v, local: true}
+	for s := range stage + 1 {
+		c.passed[s] = begun
+	}
+	return c
 }
 
 // clearances hold the parts that endpoints answered, in two generations like served.
@@ -25,10 +55,12 @@
 	started           time.Time // of the current generation
 }
 
-// add records that a variant answered a part, unless a later answer is known. It reports whether it
-// did.
+// add records that a variant answered a part. It reports whether that is news.
 func (c *clearances) add(f Fingerprint, one clearance, now time.Time) bool {
-	if at, ok := c.at(f, one.variant); ok && !one.at.After(at) {
+	known, _ := c.by(f, one.variant)
+	known.variant = one.variant
+	merged, changed := known.latestOf(one)
+	if !changed {
 		return false
 	}
 	if c.current == nil || len(c.current) >= maxCleared || now.Sub(c.started) > maxServedAge {
@@ -38,29 +70,36 @@
 	oldest := 0
 	for i := range list {
 		if list[i].variant == one.variant {
-			list[i] = one
+			list[i] = merged
 			return true
 		}
-		if list[i].at.Before(list[oldest].at) {
+		if list[i].passed[Waiting].Before(list[oldest].passed[Waiting]) {
 			oldest = i
 		}
 	}
 	if len(list) >= maxClearedVariants {
-		list[oldest] = one
+		list[oldest] = merged
 		return true
 	}
-	c.current[f] = append(list, one)
+	c.current[f] = append(list, merged)
 	return true
 }
 
-// at returns when a variant last answered a part; ok is false if that is not known.
-func (c *clearances) at(f Fingerprint, v Variant) (at time.Time, ok bool) {
+// by returns how a variant last answered a part; ok is false if that is not known.
+func (c *clearances) by(f Fingerprint, v Variant) (one clearance, ok bool) {
 	for _, one := range c.of(f) {
 		if one.variant == v {
-			return one.at, true
+			return one, true
 		}
 	}
-	return time.Time{}, false
+	return clearance{}, false
+}
+
+// at returns when the answer of a variant to a part began that last showed it to be sound; ok is false if none is
+// known.
+func (c *clearances) at(f Fingerprint, v Variant) (at time.Time, ok bool) {
+	one, _ := c.by(f, v)
+	return one.passed[Running], !one.passed[Running].IsZero()
 }
 
 // of returns the clearances of a part, the latest of each variant first.
@@ -72,11 +111,12 @@
 	return append(append([]clearance(nil), current...), previous...)
 }
 
-// latest returns when any variant last answered a part, and whether this entry observed that.
+// latest returns when the answer of any variant to a part began that last showed it to be sound, and whether this
+// entry observed that.
 func (c *clearances) latest(f Fingerprint) (at time.Time, local bool) {
 	for _, one := range c.of(f) {
-		if one.at.After(at) {
-			at, local = one.at, one.local
+		if one.passed[Running].After(at) {
+			at, local = one.passed[Running], one.local
 		}
 	}
 	return at, local
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -17,7 +17,8 @@
 	// urgentWeight is the weight from which a request is reported immediately: it had just
 	// started to run at a crash, or was at two and not yet running at one of them.
 	urgentWeight = 3
-	// maxReported bounds the requests, the parts and the contested parts reported in one exchange.
+	// maxReported bounds the requests, the parts, those that were answered before, and the contested ones reported in
+	// one exchange.
 	maxReported = 32
 )
 
@@ -39,9 +40,11 @@
 	Variant Variant
 }
 
-// AnswerReport says when a variant last answered a request with a part.
+// AnswerReport says how long ago the latest answer of a variant to a request with a part began that got beyond a
+// stage.
 type AnswerReport struct {
 	Variant Variant
+	Stage   Stage
 	Age     time.Duration
 }
 
@@ -57,7 +60,7 @@
 
 // notifyLocked signals Updates if a suspect has become urgent. Many requests wait or run at
 // an endpoint that crashes; these are left to the regular exchanges, and so are parts that
-// endpoints have answered before, unless the endpoint crashed as it began to answer.
+// endpoints have answered before, unless the endpoint crashed before it had begun to answer.
 func (t *Table) notifyLocked(s *suspect) {
 	e := t.evidenceLocked(s, nil)
 	if s.part && t.worthReporting(e) || !s.part && e.weight >= urgentWeight {
@@ -65,10 +68,10 @@
 	}
 }
 
-// worthReporting reports whether the evidence against a part is more than that of one that many
+// worthReporting reports whether the evidence against a part may be more than that of one that many
 // requests contain.
 func (t *Table) worthReporting(e evidence) bool {
-	return e.weight > 0 && (!e.answered || e.started > 0)
+	return e.weight > 0 && (!e.answered || e.unbegun > 0)
 }
 
 // Reports returns the suspects with a recent crash and those that are quarantined but not
@@ -77,29 +80,35 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	selected := map[Fingerprint]ranked{}
+	selected, answered := map[Fingerprint]ranked{}, map[Fingerprint]ranked{}
 	for _, s := range t.suspects.since(now.Add(-reportFor)) {
 		e := t.evidenceLocked(s, nil)
-		if now.Sub(s.latest) <= reportFor && (!s.part || t.worthReporting(e)) {
+		switch {
+		case now.Sub(s.latest) > reportFor || s.part && !t.worthReporting(e):
+		case e.answered && e.started == 0:
+			answered[s.fingerprint] = newRanked(s, e.weight)
+		default:
 			selected[s.fingerprint] = newRanked(s, e.weight)
 		}
 	}
 	for f := range t.quarantined {
 		if s := t.suspects.all[f]; s != nil && !t.records.has(f) {
 			selected[f] = newRanked(s, t.evidenceLocked(s, nil).weight)
+			delete(answered, f)
 		}
 	}
 	// Contested parts have places of their own: others refuse requests for them, but when many endpoints
-	// crash at once they are many, and must not displace the cause.
+	// crash at once they are many, and must not displace the cause. So do parts that were answered before.
 	contested := map[Fingerprint]ranked{}
 	for f, until := range t.contested {
 		if s := t.suspects.all[f]; s != nil && now.Before(until) {
 			contested[f] = newRanked(s, 0)
 			delete(selected, f)
+			delete(answered, f)
 		}
 	}
 	var out []SuspectReport
-	for _, chosen := range [][]ranked{heaviest(contested, true, maxReported), heaviest(selected, true, maxReported), heaviest(selected, false, maxReported)} {
+	for _, chosen := range [][]ranked{heaviest(contested, true, maxReported), heaviest(answered, true, maxReported), heaviest(selected, true, maxReported), heaviest(selected, false, maxReported)} {
 		for _, r := range chosen {
 			out = append(out, t.reportLocked(r.suspect, now))
 		}
@@ -143,7 +152,11 @@
 func (t *Table) answersLocked(f Fingerprint, now time.Time) []AnswerReport {
 	var out []AnswerReport
 	for _, one := range t.cleared.of(f) {
-		out = append(out, AnswerReport{Variant: one.variant, Age: now.Sub(one.at)})
+		for stage, at := range one.passed {
+			if further := one.passed[min(stage+1, int(Running))]; !at.IsZero() && (Stage(stage) == Running || at.After(further)) {
+				out = append(out, AnswerReport{Variant: one.variant, Stage: Stage(stage), Age: now.Sub(at)})
+			}
+		}
 	}
 	return out
 }
@@ -201,7 +214,9 @@
 	}
 	before := weight()
 	for _, a := range r.Answers {
-		t.cleared.add(f, clearance{variant: a.Variant, at: now.Add(-max(0, a.Age))}, now)
+		heard := passedAt(a.Variant, min(max(a.Stage, Waiting), Running), now.Add(-max(0, a.Age)))
+		heard.local = false
+		t.cleared.add(f, heard, now)
 	}
 	if weight() < before || len(r.Answers) > 0 && t.quarantined[f] != nil {
 		if weight() < before {
@@ -216,13 +231,12 @@
 // that they reported.
 func (t *Table) answerBackLocked(r SuspectReport, now time.Time) {
 	for _, c := range r.Crashes {
-		at, ok := t.cleared.at(r.Fingerprint, c.Variant)
-		if !ok {
-			continue
-		}
+		stage := min(max(c.Stage, Waiting), Running)
+		by, _ := t.cleared.by(r.Fingerprint, c.Variant)
+		at := by.passed[stage]
 		known := false
 		for _, a := range r.Answers {
-			known = known || a.Variant == c.Variant && a.Age <= c.Age
+			known = known || a.Variant == c.Variant && a.Stage == stage && a.Age <= c.Age
 		}
 		if !known && at.After(now.Add(-max(0, c.Age))) && now.Add(reportFor/2).After(t.contested[r.Fingerprint]) {
 			t.contestLocked(r.Fingerprint, now)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -48,7 +48,7 @@
 	is.True(e.Check(both(3)).Quarantined)
 	beside := Subject{Request: 4, Parts: []Fingerprint{middlePart}}
 	is.True(!e.Check(beside).Quarantined)
-	e.Served(beside, 1)
+	e.Served(beside, 1, e.Clock.Now())
 	is.True(e.Check(Subject{Request: 5, Parts: []Fingerprint{deadlyPart}}).Quarantined)
 	is.True(!e.Check(beside).Quarantined)
 }
@@ -82,7 +82,7 @@
 	e := newIsolatedEntry(t)
 	e.learn()
 	crashTwice(e.Table)
-	e.Answering(subject(3), 2)
+	e.Answering(subject(3), 2, e.Clock.Now())
 	v := e.Check(subject(4))
 	is.True(!v.Quarantined && v.Restricted)
 	is.True(e.Blocks(subject(4), 1))
@@ -100,7 +100,7 @@
 	b.Merge("other", a.Reports())
 	is.True(b.Check(subject(3)).Quarantined)
 	a.clock.Advance(time.Second)
-	a.Answering(subject(4), 1) // it was under way
+	a.Answering(subject(4), 1, a.Clock.Now()) // it was under way
 	is.True(!a.Check(subject(3)).Quarantined)
 	select {
 	case <-a.Updates():
@@ -124,7 +124,7 @@
 	is.True(!a.Check(subject(9)).Quarantined) // the evidence is weak and has not settled
 	b.clock.Advance(time.Millisecond)
 	a.clock.Advance(time.Millisecond)
-	b.Answering(subject(7), 1)
+	b.Answering(subject(7), 1, b.Clock.Now())
 	b.Merge("other", a.Reports())
 	a.Merge("other", b.Reports())
 	a.clock.Advance(maxSettleDelay)
@@ -140,7 +140,7 @@
 	probes, owner := 0, ""
 	for _, self := range entries {
 		table := New(Deps{Clock: clock, Log: discardLog, Owns: func(f Fingerprint) bool { return Owner(f, entries) == self.Instance }})
-		table.Answering(Subject{}, 0)
+		table.Answering(Subject{}, 0, table.Clock.Now())
 		clock.Advance(learnFor)
 		crashTwice(table)
 		is.True(!table.TakeProbe(subject(3))) // too early
@@ -171,7 +171,7 @@
 	kind, _ := platform.Values{}.Classify(fleet.Quarantined{Fingerprint: deadlyPart.String(), Part: true}.Key())
 	is.Equal(kind, fleet.ItemQuarantinedPart)
 	clock.Advance(time.Second)
-	b.Answering(subject(4), 1) // a probe
+	b.Answering(subject(4), 1, b.Clock.Now()) // a probe
 	b.Tick(context.Background())
 	c := newEntry(t, clock, store)
 	c.sync()
@@ -187,7 +187,7 @@
 		e.Crashed(Subject{Request: Fingerprint(n), Parts: []Fingerprint{middlePart + Fingerprint(n)}}, endpoint(n), 1, Started)
 	}
 	for n := range 4 * maxCleared {
-		e.Answering(Subject{Parts: []Fingerprint{firstPart + Fingerprint(n)}}, 1)
+		e.Answering(Subject{Parts: []Fingerprint{firstPart + Fingerprint(n)}}, 1, e.Clock.Now())
 	}
 	is.True(e.State().Suspects <= maxSuspects)
 	is.True(len(e.cleared.current)+len(e.cleared.previous) <= 2*maxCleared)
@@ -214,7 +214,7 @@
 	for n := range 4 * maxReported {
 		beside := Subject{Request: Fingerprint(100 + n), Parts: []Fingerprint{middlePart + Fingerprint(100+n)}}
 		e.Crashed(beside, endpoint(100+n), 1, Waiting)
-		e.Answering(Subject{Parts: beside.Parts}, 1)
+		e.Answering(Subject{Parts: beside.Parts}, 1, e.Clock.Now())
 	}
 	crashTwice(e.Table)
 	requests, parts := e.Message()
@@ -251,7 +251,7 @@
 	e := newIsolatedEntry(t)
 	e.learn()
 	popular := Subject{Request: 50, Parts: []Fingerprint{firstPart}}
-	e.Answering(popular, 1)
+	e.Answering(popular, 1, e.Clock.Now())
 	e.clock.Advance(time.Millisecond)
 	crashTwice(e.Table)
 	for n := range 12 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -215,14 +215,14 @@
 	return t.quarantined[f] != nil || len(s.crashes) > 1 && t.evidenceLocked(s, nil).strength(part) != none
 }
 
-// Served records that a request was answered completely: neither it nor a part of its prompt crashes
-// endpoints of the variant.
-func (t *Table) Served(s Subject, v Variant) {
+// Served records that a request was answered completely, by an answer that began at a time: then, neither it nor a
+// part of its prompt crashed endpoints of the variant.
+func (t *Table) Served(s Subject, v Variant, begun time.Time) {
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.served.add(s.Request, now)
-	reevaluate := t.clearLocked(s.Parts, v, now)
+	reevaluate := t.clearLocked(s.Parts, v, begun, now)
 	if known := t.suspects.all[s.Request]; known != nil {
 		t.suspects.remove(known)
 		reevaluate = true
@@ -232,32 +232,58 @@
 	}
 }
 
-// Answering records that a variant has answered a request for SoundAfter: no part of its prompt crashes
-// endpoints of the variant.
-func (t *Table) Answering(s Subject, v Variant) {
+// Answering records that a variant has answered a request for SoundAfter, since a time: then, no part of its prompt
+// crashed endpoints of the variant.
+func (t *Table) Answering(s Subject, v Variant, begun time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.clearLocked(s.Parts, v, t.Clock.Now()) {
+	if t.clearLocked(s.Parts, v, begun, t.Clock.Now()) {
 		t.reevaluateLocked()
 	}
 }
 
-// clearLocked clears parts that this entry saw answered, and reports whether that may change the set
-// of quarantined requests.
-func (t *Table) clearLocked(parts []Fingerprint, v Variant, now time.Time) (reevaluate bool) {
+// Passed records that an answer, which began at a time, got beyond a stage: then, no part of its prompt crashed
+// endpoints of the variant in that stage.
+func (t *Table) Passed(s Subject, v Variant, stage Stage, begun time.Time) {
+	if len(s.Parts) == 0 {
+		return
+	}
+	now := t.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reevaluate := false
+	for _, f := range s.Parts {
+		if t.suspects.all[f] != nil { // else there is nothing to clear
+			reevaluate = t.clearPartLocked(f, passedAt(v, stage, begun), now) || reevaluate
+		}
+	}
+	if reevaluate {
+		t.reevaluateLocked()
+	}
+}
+
+// clearLocked clears parts that this entry saw answered of crashes before the answer began, and reports whether
+// that may change the set of quarantined requests.
+func (t *Table) clearLocked(parts []Fingerprint, v Variant, begun, now time.Time) (reevaluate bool) {
 	t.noteAnswerLocked(now)
 	for _, f := range parts {
-		suspect := t.suspects.all[f]
-		contested := suspect != nil && t.evidenceLocked(suspect, nil).weight > 0
-		t.cleared.add(f, clearance{variant: v, at: now, local: true}, now)
-		if contested || t.quarantined[f] != nil {
-			t.contestLocked(f, now)
-			reevaluate = true
-		}
+		reevaluate = t.clearPartLocked(f, passedAt(v, Running, begun), now) || reevaluate
 	}
 	return reevaluate
 }
 
+// clearPartLocked does so for one part.
+func (t *Table) clearPartLocked(f Fingerprint, by clearance, now time.Time) (reevaluate bool) {
+	suspect := t.suspects.all[f]
+	contested := suspect != nil && t.evidenceLocked(suspect, nil).weight > 0
+	t.cleared.add(f, by, now)
+	if contested || t.quarantined[f] != nil {
+		t.contestLocked(f, now)
+		return true
+	}
+	return false
+}
+
 // contestLocked makes other entries learn of the answers to a part.
 func (t *Table) contestLocked(f Fingerprint, now time.Time) {
 	t.contested[f] = now.Add(reportFor)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -46,7 +46,7 @@
 
 // learn makes an entry one that has seen answers for learnFor.
 func (e *entry) learn() {
-	e.Answering(Subject{}, 0)
+	e.Answering(Subject{}, 0, e.Clock.Now())
 	e.clock.Advance(learnFor)
 }
 
@@ -105,7 +105,7 @@
 func TestServedRequestIsNeverQuarantined(t *testing.T) {
 	is := is.New(t)
 	e := newIsolatedEntry(t)
-	e.Served(Subject{Request: bystander}, 0)
+	e.Served(Subject{Request: bystander}, 0, e.Clock.Now())
 	for n := range 8 {
 		crashed(e, bystander, endpoint(n), Started)
 	}
@@ -114,7 +114,7 @@
 		crashed(e, crashing, endpoint(n), Waiting)
 	}
 	is.True(e.quarantined(crashing))
-	e.Served(Subject{Request: crashing}, 0)
+	e.Served(Subject{Request: crashing}, 0, e.Clock.Now())
 	is.True(!e.quarantined(crashing))
 }
 
--- a/quarantine/simulation_test.go
+++ b/quarantine/simulation_test.go
@@ -155,7 +155,7 @@
 	var remaining []*run
 	for _, r := range s.runs {
 		if r.fingerprint != crashing && s.now >= r.endsAt {
-			s.tables[r.entry].Served(Subject{Request: r.fingerprint}, 0)
+			s.tables[r.entry].Served(Subject{Request: r.fingerprint}, 0, s.clock.Now().Add(r.headAt-s.now))
 			continue
 		}
 		remaining = append(remaining, r)
--- a/quarantine/storm_test.go
+++ b/quarantine/storm_test.go
@@ -49,8 +49,8 @@
 	restarts bool
 	// cut: every third entry reaches no other for two seconds after the first crash.
 	cut bool
-	// running: engines crash after the first event.
-	running bool
+	// running: engines crash after the first event. beforeHead: before the head of the answer.
+	running, beforeHead bool
 }
 
 // stormRun is a request at an engine.
@@ -65,6 +65,7 @@
 	// Times since the start: of the head and the first event, of the crash or the end.
 	headAt, firstEventAt, endsAt time.Duration
 	cleared                      bool
+	passed                       Stage // that the answer got beyond, plus one
 }
 
 type storm struct {
@@ -161,7 +162,7 @@
 		return
 	}
 	r.attempts++
-	r.engine, r.cleared = up[s.rng.IntN(len(up))], false
+	r.engine, r.cleared, r.passed = up[s.rng.IntN(len(up))], false, Waiting
 	r.headAt = s.now + time.Duration(20+s.rng.IntN(200))*time.Millisecond
 	r.firstEventAt = r.headAt + time.Duration(s.rng.IntN(40))*time.Millisecond
 	r.endsAt = r.firstEventAt + time.Duration(s.rng.Int64N(int64(3*time.Second)))
@@ -198,7 +199,7 @@
 
 func (s *storm) stage(r *stormRun) Stage {
 	switch {
-	case s.now < r.headAt, s.crashes(r) && !s.running && s.rng.Float64() < lostHeadShare:
+	case s.now < r.headAt, s.crashes(r) && s.beforeHead, s.crashes(r) && !s.running && s.rng.Float64() < lostHeadShare:
 		return Waiting
 	case s.now < r.firstEventAt || s.crashes(r) && !s.running:
 		return Started
@@ -292,6 +293,15 @@
 // advance advances a run, and reports whether it has ended.
 func (s *storm) advance(r *stormRun) bool {
 	t, v := s.tables[r.entry], s.versionOf(r.engine)
+	begun := s.clock.Now().Add(r.headAt - s.now)
+	if !r.cancelled && r.passed == Waiting && s.now >= r.headAt && !(s.crashes(r) && s.beforeHead) {
+		r.passed = Started
+		t.Passed(r.subject, v, Waiting, begun)
+	}
+	if !r.cancelled && r.passed == Started && s.now >= r.firstEventAt && (!s.crashes(r) || s.running) {
+		r.passed = Running
+		t.Passed(r.subject, v, Started, begun)
+	}
 	switch {
 	case r.cancelled:
 		return true
@@ -299,12 +309,12 @@
 		return false
 	case s.now >= r.endsAt:
 		r.hold.Release()
-		t.Served(r.subject, v)
+		t.Served(r.subject, v, begun)
 		return true
 	case s.now >= r.firstEventAt+SoundAfter && !r.cleared:
 		r.cleared = true
 		r.hold.Release()
-		t.Answering(r.subject, v)
+		t.Answering(r.subject, v, begun)
 	case s.now >= r.firstEventAt:
 		r.hold.Release()
 	}
@@ -389,6 +399,8 @@
 	"restarts":               {parts: 1, restarts: true},
 	"cut":                    {parts: 1, cut: true},
 	"after an event":         {parts: 1, running: true},
+	"before the head":        {parts: 1, beforeHead: true},
+	"known, before the head": {parts: 1, known: true, beforeHead: true},
 }
 
 // massCrashes is the kind of storm in which half of the engines crash for other reasons.
--- a/quarantine/suspects.go
+++ b/quarantine/suspects.go
@@ -51,11 +51,22 @@
 	return requestWeights[stage]
 }
 
-// addCrash adds a crash and reports whether it increases the suspect's weight. Copies of a
-// request at one endpoint count once, by the stage with the highest weight.
+// isPartOf reports whether a request is known to contain the part.
+func (s *suspect) isPartOf(request Fingerprint) bool {
+	for _, c := range s.crashes {
+		if c.request == request {
+			return true
+		}
+	}
+	return false
+}
+
+// addCrash adds a crash and reports whether it increases the evidence against the suspect. Copies of a
+// request at one endpoint count once, by the stage with the highest weight, the earliest of these.
 func (s *suspect) addCrash(ep fleet.EndpointID, c crash) bool {
 	known, ok := s.crashes[ep]
-	if ok && s.weightOf(known.stage) >= s.weightOf(c.stage) || !ok && len(s.crashes) >= maxCrashes {
+	weight, knownWeight := s.weightOf(c.stage), s.weightOf(known.stage)
+	if ok && (weight < knownWeight || weight == knownWeight && c.stage >= known.stage) || !ok && len(s.crashes) >= maxCrashes {
 		return false
 	}
 	c.local = c.local || known.local
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -31,11 +31,23 @@
 		p.Crashes = append(p.Crashes, &sharedpb.PartCrash{Endpoint: string(c.Endpoint), Stage: uint32(c.Stage), AgeMs: milliseconds(c.Age), Request: uint64(c.Request), Variant: uint32(c.Variant)})
 	}
 	for _, a := range r.Answers {
-		p.Answers = append(p.Answers, &sharedpb.PartAnswer{Variant: uint32(a.Variant), AgeMs: milliseconds(a.Age)})
+		list := answersOf(p, a.Stage)
+		*list = append(*list, &sharedpb.PartAnswer{Variant: uint32(a.Variant), AgeMs: milliseconds(a.Age)})
 	}
 	return p
 }
 
+// answersOf returns the answers in a message that got beyond a stage.
+func answersOf(p *sharedpb.SuspectPart, stage Stage) *[]*sharedpb.PartAnswer {
+	switch stage {
+	case Waiting:
+		return &p.Heads
+	case Started:
+		return &p.Events
+	}
+	return &p.Answers
+}
+
 func milliseconds(d time.Duration) uint32 { return uint32(d.Milliseconds()) }
 
 func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -55,8 +67,10 @@
 		for _, c := range p.Crashes {
 			r.Crashes = append(r.Crashes, CrashReport{Endpoint: fleet.EndpointID(c.Endpoint), Stage: Stage(c.Stage), Age: duration(c.AgeMs), Request: Fingerprint(c.Request), Variant: Variant(c.Variant)})
 		}
-		for _, a := range p.Answers {
-			r.Answers = append(r.Answers, AnswerReport{Variant: Variant(a.Variant), Age: duration(a.AgeMs)})
+		for stage := Waiting; stage <= Running; stage++ {
+			for _, a := range *answersOf(p, stage) {
+				r.Answers = append(r.Answers, AnswerReport{Variant: Variant(a.Variant), Stage: stage, Age: duration(a.AgeMs)})
+			}
 		}
 		reports = append(reports, r)
 	}
