quarantine: find whole requests that were answered before they begin to crash endpoints

The order of answer and crash decides now, as for parts: an answer clears the crashes before it began, and a request that was answered before needs three crashes as its answer began, or four before that and at most crashes since, which do not all happen at the same time; weak evidence must last. Answers to such requests are told to those that suspect them. They travel beside the prompt parts, in a field by which the build before does not take them for a cause.

A part that no endpoint ever answered is found at five crashes of three different requests; heads clear only what was answered whole before.

--- a/quarantine/causes.go
+++ b/quarantine/causes.go
@@ -18,8 +18,8 @@
 	// strongLead puts parts with strong evidence before all others: many requests contain some parts, which
 	// are at more crashes than the cause.
 	strongLead = 1000
-	// A part that was answered before may be at some crashes by chance, as many requests contain it. It
-	// must have been just starting at answeredStarted of them, or not yet running at answeredUnbegun
+	// A part that was answered before may be at some crashes by chance, as many requests contain it; so may a
+	// request that many callers make. It must have been just starting at answeredStarted of them, or not yet running at answeredUnbegun
 	// and at answeredShare of all crashes since.
 	answeredStarted = 3
 	answeredUnbegun = 4
@@ -27,7 +27,7 @@
 	answeredSpan    = 100 * time.Millisecond // from the first of these crashes to the last
 	// A part that no endpoint ever answered, of manyRequests different requests at manyCrashes crashes, is there for
 	// no other reason, however far these had come.
-	manyRequests = 4
+	manyRequests = 3
 	manyCrashes  = 5
 	// settleDelay is how long weak evidence must last before it counts, while endpoints answer: an
 	// answer clears the part, and entries that know of one tell the others.
@@ -55,7 +55,7 @@
 	crashes  int
 	started  int // crashes when it was just starting
 	requests int // different requests
-	// answered: endpoints of the same variant answered the part before the crashes.
+	// answered: endpoints of the same variant answered the part, or the request, before the crashes.
 	answered bool
 	first    time.Time // of the crashes
 	latest   time.Time // of the crashes
@@ -66,7 +66,7 @@
 
 func (e evidence) strength(part bool) strength {
 	switch {
-	case e.weight < quarantineWeight, part && e.requests < minRequests, part && e.answered && !e.outweighsAnswers():
+	case e.weight < quarantineWeight, part && e.requests < minRequests, e.answered && !e.outweighsAnswers():
 		return none
 	case e.answered || !e.learned:
 		return weak
@@ -76,7 +76,7 @@
 	return weak
 }
 
-// outweighsAnswers reports whether a part that was answered before may crash endpoints now. Endpoints that end at
+// outweighsAnswers reports whether what was answered before may crash endpoints now. Endpoints that end at
 // the same time do so for another reason.
 func (e evidence) outweighsAnswers() bool {
 	return e.latest.Sub(e.first) >= answeredSpan && (e.started >= answeredStarted || e.unbegun >= answeredUnbegun && float64(e.unbegun) >= answeredShare*float64(e.all))
@@ -135,14 +135,12 @@
 		if explained.covers(s, ep, c) {
 			continue
 		}
-		if s.part {
-			by, _ := t.cleared.by(s.fingerprint, c.variant)
-			answered := !by.passed[Running].IsZero()
-			if answered && c.stage == Running || !c.at.After(by.passed[c.stage]) {
-				continue
-			}
-			e.answered = e.answered || answered
+		by := t.clearancesOf(s.part).byVariant(s.fingerprint, c.variant)
+		answered := !by.passed[Running].IsZero()
+		if answered && (c.stage == Running || !c.at.After(by.passed[c.stage])) {
+			continue
 		}
+		e.answered = e.answered || answered
 		if e.weight == 0 || c.at.Before(e.first) {
 			e.first = c.at
 		}
@@ -230,7 +228,7 @@
 func (t *Table) candidatesLocked(known map[Fingerprint]bool, now time.Time) (candidates map[*suspect]struct{}, pending map[Fingerprint]time.Time) {
 	candidates, pending = map[*suspect]struct{}{}, map[Fingerprint]time.Time{}
 	for f, s := range t.suspects.all {
-		if len(s.crashes) < 2 || known[f] || !s.part && t.served.has(f) {
+		if len(s.crashes) < 2 || known[f] {
 			continue
 		}
 		e := t.evidenceLocked(s, nil)
@@ -238,7 +236,7 @@
 		if strength == none {
 			continue
 		}
-		if s.part && strength == weak && t.quarantined[f] == nil && !t.records.has(f) {
+		if (s.part || e.answered) && strength == weak && t.quarantined[f] == nil && !t.records.has(f) {
 			since, ok := t.pending[f]
 			if !ok {
 				since = now
--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -6,9 +6,10 @@
 // crashes endpoints does so as they begin to answer.
 const SoundAfter = 500 * time.Millisecond
 
-// Bounds of the cleared parts: in each of two generations, and the variants kept per part.
+// Bounds of the cleared parts: in each of two generations and their age, and the variants kept per part.
 const (
 	maxCleared         = 8192
+	maxClearedAge      = 5 * time.Minute
 	maxClearedVariants = 8
 )
 
@@ -49,7 +50,8 @@
 	return c
 }
 
-// clearances hold the parts that endpoints answered, in two generations like served.
+// clearances hold the parts, or the whole requests, that endpoints answered, in two generations: when the
+// current one is full or too old it becomes the previous one, which is dropped.
 type clearances struct {
 	current, previous map[Fingerprint][]clearance
 	started           time.Time // of the current generation
@@ -63,7 +65,7 @@
 	if !changed {
 		return false
 	}
-	if c.current == nil || len(c.current) >= maxCleared || now.Sub(c.started) > maxServedAge {
+	if c.current == nil || len(c.current) >= maxCleared || now.Sub(c.started) > maxClearedAge {
 		c.previous, c.current, c.started = c.current, map[Fingerprint][]clearance{}, now
 	}
 	list := c.current[f]
@@ -95,6 +97,19 @@
 	return clearance{}, false
 }
 
+// byVariant returns how a variant last answered a part; 0, of which an earlier build tells: any.
+func (c *clearances) byVariant(f Fingerprint, v Variant) clearance {
+	if v != 0 {
+		one, _ := c.by(f, v)
+		return one
+	}
+	var all clearance
+	for _, one := range c.of(f) {
+		all, _ = all.latestOf(one)
+	}
+	return all
+}
+
 // at returns when the answer of a variant to a part began that last showed it to be sound; ok is false if none is
 // known.
 func (c *clearances) at(f Fingerprint, v Variant) (at time.Time, ok bool) {
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -17,6 +17,8 @@
 	// urgentWeight is the weight from which a request is reported immediately: it had just
 	// started to run at a crash, or was at two and not yet running at one of them.
 	urgentWeight = 3
+	// urgentCrashes is from how many crashes, when it was not yet running, what was answered before is passed on at once.
+	urgentCrashes = 2
 	// maxReported bounds the requests, the parts, those that were answered before, and the contested ones reported in
 	// one exchange.
 	maxReported = 32
@@ -27,7 +29,7 @@
 	Fingerprint Fingerprint
 	Part        bool
 	Crashes     []CrashReport
-	Answers     []AnswerReport // of a part
+	Answers     []AnswerReport
 }
 
 // CrashReport is a crash as reported to other entries.
@@ -35,7 +37,7 @@
 	Endpoint fleet.EndpointID
 	Stage    Stage
 	Age      time.Duration
-	// Request and Variant are set for a part: the request that contained it, and what ran it.
+	// Request is that which contained a part, Variant what ran it; 0: an earlier build does not tell.
 	Request Fingerprint
 	Variant Variant
 }
@@ -61,9 +63,11 @@
 // notifyLocked signals Updates if a suspect has become urgent. Many requests wait or run at
 // an endpoint that crashes; these are left to the regular exchanges, and so are parts that
 // endpoints have answered before, unless the endpoint crashed before it had begun to answer.
-func (t *Table) notifyLocked(s *suspect) {
+func (t *Table) notifyLocked(s *suspect, local bool) {
 	e := t.evidenceLocked(s, nil)
-	if s.part && t.worthReporting(e) || !s.part && e.weight >= urgentWeight {
+	switch {
+	case e.answered && e.started == 0 && e.unbegun < urgentCrashes && !local:
+	case (s.part || e.answered) && t.worthReporting(e), !s.part && e.weight >= urgentWeight:
 		t.signalLocked()
 	}
 }
@@ -84,7 +88,7 @@
 	for _, s := range t.suspects.since(now.Add(-reportFor)) {
 		e := t.evidenceLocked(s, nil)
 		switch {
-		case now.Sub(s.latest) > reportFor || s.part && !t.worthReporting(e):
+		case now.Sub(s.latest) > reportFor || (s.part || e.answered) && !t.worthReporting(e):
 		case e.answered && e.started == 0:
 			answered[s.fingerprint] = newRanked(s, e.weight)
 		default:
@@ -108,7 +112,8 @@
 		}
 	}
 	var out []SuspectReport
-	for _, chosen := range [][]ranked{heaviest(contested, true, maxReported), heaviest(answered, true, maxReported), heaviest(selected, true, maxReported), heaviest(selected, false, maxReported)} {
+	for _, chosen := range [][]ranked{heaviest(contested, true, maxReported), heaviest(contested, false, maxReported), heaviest(answered, true, maxReported),
+		heaviest(answered, false, maxReported), heaviest(selected, true, maxReported), heaviest(selected, false, maxReported)} {
 		for _, r := range chosen {
 			out = append(out, t.reportLocked(r.suspect, now))
 		}
@@ -143,15 +148,13 @@
 	for ep, c := range s.crashes {
 		r.Crashes = append(r.Crashes, CrashReport{Endpoint: ep, Stage: c.stage, Age: now.Sub(c.at), Request: c.request, Variant: c.variant})
 	}
-	if s.part {
-		r.Answers = t.answersLocked(s.fingerprint, now)
-	}
+	r.Answers = t.answersLocked(s.fingerprint, s.part, now)
 	return r
 }
 
-func (t *Table) answersLocked(f Fingerprint, now time.Time) []AnswerReport {
+func (t *Table) answersLocked(f Fingerprint, part bool, now time.Time) []AnswerReport {
 	var out []AnswerReport
-	for _, one := range t.cleared.of(f) {
+	for _, one := range t.clearancesOf(part).of(f) {
 		for stage, at := range one.passed {
 			if further := one.passed[min(stage+1, int(Running))]; !at.IsZero() && (Stage(stage) == Running || at.After(further)) {
 				out = append(out, AnswerReport{Variant: one.variant, Stage: Stage(stage), Age: now.Sub(at)})
@@ -167,7 +170,8 @@
 	var out []SuspectReport
 	for f, until := range t.contested {
 		if t.suspects.all[f] == nil && now.Before(until) && len(out) < maxReported {
-			out = append(out, SuspectReport{Fingerprint: f, Part: true, Answers: t.answersLocked(f, now)})
+			part := len(t.answered.of(f)) == 0
+			out = append(out, SuspectReport{Fingerprint: f, Part: part, Answers: t.answersLocked(f, part, now)})
 		}
 	}
 	return out
@@ -183,18 +187,13 @@
 	defer t.mu.Unlock()
 	reevaluate := false
 	for _, r := range reports {
-		if !r.Part && t.served.has(r.Fingerprint) {
-			continue
-		}
 		reevaluate = t.mergeAnswersLocked(r, now) || reevaluate
 		for _, c := range r.Crashes {
 			stage := min(max(c.Stage, Waiting), Running)
 			merged := crash{stage: stage, at: now.Add(-max(0, c.Age)), request: c.Request, variant: c.Variant}
 			reevaluate = t.addCrashLocked(r.Fingerprint, r.Part, c.Endpoint, merged, from) || reevaluate
 		}
-		if r.Part {
-			t.answerBackLocked(r, now)
-		}
+		t.answerBackLocked(r, now)
 	}
 	if reevaluate {
 		t.reevaluateLocked()
@@ -216,7 +215,7 @@
 	for _, a := range r.Answers {
 		heard := passedAt(a.Variant, min(max(a.Stage, Waiting), Running), now.Add(-max(0, a.Age)))
 		heard.local = false
-		t.cleared.add(f, heard, now)
+		t.clearancesOf(r.Part).add(f, heard, now)
 	}
 	if weight() < before || len(r.Answers) > 0 && t.quarantined[f] != nil {
 		if weight() < before {
@@ -232,8 +231,7 @@
 func (t *Table) answerBackLocked(r SuspectReport, now time.Time) {
 	for _, c := range r.Crashes {
 		stage := min(max(c.Stage, Waiting), Running)
-		by, _ := t.cleared.by(r.Fingerprint, c.Variant)
-		at := by.passed[stage]
+		at := t.clearancesOf(r.Part).byVariant(r.Fingerprint, c.Variant).passed[stage]
 		known := false
 		for _, a := range r.Answers {
 			known = known || a.Variant == c.Variant && a.Stage == stage && a.Age <= c.Age
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -34,8 +34,8 @@
 
 	mu       sync.Mutex
 	suspects suspects
-	served   served
-	cleared  clearances
+	// answered are the whole requests, cleared the parts that endpoints answered.
+	answered, cleared clearances
 	// quarantined are the causes by each of their members, pending the parts with weak evidence by
 	// when it came.
 	quarantined map[Fingerprint]*cause
@@ -189,11 +189,10 @@
 // addCrashesLocked adds a crash that this entry observed to a request and its parts, and reports whether that may
 // change the set of quarantined requests.
 func (t *Table) addCrashesLocked(b brokenAnswer) (reevaluate bool) {
-	if !t.served.has(b.subject.Request) {
-		reevaluate = t.addCrashLocked(b.subject.Request, false, b.endpoint.ID, crash{stage: b.stage, at: b.at, local: true}, "")
-	}
+	c := crash{stage: b.stage, at: b.at, local: true, request: b.subject.Request, variant: b.variant}
+	reevaluate = t.addCrashLocked(b.subject.Request, false, b.endpoint.ID, c, "")
 	for _, part := range b.subject.Parts {
-		reevaluate = t.addCrashLocked(part, true, b.endpoint.ID, crash{stage: b.stage, at: b.at, local: true, request: b.subject.Request, variant: b.variant}, "") || reevaluate
+		reevaluate = t.addCrashLocked(part, true, b.endpoint.ID, c, "") || reevaluate
 	}
 	return reevaluate
 }
@@ -211,7 +210,7 @@
 	if t.crashed.add(ep, c.at, now) {
 		t.Log.Info("quarantine: learned that an endpoint crashed.", "endpoint", ep, "from", from, "age_ms", now.Sub(c.at).Milliseconds(), "fingerprint", f, "part", part)
 	}
-	t.notifyLocked(s)
+	t.notifyLocked(s, c.local)
 	return t.quarantined[f] != nil || len(s.crashes) > 1 && t.evidenceLocked(s, nil).strength(part) != none
 }
 
@@ -221,15 +220,25 @@
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.served.add(s.Request, now)
 	reevaluate := t.clearLocked(s.Parts, v, begun, now)
-	if known := t.suspects.all[s.Request]; known != nil {
+	if t.clearRequestLocked(s.Request, passedAt(v, Running, begun), now) || reevaluate {
+		t.reevaluateLocked()
+	}
+}
+
+// clearRequestLocked clears a whole request of crashes before an answer to it began, and reports whether that may
+// change the set of quarantined requests. Others are told only of one that they may refuse.
+func (t *Table) clearRequestLocked(f Fingerprint, by clearance, now time.Time) (reevaluate bool) {
+	known := t.suspects.all[f]
+	contested := t.quarantined[f] != nil || known != nil && t.evidenceLocked(known, nil).weight >= quarantineWeight
+	t.answered.add(f, by, now)
+	if known != nil && !known.latest.After(by.passed[Running]) {
 		t.suspects.remove(known)
-		reevaluate = true
 	}
-	if reevaluate {
-		t.reevaluateLocked()
+	if contested {
+		t.contestLocked(f, now)
 	}
+	return contested
 }
 
 // Answering records that a variant has answered a request for SoundAfter, since a time: then, no part of its prompt
@@ -242,19 +251,22 @@
 	}
 }
 
-// Passed records that an answer, which began at a time, got beyond a stage: then, no part of its prompt crashed
-// endpoints of the variant in that stage.
+// Passed records that an answer, which began at a time, got beyond a stage: then, neither the request nor a part
+// of its prompt crashed endpoints of the variant in that stage.
 func (t *Table) Passed(s Subject, v Variant, stage Stage, begun time.Time) {
-	if len(s.Parts) == 0 {
-		return
-	}
 	now := t.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	by := passedAt(v, stage, begun)
 	reevaluate := false
+	if t.suspects.all[s.Request] != nil { // else there is nothing to clear
+		reevaluate = t.clearRequestLocked(s.Request, by, now)
+	}
 	for _, f := range s.Parts {
-		if t.suspects.all[f] != nil { // else there is nothing to clear
-			reevaluate = t.clearPartLocked(f, passedAt(v, stage, begun), now) || reevaluate
+		if suspect := t.suspects.all[f]; suspect != nil && (t.quarantined[f] != nil || t.evidenceLocked(suspect, nil).weight >= quarantineWeight) {
+			reevaluate = t.clearPartLocked(f, by, now) || reevaluate
+		} else if suspect != nil {
+			t.cleared.add(f, by, now)
 		}
 	}
 	if reevaluate {
@@ -277,11 +289,19 @@
 	suspect := t.suspects.all[f]
 	contested := suspect != nil && t.evidenceLocked(suspect, nil).weight > 0
 	t.cleared.add(f, by, now)
-	if contested || t.quarantined[f] != nil {
-		t.contestLocked(f, now)
-		return true
+	if !contested && t.quarantined[f] == nil {
+		return false
 	}
-	return false
+	t.contestLocked(f, now)
+	return true
+}
+
+// clearancesOf returns the answers to parts or to whole requests.
+func (t *Table) clearancesOf(part bool) *clearances {
+	if part {
+		return &t.cleared
+	}
+	return &t.answered
 }
 
 // contestLocked makes other entries learn of the answers to a part.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -69,10 +69,7 @@
 
 // outdatedLocked reports whether what a record is about was answered since the record became known.
 func (t *Table) outdatedLocked(r recorded) bool {
-	if !r.part {
-		return t.served.has(r.fingerprint)
-	}
-	at, _ := t.cleared.latest(r.fingerprint)
+	at, _ := t.clearancesOf(r.part).latest(r.fingerprint)
 	return at.After(t.recordedAt[r.fingerprint])
 }
 
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -12,13 +12,13 @@
 	var requests []*sharedpb.Suspect
 	var parts []*sharedpb.SuspectPart
 	for _, r := range t.Reports() {
-		if r.Part {
+		if r.Part || len(r.Answers) > 0 { // earlier builds do not take it for a cause
 			parts = append(parts, partMessage(r))
 			continue
 		}
 		s := &sharedpb.Suspect{Fingerprint: uint64(r.Fingerprint)}
 		for _, c := range r.Crashes {
-			s.Crashes = append(s.Crashes, &sharedpb.Crash{Endpoint: string(c.Endpoint), Stage: uint32(c.Stage), AgeMs: milliseconds(c.Age)})
+			s.Crashes = append(s.Crashes, &sharedpb.Crash{Endpoint: string(c.Endpoint), Stage: uint32(c.Stage), AgeMs: milliseconds(c.Age), Variant: uint32(c.Variant)})
 		}
 		requests = append(requests, s)
 	}
@@ -26,7 +26,7 @@
 }
 
 func partMessage(r SuspectReport) *sharedpb.SuspectPart {
-	p := &sharedpb.SuspectPart{Fingerprint: uint64(r.Fingerprint)}
+	p := &sharedpb.SuspectPart{Fingerprint: uint64(r.Fingerprint), Whole: !r.Part}
 	for _, c := range r.Crashes {
 		p.Crashes = append(p.Crashes, &sharedpb.PartCrash{Endpoint: string(c.Endpoint), Stage: uint32(c.Stage), AgeMs: milliseconds(c.Age), Request: uint64(c.Request), Variant: uint32(c.Variant)})
 	}
@@ -58,12 +58,12 @@
 	for _, s := range requests {
 		r := SuspectReport{Fingerprint: Fingerprint(s.Fingerprint)}
 		for _, c := range s.Crashes {
-			r.Crashes = append(r.Crashes, CrashReport{Endpoint: fleet.EndpointID(c.Endpoint), Stage: Stage(c.Stage), Age: duration(c.AgeMs)})
+			r.Crashes = append(r.Crashes, CrashReport{Endpoint: fleet.EndpointID(c.Endpoint), Stage: Stage(c.Stage), Age: duration(c.AgeMs), Request: r.Fingerprint, Variant: Variant(c.Variant)})
 		}
 		reports = append(reports, r)
 	}
 	for _, p := range parts {
-		r := SuspectReport{Fingerprint: Fingerprint(p.Fingerprint), Part: true}
+		r := SuspectReport{Fingerprint: Fingerprint(p.Fingerprint), Part: !p.Whole}
 		for _, c := range p.Crashes {
 			r.Crashes = append(r.Crashes, CrashReport{Endpoint: fleet.EndpointID(c.Endpoint), Stage: Stage(c.Stage), Age: duration(c.AgeMs), Request: Fingerprint(c.Request), Variant: Variant(c.Variant)})
 		}
