quarantine: an answer that was under way when a part was recorded releases it

A record counts until its entry learns of a whole answer; since an answer counts as of its beginning, one that began before the record was known did not release it, and a part recorded by mistake would have been refused until a probe, a minute later. What counts here is when the entry learned of the answer. The test fails without the change.

--- a/quarantine/answered_test.go
+++ b/quarantine/answered_test.go
@@ -75,3 +75,19 @@
 	at, _ := a.cleared.at(deadlyPart, 1)
 	is.True(at.Sub(begun) <= heardTolerance)
 }
+
+// Guards against refusing a part for good that was recorded by mistake while an endpoint was answering it.
+func TestARecordIsOutdatedByAnAnswerThatWasUnderWay(t *testing.T) {
+	is := is.New(t)
+	e := newIsolatedEntry(t)
+	e.learn()
+	begun := e.Clock.Now()
+	crashTwice(e.Table)
+	e.clock.Advance(settleTime)
+	e.Tick(context.Background())
+	e.sync()
+	is.True(e.Check(subject(9)).Quarantined)
+	e.clock.Advance(time.Second)
+	e.Answering(subject(3), 1, begun.Add(time.Millisecond))
+	is.True(!e.Check(subject(9)).Quarantined)
+}
--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -19,7 +19,8 @@
 	// passed is when the latest answers began that got beyond each stage: their heads came, then events, then they
 	// lasted for SoundAfter or were complete. Zero: none did.
 	passed [Running + 1]time.Time
-	local  bool // observed by this entry
+	local  bool      // observed by this entry
+	seen   time.Time // when this entry learned of the latest that got beyond Running
 }
 
 // heardTolerance is by how much the time of an answer grows on its way between entries, at most: it is told as an
@@ -65,6 +66,9 @@
 	if !changed {
 		return false
 	}
+	if merged.passed[Running].After(known.passed[Running]) {
+		merged.seen = now
+	}
 	if c.current == nil || len(c.current) >= maxCleared || now.Sub(c.started) > maxClearedAge {
 		c.previous, c.current, c.started = c.current, map[Fingerprint][]clearance{}, now
 	}
@@ -126,13 +130,13 @@
 	return append(append([]clearance(nil), current...), previous...)
 }
 
-// latest returns when the answer of any variant to a part began that last showed it to be sound, and whether this
-// entry observed that.
-func (c *clearances) latest(f Fingerprint) (at time.Time, local bool) {
+// latest returns when this entry last learned of an answer of any variant that showed a part to be sound, and
+// whether it observed that itself.
+func (c *clearances) latest(f Fingerprint) (seen time.Time, local bool) {
 	for _, one := range c.of(f) {
-		if one.passed[Running].After(at) {
-			at, local = one.passed[Running], one.local
+		if one.seen.After(seen) {
+			seen, local = one.seen, one.local
 		}
 	}
-	return at, local
+	return seen, local
 }
