mesh, ingress: an entry that was out of touch asks what others know before it sends

A process that was paused, cut off from the others, short of processor time or has just started sends what it finds waiting before its first exchange. Answers to questions from before a pause do not count, nor do questions of others, which may have waited in a buffer.

The test fails without the change.

--- a/edge/module.go
+++ b/edge/module.go
@@ -249,8 +249,8 @@
 }
 
 func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
-	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
+	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, peers *mesh.Mesh, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Shares: table, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
-		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, AnswerMemory: int64(s.MemoryMB) << 20 / answerMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer,
+		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, AnswerMemory: int64(s.MemoryMB) << 20 / answerMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer, Peers: peers,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -281,7 +281,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.Subject.Request != 0 && s.Quarantine.Refuses(p.Subject, p.Variant) {
+	if p.Subject.Request == 0 {
+		return conn, nil
+	}
+	if s.Peers != nil {
+		s.Peers.AwaitCurrent(ctx)
+	}
+	if s.Quarantine.Refuses(p.Subject, p.Variant) {
 		_ = conn.Close()
 		return nil, errQuarantined
 	}
--- a/ingress/parts_test.go
+++ b/ingress/parts_test.go
@@ -320,3 +320,22 @@
 	is.Equal(len(f.all[0].runs()), runs)
 	f.all[0].do(http.MethodPost, "/resume/stream", "body", sound...).assertCompleteStream(is)
 }
+
+// Guards against an entry that was out of touch sending what it holds before it hears what the others found meanwhile.
+func TestAnEntryOutOfTouchAsksBeforeItSends(t *testing.T) {
+	is := is.New(t)
+	f := newPartitionCluster(t, 2, 1, 4)
+	f.all[0].server.Peers = f.meshes[0]
+	sound := []string{"X-Prompt-Prefix", "f:10,m:10,own:10"}
+	f.all[0].do(http.MethodPost, "/resume/stream", "body", sound...).assertCompleteStream(is)
+	time.Sleep(1100 * time.Millisecond) // it knows most sound parts by then
+	part := quarantine.PartFingerprints(service, []string{"deadly"})
+	for n := range 4 {
+		f.all[1].quarantine.Crashed(quarantine.Subject{Request: quarantine.Fingerprint(n), Parts: part}, fleet.EndpointID(fmt.Sprint(n)), quarantine.VariantOf("", "v1"), quarantine.Started)
+	}
+	runs := len(f.all[0].runs())
+	a := f.all[0].do(http.MethodPost, "/resume/stream", "body", "X-Prompt-Prefix", "f:10,deadly:10,own:10")
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.Equal(len(f.all[0].runs()), runs)
+	f.all[0].do(http.MethodPost, "/resume/stream", "body", sound...).assertCompleteStream(is)
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,6 +44,12 @@
 	AddDepartures(from string, reports []fleet.Departure) bool
 }
 
+// Peers are the other entries as sources of what they know; mesh.Mesh implements it.
+type Peers interface {
+	// AwaitCurrent waits, for a moment at most, until this entry knows what the others know.
+	AwaitCurrent(ctx context.Context)
+}
+
 // Deps are the dependencies and settings of a Server.
 type Deps struct {
 	Instance    string
@@ -83,9 +89,11 @@
 	LapsedGrace time.Duration
 	// Egress opens connections to endpoints.
 	Egress *egress.Dialer
-	Clock  clockwork.Clock
-	Log    *slog.Logger
-	Scope  tally.Scope
+	// Peers are the other entries; nil: none.
+	Peers Peers
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	Scope tally.Scope
 }
 
 // Server serves the caller API.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/lovageweir/lovageweir/concurrency"
 	"github.com/lovageweir/lovageweir/fleet"
@@ -102,6 +104,13 @@
 	// announced are peers that told of a later era than this entry's.
 	announced chan announcement
 
+	started time.Time
+	// heardAt is when the latest exchange was begun that a peer answered, aloneAt when none answered, as uptimes;
+	// 0: never.
+	heardAt, aloneAt atomic.Int64
+	// refreshes has a call while peers are asked before requests are sent.
+	refreshes singleflight.Group
+
 	packer packer
 }
 
@@ -123,7 +132,7 @@
 		client := newClient(t, maxMessageBytes)
 		d.Peer = func(address string) meshpb.Mesh { return meshpb.NewMeshProtobufClient("http://"+address, client) }
 	}
-	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}, announced: make(chan announcement, eraFanout)}
+	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}, started: d.Clock.Now(), announced: make(chan announcement, eraFanout)}
 }
 
 // SetSeeds replaces the seeds, for example after the settings were reloaded.
@@ -199,6 +208,7 @@
 	if err == nil {
 		m.recordFreshness(address, got)
 		m.merge(got, m.Clock.Since(started))
+		m.heardAt.Store(max(m.heardAt.Load(), m.uptime(started)))
 	}
 }
 
