quarantine: the time of an answer does not grow on its way between entries, under load either

An age is told with a margin, 50 ms by the entry that saw the answer, 0.5 s by others, so that it does not shrink.

--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -23,9 +23,22 @@
 	seen   time.Time // when this entry learned of the latest that got beyond Running
 }
 
-// heardTolerance is by how much the time of an answer grows on its way between entries, at most: it is told as an
-// age, and entries tell each other again and again.
-const heardTolerance = 100 * time.Millisecond
+// An answer is told as an age, which is older when it arrives, and entries tell each other again and again.
+const (
+	// heardTolerance is by how much later an answer that is heard of must be to be news.
+	heardTolerance = 100 * time.Millisecond
+	// tellMargin is added to the age of an answer, retellMargin to that of one that another entry told of.
+	tellMargin   = 50 * time.Millisecond
+	retellMargin = 500 * time.Millisecond
+)
+
+// tellingMargin returns what to add to the age of the answer.
+func (c clearance) tellingMargin() time.Duration {
+	if c.local {
+		return tellMargin
+	}
+	return retellMargin
+}
 
 // latestOf returns a clearance with the later of the times of two.
 func (c clearance) latestOf(other clearance) (latest clearance, changed bool) {
@@ -35,10 +48,9 @@
 	}
 	for stage, at := range other.passed {
 		if c.passed[stage].IsZero() && !at.IsZero() || at.After(c.passed[stage].Add(tolerance)) {
-			c.passed[stage], changed = at, true
+			c.passed[stage], c.local, changed = at, other.local, true
 		}
 	}
-	c.local = c.local || other.local
 	return c, changed
 }
 
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -157,7 +157,7 @@
 	for _, one := range t.clearancesOf(part).of(f) {
 		for stage, at := range one.passed {
 			if further := one.passed[min(stage+1, int(Running))]; !at.IsZero() && (Stage(stage) == Running || at.After(further)) {
-				out = append(out, AnswerReport{Variant: one.variant, Stage: Stage(stage), Age: now.Sub(at)})
+				out = append(out, AnswerReport{Variant: one.variant, Stage: Stage(stage), Age: now.Sub(at) + one.tellingMargin()})
 			}
 		}
 	}
