--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -132,7 +132,11 @@
 		client := newClient(t, maxMessageBytes)
 		d.Peer = func(address string) meshpb.Mesh { return meshpb.NewMeshProtobufClient("http://"+address, client) }
 	}
-	return &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}, started: d.Clock.Now(), announced: make(chan announcement, eraFanout)}
+	m := &Mesh{Deps: d, seeds: d.Seeds, unreachableUntil: map[string]time.Time{}, staleUntil: map[string]time.Time{}, unreachable: map[string]bool{}, announced: make(chan announcement, eraFanout)}
+	if d.Clock != nil {
+		m.started = d.Clock.Now()
+	}
+	return m
 }
 
 // SetSeeds replaces the seeds, for example after the settings were reloaded.
--- a/quarantine/causes.go
+++ b/quarantine/causes.go
@@ -135,7 +135,7 @@
 		if explained.covers(s, ep, c) {
 			continue
 		}
-		by := t.clearancesOf(s.part).byVariant(s.fingerprint, c.variant)
+		by := t.answersByLocked(s.fingerprint, s.part, c.variant)
 		answered := !by.passed[Running].IsZero()
 		if answered && (c.stage == Running || !c.at.After(by.passed[c.stage])) {
 			continue
--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -113,12 +113,8 @@
 	return clearance{}, false
 }
 
-// byVariant returns how a variant last answered a part; 0, of which an earlier build tells: any.
-func (c *clearances) byVariant(f Fingerprint, v Variant) clearance {
-	if v != 0 {
-		one, _ := c.by(f, v)
-		return one
-	}
+// byAny returns how any variant last answered a request.
+func (c *clearances) byAny(f Fingerprint) clearance {
 	var all clearance
 	for _, one := range c.of(f) {
 		all, _ = all.latestOf(one)
--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -14,6 +14,8 @@
 	// reportFor is how long after its latest crash a suspect is reported: several exchanges
 	// of each entry, so that all receive it.
 	reportFor = 4 * time.Second
+	// contestPause is the least time between two signals for answers to one part.
+	contestPause = 200 * time.Millisecond
 	// urgentWeight is the weight from which a request is reported immediately: it had just
 	// started to run at a crash, or was at two and not yet running at one of them.
 	urgentWeight = 3
@@ -231,7 +233,7 @@
 func (t *Table) answerBackLocked(r SuspectReport, now time.Time) {
 	for _, c := range r.Crashes {
 		stage := min(max(c.Stage, Waiting), Running)
-		at := t.clearancesOf(r.Part).byVariant(r.Fingerprint, c.Variant).passed[stage]
+		at := t.answersByLocked(r.Fingerprint, r.Part, c.Variant).passed[stage]
 		known := false
 		for _, a := range r.Answers {
 			known = known || a.Variant == c.Variant && a.Stage == stage && a.Age <= c.Age
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -304,10 +304,22 @@
 	return &t.answered
 }
 
+// answersByLocked returns how a variant last answered a part, or a request. Earlier builds do not tell which
+// variant ran a request: 0.
+func (t *Table) answersByLocked(f Fingerprint, part bool, v Variant) clearance {
+	if !part && v == 0 {
+		return t.answered.byAny(f)
+	}
+	by, _ := t.clearancesOf(part).by(f, v)
+	return by
+}
+
 // contestLocked makes other entries learn of the answers to a part.
 func (t *Table) contestLocked(f Fingerprint, now time.Time) {
+	if now.Add(reportFor - contestPause).After(t.contested[f]) {
+		t.signalLocked()
+	}
 	t.contested[f] = now.Add(reportFor)
-	t.signalLocked()
 }
 
 // syncRecordsLocked reevaluates the requests when the store's records have changed.
