--- a/quarantine/gossip.go
+++ b/quarantine/gossip.go
@@ -14,7 +14,7 @@
 	// reportFor is how long after its latest crash a suspect is reported: several exchanges
 	// of each entry, so that all receive it.
 	reportFor = 4 * time.Second
-	// contestPause is the least time between two signals for answers to one part.
+	// contestPause is the least time between two signals for answers, but for those to a part that is refused.
 	contestPause = 200 * time.Millisecond
 	// urgentWeight is the weight from which a request is reported immediately: it had just
 	// started to run at a crash, or was at two and not yet running at one of them.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -51,6 +51,8 @@
 	decidedBy *fleet.View
 	// contested are parts whose answers other entries are to be told of, with the time until which.
 	contested map[Fingerprint]time.Time
+	// contestSignal is when others were last signalled for such a part.
+	contestSignal time.Time
 	// records are the store's records that quarantined was last computed from; recordedAt is when
 	// each became known.
 	records    recordSet
@@ -316,7 +318,8 @@
 
 // contestLocked makes other entries learn of the answers to a part.
 func (t *Table) contestLocked(f Fingerprint, now time.Time) {
-	if now.Add(reportFor - contestPause).After(t.contested[f]) {
+	if _, known := t.contested[f]; !known && t.quarantined[f] != nil || now.Sub(t.contestSignal) >= contestPause {
+		t.contestSignal = now
 		t.signalLocked()
 	}
 	t.contested[f] = now.Add(reportFor)
