--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -25,6 +25,7 @@
 	rater        string // skills as JSON; "" starts no rater
 	work         string // time per call of the service; "" is 5ms
 	drainTimeout string // drain_timeout of the entries; "" leaves the default
+	maxFDs       int    // resource limit of the entries' descriptors; 0: that of the test
 }
 
 // cluster is a KV stand-in, two engines of model m (v1 and v2), a plain
@@ -102,7 +103,7 @@
 			i, addr, c.kv, c.instances, strings.Join(addrs, ", http://"), rater, drainTimeout, sessionKeys)
 		path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
 		writeFile(t, path, settings)
-		c.entries = append(c.entries, &entry{url: "http://" + addr, process: startProcess(t, entryBin, "-c", path)})
+		c.entries = append(c.entries, &entry{url: "http://" + addr, process: startLimited(t, options.maxFDs, entryBin, "-c", path)})
 	}
 	for _, e := range c.entries {
 		waitHTTP(t, e.url+"/healthz")
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -34,6 +34,7 @@
 	address string
 	entries []*edgeEntry
 	engines []*process
+	limits  fleet.Limits
 }
 
 // edgeOptions describe an edgeCluster. Zero grace, work and events have defaults.
@@ -43,11 +44,13 @@
 	work             time.Duration // processing time of a non-streamed request
 	events           int           // per stream, 50 ms apart
 	crashOn          string        // request body that crashes an engine
+	limits           fleet.Limits  // of the configuration
+	settings         string        // further lines of the entries' settings
 }
 
 type edgeEntry struct {
 	*process
-	callers, readiness, peers string
+	callers, readiness, peers, metrics string
 }
 
 func newEdgeCluster(t *testing.T, options edgeOptions) *edgeCluster {
@@ -56,7 +59,7 @@
 	options.work = cmp.Or(options.work, time.Millisecond)
 	options.events = cmp.Or(options.events, 20)
 	bin, ctl := buildBinaries(t)
-	c := &edgeCluster{t: t, address: freeAddr(t)}
+	c := &edgeCluster{t: t, address: freeAddr(t), limits: options.limits}
 	startProcess(t, ctl, "standin", "platform-store", "--listen", c.address)
 	c.store = platform.NewStore(c.address)
 	eventually(t, "the store answers", func() bool {
@@ -69,10 +72,10 @@
 			"--service", "svc", "--domain", "d1", "--events", strconv.Itoa(options.events), "--pause", "50ms", "--work", options.work.String(), "--faults", "0", "--crash-on", options.crashOn))
 	}
 	for i := range options.entries {
-		e := &edgeEntry{callers: freeAddr(t), readiness: freeAddr(t), peers: freeAddr(t)}
+		e := &edgeEntry{callers: freeAddr(t), readiness: freeAddr(t), peers: freeAddr(t), metrics: freeAddr(t)}
 		path := filepath.Join(t.TempDir(), "entry.yaml")
-		settings := fmt.Sprintf("instance: i%d\ndomain: d1\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %v}\n",
-			i, c.address, e.callers, e.readiness, e.peers, freeAddr(t), options.grace.Seconds())
+		settings := fmt.Sprintf("instance: i%d\ndomain: d1\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q, metrics: %q}\nbounds: {grace_s: %v}\n%s",
+			i, c.address, e.callers, e.readiness, e.peers, freeAddr(t), e.metrics, options.grace.Seconds(), options.settings)
 		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -88,9 +91,10 @@
 func (c *edgeCluster) configure(version int64) {
 	c.t.Helper()
 	targets := []fleet.Target{{Service: "svc", Weight: 1}}
-	cfg := &fleet.Config{Version: version, Routes: []fleet.Route{
+	cfg := &fleet.Config{Version: version, Limits: c.limits, Routes: []fleet.Route{
 		{Name: "s", Host: "h.example", Prefix: "/s/", Kind: fleet.Streaming, Timeout: 20 * time.Second, Objective: 2 * time.Second, MaxGap: time.Second, MaxAttempts: 1, Targets: targets},
 		{Name: "p", Host: "h.example", Prefix: "/p/", Kind: fleet.NonIdempotent, Timeout: time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 1, Targets: targets},
+		{Name: "w", Host: "h.example", Prefix: "/w/", Kind: fleet.NonIdempotent, Timeout: 5 * time.Minute, Objective: 400 * time.Millisecond, MaxAttempts: 1, Targets: targets},
 		{Name: "v", Host: "h.example", Prefix: fmt.Sprintf("/v%d/", version), Kind: fleet.Idempotent, Timeout: 5 * time.Second, Objective: time.Second, MaxAttempts: 2, Targets: targets},
 	}}
 	if _, err := c.store.Put(context.Background(), "op/config", platformtest.EncodeConfig(cfg), 0); err != nil {
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -97,6 +97,15 @@
 	return p
 }
 
+// startLimited starts a process that may open maxFDs descriptors; 0: as many as the test.
+func startLimited(t *testing.T, maxFDs int, name string, args ...string) *process {
+	t.Helper()
+	if maxFDs == 0 {
+		return startProcess(t, name, args...)
+	}
+	return startProcess(t, "sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, maxFDs), name}, args...)...)
+}
+
 func (p *process) signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
 	if err := p.cmd.Process.Signal(s); err != nil {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,4 +11,6 @@
 fi
 args=(-count=1 -timeout 15m)
 [ -n "$skip" ] && args+=(-skip "^(${skip})\$")
-go test "${args[@]}" ./...
+# The tests of e2e measure the memory of processes: they run by themselves.
+go test "${args[@]}" $(go list ./... | grep -v '/e2e$')
+go test "${args[@]}" ./e2e
