listen, edge: heads, connections and requests in progress count against the memory

Callers saw an entry end: requests of legal size, made of thousands of short header lines, take up to 200 bytes a byte while net/http parses them and 120 as long as their answers are awaited. Only connections and bodies were bounded, and what was admitted at accept was not asked again as it sent. Connections to the addresses for peers, readiness and metrics had no bound at all, and a connection whose head never ended kept its place for five seconds, again and again.

A connection now holds a head back until it is whole, and passes it to net/http once there is memory for what it will become (listen.conn, membudget). That is counted from its bytes, lines and items, until the request has ended; large heads leave a quarter to small ones. Without memory the request is refused with 503 and Retry-After before it runs. Where a body ends is told by net/http and by the scanner of chunks, so that requests that are sent ahead are counted too. All addresses share one pool of connections and descriptors: idle ones yield first, then those whose clients hold up their requests.

Weighed on the same tests: counting the header in the handler, after it was parsed, bounds neither heads that never end nor the moment in which all connections send; a bound on the number of lines would refuse a single request within the limits.

--- a/edge/module.go
+++ b/edge/module.go
@@ -3,10 +3,8 @@
 import (
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,6 +18,8 @@
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
 	"github.com/lovageweir/lovageweir/internal/asynclog"
+	"github.com/lovageweir/lovageweir/internal/listen"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/mesh"
@@ -53,25 +53,18 @@
 // memory.
 const requestsPerMB = 8
 
-// Descriptors of a process: each request has a connection to its caller and one to an endpoint.
-const (
-	// reservedFDs are for files, and for connections to the store and other entries.
-	reservedFDs = 400
-	// minCallerConnections are accepted however few descriptors there are.
-	minCallerConnections = 64
-)
+// clientMemory is the budget of what clients take up: connections, requests in progress, heads, bodies, answers.
+type clientMemory struct{ all, heads, bodies, answers *membudget.Budget }
 
-// maxCallerConnections returns how many connections callers may have open.
-func (s *Settings) maxCallerConnections() int {
-	fds := s.MaxFDs
-	if fds == 0 {
-		var limit syscall.Rlimit
-		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-			return 0
-		}
-		fds = int(min(limit.Cur, math.MaxInt32))
-	}
-	return max(minCallerConnections, (fds-reservedFDs)/2)
+func newClientMemory(s *Settings) clientMemory {
+	total := int64(s.MemoryMB) << 20
+	all := membudget.New(int64(s.Clients.MemoryShare * float64(total)))
+	return clientMemory{all: all, heads: all.Part(int64(s.Clients.HeadMemoryShare * float64(total))), bodies: all.Part(total / bodyMemoryDivisor), answers: all.Part(total / answerMemoryDivisor)}
+}
+
+// newPool returns the pool of the connections of all addresses.
+func newPool(s *Settings, m clientMemory, u *unreadConnections) *listen.Pool {
+	return listen.NewPool(listen.PoolSettings{MaxDescriptors: listen.DivideDescriptors(s.MaxFDs).All, Memory: m.all, Heads: m.heads, OnClosed: u.noteClosed})
 }
 
 // memoryLimitShare is the share of the process's memory above which the garbage collector runs as often
@@ -131,6 +124,8 @@
 			overload.NewLimiter,
 			newOverload,
 			newUnreadConnections,
+			newClientMemory,
+			newPool,
 			newIngress,
 		),
 		fx.StopTimeout(o.Settings.Bounds.Grace()+stopTimeoutMargin),
@@ -248,9 +243,9 @@
 	return &egress.Server{Dialer: d, Gate: gate, Quarantine: q, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
 }
 
-func newIngress(s *Settings, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
+func newIngress(s *Settings, memory clientMemory, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
 	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, peers *mesh.Mesh, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Shares: table, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
-		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: int64(s.MemoryMB) << 20 / bodyMemoryDivisor, AnswerMemory: int64(s.MemoryMB) << 20 / answerMemoryDivisor, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer, Peers: peers,
+		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: memory.bodies, AnswerMemory: memory.answers, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer, Peers: peers,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -76,6 +76,7 @@
 	Egress          *egress.Dialer
 	Tunnels         *egress.Server
 	Unread          *unreadConnections
+	Pool            *listen.Pool
 	Overload        *overload.Detector
 	Metrics         *telemetry.Metrics
 	Log             *slog.Logger
@@ -205,21 +206,27 @@
 	return ln, nil
 }
 
-func newListener(name, address string, h http.Handler) *listen.Listener {
-	return listen.New("listen."+name, address, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes})
+func (p serverParams) newListener(name, address string, h http.Handler, a listen.Admission) *listen.Listener {
+	l := listen.New("listen."+name, address, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes})
+	a.Busy, a.OnRefused, a.OnTurnedAway = p.Ingress.RefuseHead(), p.Unread.noteRefused, p.Unread.note
+	l.SetAdmission(a)
+	l.SetPool(p.Pool)
+	return l
 }
 
 // serve starts the listeners, and drains the requests when the process stops.
 func serve(lc fx.Lifecycle, p serverParams) {
 	gin.SetMode(gin.ReleaseMode)
-	callers := newListener("callers", p.EntrySettings.Listen.Callers, p.Ingress.Handler())
-	callers.SetAdmission(listen.Admission{Refuse: p.Ingress.RefusesConnection, Wrap: p.wrapCaller, MaxOpen: p.EntrySettings.maxCallerConnections(), OnTurnedAway: p.Unread.note})
+	s := p.EntrySettings
+	descriptors := listen.DivideDescriptors(s.MaxFDs)
+	callers := p.newListener("callers", s.Listen.Callers, p.Ingress.Handler(), listen.Admission{Refuse: p.Ingress.RefusesConnection, MakesRoom: p.Ingress.ConnectionMakesRoom, Wrap: p.wrapCaller, MaxOpen: descriptors.Callers})
 	if p.Options.Callers != nil {
 		callers.SetListener(p.Options.Callers)
 	}
-	all := []*listen.Listener{newListener("peers", p.EntrySettings.Listen.Peers, p.peers()), callers, newListener("readiness", p.EntrySettings.Listen.Readiness, p.readiness())}
-	if p.EntrySettings.Listen.Metrics != "" {
-		all = append(all, newListener("metrics", p.EntrySettings.Listen.Metrics, p.metricsOnly()))
+	probes := listen.Admission{MaxOpen: listen.MaxProbes, SingleDescriptor: true}
+	all := []*listen.Listener{p.newListener("peers", s.Listen.Peers, p.peers(), listen.Admission{MaxOpen: descriptors.Peers}), callers, p.newListener("readiness", s.Listen.Readiness, p.readiness(), probes)}
+	if s.Listen.Metrics != "" {
+		all = append(all, p.newListener("metrics", s.Listen.Metrics, p.metricsOnly(), probes))
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -35,11 +35,23 @@
 	LinkMbps float64 `yaml:"link_mbps"`
 	// EgressProxy is the address of an HTTP CONNECT proxy for connections to endpoints, host:port;
 	// empty: none.
-	EgressProxy string `yaml:"egress_proxy"`
-	Bounds      Bounds `yaml:"bounds"`
-	Shares      Shares `yaml:"shares"`
+	EgressProxy string  `yaml:"egress_proxy"`
+	Bounds      Bounds  `yaml:"bounds"`
+	Shares      Shares  `yaml:"shares"`
+	Clients     Clients `yaml:"clients"`
 }
 
+// Clients are the bounds of what clients may take up, as shares of MemoryMB.
+type Clients struct {
+	// MemoryShare is for connections, requests in progress, and what is held of their bodies and answers.
+	MemoryShare float64 `yaml:"memory_share"`
+	// HeadMemoryShare is the part of it for heads of requests.
+	HeadMemoryShare float64 `yaml:"head_memory_share"`
+}
+
+// maxClientMemoryShare leaves the rest for the configuration, and for garbage that is not collected yet.
+const maxClientMemoryShare = 0.7
+
 // Shares are the settings of customers' shares and of delays by urgency.
 type Shares struct {
 	// Enabled: requests are told apart by urgency and by their customers' shares while a service is short of
@@ -88,7 +100,7 @@
 // defaults returns the values of omitted settings; the bounds are those of the
 // users' platform.
 func defaults() *Settings {
-	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}, Shares: Shares{Enabled: true}}
+	return &Settings{MemoryMB: 128, StoreWritesPerS: 400, Bounds: Bounds{LeavingMS: 2000, GraceS: 8, SessionS: 5, RepeatRatio: 0.5, RepeatExtra: 20, RepeatWindowS: 10, ExposureShare: 0.1, ExposureSlack: 20, HaltWithinMS: 5000}, Shares: Shares{Enabled: true}, Clients: Clients{MemoryShare: 0.5, HeadMemoryShare: 0.125}}
 }
 
 // Load reads and validates a settings file.
@@ -171,6 +183,12 @@
 			add(p.path, "%v is not above 0", p.value)
 		}
 	}
+	if c := s.Clients; !(c.MemoryShare > 0 && c.MemoryShare <= maxClientMemoryShare) {
+		add("clients.memory_share", "%v is not above 0 and at most %v", c.MemoryShare, maxClientMemoryShare)
+	}
+	if c := s.Clients; !(c.HeadMemoryShare > 0 && c.HeadMemoryShare <= c.MemoryShare) {
+		add("clients.head_memory_share", "%v is not above 0 and at most clients.memory_share", c.HeadMemoryShare)
+	}
 	if s.MaxFDs < 0 {
 		add("max_fds", "%d is below 0", s.MaxFDs)
 	}
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -37,10 +37,11 @@
 store: "127.0.0.1:6"
 egress_proxy: "there"
 bounds: {grace_s: 0, repeat_ratio: -1}
+clients: {memory_share: 0.9, head_memory_share: 0}
 `))
 	is.True(err != nil)
 	for _, want := range []string{"instance: is missing", "domain: is missing", `listen.callers: "nowhere"`, `seeds[0]: "x"`, `egress_proxy: "there"`, "bounds.grace_s: 0",
-		"bounds.repeat_ratio"} {
+		"bounds.repeat_ratio", "clients.memory_share: 0.9", "clients.head_memory_share: 0"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("missing %q in %q", want, err)
 		}
--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -6,13 +6,13 @@
 	"log/slog"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/upstream"
 )
@@ -31,31 +31,17 @@
 	firstAnswerBuffer = 4 << 10
 )
 
-// answerMemory counts the bytes of buffered answers against their part of the process's memory. It is safe
-// for concurrent use.
-type answerMemory struct {
-	limit int64 // 0: unlimited
-	used  atomic.Int64
-}
-
-// reserve takes n more bytes for an answer that then has total bytes, and reports whether there was room.
-func (m *answerMemory) reserve(n, total int64) bool {
-	limit := m.limit
+// reserveAnswer takes n more bytes for an answer that then has total bytes, and reports whether there was room.
+func reserveAnswer(m *membudget.Budget, n, total int64) bool {
 	if total > shortAnswerBytes {
-		limit -= int64(shortAnswerShare * float64(m.limit))
+		return m.ReserveWithin(n, 1-shortAnswerShare)
 	}
-	if m.used.Add(n) > limit && m.limit > 0 {
-		m.used.Add(-n)
-		return false
-	}
-	return true
+	return m.Reserve(n)
 }
 
-func (m *answerMemory) release(n int64) { m.used.Add(-n) }
-
 // answerBuffer holds a buffered answer. Its memory is reserved before it is allocated.
 type answerBuffer struct {
-	memory *answerMemory
+	memory *membudget.Budget
 	bytes  []byte
 	held   int64
 }
@@ -65,19 +51,19 @@
 	if size > maxAnswerBytes {
 		return &upstream.BoundError{Bound: upstream.AnswerBytes}
 	}
-	if !a.memory.reserve(size, size) {
+	if !reserveAnswer(a.memory, size, size) {
 		return &upstream.BoundError{Bound: upstream.AnswersMemory}
 	}
 	grown := make([]byte, len(a.bytes), size)
 	copy(grown, a.bytes)
-	a.memory.release(a.held)
+	a.memory.Release(a.held)
 	a.bytes, a.held = grown, size
 	return nil
 }
 
 // release gives the memory back; the bytes must not be used afterwards.
 func (a *answerBuffer) release() {
-	a.memory.release(a.held)
+	a.memory.Release(a.held)
 	a.bytes, a.held = nil, 0
 }
 
@@ -128,7 +114,7 @@
 // readAnswer reads the whole body. Its memory is held until releaseAnswer.
 func (x *exchange) readAnswer(c *upstreamCall) ([]byte, error) {
 	x.releaseAnswer() // of an earlier attempt
-	x.answer.memory = &x.server.answers
+	x.answer.memory = x.server.AnswerMemory
 	length := c.resp.Length
 	if c.resp.Body == http.NoBody {
 		length = 0 // the head of an answer to HEAD may tell another
--- a/ingress/bounds_test.go
+++ b/ingress/bounds_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/upstream"
 )
 
@@ -22,11 +23,11 @@
 // that has no room.
 func TestBufferedAnswersShareTheirMemory(t *testing.T) {
 	is := is.New(t)
-	memory := &answerMemory{limit: 4 << 20}
+	memory := membudget.New(4 << 20)
 	a := answerBuffer{memory: memory}
 	in := &countingReader{}
 	is.NoErr(a.read(in, 2<<20))
-	is.Equal(memory.used.Load(), int64(2<<20))
+	is.Equal(memory.Used(), int64(2<<20))
 
 	b := answerBuffer{memory: memory}
 	unread := &countingReader{}
@@ -37,14 +38,14 @@
 
 	c := answerBuffer{memory: memory}
 	is.Equal(upstream.BoundOf(c.read(&countingReader{}, -1)), upstream.AnswersMemory) // of unknown length
-	is.True(memory.used.Load() <= 3<<20)
+	is.True(memory.Used() <= 3<<20)
 	d := answerBuffer{memory: memory}
 	is.NoErr(d.read(&countingReader{}, shortAnswerBytes)) // nevertheless
 
 	for _, buffer := range []*answerBuffer{&a, &b, &c, &d} {
 		buffer.release()
 	}
-	is.Equal(memory.used.Load(), int64(0))
+	is.Equal(memory.Used(), int64(0))
 }
 
 // Guards against answers that are cut short or lengthened as they are buffered.
@@ -53,15 +54,15 @@
 		is := is.New(t)
 		want := bytes.Repeat([]byte("ab"), size/2+1)[:size]
 		for _, length := range []int64{-1, int64(size)} {
-			a := answerBuffer{memory: &answerMemory{}}
+			a := answerBuffer{memory: membudget.New(0)}
 			is.NoErr(a.read(bytes.NewReader(want), length))
 			is.True(bytes.Equal(a.bytes, want))
 		}
 	}
 	is := is.New(t)
-	a := answerBuffer{memory: &answerMemory{}}
+	a := answerBuffer{memory: membudget.New(0)}
 	is.Equal(a.read(bytes.NewReader(make([]byte, 2)), 3), io.ErrUnexpectedEOF)
-	b := answerBuffer{memory: &answerMemory{}}
+	b := answerBuffer{memory: membudget.New(0)}
 	is.Equal(upstream.BoundOf(b.read(&countingReader{}, -1)), upstream.AnswerBytes)
 }
 
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
@@ -25,7 +26,7 @@
 func (w *testEnv) boundAnswers() tally.TestScope {
 	scope := tally.NewTestScope("", nil)
 	d := w.server.Deps
-	d.AnswerMemory, d.MaxInFlight, d.Scope = answerMemory, 1000, scope
+	d.AnswerMemory, d.MaxInFlight, d.Scope = membudget.New(answerMemory), 1000, scope
 	w.server = ingress.New(d)
 	srv := httptest.NewServer(w.server.Handler())
 	w.t.Cleanup(srv.Close)
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/upstream"
 )
 
@@ -39,12 +40,12 @@
 }
 
 func newEventReader(r io.Reader, id func(line []byte) ([]byte, bool)) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), id: id, buf: answerBuffer{memory: &answerMemory{}}}
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), id: id, buf: answerBuffer{memory: nil}}
 }
 
 // newBoundedEventReader returns a reader that fails with EventTime if bytes of an answer form no event
 // within limit; 0: unbounded. Its buffer counts against memory until release.
-func newBoundedEventReader(resp *upstream.Response, limit time.Duration, memory *answerMemory, id func(line []byte) ([]byte, bool)) *eventReader {
+func newBoundedEventReader(resp *upstream.Response, limit time.Duration, memory *membudget.Budget, id func(line []byte) ([]byte, bool)) *eventReader {
 	e := newEventReader(resp.Body, id)
 	e.buf.memory = memory
 	if limit > 0 {
--- a/ingress/harness_test.go
+++ b/ingress/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/memkv"
 	"github.com/lovageweir/lovageweir/mesh"
@@ -150,7 +151,7 @@
 	w.gate = drain.NewGate(w.gateClock)
 	w.server = ingress.New(ingress.Deps{Instance: name, Domain: domain, Fleet: w.fleet, HeaderCodec: platform.Headers{}, Board: board, Rates: place.NewRates(),
 		Budget: budget, Rollouts: rollouts, Quarantine: w.quarantine, Limits: w.limits, Concurrency: w.concurrency,
-		SlowStart: slowstart.New(slowstart.Deps{Instance: name, Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock}), EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: w.gate, BodyMemory: 1 << 20, MaxInFlight: 20, LapsedGrace: time.Second, Egress: w.egress,
+		SlowStart: slowstart.New(slowstart.Deps{Instance: name, Entries: func() []fleet.Entry { return w.fleet.View().Entries }, Clock: clock}), EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: w.gate, BodyMemory: membudget.New(1 << 20), MaxInFlight: 20, LapsedGrace: time.Second, Egress: w.egress,
 		Clock: clock, Log: log, Scope: tally.NoopScope})
 	srv := httptest.NewServer(w.server.Handler())
 	t.Cleanup(srv.Close)
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -1,10 +1,14 @@
 package ingress
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/lovageweir/lovageweir/internal/listen"
 )
 
 // refusal is a response of the entry itself. Unless it is one of the failures below,
@@ -49,6 +53,7 @@
 	refuseBrokenBody      = &refusal{http.StatusBadRequest, "body_broken", 0}
 	refuseTooLarge        = &refusal{http.StatusRequestEntityTooLarge, "body_too_large", 0}
 	refuseMemory          = &refusal{http.StatusServiceUnavailable, "bodies_fill_memory", memoryReleaseTime}
+	refuseHeadMemory      = &refusal{http.StatusServiceUnavailable, "heads_fill_memory", memoryReleaseTime}
 	refuseTooManyRequests = &refusal{http.StatusServiceUnavailable, "too_many_requests", failoverTime}
 	refuseNoEndpoint      = &refusal{http.StatusServiceUnavailable, "no_endpoint", crashDetectionTime}
 	refuseUnreached       = &refusal{http.StatusServiceUnavailable, "endpoints_unreached", crashDetectionTime}
@@ -88,10 +93,30 @@
 	failStopped  = &refusal{http.StatusBadGateway, "cut_by_stop", 0}
 )
 
+// RefuseHead returns the refusal of a request for whose head there is no memory.
+func (s *Server) RefuseHead() *listen.Refusal {
+	ref := refuseHeadMemory
+	h := http.Header{"Content-Type": {"application/json"}}
+	s.HeaderCodec.RetryAfter(h, ref.retryAfter)
+	body := ref.body()
+	resp := http.Response{StatusCode: ref.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Close: true}
+	var raw bytes.Buffer
+	_ = resp.Write(&raw) // writing to a buffer cannot fail
+	return &listen.Refusal{Reason: ref.code, Response: raw.Bytes()}
+}
+
 type refusalBody struct {
 	Error string `json:"error"`
 }
 
+func (r *refusal) body() []byte {
+	body, err := json.Marshal(refusalBody{r.code})
+	if err != nil {
+		return nil // the status is sufficient
+	}
+	return body
+}
+
 // refuse responds with a refusal or failure, unless a response was already started.
 func (x *exchange) refuse(ref *refusal) {
 	x.outcome = ref.code
@@ -108,10 +133,7 @@
 	if ref.retryAfter > 0 {
 		x.server.HeaderCodec.RetryAfter(h, ref.retryAfter)
 	}
-	body, err := json.Marshal(refusalBody{ref.code})
-	if err != nil {
-		body = nil // the status is sufficient
-	}
+	body := ref.body()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(ref.status)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -20,6 +20,8 @@
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/internal/listen"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/overload"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
@@ -78,10 +80,10 @@
 	NewConnections *overload.Limiter
 	// Overload tells whether the process keeps up; nil: it does.
 	Overload *overload.Detector
-	// BodyMemory bounds the total size of the request bodies in memory, in bytes.
-	BodyMemory int64
-	// AnswerMemory bounds the total size of the buffered answers, in bytes; 0: unlimited.
-	AnswerMemory int64
+	// BodyMemory bounds the total size of the request bodies in memory.
+	BodyMemory *membudget.Budget
+	// AnswerMemory bounds the total size of the buffered answers; nil: unlimited.
+	AnswerMemory *membudget.Budget
 	// MaxInFlight bounds the requests served at a time; 0: unlimited.
 	MaxInFlight int64
 	// LapsedGrace is how long an endpoint whose registration ended without
@@ -99,11 +101,9 @@
 // Server serves the caller API.
 type Server struct {
 	Deps
-	metrics   metrics
-	bodyBytes atomic.Int64
-	answers   answerMemory
-	bounds    *boundLog
-	prober    upstream.Prober
+	metrics metrics
+	bounds  *boundLog
+	prober  upstream.Prober
 	// exits has a call for each address whose endpoint is being checked for its exit.
 	exits    singleflight.Group
 	handoffs handoffs
@@ -114,7 +114,7 @@
 }
 
 func New(d Deps) *Server {
-	return &Server{Deps: d, metrics: newMetrics(d.Scope), answers: answerMemory{limit: d.AnswerMemory}, bounds: newBoundLog(d.Clock, d.Log, d.Scope)}
+	return &Server{Deps: d, metrics: newMetrics(d.Scope), bounds: newBoundLog(d.Clock, d.Log, d.Scope)}
 }
 
 // Ready reports whether the server accepts new connections: it has a
@@ -159,7 +159,7 @@
 	switch {
 	case s.MaxInFlight > 0 && int64(busy) >= s.MaxInFlight:
 		reason = unreadRequests
-	case float64(s.bodyBytes.Load()) > bodyShare*float64(s.BodyMemory):
+	case s.BodyMemory.Filled(bodyShare):
 		reason = unreadBodies
 	case s.wasStranded.Load() && s.stranded(): // endpoints may be reached again
 		reason = unreadStranded
@@ -182,6 +182,12 @@
 	return reason, min(max(unreadPause, s.NewConnections.Interval())+linkPauses*wait, maxUnreadPause)
 }
 
+// ConnectionMakesRoom reports whether a connection that ends could be served in place of one that is left unread
+// for a reason.
+func (s *Server) ConnectionMakesRoom(reason string) bool {
+	return reason == unreadRequests
+}
+
 // Handler returns the caller API, which takes any method, host and path.
 func (s *Server) Handler() http.Handler {
 	r := gin.New()
@@ -204,7 +210,7 @@
 		x.refuse(ref)
 		return
 	}
-	defer func() { s.bodyBytes.Add(-x.bodyReserved) }()
+	defer func() { s.BodyMemory.Release(x.bodyReserved) }()
 	x.boundWrites(time.Now().Add(x.remaining() + writeMargin))
 	ctx, cancel := context.WithDeadlineCause(ctx, time.Now().Add(x.remaining()), errDeadline)
 	defer cancel()
@@ -346,7 +352,7 @@
 	raw, err := readSized(body, x.r.ContentLength)
 	release()
 	switch {
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, errBodyMemory), errors.Is(err, listen.ErrNoMemory):
 		return refuseMemory
 	case err != nil && cutByStop(ctx):
 		return refuseStopping
@@ -365,9 +371,7 @@
 // reserveBody reserves memory for bytes of the body before they arrive, and reports whether there was
 // enough.
 func (x *exchange) reserveBody(n int64) bool {
-	s := x.server
-	if s.bodyBytes.Add(n) > s.BodyMemory && n > 0 {
-		s.bodyBytes.Add(-n)
+	if !x.server.BodyMemory.Reserve(n) {
 		return false
 	}
 	x.bodyReserved += n
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -165,7 +165,7 @@
 
 // relayEvents forwards the events until the stream ends.
 func (x *exchange) relayEvents(ctx context.Context, c *upstreamCall, lastID string) (string, error) {
-	in := newBoundedEventReader(c.resp, x.eventTime(), &x.server.answers, x.server.HeaderCodec.EventID)
+	in := newBoundedEventReader(c.resp, x.eventTime(), x.server.AnswerMemory, x.server.HeaderCodec.EventID)
 	defer in.release()
 	first := true
 	for {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -3,7 +3,6 @@
 package listen
 
 import (
-	"container/list"
 	"errors"
 	"log/slog"
 	"net"
@@ -24,6 +23,9 @@
 
 	admission Admission
 
+	pool    *Pool
+	created time.Time
+
 	mu sync.Mutex
 	ln net.Listener
 	// closed: the listener is not to be opened again.
@@ -31,10 +33,6 @@
 	// busy holds the connections on which a request may be in progress,
 	// including those just accepted.
 	busy map[net.Conn]bool
-	// idle lists the other connections, the one that is idle for longest first; idleAt has their
-	// places in it.
-	idle   *list.List
-	idleAt map[net.Conn]*list.Element
 }
 
 // Admission decides which connections are served. The others are closed before anything is read
@@ -44,27 +42,44 @@
 	// progress; empty: serve it. nil: serve all. The address is closed for pause then, so that callers are
 	// refused before they send anything. It must not block.
 	Refuse func(busy int) (reason string, pause time.Duration)
-	// MaxOpen bounds the open connections: beyond it the one that is idle for longest is closed, and
-	// new ones if none is idle. 0: unlimited.
+	// MakesRoom reports whether closing a connection whose client holds up its request ends a reason of Refuse;
+	// nil: it ends none.
+	MakesRoom func(reason string) bool
+	// MaxOpen bounds the open connections. 0: unlimited.
 	MaxOpen int
+	// SingleDescriptor: the requests of this address need no further connection.
+	SingleDescriptor bool
 	// Wrap returns the connection to serve in place of an accepted one; nil: itself.
 	Wrap func(net.Conn) net.Conn
 	// OnTurnedAway is called for each connection that is not served; may be nil.
 	OnTurnedAway func(reason string)
+	// Busy refuses requests for which there is no memory; nil: their connections are closed.
+	Busy *Refusal
+	// OnRefused is called for each request that is refused before a handler gets it; may be nil.
+	OnRefused func(reason string)
+}
+
+// Refusal is an answer to a request that no handler gets.
+type Refusal struct {
+	Reason   string
+	Response []byte // as it is sent
 }
 
-// noDescriptors is the reason for connections beyond MaxOpen.
+// noDescriptors is the reason for connections beyond MaxOpen, or those for which the pool has no room.
 const noDescriptors = "descriptors"
 
 // SetAdmission must be called before Start.
 func (l *Listener) SetAdmission(a Admission) { l.admission = a }
 
+// SetPool makes the listener share a pool with others. It must be called before Start.
+func (l *Listener) SetPool(p *Pool) { l.pool = p }
+
 // New returns a listener that serves srv on address (host:port). The name, that
 // of the setting with the address, identifies it in logs and errors. The
 // listener takes ownership of srv.
 func New(name, address string, srv *http.Server) *Listener {
-	l := &Listener{name: name, address: address, srv: srv, busy: map[net.Conn]bool{}, idle: list.New(), idleAt: map[net.Conn]*list.Element{}}
-	srv.ConnState = l.connState
+	l := &Listener{name: name, address: address, srv: srv, busy: map[net.Conn]bool{}, pool: NewPool(PoolSettings{}), created: time.Now()}
+	srv.ConnState, srv.ConnContext, srv.Handler = l.connState, bindConn, framing(srv.Handler)
 	return l
 }
 
@@ -139,26 +154,39 @@
 }
 
 // connState tracks connection states as reported by net/http.
-func (l *Listener) connState(c net.Conn, s http.ConnState) {
+func (l *Listener) connState(nc net.Conn, s http.ConnState) {
+	c := nc.(*conn) // as accepted
+	switch s {
+	case http.StateIdle:
+		c.end()
+	case http.StateHijacked:
+		c.hijack()
+	case http.StateClosed:
+		c.finish()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.removeIdleLocked(c)
-	switch s {
-	case http.StateNew, http.StateActive:
+	if s == http.StateNew || s == http.StateActive {
 		l.busy[c] = true
-	case http.StateIdle:
-		delete(l.busy, c)
-		l.idleAt[c] = l.idle.PushBack(c)
-	default:
+	} else {
 		delete(l.busy, c)
 	}
 }
 
-func (l *Listener) removeIdleLocked(c net.Conn) {
-	if e := l.idleAt[c]; e != nil {
-		l.idle.Remove(e)
-		delete(l.idleAt, c)
+// headLimit returns the bytes of a head that net/http would read at most.
+func (l *Listener) headLimit() int {
+	if l.srv.MaxHeaderBytes > 0 {
+		return l.srv.MaxHeaderBytes + readLimitMargin
+	}
+	return http.DefaultMaxHeaderBytes + readLimitMargin
+}
+
+// descriptors returns how many descriptors a connection of the listener counts for.
+func (l *Listener) descriptors() int {
+	if l.admission.SingleDescriptor {
+		return 1
 	}
+	return 2
 }
 
 // admitting accepts the connections that a Listener admits.
@@ -176,11 +204,10 @@
 		}
 		reason, pause := a.l.refusal()
 		if reason == "" {
-			if f := a.l.admission.Wrap; f != nil {
-				c = f(c)
+			if served := a.l.admit(c); served != nil {
+				return served, nil
 			}
-			a.l.addBusy(c)
-			return c, nil
+			reason = noDescriptors
 		}
 		if f := a.l.admission.OnTurnedAway; f != nil {
 			f(reason)
@@ -233,36 +260,31 @@
 // refusal returns why one more connection is not served, and for how long to close the address; empty: it
 // is served.
 func (l *Listener) refusal() (reason string, pause time.Duration) {
-	l.mu.Lock()
-	busy, open := len(l.busy), len(l.busy)+l.idle.Len()
-	l.mu.Unlock()
-	if l.admission.Refuse != nil {
-		if reason, pause = l.admission.Refuse(busy); reason != "" {
-			return reason, pause
-		}
+	a := l.admission
+	if a.Refuse == nil {
+		return "", 0
 	}
-	if l.admission.MaxOpen > 0 && open >= l.admission.MaxOpen && !l.closeLongestIdle() {
-		return noDescriptors, 0
+	reason, pause = a.Refuse(l.Busy())
+	if reason != "" && a.MakesRoom != nil && a.MakesRoom(reason) && l.pool.closeOne(l, needRequest) {
+		return "", 0
 	}
-	return "", 0
+	return reason, pause
 }
 
-func (l *Listener) addBusy(c net.Conn) {
+// admit returns the connection to serve for an accepted one; nil: there is no room for it.
+func (l *Listener) admit(accepted net.Conn) net.Conn {
+	if l.admission.MaxOpen > 0 && l.pool.count(l) >= l.admission.MaxOpen && !l.pool.closeOne(l, needConnection) {
+		return nil
+	}
+	c := l.newConn(accepted)
+	if !l.pool.add(c) {
+		return nil
+	}
+	if f := l.admission.Wrap; f != nil {
+		c.Conn = f(accepted)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.busy[c] = true
-}
-
-// closeLongestIdle closes a connection, and reports whether one was idle.
-func (l *Listener) closeLongestIdle() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e := l.idle.Front()
-	if e == nil {
-		return false
-	}
-	c := e.Value.(net.Conn)
-	l.removeIdleLocked(c)
-	_ = c.Close() // net/http reports its end
-	return true
+	return c
 }
