ingress, listen: bodies that are held up yield, large ones leave room to small ones

Callers saw no answer for as long as a dozen clients declared bodies and sent none, or a byte now and then: their memory was reserved until the requests' deadlines, and every new connection was left unread meanwhile. Large bodies that came whole kept out small ones in the same way.

A reservation that finds no room now closes the connection that has held up its request for longest, beyond what its bytes take at 16 KiB a second, once that is half a second; large bodies leave half of the memory to small ones, and connections are left unread for bodies only when hardly any room is left. A connection that is only open for its refusal to be read yields after 50 ms: 300 of them, for 500 ms each, kept others from being accepted.

The counters of connections move to listen.Report, which the other kind of entry will use too.

--- a/edge/module.go
+++ b/edge/module.go
@@ -62,9 +62,13 @@
 	return clientMemory{all: all, heads: all.Part(int64(s.Clients.HeadMemoryShare * float64(total))), bodies: all.Part(total / bodyMemoryDivisor), answers: all.Part(total / answerMemoryDivisor)}
 }
 
+func newReport(log *slog.Logger, m *telemetry.Metrics) *listen.Report {
+	return listen.NewReport("edge", log, m.Scope)
+}
+
 // newPool returns the pool of the connections of all addresses.
-func newPool(s *Settings, m clientMemory, u *unreadConnections) *listen.Pool {
-	return listen.NewPool(listen.PoolSettings{MaxDescriptors: listen.DivideDescriptors(s.MaxFDs).All, Memory: m.all, Heads: m.heads, OnClosed: u.noteClosed})
+func newPool(s *Settings, m clientMemory, r *listen.Report) *listen.Pool {
+	return listen.NewPool(listen.PoolSettings{MaxDescriptors: listen.DivideDescriptors(s.MaxFDs).All, Memory: m.all, Heads: m.heads, OnClosed: r.Closed})
 }
 
 // memoryLimitShare is the share of the process's memory above which the garbage collector runs as often
@@ -123,13 +127,13 @@
 			newTunnels,
 			overload.NewLimiter,
 			newOverload,
-			newUnreadConnections,
+			newReport,
 			newClientMemory,
 			newPool,
 			newIngress,
 		),
 		fx.StopTimeout(o.Settings.Bounds.Grace()+stopTimeoutMargin),
-		fx.Invoke(runFollower, runMesh, runLoadExchange, runEgress, runConcurrency, runRollouts, runQuarantine, runOverload, runUnread, runRegistration, runReload, serve),
+		fx.Invoke(runFollower, runMesh, runLoadExchange, runEgress, runConcurrency, runRollouts, runQuarantine, runOverload, runReport, runLateness, runRegistration, runReload, serve),
 		fx.NopLogger,
 	)
 }
@@ -243,9 +247,9 @@
 	return &egress.Server{Dialer: d, Gate: gate, Quarantine: q, MaxTunnels: int64(s.MemoryMB) * requestsPerMB / tunnelDivisor}
 }
 
-func newIngress(s *Settings, memory clientMemory, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
+func newIngress(s *Settings, memory clientMemory, pool *listen.Pool, f *fleet.Follower, codec call.HeaderCodec, board *place.Board, rates *place.Rates, budget *retry.Budget, table *shares.Table, r *rollout.Controller, q *quarantine.Table, limits *ratelimit.Limits, c *concurrency.Limiter, slowStart *slowstart.Gate,
 	gate *drain.Gate, dialer *egress.Dialer, newConnections *overload.Limiter, detector *overload.Detector, peers *mesh.Mesh, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) *ingress.Server {
 	return ingress.New(ingress.Deps{Instance: s.Instance, Domain: s.Domain, Fleet: f, HeaderCodec: codec, Board: board, Rates: rates, Budget: budget, Shares: table, Rollouts: r, Quarantine: q, Limits: limits, Concurrency: c, SlowStart: slowStart,
-		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: memory.bodies, AnswerMemory: memory.answers, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer, Peers: peers,
+		EscalationPolicy: cascade.EscalationPolicy{MinConfidence: cascade.DefaultMinConfidence}, Gate: gate, NewConnections: newConnections, Overload: detector, BodyMemory: memory.bodies, AnswerMemory: memory.answers, Connections: pool, MaxInFlight: int64(s.MemoryMB) * requestsPerMB, LapsedGrace: lapsedGrace(s), Egress: dialer, Peers: peers,
 		Clock: clock, Log: log, Scope: m.Scope.SubScope("ingress")})
 }
--- a/edge/run.go
+++ b/edge/run.go
@@ -15,6 +15,7 @@
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/internal/background"
+	"github.com/lovageweir/lovageweir/internal/listen"
 	"github.com/lovageweir/lovageweir/mesh"
 	"github.com/lovageweir/lovageweir/overload"
 	"github.com/lovageweir/lovageweir/quarantine"
@@ -39,7 +40,7 @@
 	background.Run(lc, background.Every(quarantine.Interval, q.Tick), nil)
 }
 
-func runUnread(lc fx.Lifecycle, u *unreadConnections) { background.Run(lc, u.run, nil) }
+func runReport(lc fx.Lifecycle, r *listen.Report) { background.Run(lc, r.Run, nil) }
 
 func runOverload(lc fx.Lifecycle, d *overload.Detector) { background.Run(lc, d.Run, nil) }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -75,7 +75,7 @@
 	Shares          *shares.Table
 	Egress          *egress.Dialer
 	Tunnels         *egress.Server
-	Unread          *unreadConnections
+	Report          *listen.Report
 	Pool            *listen.Pool
 	Overload        *overload.Detector
 	Metrics         *telemetry.Metrics
@@ -208,7 +208,7 @@
 
 func (p serverParams) newListener(name, address string, h http.Handler, a listen.Admission) *listen.Listener {
 	l := listen.New("listen."+name, address, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes})
-	a.Busy, a.OnRefused, a.OnTurnedAway = p.Ingress.RefuseHead(), p.Unread.noteRefused, p.Unread.note
+	a.Busy, a.OnRefused, a.OnTurnedAway = p.Ingress.RefuseHead(), p.Report.Refused, p.Report.TurnedAway
 	l.SetAdmission(a)
 	l.SetPool(p.Pool)
 	return l
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -84,6 +84,8 @@
 	BodyMemory *membudget.Budget
 	// AnswerMemory bounds the total size of the buffered answers; nil: unlimited.
 	AnswerMemory *membudget.Budget
+	// Connections makes room for bodies; nil: it cannot.
+	Connections *listen.Pool
 	// MaxInFlight bounds the requests served at a time; 0: unlimited.
 	MaxInFlight int64
 	// LapsedGrace is how long an endpoint whose registration ended without
@@ -123,8 +125,13 @@
 	return !s.Gate.Stopping() && s.Fleet.View().Config != nil && !s.stranded() && !s.Overload.Choked()
 }
 
-// bodyShare is the share of BodyMemory that may be in use for new connections to be accepted.
-const bodyShare = 0.5
+const (
+	// largeBody is the size from which bodies leave a part of BodyMemory to smaller ones.
+	largeBody      = 64 << 10
+	largeBodyShare = 0.5
+	// bodyShare is the share of BodyMemory that may be in use for new connections to be accepted.
+	bodyShare = 0.9
+)
 
 // Reasons for which a connection is left unread.
 const (
@@ -185,7 +192,7 @@
 // ConnectionMakesRoom reports whether a connection that ends could be served in place of one that is left unread
 // for a reason.
 func (s *Server) ConnectionMakesRoom(reason string) bool {
-	return reason == unreadRequests
+	return reason == unreadRequests || reason == unreadBodies
 }
 
 // Handler returns the caller API, which takes any method, host and path.
@@ -371,7 +378,12 @@
 // reserveBody reserves memory for bytes of the body before they arrive, and reports whether there was
 // enough.
 func (x *exchange) reserveBody(n int64) bool {
-	if !x.server.BodyMemory.Reserve(n) {
+	s, share := x.server, 1.0
+	if x.bodyReserved+n > largeBody {
+		share = largeBodyShare
+	}
+	take := func() bool { return s.BodyMemory.ReserveWithin(n, share) }
+	if !take() && (s.Connections == nil || !s.Connections.Reserve(take)) {
 		return false
 	}
 	x.bodyReserved += n
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -71,6 +71,9 @@
 	// Times in nanoseconds.
 	blockedAt atomic.Int64 // since when, after the listener's start, a read or write waits for the client; 0: none does
 	stalled   atomic.Int64 // how long the client has held up its request in earlier ones
+	// lingersSince is since when, after the listener's start, the connection is only open for its last answer to be
+	// read; 0: it is not.
+	lingersSince atomic.Int64
 }
 
 func (l *Listener) newConn(c net.Conn) *conn {
@@ -173,8 +176,9 @@
 	return err
 }
 
-// CloseWrite ends what the client reads.
+// CloseWrite ends what the client reads. The connection stays open for a moment, so that the client reads it.
 func (c *conn) CloseWrite() error {
+	c.lingersSince.Store(int64(time.Since(c.listener.created)))
 	if c.closeWrite == nil {
 		return nil
 	}
@@ -191,11 +195,15 @@
 // stalledFor returns how long the client has held up its request, beyond what its bytes take at minRate; 0: it does
 // not hold it up now.
 func (c *conn) stalledFor(now time.Time) time.Duration {
+	elapsed := now.Sub(c.listener.created)
+	if since := c.lingersSince.Load(); since != 0 {
+		return elapsed - time.Duration(since) + minStall - lingerTime
+	}
 	since := c.blockedAt.Load()
 	if since == 0 {
 		return 0
 	}
-	return time.Duration(c.stalled.Load()) + now.Sub(c.listener.created) - time.Duration(since)
+	return time.Duration(c.stalled.Load()) + elapsed - time.Duration(since)
 }
 
 // holdsMemory reports whether the client holds more than the memory of a connection.
--- a/internal/listen/pool.go
+++ b/internal/listen/pool.go
@@ -22,6 +22,8 @@
 	largeHeadShare = 0.75
 	// minStall is how long a client must have held up its request for its connection to yield to others.
 	minStall = 500 * time.Millisecond
+	// lingerTime is how long the last answer of a connection may take to be read before the connection yields.
+	lingerTime = 50 * time.Millisecond
 	// minRate is the rate in bytes a second above which a client does not hold up its request.
 	minRate = 16 << 10
 	// A reservation is tried again roomRounds times, each after roomWait, in which a connection that was closed
