mesh: the messages of other entries that are being read share an eighth of the memory

What is read of a message is now reserved, three times over for its decoding, and released when it was answered; a message without room is refused, and its sender exchanges again.

--- a/edge/module.go
+++ b/edge/module.go
@@ -48,18 +48,22 @@
 // answerMemoryDivisor sets the part of the process's memory that buffered answers may take up.
 const answerMemoryDivisor = 8
 
+// messageMemoryDivisor sets the part of the process's memory that messages of other entries may take up.
+const messageMemoryDivisor = 8
+
 // requestsPerMB bounds the requests in flight per MB of memory: one with its two
 // connections holds some 60 KB, so that at the bound they take half of the
 // memory.
 const requestsPerMB = 8
 
-// clientMemory is the budget of what clients take up: connections, requests in progress, heads, bodies, answers.
-type clientMemory struct{ all, heads, bodies, answers *membudget.Budget }
+// clientMemory is the budget of what clients take up: connections, requests in progress, heads, bodies, answers,
+// and messages of other entries.
+type clientMemory struct{ all, heads, bodies, answers, messages *membudget.Budget }
 
 func newClientMemory(s *Settings) clientMemory {
 	total := int64(s.MemoryMB) << 20
 	all := membudget.New(int64(s.Clients.MemoryShare * float64(total)))
-	return clientMemory{all: all, heads: all.Part(int64(s.Clients.HeadMemoryShare * float64(total))), bodies: all.Part(total / bodyMemoryDivisor), answers: all.Part(total / answerMemoryDivisor)}
+	return clientMemory{all: all, heads: all.Part(int64(s.Clients.HeadMemoryShare * float64(total))), bodies: all.Part(total / bodyMemoryDivisor), answers: all.Part(total / answerMemoryDivisor), messages: all.Part(total / messageMemoryDivisor)}
 }
 
 func newReport(log *slog.Logger, m *telemetry.Metrics) *listen.Report {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -77,6 +77,7 @@
 	Tunnels         *egress.Server
 	Report          *listen.Report
 	Pool            *listen.Pool
+	Memory          clientMemory
 	Overload        *overload.Detector
 	Metrics         *telemetry.Metrics
 	Log             *slog.Logger
@@ -177,7 +178,7 @@
 func (p serverParams) peers() http.Handler {
 	r := gin.New()
 	s := meshpb.NewMeshServer(p.Mesh)
-	r.Any(s.PathPrefix()+"*method", gin.WrapH(mesh.Bounded(s)))
+	r.Any(s.PathPrefix()+"*method", gin.WrapH(mesh.Bounded(s, p.Memory.messages)))
 	r.GET("/metrics", gin.WrapH(p.Metrics.Handler))
 	r.GET("/debug/state", func(c *gin.Context) {
 		c.Header("Content-Type", "application/json")
--- a/mesh/bounds_test.go
+++ b/mesh/bounds_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/ratelimit"
 	"github.com/lovageweir/lovageweir/rpc/meshpb"
 )
@@ -54,7 +55,7 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 		}
-	})))
+	}), nil))
 	defer srv.Close()
 	resp, err := http.Post(srv.URL, "application/protobuf", io.LimitReader(zeros{}, maxMessageBytes+1))
 	is.NoErr(err)
@@ -62,6 +63,19 @@
 	is.NoErr(resp.Body.Close())
 }
 
+// Guards against messages that fill the memory together; what they took is released.
+func TestMessagesOfEntriesShareTheirMemory(t *testing.T) {
+	is := is.New(t)
+	memory := membudget.New(messageCost * 1000)
+	var read error
+	h := Bounded(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, read = io.Copy(io.Discard, r.Body) }), memory)
+	for _, size := range []int64{1000, 1001, 1000} {
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", io.LimitReader(zeros{}, size)))
+		is.Equal(read != nil, size > 1000)
+		is.Equal(memory.Used(), int64(0))
+	}
+}
+
 // Guards against a small message that takes up the whole memory once it is unpacked.
 func TestUnpackedChangesAreBounded(t *testing.T) {
 	is := is.New(t)
