agent, gateway: clients of the OpenAI interface are bounded in memory and descriptors

An entry of this interface took heads of a megabyte (net/http's default), bodies of 4 MiB, any number at a time, whose JSON took up to thirty times their size once decoded, and connections without end and without a time for idle ones. Clients made it take 952 MB (heads), 688 MB (bodies), 342 MB (short lines) and 6,703 MB (bodies of many members).

It has settings memory_mb (128 unless set) and max_fds now, the pool and the heads of the other kind of entry, heads of 16 KiB, and a quarter of the memory for bodies: as sent, as sent on, and by their members as decoded. Large ones leave half to small ones.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -21,6 +21,8 @@
 	"github.com/lovageweir/lovageweir/gateway"
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
+	"github.com/lovageweir/lovageweir/internal/listen"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/etcdv3"
@@ -76,9 +78,12 @@
 			cascade.NewPlanner,
 			newDuty,
 			drain.NewGate,
+			newClientMemory,
+			newPool,
+			newReport,
 			newGateway,
 		),
-		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runQuarantine, runGossip, runRatings, runRestores, serve),
+		fx.Invoke(runWatcher, runPoller, runGuard, runLedger, runClaims, runOrders, runQuarantine, runGossip, runRatings, runRestores, runReport, serve),
 		fx.StopTimeout(stopTimeout(s)),
 		fx.NopLogger,
 	)
@@ -156,9 +161,36 @@
 	return fmt.Sprintf("ledger/%d", h.Sum32()%ledgerGroups)
 }
 
+// Shares of the process's memory for what clients take up.
+const (
+	// clientMemoryDivisor sets the part for connections, requests in progress, heads and bodies.
+	clientMemoryDivisor = 2
+	// headMemoryDivisor sets the part of it for heads, bodyMemoryDivisor that for bodies as decoded.
+	headMemoryDivisor = 8
+	bodyMemoryDivisor = 4
+)
+
+// clientMemory is the budget of what clients take up.
+type clientMemory struct{ all, heads, bodies *membudget.Budget }
+
+func newClientMemory(s *settings.Entry) clientMemory {
+	total := int64(s.MemoryMB) << 20
+	all := membudget.New(total / clientMemoryDivisor)
+	return clientMemory{all: all, heads: all.Part(total / headMemoryDivisor), bodies: all.Part(total / bodyMemoryDivisor)}
+}
+
+func newReport(log *slog.Logger, m *telemetry.Metrics) *listen.Report {
+	return listen.NewReport("server", log.With("part", "server"), m.Scope)
+}
+
+// newPool returns the pool of the connections of all addresses.
+func newPool(s *settings.Entry, m clientMemory, r *listen.Report) *listen.Pool {
+	return listen.NewPool(listen.PoolSettings{MaxDescriptors: listen.DivideDescriptors(s.MaxFDs).All, Memory: m.all, Heads: m.heads, OnClosed: r.Closed})
+}
+
 func newClaims(c kv.Client, clock clockwork.Clock) *idem.Claims { return idem.New(c, clock) }
 
-func newGateway(s *settings.Entry, inc incarnation, w *configwatch.Watcher, t *endpoints.Table, billing *ledger.Ledger, claims *idem.Claims,
+func newGateway(s *settings.Entry, memory clientMemory, pool *listen.Pool, inc incarnation, w *configwatch.Watcher, t *endpoints.Table, billing *ledger.Ledger, claims *idem.Claims,
 	gd *guard.Guard, q *quarantine.Table, rl *ratelimit.Limits, members *peers.Table, planner *cascade.Planner, gate *drain.Gate, clock clockwork.Clock, log *slog.Logger, m *telemetry.Metrics) (*gateway.Gateway, error) {
 	keys, err := s.Keyring()
 	if err != nil {
@@ -166,7 +198,7 @@
 	}
 	d := gateway.Deps{
 		Instance: s.Instance, Incarnation: int64(inc), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: billing, Claims: claims,
-		Guard: gd, Quarantine: q, Limits: rl, Planner: planner, Gate: gate, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
+		Guard: gd, Quarantine: q, Limits: rl, Planner: planner, Gate: gate, BodyMemory: memory.bodies, Connections: pool, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
 		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Unary: s.AnswerTimeout},
 	}
 	if s.Rater != "" {
--- a/agent/loops.go
+++ b/agent/loops.go
@@ -16,6 +16,7 @@
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/internal/background"
+	"github.com/lovageweir/lovageweir/internal/listen"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/orders"
@@ -153,3 +154,5 @@
 		background.Run(lc, g.RunRatings, nil)
 	}
 }
+
+func runReport(lc fx.Lifecycle, r *listen.Report) { background.Run(lc, r.Run, nil) }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -45,6 +45,8 @@
 	Suspects  *quarantine.Table
 	Limits    *ratelimit.Limits
 	Metrics   *telemetry.Metrics
+	Pool      *listen.Pool
+	Report    *listen.Report
 	Log       *slog.Logger
 }
 
@@ -99,22 +101,33 @@
 	r.Any(peer.PathPrefix()+"*method", gin.WrapH(peer))
 }
 
-func newListener(name, address string, routes ...func(*gin.Engine)) *listen.Listener {
+// Limits of a connection. Callers may reuse one that has been idle for up to idleTimeout.
+const (
+	headerBytes   = 16 << 10
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 75 * time.Second
+)
+
+func (s server) newListener(name, address string, maxOpen int, routes ...func(*gin.Engine)) *listen.Listener {
 	r := gin.New()
 	r.Use(gin.Recovery())
 	for _, add := range routes {
 		add(r)
 	}
-	return listen.New(name, address, &http.Server{Handler: r, ReadHeaderTimeout: 5 * time.Second})
+	l := listen.New(name, address, &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes})
+	l.SetAdmission(listen.Admission{MaxOpen: maxOpen, Busy: gateway.RefuseHead(), OnTurnedAway: s.Report.TurnedAway, OnRefused: s.Report.Refused})
+	l.SetPool(s.Pool)
+	return l
 }
 
 // listeners returns one listener for all routes or, if InternalListen is set, one
 // for callers and one for internal routes. The callers' listener comes first.
 func (s server) listeners() []*listen.Listener {
+	d := listen.DivideDescriptors(s.Settings.MaxFDs)
 	if s.Settings.InternalListen == "" {
-		return []*listen.Listener{newListener("listen", s.Settings.Listen, s.callerRoutes, s.internalRoutes)}
+		return []*listen.Listener{s.newListener("listen", s.Settings.Listen, d.Callers, s.callerRoutes, s.internalRoutes)}
 	}
-	return []*listen.Listener{newListener("listen", s.Settings.Listen, s.callerRoutes), newListener("internal_listen", s.Settings.InternalListen, s.internalRoutes)}
+	return []*listen.Listener{s.newListener("listen", s.Settings.Listen, d.Callers, s.callerRoutes), s.newListener("internal_listen", s.Settings.InternalListen, d.Peers, s.internalRoutes)}
 }
 
 // serve starts the listeners, and drains them at a planned stop.
--- a/agent/stop_test.go
+++ b/agent/stop_test.go
@@ -247,14 +247,14 @@
 	return server{Settings: &settings.Entry{DrainTimeout: drainTimeout}, Gate: d.Gate, Log: d.Log, Members: members,
 		Gossip:  peers.NewGossip(members, func() []string { return nil }, nil, d.Log),
 		Watcher: configwatch.New(memkv.New(clock), clock, d.Log),
-		Gateway: gateway.New(d)}
+		Gateway: gateway.New(d), Pool: listen.NewPool(listen.PoolSettings{}), Report: listen.NewReport("server", d.Log, tally.NoopScope)}
 }
 
 // serveCallers starts the callers' listener of s.
 func serveCallers(t *testing.T, s server) (callers *listen.Listener, url string) {
 	t.Helper()
 	gin.SetMode(gin.ReleaseMode)
-	callers = newListener("listen", "127.0.0.1:0", s.callerRoutes)
+	callers = s.newListener("listen", "127.0.0.1:0", 0, s.callerRoutes)
 	if err := callers.Start(s.Log); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/lovageweir/main.go
+++ b/cmd/lovageweir/main.go
@@ -57,6 +57,7 @@
 	case entryCmd.FullCommand():
 		set, err := settings.Load(*entryPath)
 		exitOnError("settings", err)
+		memoryLimit.Store(set.MemoryLimit())
 		module = agent.Module(set)
 	case edgeCmd.FullCommand():
 		set, err := edge.Load(*edgePath)
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,16 +10,12 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/lovageweir/lovageweir/config"
-	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/route"
 )
 
-// maxRequestBody bounds a request body; the largest prompts (dossiers) are tens of kilobytes.
-const maxRequestBody = 4 << 20
-
 // request is the state of one caller request.
 type request struct {
 	c      *gin.Context
@@ -72,29 +67,15 @@
 	return g.serveChat(q)
 }
 
-// readBody reads a request body of up to maxRequestBody bytes.
-func readBody(c *gin.Context) ([]byte, *route.Refusal) {
-	stop := drain.InterruptReading(c.Request.Context(), c.Writer)
-	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxRequestBody+1))
-	stop()
-	if err != nil && cutByDrain(c) {
-		return nil, errDraining
-	}
-	if err != nil {
-		return nil, badRequest(err.Error())
-	}
-	if len(body) > maxRequestBody {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // readChat reads and decodes a chat completion request.
 func (g *Gateway) readChat(c *gin.Context) (*request, *route.Refusal) {
-	body, ref := readBody(c)
+	body, ref := g.readBody(c)
 	if ref != nil {
 		return nil, ref
 	}
+	if ref := reserveDecoded(c, body); ref != nil {
+		return nil, ref
+	}
 	q := &request{c: c, body: body, release: func() {}}
 	if err := json.Unmarshal(body, &q.fields); err != nil {
 		return nil, badRequest("body is not a chat completion request: " + err.Error())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,8 @@
 	"github.com/lovageweir/lovageweir/cascade"
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/endpoints"
+	"github.com/lovageweir/lovageweir/internal/listen"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/ledger"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/quarantine"
@@ -86,11 +88,15 @@
 	Quarantine *quarantine.Table
 	// Limits are the rate limits that back ends advertise; optional: without it, they are
 	// not enforced.
-	Limits   *ratelimit.Limits
-	Timeouts Timeouts
-	Clock    clockwork.Clock
-	Log      *slog.Logger
-	Scope    tally.Scope
+	Limits *ratelimit.Limits
+	// BodyMemory bounds the memory of request bodies, as sent and as decoded; nil: unlimited.
+	BodyMemory *membudget.Budget
+	// Connections makes room for bodies; optional: without it, none is made.
+	Connections *listen.Pool
+	Timeouts    Timeouts
+	Clock       clockwork.Clock
+	Log         *slog.Logger
+	Scope       tally.Scope
 }
 
 // Gateway serves the caller API.
@@ -142,6 +148,8 @@
 		Message: "this entry is shutting down; any other entry will serve you", RetryAfter: time.Second}
 	errNoConfig = &route.Refusal{Code: "no_config", Status: http.StatusServiceUnavailable,
 		Message: "this entry has no configuration yet", RetryAfter: time.Second}
+	errMemory = &route.Refusal{Code: "bodies_fill_memory", Status: http.StatusServiceUnavailable,
+		Message: "the bodies of other requests fill the memory; the request did not run", RetryAfter: time.Second}
 	errTooLarge = &route.Refusal{Code: "too_large", Status: http.StatusRequestEntityTooLarge, Message: "the body is too large"}
 )
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -36,7 +36,7 @@
 
 // service handles a call to a plain service.
 func (g *Gateway) service(c *gin.Context) *route.Refusal {
-	body, ref := readBody(c)
+	body, ref := g.readBody(c)
 	if ref != nil {
 		return ref
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -23,6 +23,7 @@
 	return func(c *gin.Context) {
 		g.Gate.Enter()
 		defer g.Gate.Leave()
+		defer releaseBody(c)
 		if !g.Gate.Admits(noTimeLimit) {
 			g.refuseNotRun(c, errDraining)
 			return
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,10 @@
 	DrainTimeout      time.Duration `yaml:"drain_timeout"`
 	// AnswerTimeout is the time-out of a call whose answer is not streamed.
 	AnswerTimeout time.Duration `yaml:"answer_timeout"`
+	// MemoryMB is the memory limit of the process.
+	MemoryMB int `yaml:"memory_mb"`
+	// MaxFDs is how many file descriptors the process may open; 0: as many as its limit says.
+	MaxFDs int `yaml:"max_fds"`
 	// SessionKeys maps key IDs to secrets in hex (at least 32 bytes) shared by
 	// all entries; SessionKeyCurrent is the ID of the signing key. Without keys
 	// a session stays on its version only until the roll-out weights change.
@@ -65,6 +69,17 @@
 	DefaultAnswerTimeout     = 120 * time.Second
 )
 
+// DefaultMemoryMB is the memory limit that is not set.
+const DefaultMemoryMB = 128
+
+// memoryLimitShare is the share of the memory above which the garbage collector runs as often as it takes.
+const memoryLimitShare = 0.8
+
+// MemoryLimit returns the Go runtime's soft memory limit, in bytes.
+func (e *Entry) MemoryLimit() int64 {
+	return int64(memoryLimitShare * float64(int64(e.MemoryMB)<<20))
+}
+
 // Load reads and validates the file at path.
 func Load(path string) (*Entry, error) {
 	raw, err := os.ReadFile(path)
@@ -94,6 +109,9 @@
 	if e.AnswerTimeout == 0 {
 		e.AnswerTimeout = DefaultAnswerTimeout
 	}
+	if e.MemoryMB == 0 {
+		e.MemoryMB = DefaultMemoryMB
+	}
 	if e.Advertise == "" {
 		e.Advertise = "http://" + cmp.Or(e.InternalListen, e.Listen)
 	}
@@ -141,6 +159,12 @@
 			}
 		}
 	}
+	if e.MemoryMB < 0 {
+		add("memory_mb", "must not be negative")
+	}
+	if e.MaxFDs < 0 {
+		add("max_fds", "must not be negative")
+	}
 	for _, d := range []struct {
 		path string
 		v    time.Duration
