quarantine: a hold takes no memory for each part of its prompt

A request in flight took a map for each part of its prompt, some 223 bytes a part: 1,024 parts of a head of legal size took a quarter of a megabyte for as long as the answer was awaited, more than the head is counted for. A hold is an entry of one set now; when something is quarantined, which is rare, all holds are searched.

Evidence: TestHoldsOfManyPartsTakeLittleMemory, 223 bytes a part before, 32 allowed.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -60,7 +60,7 @@
 	// updates signals that other entries should be told immediately; its capacity is 1.
 	updates chan struct{}
 	// holds are the sends that can still be stopped.
-	holds map[Fingerprint]map[*Hold]struct{}
+	holds map[*Hold]struct{}
 	// lastWrite is when this entry last tried to write the record of a request.
 	lastWrite map[Fingerprint]time.Time
 	// lostSince is when this entry learned that the store lost a record, by key.
@@ -73,7 +73,7 @@
 		d.Scope = tally.NoopScope
 	}
 	return &Table{Deps: d, suspects: newSuspects(), quarantined: map[Fingerprint]*cause{}, pending: map[Fingerprint]time.Time{}, contested: map[Fingerprint]time.Time{}, crashed: crashedEndpoints{},
-		recordedAt: map[Fingerprint]time.Time{}, lastWrite: map[Fingerprint]time.Time{}, holds: map[Fingerprint]map[*Hold]struct{}{}, updates: make(chan struct{}, 1)}
+		recordedAt: map[Fingerprint]time.Time{}, lastWrite: map[Fingerprint]time.Time{}, holds: map[*Hold]struct{}{}, updates: make(chan struct{}, 1)}
 }
 
 // Verdict is the status of a request.
