ingress, egress: long ids are clipped in log lines and in what entries in between are told

An id may fill a head of 16 KiB. It stood whole in each log line of its request, so that a few such requests a second took the log's buffer from others, whose lines were dropped; and it went whole, beside 512 fingerprints, to the entries asked for a tunnel, which read heads of 16 KiB: such a request got none.

Endpoints and callers get the id whole as ever.

--- a/call/call.go
+++ b/call/call.go
@@ -40,6 +40,12 @@
 	LengthHint int
 }
 
+// maxLoggedValue bounds a value of a caller in a log line, in bytes.
+const maxLoggedValue = 128
+
+// Clip bounds a value of a caller for a log line.
+func Clip(s string) string { return s[:min(len(s), maxLoggedValue)] }
+
 // AnyModel as the requested model lets the entry choose.
 const AnyModel = "*"
 
--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -141,7 +141,7 @@
 func (p Purpose) header(instance string, ep fleet.Endpoint, timeout time.Duration) http.Header {
 	h := http.Header{headerService: {ep.Service}, headerTimeout: {formatMS(timeout)}, headerLasts: {formatMS(p.Lasts)}, headerFrom: {instance}}
 	if p.Request != "" {
-		h.Set(headerRequest, p.Request)
+		h.Set(headerRequest, clip(p.Request))
 	}
 	if p.Subject.Request != 0 {
 		h.Set(headerSubject, p.Subject.Encode())
--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/place"
@@ -137,7 +138,7 @@
 func (x *exchange) endBroken(c *upstreamCall, err error) {
 	outcome := place.Broken
 	if c.bound = upstream.BoundOf(err); c.bound != "" {
-		x.server.bounds.note(c.bound, x.metadata.ID, c.endpoint.ID)
+		x.server.bounds.note(c.bound, call.Clip(x.metadata.ID), c.endpoint.ID)
 	}
 	if c.bound == upstream.AnswersMemory && c.resp.Length >= 0 {
 		outcome = place.Abandoned // other answers fill the memory
@@ -214,6 +215,6 @@
 // noteHandoffBound records that another entry's answer exceeded a bound, if it did.
 func (x *exchange) noteHandoffBound(err error) {
 	if bound := upstream.BoundOf(err); bound != "" {
-		x.server.bounds.note(bound, x.metadata.ID, fleet.EndpointID(x.handedTo))
+		x.server.bounds.note(bound, call.Clip(x.metadata.ID), fleet.EndpointID(x.handedTo))
 	}
 }
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 
+	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/upstream"
@@ -38,7 +39,7 @@
 
 // sentRequest returns the request as sent for a model; empty: the one that the caller named.
 func (x *exchange) sentRequest(model string) sentRequest {
-	r := sentRequest{id: x.metadata.ID, route: x.route.Name, model: x.modelOr(model), subject: x.subject}
+	r := sentRequest{id: call.Clip(x.metadata.ID), route: x.route.Name, model: x.modelOr(model), subject: x.subject}
 	if x.customer != nil {
 		r.customer = x.customer.Name
 	}
@@ -80,7 +81,7 @@
 	s.Quarantine.Crashed(r.subject, ep.ID, quarantine.VariantOf(r.model, ep.Version), stage)
 	s.metrics.crash(stage)
 	s.Log.Info("ingress: endpoint crashed under a request.", "id", r.id, "fingerprint", r.subject.Request, "endpoint", ep.ID, "version", ep.Version, "stage", stage.String(),
-		"route", r.route, "customer", r.customer, "model", r.model, "parts", r.subject.PartsString(), "why", found.why)
+		"route", r.route, "customer", r.customer, "model", call.Clip(r.model), "parts", r.subject.PartsString(), "why", found.why)
 	return true
 }
 
--- a/ingress/handoff.go
+++ b/ingress/handoff.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
 	"github.com/lovageweir/lovageweir/upstream"
 )
@@ -72,7 +73,7 @@
 		case err != nil:
 			x.runs++ // it may have run
 			x.noteHandoffBound(err)
-			s.Log.Warn("ingress: entry does not answer a request that was handed to it.", "id", x.metadata.ID, "to", e.Instance, "error", err)
+			s.Log.Warn("ingress: entry does not answer a request that was handed to it.", "id", call.Clip(x.metadata.ID), "to", e.Instance, "error", err)
 			return false
 		case s.refusedHandoff(resp):
 			resp.Close()
--- a/ingress/report.go
+++ b/ingress/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/upstream"
@@ -93,7 +94,7 @@
 		s.metrics.refusal(x.outcome)
 	}
 	attrs := make([]slog.Attr, 0, 16)
-	attrs = append(attrs, slog.String("id", x.metadata.ID), slog.Int("status", x.status), slog.String("outcome", x.outcome),
+	attrs = append(attrs, slog.String("id", call.Clip(x.metadata.ID)), slog.Int("status", x.status), slog.String("outcome", x.outcome),
 		slog.Int64("ms", took.Milliseconds()), slog.Int64("revision", x.view.Revision.Number()), slog.Int64("era", int64(x.view.Revision.Era())))
 	if age, ok := s.Fleet.Age(); ok {
 		attrs = append(attrs, slog.Int64("age_ms", age.Milliseconds()))
