membudget, gateway: what alone fits is not kept out by a part for others; what never fits is refused at once

A body of unknown length is reserved as it comes. Its own earlier bytes counted as others', so that one of more than half of the bodies' memory was refused (503) though it was alone; bodies that can never be decoded within the memory were told to come back.

--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -35,6 +35,7 @@
 	cmd.Flag("unequal", "Run engines of unequal speed that report it.").BoolVar(&o.Unequal)
 	cmd.Flag("slow-readers", "Let some callers read slowly.").BoolVar(&o.SlowReaders)
 	cmd.Flag("endless", "Let engines answer some requests with bytes without end.").BoolVar(&o.Endless)
+	cmd.Flag("misbehaving", "Let clients send heads of very many lines, bodies that never come and the like to all entries.").BoolVar(&o.Misbehaving)
 	cmd.Flag("ignore-evacuations", "Do not check what reaches evacuated failure domains and cold engines, for builds that know of neither.").BoolVar(&o.IgnoreEvacuations)
 	cmd.Flag("ignore-notices", "Do not check what entries send after an engine said that it leaves or rests, for builds that do not read that.").BoolVar(&o.IgnoreNotices)
 	cmd.Flag("edge", "The lovageweir program; default: beside this one.").StringVar(&o.EdgePath)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -45,7 +45,7 @@
 	if m.reserved+n > largeBody {
 		share = largeBodyShare
 	}
-	take := func() bool { return m.budget.ReserveWithin(n, share) }
+	take := func() bool { return m.budget.ReserveWithin(n, m.reserved, share) }
 	if !take() && (m.pool == nil || !m.pool.Reserve(take)) {
 		return false
 	}
@@ -124,10 +124,17 @@
 // reserveDecoded reserves memory for a body as it will be decoded.
 func reserveDecoded(c *gin.Context, body []byte) *route.Refusal {
 	m, ok := c.Value(bodyMemoryKey).(*bodyMemory)
-	if !ok || m.reserve(valueCost*int64(countValues(body))) {
+	if !ok {
 		return nil
 	}
-	return errMemory
+	cost := valueCost * int64(countValues(body))
+	switch {
+	case !m.budget.Fits(m.reserved + cost):
+		return errTooLarge
+	case !m.reserve(cost):
+		return errMemory
+	}
+	return nil
 }
 
 // countValues returns how many members and elements a JSON text has, at least.
--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -32,10 +32,11 @@
 	firstAnswerBuffer = 4 << 10
 )
 
-// reserveAnswer takes n more bytes for an answer that then has total bytes, and reports whether there was room.
-func reserveAnswer(m *membudget.Budget, n, total int64) bool {
-	if total > shortAnswerBytes {
-		return m.ReserveWithin(n, 1-shortAnswerShare)
+// reserveAnswer takes n bytes for an answer that has held bytes, which it is to give back, and reports whether there
+// was room.
+func reserveAnswer(m *membudget.Budget, n, held int64) bool {
+	if n > shortAnswerBytes {
+		return m.ReserveWithin(n, held, 1-shortAnswerShare)
 	}
 	return m.Reserve(n)
 }
@@ -52,7 +53,7 @@
 	if size > maxAnswerBytes {
 		return &upstream.BoundError{Bound: upstream.AnswerBytes}
 	}
-	if !reserveAnswer(a.memory, size, size) {
+	if !reserveAnswer(a.memory, size, a.held) {
 		return &upstream.BoundError{Bound: upstream.AnswersMemory}
 	}
 	grown := make([]byte, len(a.bytes), size)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -382,7 +382,7 @@
 	if x.bodyReserved+n > largeBody {
 		share = largeBodyShare
 	}
-	take := func() bool { return s.BodyMemory.ReserveWithin(n, share) }
+	take := func() bool { return s.BodyMemory.ReserveWithin(n, x.bodyReserved, share) }
 	if !take() && (s.Connections == nil || !s.Connections.Reserve(take)) {
 		return false
 	}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -335,6 +335,9 @@
 		if !c.reserveBuffer(firstHeadBuffer) {
 			return 0, c.refuse(c.listener.admission.Busy, b)
 		}
+		if err := c.boundHead(); err != nil {
+			return 0, err
+		}
 		c.pending = append(make([]byte, 0, max(firstHeadBuffer, n)), b[:n]...)
 		c.scanned = n
 	}
@@ -358,14 +361,19 @@
 		c.mu.Lock()
 		c.idleAt = time.Time{}
 		c.mu.Unlock()
-		if t := c.listener.srv.ReadHeaderTimeout; t > 0 {
-			// net/http sets this deadline when it is passed the first bytes.
-			err = c.Conn.SetReadDeadline(time.Now().Add(t))
-		}
 	}
 	return n, err
 }
 
+// boundHead bounds the time in which the rest of a head must come, as net/http does once it gets its first bytes.
+func (c *conn) boundHead() error {
+	t := c.listener.srv.ReadHeaderTimeout
+	if t <= 0 {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(time.Now().Add(t))
+}
+
 // receiveMore reads more of a head that is not whole.
 func (c *conn) receiveMore(scratch []byte) error {
 	limit := c.listener.headLimit()
@@ -389,13 +397,26 @@
 	c.mu.Lock()
 	more := max(0, size-c.buffered)
 	c.mu.Unlock()
-	if !c.listener.pool.reserveHead(more) {
+	if !c.reserveHead(more) {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.buffered += more
-	c.heads += more
+	return true
+}
+
+// reserveHead reserves memory for the head.
+func (c *conn) reserveHead(n int64) bool {
+	c.mu.Lock()
+	own := c.heads
+	c.mu.Unlock()
+	if !c.listener.pool.reserveHead(n, own) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heads += n
 	return true
 }
 
@@ -410,12 +431,9 @@
 	c.mu.Lock()
 	c.requests += requestCost
 	c.mu.Unlock()
-	if !p.reserveHead(cost) {
+	if !c.reserveHead(cost) {
 		return c.refuse(c.listener.admission.Busy, scratch)
 	}
-	c.mu.Lock()
-	c.heads += cost
-	c.mu.Unlock()
 	return nil
 }
 
@@ -485,14 +503,10 @@
 		return 0, malformed
 	}
 	if lines := chunks.lines - c.trailers; lines > 0 {
-		cost := int64(lines) * lineCost
-		if !c.listener.pool.reserveHead(cost) {
+		if !c.reserveHead(int64(lines) * lineCost) {
 			return 0, ErrNoMemory
 		}
 		c.trailers = chunks.lines
-		c.mu.Lock()
-		c.heads += cost
-		c.mu.Unlock()
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -65,8 +65,11 @@
 	Response []byte // as it is sent
 }
 
-// noDescriptors is the reason for connections beyond MaxOpen, or those for which the pool has no room.
-const noDescriptors = "descriptors"
+// Reasons for which there is no room for a connection.
+const (
+	noDescriptors = "descriptors" // beyond MaxOpen, or PoolSettings.MaxDescriptors
+	noMemory      = "memory"
+)
 
 // SetAdmission must be called before Start.
 func (l *Listener) SetAdmission(a Admission) { l.admission = a }
@@ -204,10 +207,10 @@
 		}
 		reason, pause := a.l.refusal()
 		if reason == "" {
-			if served := a.l.admit(c); served != nil {
+			var served net.Conn
+			if served, reason = a.l.admit(c); reason == "" {
 				return served, nil
 			}
-			reason = noDescriptors
 		}
 		if f := a.l.admission.OnTurnedAway; f != nil {
 			f(reason)
@@ -271,14 +274,14 @@
 	return reason, pause
 }
 
-// admit returns the connection to serve for an accepted one; nil: there is no room for it.
-func (l *Listener) admit(accepted net.Conn) net.Conn {
+// admit returns the connection to serve for an accepted one, or why there is no room for it.
+func (l *Listener) admit(accepted net.Conn) (served net.Conn, reason string) {
 	if l.admission.MaxOpen > 0 && l.pool.count(l) >= l.admission.MaxOpen && !l.pool.closeOne(l, needConnection) {
-		return nil
+		return nil, noDescriptors
 	}
 	c := l.newConn(accepted)
-	if !l.pool.add(c) {
-		return nil
+	if reason := l.pool.add(c); reason != "" {
+		return nil, reason
 	}
 	if f := l.admission.Wrap; f != nil {
 		c.Conn = f(accepted)
@@ -286,5 +289,5 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.busy[c] = true
-	return c
+	return c, ""
 }
--- a/internal/listen/pool.go
+++ b/internal/listen/pool.go
@@ -78,10 +78,10 @@
 	return &Pool{PoolSettings: s, conns: map[*conn]struct{}{}, open: map[*Listener]int{}}
 }
 
-// add adds a connection, and reports whether there was room for it. Others may have been closed for it.
-func (p *Pool) add(c *conn) bool {
+// add adds a connection, or returns why there is no room for it. Others may have been closed for it.
+func (p *Pool) add(c *conn) (reason string) {
 	if !p.Memory.Reserve(connectionCost) && !(p.closeOne(nil, needConnection) && p.Memory.Reserve(connectionCost)) {
-		return false
+		return noMemory
 	}
 	for {
 		p.mu.Lock()
@@ -90,12 +90,12 @@
 			p.conns[c] = struct{}{}
 			p.open[c.listener]++
 			p.mu.Unlock()
-			return true
+			return ""
 		}
 		p.mu.Unlock()
 		if !p.closeOne(c.listener, needConnection) && !p.closeOne(nil, needConnection) {
 			p.Memory.Release(connectionCost)
-			return false
+			return noDescriptors
 		}
 	}
 }
@@ -178,11 +178,11 @@
 	return p.reserve(needConnection, func() bool { return p.Memory.Reserve(requestCost) })
 }
 
-// reserveHead reserves memory for a head. Large ones leave room for small ones.
-func (p *Pool) reserveHead(n int64) bool {
+// reserveHead reserves memory for a head that has own bytes already. Large ones leave room for small ones.
+func (p *Pool) reserveHead(n, own int64) bool {
 	share := 1.0
-	if n > largeHead {
+	if own+n > largeHead {
 		share = largeHeadShare
 	}
-	return p.Reserve(func() bool { return p.Heads.ReserveWithin(n, share) })
+	return p.Reserve(func() bool { return p.Heads.ReserveWithin(n, own, share) })
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -18,16 +18,16 @@
 func (b *Budget) Part(limit int64) *Budget { return &Budget{limit: limit, parent: b} }
 
 // Reserve takes n bytes, and reports whether there was room.
-func (b *Budget) Reserve(n int64) bool { return b.ReserveWithin(n, 1) }
+func (b *Budget) Reserve(n int64) bool { return b.ReserveWithin(n, 0, 1) }
 
-// ReserveWithin takes n bytes if no more than a share of the budget is taken then, or nothing was before. The rest
-// is left for others.
-func (b *Budget) ReserveWithin(n int64, share float64) bool {
+// ReserveWithin takes n bytes for who has own bytes, if no more than a share of the budget is taken then, or by nobody
+// else. The rest is left for others.
+func (b *Budget) ReserveWithin(n, own int64, share float64) bool {
 	if b == nil || n <= 0 {
 		return true
 	}
 	used := b.used.Add(n)
-	if b.limit > 0 && used > b.limitFor(share, used == n) || !b.parent.Reserve(n) {
+	if b.limit > 0 && used > b.limitFor(share, used == own+n) || !b.parent.Reserve(n) {
 		b.used.Add(-n)
 		return false
 	}
@@ -51,6 +51,9 @@
 	b.parent.Release(n)
 }
 
+// Fits reports whether n bytes could be reserved if nothing else was.
+func (b *Budget) Fits(n int64) bool { return b == nil || b.limit == 0 || n <= b.limit && b.parent.Fits(n) }
+
 // Filled reports whether more than a share of the budget is taken.
 func (b *Budget) Filled(share float64) bool {
 	return b != nil && b.limit > 0 && float64(b.used.Load()) > share*float64(b.limit)
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -229,6 +229,9 @@
 		e.memoryMB = loadedEntryMemoryMB
 		extra += fmt.Sprintf("memory_mb: %d\n", e.memoryMB)
 	}
+	if c.options.Misbehaving {
+		extra += fmt.Sprintf("max_fds: %d\n", misbehavingFDs)
+	}
 	path := filepath.Join(c.dir, fmt.Sprintf("entry-%d.yaml", i))
 	settings := fmt.Sprintf("instance: entry-%d\ndomain: %s\nstore: %q\nlisten: {callers: %q, readiness: %q, peers: %q, loads: %q}\nbounds: {grace_s: %g}\n%s",
 		i, domainOf(i), proxy.Address, callers, e.readiness, freeAddress(), freeAddress(), c.grace.Seconds(), extra)
--- a/soak/loads.go
+++ b/soak/loads.go
@@ -52,7 +52,7 @@
 var slowdowns = []int{70, 70, 170}
 
 // boundsMemory reports whether entries' memory is bounded and checked.
-func (o Options) boundsMemory() bool { return o.SlowReaders || o.Endless }
+func (o Options) boundsMemory() bool { return o.SlowReaders || o.Endless || o.Misbehaving }
 
 // engineArgs returns the arguments of an engine of a number that the loads call for.
 func (o Options) engineArgs(number int) (args []string) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,8 @@
 	SlowReaders bool
 	// Endless: engines answer some requests with bytes without end.
 	Endless bool
+	// Misbehaving: clients send heads of very many lines, bodies that never come and the like to all entries.
+	Misbehaving bool
 	// IgnoreNotices: requests after an engine said that it leaves or rests are no finding, as some
 	// entries are of a build that does not read that.
 	IgnoreNotices bool
@@ -145,6 +147,13 @@
 			f.cutEntriesInTurn(faultCtx, o.Seed)
 		}
 	}()
+	misbehaviorDone := make(chan struct{})
+	go func() {
+		defer close(misbehaviorDone)
+		if o.Misbehaving {
+			c.misbehave(faultCtx, o.Seed)
+		}
+	}()
 	evacuationsDone := make(chan struct{})
 	go func() {
 		defer close(evacuationsDone)
@@ -166,6 +175,7 @@
 	<-stopsDone
 	<-evacuationsDone
 	<-cutsDone
+	<-misbehaviorDone
 	<-balancerDone
 	time.Sleep(settle)
 	stopCalls()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -130,3 +130,16 @@
 		is.True(r.Restores > 1)
 	}
 }
+
+// Guards against entries that exceed their memory, or break a promise to other callers, for clients that misbehave.
+func TestSeededSoakOfMisbehavingClients(t *testing.T) {
+	is := is.New(t)
+	edge, ctl := buildPrograms(t)
+	r, err := soak.Run(soak.Options{Seed: 1, FaultDuration: 6 * time.Second, EdgePath: edge, CtlPath: ctl, Dir: t.TempDir(), Entries: 3, Engines: 4, Callers: 12, Misbehaving: true})
+	is.NoErr(err)
+	t.Logf("seed %d: %d requests, %d faults, %d MB at most: %v", r.Seed, r.Requests, len(r.Faults), r.PeakMB, r.Answered)
+	for _, f := range r.Findings {
+		t.Errorf("seed %d: %s", r.Seed, f)
+	}
+	is.True(r.Requests > 0)
+}
