--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -514,6 +515,64 @@
 	}))
 }
 
+// Guards against bodies that wait for the entry's word to come, which holds memory for them.
+func TestClientsThatExpectToContinue(t *testing.T) {
+	checkCallers(t, func(ctx context.Context, conn net.Conn, number int, sent func()) {
+		if _, err := io.WriteString(conn, head(longPath, number, fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n", clientBodyBytes))+"\r\n"); err != nil {
+			return
+		}
+		sent()
+		_, _ = io.Copy(io.Discard, conn) // until it is closed
+	})
+}
+
+// Guards against names listed in Connection, methods and targets that fill heads.
+func TestClientsThatSendLongListsAndTargets(t *testing.T) {
+	checkCallers(t, sendAndRead(func(number int) string {
+		switch number % 3 {
+		case 0:
+			return strings.TrimSuffix(fill(head(slowPath, number, "Connection: "), func(i int) string { return shortName(i) + "," }), ",") + "\r\n\r\n"
+		case 1:
+			return head(slowPath+"?"+strings.Repeat("a&", 8000), number) + "\r\n"
+		}
+		return strings.Replace(head(slowPath, number), "POST", strings.Repeat("M", 16000), 1) + "\r\n"
+	}))
+}
+
+// Guards against a process that does not end, or restarts into a failure, because clients hold up their requests.
+func TestAnEntryStopsAndStartsWhileClientsMisbehave(t *testing.T) {
+	x := newEdgeTarget(t)
+	address := func(int) string { return x.edge.callers }
+	bodies := startCrowd(clientCount/2, address, func(ctx context.Context, conn net.Conn, number int, sent func()) {
+		if _, err := io.WriteString(conn, head(longPath, number, fmt.Sprintf("Content-Length: %d\r\n", clientBodyBytes))+"\r\n"); err != nil {
+			return
+		}
+		sent()
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	lines := startCrowd(clientCount/2, address, sendAndRead(func(number int) string {
+		return fill(head(slowPath, number), differentLines) + "\r\n"
+	}))
+	x.signal(t, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { ended <- x.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("the process did not end by itself: %v", err)
+		}
+	case <-time.After(convergeTimeout):
+		t.Fatal("the process does not end")
+	}
+	x.restart(t)
+	x.watch = watchProcess(t, x.cmd.Process.Pid)
+	x.awaitOrdinary(t, "after the restart")
+	lines.stop()
+	bodies.stop()
+	x.awaitOrdinary(t, "after the clients have left")
+	x.checkBounds(t, clientsMemoryMB, clientsMaxFDs)
+}
+
 // checkOtherAddresses plays clients at the addresses of an edge entry that serve no callers.
 func checkOtherAddresses(t *testing.T, c client) {
 	t.Helper()
