agent: the messages of peers of the OpenAI interface share an eighth of the memory too

Peers exchange at the callers' address unless internal_listen is set, and a message had no bound at all: forty clients that sent 15 MB each, within the time for them, made an entry take 1,627 MB. It is read like those of the other kind of entry now (membudget.Bodies, 16 MiB at most), with what it takes to decode it counted.

The tests log at which try an ordinary request was answered.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -165,18 +165,20 @@
 const (
 	// clientMemoryDivisor sets the part for connections, requests in progress, heads and bodies.
 	clientMemoryDivisor = 2
-	// headMemoryDivisor sets the part of it for heads, bodyMemoryDivisor that for bodies as decoded.
-	headMemoryDivisor = 8
-	bodyMemoryDivisor = 4
+	// headMemoryDivisor sets the part of it for heads, bodyMemoryDivisor that for bodies as decoded,
+	// messageMemoryDivisor that for messages of peers.
+	headMemoryDivisor    = 8
+	bodyMemoryDivisor    = 4
+	messageMemoryDivisor = 8
 )
 
 // clientMemory is the budget of what clients take up.
-type clientMemory struct{ all, heads, bodies *membudget.Budget }
+type clientMemory struct{ all, heads, bodies, messages *membudget.Budget }
 
 func newClientMemory(s *settings.Entry) clientMemory {
 	total := int64(s.MemoryMB) << 20
 	all := membudget.New(total / clientMemoryDivisor)
-	return clientMemory{all: all, heads: all.Part(total / headMemoryDivisor), bodies: all.Part(total / bodyMemoryDivisor)}
+	return clientMemory{all: all, heads: all.Part(total / headMemoryDivisor), bodies: all.Part(total / bodyMemoryDivisor), messages: all.Part(total / messageMemoryDivisor)}
 }
 
 func newReport(log *slog.Logger, m *telemetry.Metrics) *listen.Report {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -18,6 +18,7 @@
 	"github.com/lovageweir/lovageweir/guard"
 	"github.com/lovageweir/lovageweir/idem"
 	"github.com/lovageweir/lovageweir/internal/listen"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/internal/telemetry"
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/ledger"
@@ -47,6 +48,7 @@
 	Metrics   *telemetry.Metrics
 	Pool      *listen.Pool
 	Report    *listen.Report
+	Memory    clientMemory
 	Log       *slog.Logger
 }
 
@@ -98,9 +100,15 @@
 	})
 	r.GET("/metrics", gin.WrapH(s.Metrics.Handler))
 	peer := peerpb.NewPeerServer(&peerServer{s})
-	r.Any(peer.PathPrefix()+"*method", gin.WrapH(peer))
+	r.Any(peer.PathPrefix()+"*method", gin.WrapH(membudget.Bodies(peer, maxMessageBytes, messageCost, s.Memory.messages)))
 }
 
+// Bounds of messages of peers: their size, and the memory that a byte takes while it is read and decoded.
+const (
+	maxMessageBytes = 16 << 20
+	messageCost     = 3
+)
+
 // Limits of a connection. Callers may reuse one that has been idle for up to idleTimeout.
 const (
 	headerBytes   = 16 << 10
--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -188,8 +188,11 @@
 func (x *target) awaitOrdinary(t *testing.T, when string) {
 	t.Helper()
 	var err error
+	tries := 0
 	for until := time.Now().Add(convergeTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		tries++
 		if err = x.ordinary(); err == nil {
+			t.Logf("an ordinary request is answered %s, at try %d", when, tries)
 			return
 		}
 	}
@@ -730,3 +733,14 @@
 		return entryHead(chatPath, number, fmt.Sprintf("Content-Length: %d\r\n", b.Len())) + "\r\n" + b.String()
 	}))
 }
+
+// Guards against messages of peers that are large, at the address for callers of an entry of the OpenAI interface.
+func TestEntryClientsThatSendLargePeerMessages(t *testing.T) {
+	x := newEntryTarget(t)
+	address := strings.TrimPrefix(x.url, "http://")
+	body := strings.Repeat("x", 15<<20)
+	request := sendAndRead(func(number int) string {
+		return fmt.Sprintf("POST /twirp/lovageweir.peer.v1.Peer/Exchange HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n", len(body)) + body
+	})
+	x.play(t, startCrowd(peerMessageCount, func(int) string { return address }, request), defaultMemoryMB, clientsMaxFDs)
+}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -52,7 +52,9 @@
 }
 
 // Fits reports whether n bytes could be reserved if nothing else was.
-func (b *Budget) Fits(n int64) bool { return b == nil || b.limit == 0 || n <= b.limit && b.parent.Fits(n) }
+func (b *Budget) Fits(n int64) bool {
+	return b == nil || b.limit == 0 || n <= b.limit && b.parent.Fits(n)
+}
 
 // Filled reports whether more than a share of the budget is taken.
 func (b *Budget) Filled(share float64) bool {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -25,7 +25,7 @@
 func TestSharesLeaveRoomUnlessAlone(t *testing.T) {
 	is := is.New(t)
 	b := New(100)
-	is.True(b.ReserveWithin(60, 0, 0.5)) // alone
+	is.True(b.ReserveWithin(60, 0, 0.5))  // alone
 	is.True(b.ReserveWithin(20, 60, 0.5)) // for the same
 	is.True(!b.ReserveWithin(1, 0, 0.5))
 	is.True(b.Reserve(20))
--- a/mesh/bounds.go
+++ b/mesh/bounds.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -34,39 +33,13 @@
 	return &http.Client{Transport: upstream.LimitBodies(t, max)}
 }
 
-// errMessageMemory: the messages that are read fill their memory.
-var errMessageMemory = errors.New("messages of other entries fill the memory")
-
 // Bounded returns a handler that bounds the messages of other entries in bytes, in time, and in the memory that all of
 // them take up. net/http resets the deadlines for the connection's next request.
 func Bounded(next http.Handler, memory *membudget.Budget) http.Handler {
-	return http.MaxBytesHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return membudget.Bodies(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, deadline := http.NewResponseController(w), time.Now().Add(servedWithin)
 		_ = conn.SetReadDeadline(deadline) // only test recorders do not support deadlines
 		_ = conn.SetWriteDeadline(deadline)
-		body := &countedBody{ReadCloser: r.Body, memory: memory}
-		defer body.release()
-		r.Body = body
 		next.ServeHTTP(w, r)
-	}), maxMessageBytes)
-}
-
-// countedBody reserves memory for what is read of a message.
-type countedBody struct {
-	io.ReadCloser
-	memory   *membudget.Budget
-	reserved int64
+	}), maxMessageBytes, messageCost, memory)
 }
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	cost := messageCost * int64(n)
-	if !b.memory.Reserve(cost) {
-		return 0, errMessageMemory
-	}
-	b.reserved += cost
-	return n, err
-}
-
-func (b *countedBody) release() { b.memory.Release(b.reserved) }
