listen: clients that hold up their requests for two seconds yield before idle connections

An idle connection was closed for a new one while others held theirs for seconds without sending: callers paid for them with a new connection each. A shorter stall may be a lost packet, and yields after idle ones as before.

Evidence: TestLongStallsYieldBeforeIdleConnections; it fails with the order before.

--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -240,6 +240,22 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
 
+// Guards against idle connections of ordinary clients that are closed while others hold theirs without sending.
+func TestLongStallsYieldBeforeIdleConnections(t *testing.T) {
+	is := is.New(t)
+	var served atomic.Int64
+	l := servePool(t, echo(&served), Admission{MaxOpen: 2}, PoolSettings{})
+	idle, stalled := dial(t, l), dial(t, l)
+	is.True(exchange(t, idle))
+	_, err := io.WriteString(stalled, "GET / HTTP/1.1\r\n")
+	is.NoErr(err)
+	time.Sleep(longStall + 100*time.Millisecond)
+	is.True(exchange(t, dial(t, l)))
+	is.True(exchange(t, idle))
+	_, err = stalled.Read(make([]byte, 1))
+	is.True(err != nil)
+}
+
 // Guards against descriptors beyond the bound: connections of all addresses count, and idle ones yield.
 func TestAddressesShareTheirDescriptors(t *testing.T) {
 	is := is.New(t)
--- a/internal/listen/pool.go
+++ b/internal/listen/pool.go
@@ -22,6 +22,8 @@
 	largeHeadShare = 0.75
 	// minStall is how long a client must have held up its request for its connection to yield to others.
 	minStall = 500 * time.Millisecond
+	// longStall is how long, for it to yield before idle ones.
+	longStall = 2 * time.Second
 	// lingerTime is how long the last answer of a connection may take to be read before the connection yields.
 	lingerTime = 50 * time.Millisecond
 	// minRate is the rate in bytes a second above which a client does not hold up its request.
@@ -53,8 +55,8 @@
 }
 
 // Pool bounds the connections of all addresses of a process, and the memory of the heads that their clients send.
-// Connections yield to new ones: those that are idle, the longest first, and then those whose clients hold up their
-// requests. It is safe for concurrent use. Its lock is taken before those of its connections.
+// Connections yield to new ones: those whose clients hold up their requests for long, then those that are idle, the
+// longest first, and then all whose clients hold up their requests. It is safe for concurrent use. Its lock is taken before those of its connections.
 type Pool struct {
 	PoolSettings
 
@@ -68,7 +70,7 @@
 type need int
 
 const (
-	needConnection need = iota // idle connections yield, and then those whose clients hold up their requests
+	needConnection need = iota // idle connections yield too, after those that stall for longStall
 	needRequest                // those whose clients hold up their requests
 	needMemory                 // the same, if they hold memory
 )
@@ -139,10 +141,10 @@
 	}
 	p.mu.Unlock()
 	switch {
+	case stalled != nil && (idlest == nil || stall >= longStall):
+		p.close(stalled, closedStalled)
 	case idlest != nil:
 		p.close(idlest, closedIdle)
-	case stalled != nil:
-		p.close(stalled, closedStalled)
 	default:
 		return false
 	}
