listen: a request that was sent ahead is not idle; connections taken over once closed release their memory

Found by reading the diff: a connection whose next request had come with the one before counted as idle while that request ran, so that it could be closed to make room; one that was closed to make room just as a tunnel took it over kept its memory for good.

Evidence: TestRequestsSentAheadAreNotIdle and TestConnectionsTakenOverOnceClosedReleaseTheirMemory, which failed before.

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -124,15 +124,21 @@
 	defer c.mu.Unlock()
 	c.misframed = c.phase == expectsBody
 	c.releaseLocked()
-	c.phase, c.idleAt = expectsHead, time.Now()
+	c.phase = expectsHead
+	if len(c.pending) == 0 { // no request was sent ahead
+		c.idleAt = time.Now()
+	}
 	c.stalled.Store(0)
 }
 
 // hijack makes the connection pass on everything from now on.
 func (c *conn) hijack() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.phase = hijacked
+	c.mu.Unlock()
+	if c.closed.Load() {
+		c.finish()
+	}
 }
 
 // finish releases the memory of a connection whose goroutine has ended.
@@ -213,27 +219,32 @@
 	return c.heads+c.declared > 0
 }
 
-// block notes that a read or write begins that waits for the client, unblock that it has ended.
-func (c *conn) block() { c.blockedAt.Store(int64(time.Since(c.listener.created))) }
+// block notes that a read or write begins that waits for the client, and returns when; unblock notes that it has ended.
+func (c *conn) block() (since int64) {
+	since = int64(time.Since(c.listener.created))
+	c.blockedAt.Store(since)
+	return since
+}
 
-func (c *conn) unblock(n int) {
-	waited := int64(time.Since(c.listener.created)) - c.blockedAt.Swap(0)
+func (c *conn) unblock(since int64, n int) {
+	c.blockedAt.Store(0)
+	waited := int64(time.Since(c.listener.created)) - since
 	c.stalled.Store(max(0, c.stalled.Load()+waited-int64(n)*int64(time.Second)/minRate))
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	c.block()
+	since := c.block()
 	n, err := c.Conn.Write(b)
-	c.unblock(n)
+	c.unblock(since, n)
 	return n, err
 }
 
 // receive reads from the client, which is to send something.
 func (c *conn) receive(b []byte) (int, error) {
-	c.block()
+	since := c.block()
 	n, err := c.Conn.Read(b)
-	c.unblock(n)
+	c.unblock(since, n)
 	return n, err
 }
 
--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -256,6 +256,52 @@
 	is.True(err != nil)
 }
 
+// Guards against a request in progress whose connection is closed as idle: it was sent ahead, with the one before.
+func TestRequestsSentAheadAreNotIdle(t *testing.T) {
+	is := is.New(t)
+	hold, held := make(chan struct{}), make(chan struct{})
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			close(held)
+			<-hold
+		}
+	})
+	l := servePool(t, h, Admission{MaxOpen: 1}, PoolSettings{})
+	conn := dial(t, l)
+	in := bufio.NewReader(conn)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /held HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-held
+	is.True(!exchange(t, dial(t, l)))
+	close(hold)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
+
+// Guards against memory that is never released: a connection is closed to make room as a handler takes it over.
+func TestConnectionsTakenOverOnceClosedReleaseTheirMemory(t *testing.T) {
+	is := is.New(t)
+	memory := membudget.New(1 << 20)
+	p := NewPool(PoolSettings{Memory: memory})
+	l := New("test", "", &http.Server{})
+	l.SetPool(p)
+	for _, closedFirst := range []bool{true, false} {
+		client, server := net.Pipe()
+		defer client.Close()
+		c := l.newConn(server)
+		is.Equal(p.add(c), "")
+		if closedFirst {
+			is.NoErr(c.Close())
+		}
+		c.hijack()
+		_ = c.Close()
+		is.Equal(memory.Used(), int64(0))
+	}
+}
+
 // Guards against descriptors beyond the bound: connections of all addresses count, and idle ones yield.
 func TestAddressesShareTheirDescriptors(t *testing.T) {
 	is := is.New(t)
