listen: the time of heads that are sent ahead is bounded like that of others

The first bytes of a head that came with the request before were held for as long as an idle connection may stay, 75 s, instead of the 5 s that a head may take.

Evidence: TestTheTimeOfHeadsIsBounded/ahead, which failed before.

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -48,12 +48,13 @@
 	closeWrite func() error // nil: not possible
 
 	// Only used by reads and, between them, by net/http's changes of state.
-	pending   []byte // received and not passed on
-	scanned   int    // bytes of pending that belong to an incomplete head
-	passOn    int    // bytes of pending that belong to a whole head
-	head      headScanner
-	trailers  int // lines of trailers that memory was reserved for
-	misframed bool
+	pending     []byte // received and not passed on
+	scanned     int    // bytes of pending that belong to an incomplete head
+	passOn      int    // bytes of pending that belong to a whole head
+	head        headScanner
+	headBounded bool // the time of the head is bounded
+	trailers    int  // lines of trailers that memory was reserved for
+	misframed   bool
 
 	mu       sync.Mutex
 	phase    phase
@@ -346,9 +347,6 @@
 		if !c.reserveBuffer(firstHeadBuffer) {
 			return 0, c.refuse(c.listener.admission.Busy, b)
 		}
-		if err := c.boundHead(); err != nil {
-			return 0, err
-		}
 		c.pending = append(make([]byte, 0, max(firstHeadBuffer, n)), b[:n]...)
 		c.scanned = n
 	}
@@ -379,9 +377,10 @@
 // boundHead bounds the time in which the rest of a head must come, as net/http does once it gets its first bytes.
 func (c *conn) boundHead() error {
 	t := c.listener.srv.ReadHeaderTimeout
-	if t <= 0 {
+	if t <= 0 || c.headBounded {
 		return nil
 	}
+	c.headBounded = true
 	return c.Conn.SetReadDeadline(time.Now().Add(t))
 }
 
@@ -391,6 +390,9 @@
 	if c.head.bytes >= limit {
 		return c.refuse(tooLarge, scratch)
 	}
+	if err := c.boundHead(); err != nil {
+		return err
+	}
 	if have := cap(c.pending); len(c.pending) == have {
 		size := min(max(firstHeadBuffer, 2*have), limit)
 		if !c.reserveBuffer(int64(size)) {
@@ -434,7 +436,7 @@
 // admit reserves the memory for a request whose head is whole, and refuses it if there is none.
 func (c *conn) admit(scratch []byte) error {
 	cost := c.head.cost()
-	c.head = headScanner{}
+	c.head, c.headBounded = headScanner{}, false
 	p := c.listener.pool
 	if !p.reserveRequest() {
 		return c.refuse(c.listener.admission.Busy, scratch)
--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -302,6 +302,29 @@
 	}
 }
 
+// Guards against heads on kept connections, and heads sent ahead, whose time nothing bounds until it is all over.
+func TestTheTimeOfHeadsIsBounded(t *testing.T) {
+	var served atomic.Int64
+	l := New("test", "127.0.0.1:0", &http.Server{Handler: echo(&served), ReadHeaderTimeout: 100 * time.Millisecond, IdleTimeout: time.Minute})
+	is.New(t).NoErr(l.Start(discardLogger()))
+	defer l.srv.Close()
+	const whole, part = "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.1\r\na:"
+	for name, sent := range map[string][]string{"new": {part}, "kept": {whole, part}, "ahead": {whole + part}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn := dial(t, l)
+			for _, s := range sent {
+				_, err := io.WriteString(conn, s)
+				is.NoErr(err)
+				time.Sleep(20 * time.Millisecond)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			_, err := io.Copy(io.Discard, conn)
+			is.NoErr(err) // it was closed
+		})
+	}
+}
+
 // Guards against descriptors beyond the bound: connections of all addresses count, and idle ones yield.
 func TestAddressesShareTheirDescriptors(t *testing.T) {
 	is := is.New(t)
