--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -82,6 +82,18 @@
 	})
 }
 
+// holding returns a handler that closes held when it has a request of /held, which it answers once hold is closed; it
+// answers others at once.
+func holding() (h http.Handler, held, hold chan struct{}) {
+	hold, held = make(chan struct{}), make(chan struct{})
+	return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			close(held)
+			<-hold
+		}
+	}), held, hold
+}
+
 func servePool(t testing.TB, h http.Handler, a Admission, p PoolSettings) *Listener {
 	l := New("test", "127.0.0.1:0", &http.Server{Handler: h, MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute})
 	l.SetAdmission(a)
@@ -213,13 +225,7 @@
 // Guards against clients that hold up their requests and keep others from being accepted; those that are answered stay.
 func TestStalledConnectionsMakeRoom(t *testing.T) {
 	is := is.New(t)
-	hold, held := make(chan struct{}), make(chan struct{})
-	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/held" {
-			close(held)
-			<-hold
-		}
-	})
+	h, held, hold := holding()
 	var closed atomic.Value
 	l := servePool(t, h, Admission{MaxOpen: 2}, PoolSettings{OnClosed: func(reason string) { closed.Store(reason) }})
 	answered := dial(t, l)
@@ -259,13 +265,7 @@
 // Guards against a request in progress whose connection is closed as idle: it was sent ahead, with the one before.
 func TestRequestsSentAheadAreNotIdle(t *testing.T) {
 	is := is.New(t)
-	hold, held := make(chan struct{}), make(chan struct{})
-	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/held" {
-			close(held)
-			<-hold
-		}
-	})
+	h, held, hold := holding()
 	l := servePool(t, h, Admission{MaxOpen: 1}, PoolSettings{})
 	conn := dial(t, l)
 	in := bufio.NewReader(conn)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,5 +1,3 @@
-// Package listen serves HTTP on an address and shuts down without dropping a
-// request that it has already read.
 package listen
 
 import (
