edge, agent: state dumps are built one at a time

A dump of a large fleet is built whole in memory for whoever asks at the address for peers, and was held for as long as it was not read: with 2,000 endpoints, 160 MB of 96 allowed for clients that ask again and again, 148 for those that do not read.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -92,12 +92,12 @@
 
 // internalRoutes adds the routes for peers and operators.
 func (s server) internalRoutes(r *gin.Engine) {
-	r.GET("/debug/state", func(c *gin.Context) {
-		c.Header("Content-Type", "application/json")
-		enc := json.NewEncoder(c.Writer)
+	r.GET("/debug/state", gin.WrapH(listen.InTurn(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
 		enc.SetIndent("", "  ")
 		_ = enc.Encode(s.dump())
-	})
+	}))))
 	r.GET("/metrics", gin.WrapH(s.Metrics.Handler))
 	peer := peerpb.NewPeerServer(&peerServer{s})
 	r.Any(peer.PathPrefix()+"*method", gin.WrapH(membudget.Bodies(peer, maxMessageBytes, messageCost, s.Memory.messages)))
--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -49,7 +49,13 @@
 // other answers come at once.
 func newEdgeTarget(t *testing.T) *target {
 	t.Helper()
-	c := newEdgeCluster(t, edgeOptions{entries: 1, engines: 2, events: 40, limits: fleet.Limits{HeaderBytes: clientHeadBytes, BodyBytes: clientBodyBytes},
+	return newEdgeTargetAmong(t, 0)
+}
+
+// newEdgeTargetAmong is newEdgeTarget with other endpoints that the entry knows.
+func newEdgeTargetAmong(t *testing.T, otherEndpoints int) *target {
+	t.Helper()
+	c := newEdgeCluster(t, edgeOptions{entries: 1, engines: 2, events: 40, otherEndpoints: otherEndpoints, limits: fleet.Limits{HeaderBytes: clientHeadBytes, BodyBytes: clientBodyBytes},
 		settings: fmt.Sprintf("memory_mb: %d\nmax_fds: %d\n", clientsMemoryMB, clientsMaxFDs)})
 	e := c.entries[0]
 	x := &target{process: e.process, edge: e, watch: watchProcess(t, e.cmd.Process.Pid)}
@@ -637,6 +643,20 @@
 // defaultMemoryMB is the memory of a process whose settings name none.
 const defaultMemoryMB = 128
 
+// Guards against state dumps of a large fleet, each of which is built whole for whoever asks.
+func TestClientsThatAskForManyDumps(t *testing.T) {
+	x := newEdgeTargetAmong(t, 2000)
+	request := sendAndRead(func(int) string { return "GET /debug/state HTTP/1.1\r\nHost: h\r\n\r\n" })
+	x.play(t, startCrowd(clientCount, func(int) string { return x.edge.peers }, request), clientsMemoryMB, clientsMaxFDs)
+}
+
+// Guards against dumps of a large fleet that are not read.
+func TestClientsThatDoNotReadLargeDumps(t *testing.T) {
+	x := newEdgeTargetAmong(t, 2000)
+	request := sendAndHold(func(int) string { return strings.Repeat("GET /debug/state HTTP/1.1\r\nHost: h\r\n\r\n", 20) })
+	x.play(t, startCrowd(clientCount, func(int) string { return x.edge.peers }, request), clientsMemoryMB, clientsMaxFDs)
+}
+
 // newEntryTarget starts an entry of the OpenAI interface before engines that answer at once and a service that
 // takes two seconds. It has as many descriptors as its resource limit allows.
 func newEntryTarget(t *testing.T) *target {
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -46,6 +46,7 @@
 	crashOn          string        // request body that crashes an engine
 	limits           fleet.Limits  // of the configuration
 	settings         string        // further lines of the entries' settings
+	otherEndpoints   int           // registrations of other services, whose endpoints do not answer
 }
 
 type edgeEntry struct {
@@ -60,7 +61,7 @@
 	options.events = cmp.Or(options.events, 20)
 	bin, ctl := buildBinaries(t)
 	c := &edgeCluster{t: t, address: freeAddr(t), limits: options.limits}
-	startProcess(t, ctl, "standin", "platform-store", "--listen", c.address)
+	startProcess(t, ctl, "standin", "platform-store", "--listen", c.address, "--endpoints", strconv.Itoa(options.otherEndpoints))
 	c.store = platform.NewStore(c.address)
 	eventually(t, "the store answers", func() bool {
 		_, _, err := c.store.Get(context.Background(), "", true)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -180,12 +180,12 @@
 	s := meshpb.NewMeshServer(p.Mesh)
 	r.Any(s.PathPrefix()+"*method", gin.WrapH(mesh.Bounded(s, p.Memory.messages)))
 	r.GET("/metrics", gin.WrapH(p.Metrics.Handler))
-	r.GET("/debug/state", func(c *gin.Context) {
-		c.Header("Content-Type", "application/json")
-		enc := json.NewEncoder(c.Writer)
+	r.GET("/debug/state", gin.WrapH(listen.InTurn(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
 		enc.SetIndent("", "  ")
 		_ = enc.Encode(p.dump()) // fails only if the client disconnected
-	})
+	}))))
 	return p.Ingress.HandoffMiddleware(p.Tunnels.Middleware(r))
 }
 
