--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -37,8 +37,7 @@
 	return r
 }
 
-// Guards against bodies that fill the memory: what has no room is refused as not run, and told when to come back; what
-// was reserved is released.
+// Guards against bodies that fill the memory, refusals that break their promise, and memory that is never released.
 func TestBodiesWithoutMemoryAreRefused(t *testing.T) {
 	is := is.New(t)
 	memory := membudget.New(1 << 20)
--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -105,8 +105,7 @@
 	return l
 }
 
-// For any sequence of requests, sent ahead or not and in any pieces, each is answered with its own body, and all of
-// the memory is released.
+// Guards against requests on one connection that are mixed up, and memory that is never released.
 func TestRequestsOfOneConnectionAreToldApart(t *testing.T) {
 	memory := membudget.New(64 << 20)
 	heads := memory.Part(8 << 20)
@@ -169,8 +168,7 @@
 	return "POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n" + strings.Repeat("a:\r\n", n) + "\r\nbody"
 }
 
-// Guards against a refusal that breaks its promise: the request does not run, its client is told when to come back, and
-// the same request is served once there is memory.
+// Guards against a refusal that breaks its promise not to run the request and to say when to come back.
 func TestRequestsWithoutMemoryForTheirHeadsAreRefused(t *testing.T) {
 	is := is.New(t)
 	var served atomic.Int64
