--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,5 +12,7 @@
 args=(-count=1 -timeout 15m)
 [ -n "$skip" ] && args+=(-skip "^(${skip})\$")
 # The tests of e2e measure the memory of processes: they run by themselves.
-go test "${args[@]}" $(go list ./... | grep -v '/e2e$')
-go test "${args[@]}" ./e2e
+failed=0
+go test "${args[@]}" $(go list ./... | grep -v '/e2e$') || failed=1
+go test "${args[@]}" ./e2e || failed=1
+exit $failed
