upstream: answers whose status line is not valid are broken answers

What callers saw: for an engine's status 000, a 404 with the engine's seal and body (edge), or a 200 (entry); for 001 to 099 and "+20", a closed connection without an answer; 600 to 999 as they came. A 101 that no request asked for was skipped like an informational response.

Cause: http.ReadResponse takes any three characters that are a number for a status, and any HTTP/n.m. The writers of both frontages then ignore a status of 0, so that their default stands, and panic for others under 100.

Change: a scanner checks the status line as it is read, in the one place that reads heads for endpoints, handoffs and tunnels (upstream.ReadHead), and in a transport for what reads through net/http (ValidateAnswers; here the back ends of `entry` and the questions to other entries). What is not valid is a broken answer: another endpoint is tried where that is allowed, else the caller gets 502 (504 of `entry`, outcome unknown). It is logged with the request's id and the defect, and counted (ingress_invalid_answers_total, gateway_broken_answers, egress_invalid_answers_total). With an error before the first byte of a kept connection, net/http would send the request again by itself; so the transport passes on what comes before the defect.

--- a/egress/dialer.go
+++ b/egress/dialer.go
@@ -109,7 +109,7 @@
 	if d.Scope == nil {
 		d.Scope = tally.NoopScope
 	}
-	asks := &http.Transport{
+	asks := upstream.ValidateAnswers(&http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return d.DialPeer(ctx, address) },
 		MaxIdleConnsPerHost: 1,
 		MaxIdleConns:        16,
@@ -117,7 +117,7 @@
 		DisableCompression:  true,
 		// The body of an answer is not read.
 		MaxResponseHeaderBytes: maxAskHeaderBytes,
-	}
+	})
 	return &Dialer{Deps: d, links: newLinks(d.Clock), peers: newPeers(d.Clock), asks: &http.Client{Transport: asks}, wake: make(chan struct{}, 1)}
 }
 
@@ -360,6 +360,10 @@
 		d.Scope.Tagged(map[string]string{"bound": string(bound)}).Counter("bounds_exceeded_total").Inc(1)
 		d.Log.Warn("egress: entry's answer exceeds its bound; connection closed.", "bound", bound, "address", address)
 	}
+	if defect := upstream.DefectOf(err); defect != "" {
+		d.Scope.Tagged(map[string]string{"defect": string(defect)}).Counter("invalid_answers_total").Inc(1)
+		d.Log.Warn("egress: entry's answer is not valid; connection closed.", "defect", defect, "address", address)
+	}
 	var p *peerError
 	switch {
 	case !errors.As(err, &p):
--- a/egress/tunnel.go
+++ b/egress/tunnel.go
@@ -138,14 +138,7 @@
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return nil, nil, err
 	}
-	// The time is bounded by the caller.
-	bounded := upstream.NewHeadReader(conn, nil)
-	br := bufio.NewReaderSize(bounded, tunnelBuffer)
-	resp, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
-	if err != nil {
-		return nil, nil, bounded.Explain(err)
-	}
-	return resp, br, bounded.HeadRead()
+	return upstream.ReadHead(conn, http.MethodConnect, tunnelBuffer, nil) // the caller bounds the time
 }
 
 // responseError returns the error that a response which opens no tunnel stands for.
--- a/gateway/connpool.go
+++ b/gateway/connpool.go
@@ -9,6 +9,7 @@
 
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/route"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // Limits on connections to back ends.
@@ -44,8 +45,8 @@
 
 func newClient(singleUse bool) *http.Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: singleUse,
-		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}}
+	return &http.Client{Transport: upstream.ValidateAnswers(&http.Transport{DialContext: d.DialContext, DisableKeepAlives: singleUse,
+		MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes})}
 }
 
 // client returns the client for calls to address; singleUse is set for a call that may
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -17,6 +17,7 @@
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/retry"
 	"github.com/lovageweir/lovageweir/route"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // retriesPerRequest is how many retries a request gets after attempts that may
@@ -97,6 +98,7 @@
 		if !gone {
 			g.recordFailure(b, a)
 			g.recordCrash(q, b, a)
+			g.recordBroken(q, b, a)
 		}
 		if a.notRun && !gone {
 			g.Log.Info("gateway: back end did not start the request; trying the next.", "backend", b.Name, "request", q.rid, "error", a.err)
@@ -131,6 +133,19 @@
 	}
 }
 
+// recordBroken logs and counts an answer that is not valid or not whole.
+func (g *Gateway) recordBroken(q *request, b route.BackendInfo, a attempt) {
+	reason := a.code
+	if defect := upstream.DefectOf(a.err); defect != "" {
+		reason = string(defect)
+	}
+	if reason == "" { // an answer that says that the back end failed, or none
+		return
+	}
+	g.Scope.Tagged(map[string]string{"reason": reason}).Counter("broken_answers").Inc(1)
+	g.Log.Warn("gateway: back end's answer is broken.", "backend", b.Name, "request", q.rid, "reason", reason, "relayed", a.relayed, "error", a.err)
+}
+
 // watchdog cancels a call when the back end is silent for too long.
 type watchdog struct {
 	timer clockwork.Timer
--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -135,58 +135,69 @@
 	}
 }
 
-// endBroken ends a call whose answer broke off, and records which bound it exceeded, if it did.
+// endBroken ends a call whose answer broke off or is not valid, and records why.
 func (x *exchange) endBroken(c *upstreamCall, err error) {
 	outcome := place.Broken
-	if c.bound = upstream.BoundOf(err); c.bound != "" {
-		x.server.bounds.note(c.bound, call.Clip(x.metadata.ID), c.endpoint.ID)
-	}
+	c.bound = upstream.BoundOf(err)
+	x.server.faults.note(err, call.Clip(x.metadata.ID), c.endpoint.ID)
 	if c.bound == upstream.AnswersMemory && c.resp.Length >= 0 {
 		outcome = place.Abandoned // other answers fill the memory
 	}
 	x.end(c, outcome, err.Error())
 }
 
-// boundLog logs and counts exceeded bounds. It is safe for concurrent use.
-type boundLog struct {
+// faultLog logs and counts answers that exceed a bound or are not valid. It is safe for concurrent use.
+type faultLog struct {
 	clock clockwork.Clock
 	log   *slog.Logger
 	scope tally.Scope
 
 	mu      sync.Mutex
-	logged  map[upstream.Bound]time.Time
-	skipped map[upstream.Bound]int
+	logged  map[string]time.Time // by bound or defect
+	skipped map[string]int
 }
 
-// boundLogInterval is the least time between two log lines of one bound. The requests' own lines have the
-// bound of each attempt.
-const boundLogInterval = time.Second
+// faultLogInterval is the least time between two log lines of one bound or defect. The requests' own lines have
+// that of each attempt.
+const faultLogInterval = time.Second
+
+func newFaultLog(clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *faultLog {
+	return &faultLog{clock: clock, log: log, scope: scope, logged: map[string]time.Time{}, skipped: map[string]int{}}
+}
 
-func newBoundLog(clock clockwork.Clock, log *slog.Logger, scope tally.Scope) *boundLog {
-	return &boundLog{clock: clock, log: log, scope: scope, logged: map[upstream.Bound]time.Time{}, skipped: map[upstream.Bound]int{}}
+// note records the bound or the defect that an error reports, and returns whether it reports one.
+func (f *faultLog) note(err error, request string, endpoint fleet.EndpointID) bool {
+	if bound := upstream.BoundOf(err); bound != "" {
+		f.record("ingress: answer exceeds its bound; connection closed.", "bounds_exceeded_total", "bound", string(bound), request, endpoint)
+		return true
+	}
+	if defect := upstream.DefectOf(err); defect != "" {
+		f.record("ingress: answer is not valid; connection closed.", "invalid_answers_total", "defect", string(defect), request, endpoint)
+		return true
+	}
+	return false
 }
 
-func (b *boundLog) note(bound upstream.Bound, request string, endpoint fleet.EndpointID) {
-	b.scope.Tagged(map[string]string{"bound": string(bound)}).Counter("bounds_exceeded_total").Inc(1)
-	now := b.clock.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if last, ok := b.logged[bound]; ok && now.Sub(last) < boundLogInterval {
-		b.skipped[bound]++
+func (f *faultLog) record(message, counter, tag, what, request string, endpoint fleet.EndpointID) {
+	f.scope.Tagged(map[string]string{tag: what}).Counter(counter).Inc(1)
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if last, ok := f.logged[what]; ok && now.Sub(last) < faultLogInterval {
+		f.skipped[what]++
 		return
 	}
-	b.log.Warn("ingress: answer exceeds its bound; connection closed.", "bound", bound, "id", request, "endpoint", endpoint, "not_logged", b.skipped[bound])
-	b.logged[bound], b.skipped[bound] = now, 0
+	f.log.Warn(message, tag, what, "id", request, "endpoint", endpoint, "not_logged", f.skipped[what])
+	f.logged[what], f.skipped[what] = now, 0
 }
 
-// copyOutcome returns the outcome of a discarded answer. Only an exceeded bound counts for its endpoint.
+// copyOutcome returns the outcome of a discarded answer. Only an exceeded bound or an answer that is not valid counts
+// for its endpoint.
 func (s *Server) copyOutcome(sent sentRequest, ep fleet.Endpoint, err error) place.Outcome {
-	bound := upstream.BoundOf(err)
-	if bound == "" {
-		return place.Abandoned
+	if s.faults.note(err, sent.id, ep.ID) {
+		return place.Broken
 	}
-	s.bounds.note(bound, sent.id, ep.ID)
-	return place.Broken
+	return place.Abandoned
 }
 
 // handedOffBody returns the body of another entry's answer. It has as many bytes as the entry may buffer,
@@ -213,9 +224,7 @@
 	return n, err
 }
 
-// noteHandoffBound records that another entry's answer exceeded a bound, if it did.
-func (x *exchange) noteHandoffBound(err error) {
-	if bound := upstream.BoundOf(err); bound != "" {
-		x.server.bounds.note(bound, call.Clip(x.metadata.ID), fleet.EndpointID(x.handedTo))
-	}
+// noteHandoffFault records that another entry's answer exceeded a bound or is not valid, if so.
+func (x *exchange) noteHandoffFault(err error, entry string) {
+	x.server.faults.note(err, call.Clip(x.metadata.ID), fleet.EndpointID(entry))
 }
--- a/ingress/handoff.go
+++ b/ingress/handoff.go
@@ -72,7 +72,7 @@
 			continue
 		case err != nil:
 			x.runs++ // it may have run
-			x.noteHandoffBound(err)
+			x.noteHandoffFault(err, e.Instance)
 			s.Log.Warn("ingress: entry does not answer a request that was handed to it.", "id", call.Clip(x.metadata.ID), "to", e.Instance, "error", err)
 			return false
 		case s.refusedHandoff(resp):
@@ -165,7 +165,7 @@
 		case errors.Is(err, io.EOF):
 			return
 		case err != nil:
-			x.noteHandoffBound(err)
+			x.noteHandoffFault(err, x.handedTo)
 			x.abortResponse("handoff_broke_off")
 		}
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -104,7 +104,7 @@
 type Server struct {
 	Deps
 	metrics metrics
-	bounds  *boundLog
+	faults  *faultLog
 	prober  upstream.Prober
 	// exits has a call for each address whose endpoint is being checked for its exit.
 	exits    singleflight.Group
@@ -116,7 +116,7 @@
 }
 
 func New(d Deps) *Server {
-	return &Server{Deps: d, metrics: newMetrics(d.Scope), bounds: newBoundLog(d.Clock, d.Log, d.Scope)}
+	return &Server{Deps: d, metrics: newMetrics(d.Scope), faults: newFaultLog(d.Clock, d.Log, d.Scope)}
 }
 
 // Ready reports whether the server accepts new connections: it has a
--- a/upstream/bounds.go
+++ b/upstream/bounds.go
@@ -51,30 +51,32 @@
 	return ""
 }
 
-// HeadReader bounds the bytes read from a connection until the heads of an answer have been read, and the
-// time from the first byte of each head to its end. Until the first byte the endpoint may be at work.
-type HeadReader struct {
+// headReader bounds the bytes read from a connection until the heads of an answer have been read, and the
+// time from the first byte of each head to its end. Until the first byte the endpoint may be at work. It fails
+// with an InvalidError if a head is not valid.
+type headReader struct {
 	r           io.Reader
 	setDeadline func(time.Time) error // for reads of r; nil: time is not bounded
 	left        int                   // negative: unlimited
 	begun       bool                  // a part of the head was read
 	timed       bool                  // the deadline is set
-	exceeded    *BoundError           // nil: none
+	head        headScanner
+	failed      error // a BoundError or an InvalidError; nil: none
 }
 
-// NewHeadReader returns a reader of at most MaxHeadBytes.
-func NewHeadReader(r io.Reader, setDeadline func(time.Time) error) *HeadReader {
-	return &HeadReader{r: r, setDeadline: setDeadline, left: MaxHeadBytes}
+// newHeadReader returns a reader of at most MaxHeadBytes.
+func newHeadReader(r io.Reader, setDeadline func(time.Time) error) *headReader {
+	return &headReader{r: r, setDeadline: setDeadline, left: MaxHeadBytes}
 }
 
 // Read implements io.Reader.
-func (h *HeadReader) Read(b []byte) (int, error) {
+func (h *headReader) Read(b []byte) (int, error) {
 	switch {
 	case h.left < 0:
 		return h.r.Read(b)
 	case h.left == 0:
-		h.exceeded = &BoundError{HeadBytes}
-		return 0, h.exceeded
+		h.failed = &BoundError{HeadBytes}
+		return 0, h.failed
 	case h.begun && !h.timed && h.setDeadline != nil:
 		h.timed = true
 		if err := h.setDeadline(time.Now().Add(headTime)); err != nil {
@@ -85,23 +87,27 @@
 	h.left -= n
 	h.begun = h.begun || n > 0
 	if h.timed && errors.Is(err, os.ErrDeadlineExceeded) {
-		h.exceeded = &BoundError{HeadTime}
-		err = h.exceeded
+		h.failed = &BoundError{HeadTime}
+		err = h.failed
+	}
+	if _, invalid := h.head.scan(b[:n]); invalid != nil {
+		h.failed = invalid
+		return 0, invalid
 	}
 	return n, err
 }
 
-// Explain returns the bound that made reading a head fail, or else its error: net/http reports a line that
-// breaks off as malformed.
-func (h *HeadReader) Explain(err error) error {
-	if err != nil && h.exceeded != nil {
-		return h.exceeded
+// explain returns the bound or the defect that made reading a head fail, or else its error: net/http reports a line
+// that breaks off as malformed.
+func (h *headReader) explain(err error) error {
+	if err != nil && h.failed != nil {
+		return h.failed
 	}
 	return err
 }
 
 // next ends the time of a head; buffered reports whether a part of the next one was read.
-func (h *HeadReader) next(buffered bool) error {
+func (h *headReader) next(buffered bool) error {
 	h.begun = buffered
 	if !h.timed {
 		return nil
@@ -110,8 +116,8 @@
 	return h.setDeadline(time.Time{})
 }
 
-// HeadRead ends the bounds: what follows is the body.
-func (h *HeadReader) HeadRead() error {
+// headRead ends the bounds: what follows is the body.
+func (h *headReader) headRead() error {
 	h.left = -1
 	return h.next(false)
 }
--- /dev/null
+++ b/upstream/head.go
@@ -0,0 +1,134 @@
+package upstream
+
+import "errors"
+
+// Defect names why the head of an answer is not valid HTTP/1.
+type Defect string
+
+// Defects of heads.
+const (
+	StatusLine Defect = "status_line"
+	// StatusCode: it is not one of 100 to 599, or switches protocols, which no request asks for.
+	StatusCode Defect = "status_code"
+)
+
+// InvalidError reports that an answer is not valid HTTP/1. Nothing of it may be used.
+type InvalidError struct{ Defect Defect }
+
+func (e *InvalidError) Error() string { return "answer is not valid: " + string(e.Defect) }
+
+// DefectOf returns the defect that an error reports; empty: none.
+func DefectOf(err error) Defect {
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Defect
+	}
+	return ""
+}
+
+// linePart is where in a line of a head the scanner is.
+type linePart int
+
+const (
+	inStatus linePart = iota // up to the status code
+	afterCode
+	inReason
+	atField // the first byte of a line after the status line
+	inField
+)
+
+// Forms of a status line up to the code; 0 stands for a digit.
+const (
+	statusForm = "HTTP/1.0 000"
+	firstDigit = len("HTTP/1.0 ")
+)
+
+// headScanner checks the status lines of an answer, informational ones included, as they are read. net/http accepts more
+// than HTTP/1.1 allows: statuses that nobody can be sent. The zero value expects a head.
+type headScanner struct {
+	part   linePart
+	status [len(statusForm)]byte
+	read   int  // bytes of the status line's form
+	cr     bool // the byte before was a carriage return
+	ended  bool // what follows is the body
+}
+
+// scan checks the bytes that are read next, up to the end of the head. It returns how many come before the byte that is
+// not valid.
+func (s *headScanner) scan(b []byte) (int, error) {
+	for i, c := range b {
+		if s.ended {
+			break
+		}
+		if defect := s.next(c); defect != "" {
+			return i, &InvalidError{defect}
+		}
+	}
+	return len(b), nil
+}
+
+// begun reports whether a byte of the head was read.
+func (s *headScanner) begun() bool { return s.part != inStatus || s.read > 0 }
+
+// next checks one byte. A line ends with a line feed, which a carriage return may precede.
+func (s *headScanner) next(c byte) Defect {
+	if s.part < atField && s.cr && c != '\n' {
+		return StatusLine
+	}
+	s.cr = c == '\r'
+	switch {
+	case s.cr:
+		return ""
+	case c == '\n':
+		return s.endLine()
+	case s.part == inStatus:
+		return s.nextOfStatus(c)
+	case s.part == afterCode && c != ' ':
+		return StatusCode
+	case s.part == inReason && !isTextByte(c):
+		return StatusLine
+	case s.part == afterCode:
+		s.part = inReason
+	case s.part == atField:
+		s.part = inField
+	}
+	return ""
+}
+
+func (s *headScanner) nextOfStatus(c byte) Defect {
+	want := statusForm[s.read]
+	isDigit := '0' <= c && c <= '9'
+	switch {
+	case want == '0' && isDigit, want != '0' && c == want:
+	case s.read >= firstDigit:
+		return StatusCode
+	default:
+		return StatusLine
+	}
+	s.status[s.read] = c
+	if s.read++; s.read < len(statusForm) {
+		return ""
+	}
+	s.part = afterCode
+	code := string(s.status[firstDigit:])
+	if code < "100" || code > "599" || code == "101" {
+		return StatusCode
+	}
+	return ""
+}
+
+func (s *headScanner) endLine() Defect {
+	switch s.part {
+	case inStatus:
+		return StatusLine
+	case atField:
+		informational := s.status[firstDigit] == '1'
+		*s = headScanner{ended: !informational}
+		return ""
+	}
+	s.part = atField
+	return ""
+}
+
+// isTextByte reports whether a reason phrase may have a byte.
+func isTextByte(c byte) bool { return c == '\t' || c >= ' ' && c != 0x7f }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -66,10 +66,13 @@
 // Dial opens a TCP connection, within MaxDialTimeout.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(receiveBuffer) // the kernel's own bound holds otherwise
 	}
-	return conn, err
+	return conn, nil
 }
 
 // Response is a response whose body has not been read. Close must be called.
@@ -192,31 +195,39 @@
 }
 
 func readHead(conn *Conn, method string, setDeadline func(time.Time) error) (*Response, error) {
-	bounded := NewHeadReader(conn, setDeadline)
-	br := bufio.NewReaderSize(bounded, readBuffer)
+	resp, _, err := ReadHead(conn, method, readBuffer, setDeadline)
+	if err != nil {
+		return nil, err
+	}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	var body io.Reader = resp.Body
+	if len(resp.TransferEncoding) > 0 {
+		body = chunkedBody{body}
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body, Framed: framed, conn: conn}, nil
+}
+
+// ReadHead reads the head of the answer to a request from a connection, and skips informational responses before it. It
+// fails with an InvalidError if a head is not valid, and with a BoundError if one exceeds a bound; without setDeadline,
+// the caller bounds the time. buffered has what follows the head.
+func ReadHead(conn io.Reader, method string, bufferSize int, setDeadline func(time.Time) error) (resp *http.Response, buffered *bufio.Reader, err error) {
+	bounded := newHeadReader(conn, setDeadline)
+	buffered = bufio.NewReaderSize(bounded, bufferSize)
 	req := &http.Request{Method: method}
 	for range maxInformational + 1 {
-		resp, err := http.ReadResponse(br, req)
+		resp, err := http.ReadResponse(buffered, req)
 		if err != nil {
-			return nil, bounded.Explain(err)
+			return nil, nil, bounded.explain(err)
 		}
 		if resp.StatusCode/100 == 1 {
-			if err := bounded.next(br.Buffered() > 0); err != nil {
-				return nil, err
+			if err := bounded.next(buffered.Buffered() > 0); err != nil {
+				return nil, nil, err
 			}
 			continue
 		}
-		if err := bounded.HeadRead(); err != nil {
-			return nil, err
-		}
-		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-		var body io.Reader = resp.Body
-		if len(resp.TransferEncoding) > 0 {
-			body = chunkedBody{body}
-		}
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body, Framed: framed, conn: conn}, nil
+		return resp, buffered, bounded.headRead()
 	}
-	return nil, &BoundError{Informational}
+	return nil, nil, &BoundError{Informational}
 }
 
 // Check opens a connection to an endpoint and closes it again. It fails if the
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -134,7 +134,7 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	f.Add([]byte("\x00\xff"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		resp, err := upstream.ReadHead(&bytesConn{raw: raw}, http.MethodGet)
+		resp, err := upstream.ReadResponse(&bytesConn{raw: raw}, http.MethodGet)
 		if err != nil {
 			return
 		}
