upstream: answers with field lines that are not valid are broken answers

What callers saw: 200 with bytes that are no part of the engine's body, or with the lines of its chunks as the body ("Content-Length :", "Transfer-Encoding :", and chunks in HTTP/1.0); a seal that the next line was appended to (a line with a leading blank); 200 without a line whose name held a blank. Names with control bytes were refused before, by net/http; the tests keep that.

Cause: net/http accepts names with blanks and leaves them uninterpreted, so that the body has neither a length nor chunks; its server drops them when they are written. It ignores Transfer-Encoding in HTTP/1.0, and joins folded lines.

Change: the scanner that checks status lines checks all lines of a head, informational ones included. HTTP/1.1 lets a gateway either refuse folded lines or replace the fold; it may not send them itself, and a fold after the seal changes the seal, so they are refused.

--- a/internal/answertest/answertest.go
+++ b/internal/answertest/answertest.go
@@ -43,7 +43,9 @@
 )
 
 // InvalidHeads are the kinds of answers whose heads are not valid.
-var InvalidHeads = []Kind{StatusZero, StatusLow, StatusSigned, StatusHigh, StatusSwitching, StatusControl, VersionTwo}
+var InvalidHeads = []Kind{StatusZero, StatusLow, StatusSigned, StatusHigh, StatusSwitching, StatusControl, VersionTwo, NameBlank, NameBlankAtEnd,
+	LengthBlank, ChunkedBlank, NameTab, NameControl, NameNUL, NameReturn, NameEmpty, NameNotASCII, NoColon, LeadingBlank, LeadingTab,
+	FirstLeadingBlank, ValueControl, InformationalBlank, ChunkedInVersion10}
 
 // Valid answers that are unusual.
 const (
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "errors"
+import (
+	"errors"
+	"strings"
+)
 
 // Defect names why the head of an answer is not valid HTTP/1.
 type Defect string
@@ -10,6 +13,12 @@
 	StatusLine Defect = "status_line"
 	// StatusCode: it is not one of 100 to 599, or switches protocols, which no request asks for.
 	StatusCode Defect = "status_code"
+	FieldName  Defect = "field_name"
+	FieldValue Defect = "field_value"
+	// FoldedLine: a line continues the field before, which HTTP/1.1 does not allow endpoints to send.
+	FoldedLine Defect = "folded_line"
+	// OldChunks: HTTP/1.0 has no chunks.
+	OldChunks Defect = "chunks_in_http_1.0"
 )
 
 // InvalidError reports that an answer is not valid HTTP/1. Nothing of it may be used.
@@ -34,31 +43,35 @@
 	afterCode
 	inReason
 	atField // the first byte of a line after the status line
-	inField
+	inName
+	inValue
 )
 
 // Forms of a status line up to the code; 0 stands for a digit.
 const (
-	statusForm = "HTTP/1.0 000"
-	firstDigit = len("HTTP/1.0 ")
+	statusForm   = "HTTP/1.0 000"
+	minorVersion = len("HTTP/1.")
+	firstDigit   = len("HTTP/1.0 ")
 )
 
-// headScanner checks the status lines of an answer, informational ones included, as they are read. net/http accepts more
-// than HTTP/1.1 allows: statuses that nobody can be sent. The zero value expects a head.
+// headScanner checks the heads of an answer, informational ones included, as they are read. net/http accepts more than
+// HTTP/1.1 allows: names with blanks, which it drops or leaves uninterpreted, and statuses that nobody can be sent. The
+// zero value expects a head.
 type headScanner struct {
 	part   linePart
 	status [len(statusForm)]byte
-	read   int  // bytes of the status line's form
-	cr     bool // the byte before was a carriage return
-	ended  bool // what follows is the body
+	read   int    // bytes of the status line's form, or of the field's name
+	name   []byte // of the field, in HTTP/1.0
+	cr     bool   // the byte before was a carriage return
+	ended  bool   // what follows is the body
 }
 
-// scan checks the bytes that are read next, up to the end of the head. It returns how many come before the byte that is
-// not valid.
+// scan checks the bytes that are read next, up to the end of the head. It returns how many of them are valid parts of the
+// head.
 func (s *headScanner) scan(b []byte) (int, error) {
 	for i, c := range b {
 		if s.ended {
-			break
+			return i, nil
 		}
 		if defect := s.next(c); defect != "" {
 			return i, &InvalidError{defect}
@@ -72,8 +85,8 @@
 
 // next checks one byte. A line ends with a line feed, which a carriage return may precede.
 func (s *headScanner) next(c byte) Defect {
-	if s.part < atField && s.cr && c != '\n' {
-		return StatusLine
+	if s.cr && c != '\n' {
+		return s.defect()
 	}
 	s.cr = c == '\r'
 	switch {
@@ -85,14 +98,35 @@
 		return s.nextOfStatus(c)
 	case s.part == afterCode && c != ' ':
 		return StatusCode
-	case s.part == inReason && !isTextByte(c):
-		return StatusLine
 	case s.part == afterCode:
 		s.part = inReason
+		return ""
+	case s.part == atField && (c == ' ' || c == '\t'):
+		return FoldedLine
 	case s.part == atField:
-		s.part = inField
+		s.part, s.read, s.name = inName, 0, s.name[:0]
 	}
-	return ""
+	switch {
+	case s.part == inName && c == ':':
+		return s.endName()
+	case s.part == inName && isTokenByte(c):
+		s.noteName(c)
+		return ""
+	case s.part != inName && isTextByte(c):
+		return ""
+	}
+	return s.defect()
+}
+
+// defect returns what an unexpected byte makes invalid.
+func (s *headScanner) defect() Defect {
+	switch s.part {
+	case atField, inName:
+		return FieldName
+	case inValue:
+		return FieldValue
+	}
+	return StatusLine
 }
 
 func (s *headScanner) nextOfStatus(c byte) Defect {
@@ -117,10 +151,31 @@
 	return ""
 }
 
+// noteName counts the bytes of a field's name, and keeps it if it matters which one it is.
+func (s *headScanner) noteName(c byte) {
+	s.read++
+	if s.status[minorVersion] == '0' && len(s.name) <= len(transferEncoding) {
+		s.name = append(s.name, c)
+	}
+}
+
+const transferEncoding = "Transfer-Encoding"
+
+func (s *headScanner) endName() Defect {
+	if s.read == 0 {
+		return FieldName
+	}
+	if strings.EqualFold(string(s.name), transferEncoding) {
+		return OldChunks
+	}
+	s.part = inValue
+	return ""
+}
+
 func (s *headScanner) endLine() Defect {
 	switch s.part {
-	case inStatus:
-		return StatusLine
+	case inStatus, inName:
+		return s.defect()
 	case atField:
 		informational := s.status[firstDigit] == '1'
 		*s = headScanner{ended: !informational}
@@ -130,5 +185,14 @@
 	return ""
 }
 
-// isTextByte reports whether a reason phrase may have a byte.
+// isTokenByte reports whether a name may have a byte.
+func isTokenByte(c byte) bool {
+	switch {
+	case '0' <= c && c <= '9', 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
+// isTextByte reports whether a value or a reason phrase may have a byte.
 func isTextByte(c byte) bool { return c == '\t' || c >= ' ' && c != 0x7f }
