upstream: an answer that ends with its connection is not whole if a write met the reset

What callers saw: an engine answered a long upload at once, without a length, sent a part and reset the connection; the part came as a complete answer, whole or as a stream, directly, through a tunnel, and at entry.

Cause: the kernel reports a reset once, to whichever of a read and a write comes first. While the upload is being written that is mostly the write, whose error nobody looked at; the next read returns a plain end. In a tunnel, the entry in between then sent the last chunk, which says that the endpoint closed the connection properly.

Change: connections to endpoints and entries (upstream.Dial, ValidateAnswers) keep the failure that a write meets, and reads return it instead of io.EOF. At the end of the input a write in progress is interrupted and waited for, as it may just have met the reset. EPIPE is no reset: Linux returns it for writes after the peer has ended the connection properly. So an engine that ends its answer and reads on, or closes, is served as before.

The link of the tests resets connections through the wrapped connection, as it did before.

--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -200,3 +200,27 @@
 
 // longPadding makes a body exceed what the kernel buffers between an entry and a back end that does not read.
 var longPadding = strings.Repeat("b", maxRequestBody-1024)
+
+// earlyResets is how many answers of each kind are reset in their middle. Whether a read or a write meets the reset
+// first is a race.
+const earlyResets = 50
+
+// Guards against taking the part of an answer for whole that arrived until its connection was reset, if a write of the
+// request's body met the reset.
+func TestAnAnswerResetDuringTheUploadIsNotWhole(t *testing.T) {
+	for _, m := range brokenModes {
+		t.Run(m.name, func(t *testing.T) {
+			is := is.New(t)
+			wrong := 0
+			for range earlyResets {
+				got, runs := m.play(t, answertest.EarlyReset, longPadding)
+				again := m.may && !m.stream // what was passed on of a stream ends with an error
+				if m.whole(got) != again || !again && !strings.Contains(got.body, openai.OutcomeUnknown) || again != (runs == 2) {
+					wrong++
+				}
+			}
+			t.Logf("%d of %d answers were wrong", wrong, earlyResets)
+			is.Equal(wrong, 0)
+		})
+	}
+}
--- a/ingress/broken_test.go
+++ b/ingress/broken_test.go
@@ -235,3 +235,52 @@
 	w.t.Cleanup(srv.Close)
 	w.url = srv.URL
 }
+
+// earlyResets is how many answers of each kind are reset in their middle. Whether a read or a write meets the reset
+// first is a race.
+const earlyResets = 50
+
+// Guards against taking the part of an answer for whole that arrived until its connection was reset, if a write of the
+// request's body met the reset.
+func TestAnAnswerResetDuringTheUploadIsNotWhole(t *testing.T) {
+	for _, tunnel := range []bool{false, true} {
+		for path, again := range answeredElsewhere {
+			t.Run(fmt.Sprintf("tunnel=%v%s", tunnel, path), func(t *testing.T) {
+				is := is.New(t)
+				f := newCluster(t, 2, clockwork.NewRealClock())
+				w := f.all[0]
+				for n := range 3 {
+					w.addEngine(platformtest.EngineConfig{ID: fmt.Sprint("e", n), Service: service, Domain: "d1", Version: "v1"})
+				}
+				f.sync()
+				w.allowLongBodies()
+				f.sync()
+				if tunnel {
+					w.link.set(linkRefuses)
+					w.do(http.MethodPost, "/get/x", "body") // finds the link lost
+				}
+				for _, e := range w.engines {
+					e.FaultOf = func(r *http.Request) platformtest.Fault {
+						if w.runsOf(r.Header.Get("X-Attempt-Id")) == 0 {
+							return platformtest.Fault(answertest.EarlyReset)
+						}
+						return platformtest.NoFault
+					}
+				}
+				wrong := 0
+				for n := range earlyResets {
+					id := fmt.Sprint("r", n)
+					got := w.callRaw(path, id, longBody)
+					looksWhole := got.err == nil && got.status == http.StatusOK
+					if looksWhole != again || w.runsOf(id) > 1 != again {
+						wrong++
+						continue
+					}
+					w.assertBroken(is, path, id, got)
+				}
+				t.Logf("%d of %d answers were wrong", wrong, earlyResets)
+				is.Equal(wrong, 0)
+			})
+		}
+	}
+}
--- a/ingress/link_test.go
+++ b/ingress/link_test.go
@@ -102,9 +102,7 @@
 func (c *linkConn) silence() { c.silenceOnce.Do(func() { close(c.silent) }) }
 
 func (c *linkConn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	_ = c.Conn.(interface{ NetConn() net.Conn }).NetConn().(*net.TCPConn).SetLinger(0)
 	_ = c.Conn.Close()
 }
 
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -14,8 +14,8 @@
 	return &http.Client{Transport: LimitBodies(ValidateAnswers(t), max)}
 }
 
-// ValidateAnswers returns a transport that fails for an answer which is not valid HTTP/1. Heads that come over
-// TLS are not checked. It replaces t's DialContext.
+// ValidateAnswers returns a transport that fails for an answer which is not valid HTTP/1, and whose bodies fail if they
+// end with a connection that was reset. Heads that come over TLS are not checked. It replaces t's DialContext.
 func ValidateAnswers(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -26,7 +26,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &answersConn{Conn: conn, head: headScanner{ended: true}}, nil
+		return &answersConn{Conn: detectResets(conn), head: headScanner{ended: true}}, nil
 	}
 	return validatingTransport{t}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -63,7 +63,8 @@
 // DialFunc opens a connection to an address, IP:port. It returns once ctx is done.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// Dial opens a TCP connection, within MaxDialTimeout.
+// Dial opens a TCP connection, within MaxDialTimeout. Its reads end with io.EOF only if the peer ended the connection
+// properly, also if a write meets a reset first.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -72,7 +73,7 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(receiveBuffer) // the kernel's own bound holds otherwise
 	}
-	return conn, nil
+	return detectResets(conn), nil
 }
 
 // Response is a response whose body has not been read. Close must be called.
