store, entries, raters, engines' reports: answers that are not valid are not used

Every other place that reads answers reads them through upstream.ValidateAnswers now: the platform's store, the KV service, messages and owners of limits between entries (mesh, peers), raters, load reports, orders. Before, each used what net/http accepts: a store's answer whose era stands in a name with a blank has none.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"time"
 
@@ -98,7 +97,7 @@
 
 func newMetrics(lc fx.Lifecycle) *telemetry.Metrics { return telemetry.New(lc, metricsInterval) }
 
-func newKV(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, &http.Client{}) }
+func newKV(s *settings.Entry) kv.Client { return etcdv3.New(s.KV, nil) }
 
 func newMembers(s *settings.Entry, inc incarnation, clock clockwork.Clock) *peers.Table {
 	return peers.NewTable(&peerpb.Member{Instance: s.Instance, Domain: s.Domain, Address: s.Advertise, Life: int64(inc)}, clock,
--- a/endpoints/poll.go
+++ b/endpoints/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // Polling intervals and limits.
@@ -62,7 +62,7 @@
 // earlier one.
 func NewPoller(table *Table, currentTable func() *route.Table, assignments Assignments, domain string, incarnation int64, listURL string, log *slog.Logger) *Poller {
 	return &Poller{table: table, currentTable: currentTable, assignments: assignments, domain: domain, incarnation: incarnation, listURL: listURL, log: log,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}}}
+		client: upstream.NewClient(&http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}, maxResponseBytes)}
 }
 
 // Poll runs one polling round.
@@ -163,5 +163,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return trace.Errorf("%s answered %d", url, resp.StatusCode)
 	}
-	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out))
+	return trace.Wrap(json.NewDecoder(resp.Body).Decode(out))
 }
--- a/kv/etcdv3/client.go
+++ b/kv/etcdv3/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/kv/etcdv3/api"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // maxResponseSize limits one response: the platform's values are at most 1 MiB,
@@ -33,10 +34,11 @@
 
 // New returns a client for the service at baseURL (e.g.
 // http://127.0.0.1:2379). hc must have no overall timeout, because watches are
-// long-running; deadlines come from each call's context.
+// long-running; deadlines come from each call's context. If hc is nil, answers
+// are checked and bounded.
 func New(baseURL string, hc *http.Client) *Client {
 	if hc == nil {
-		hc = &http.Client{}
+		hc = upstream.NewClient(http.DefaultTransport.(*http.Transport).Clone(), maxResponseSize)
 	}
 	return &Client{base: baseURL, hc: hc}
 }
--- a/mesh/bounds.go
+++ b/mesh/bounds.go
@@ -30,7 +30,7 @@
 // newClient returns a client of other entries whose answers have bodies of at most max bytes.
 func newClient(t *http.Transport, max int64) *http.Client {
 	t.MaxResponseHeaderBytes = maxHeaderBytes
-	return &http.Client{Transport: upstream.LimitBodies(t, max)}
+	return upstream.NewClient(t, max)
 }
 
 // Bounded returns a handler that bounds the messages of other entries in bytes, in time, and in the memory that all of
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -15,6 +15,7 @@
 	"github.com/lovageweir/lovageweir/kv"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 const (
@@ -22,8 +23,10 @@
 	Interval = 3 * time.Second
 	// reorderDelay is the minimum time between two orders to an engine: loading
 	// takes time, and the weight store is rate-limited.
-	reorderDelay = 15 * time.Second
-	orderTimeout = 2 * time.Second
+	reorderDelay    = 15 * time.Second
+	orderTimeout    = 2 * time.Second
+	idleConnTimeout = 10 * time.Second
+	maxHeaderBytes  = 16 << 10
 	// maxOrdersPerRound limits the orders of one round, so that a change for a
 	// whole pool neither empties it at once nor overloads the weight store.
 	maxOrdersPerRound = 2
@@ -61,7 +64,12 @@
 // try to acquire the duty.
 func New(d Duty, eligible func() bool, table func() *route.Table, reports Reports, domain string, clock clockwork.Clock, log *slog.Logger) *Reconciler {
 	return &Reconciler{duty: d, eligible: eligible, table: table, reports: reports, domain: domain, clock: clock, log: log,
-		hc: &http.Client{Timeout: orderTimeout}, lastOrdered: map[string]time.Time{}}
+		hc: newOrderClient(), lastOrdered: map[string]time.Time{}}
+}
+
+func newOrderClient() *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &http.Client{Transport: upstream.ValidateAnswers(t), Timeout: orderTimeout} // bodies are not read
 }
 
 // Reconcile renews the duty and, if it is held, sends the orders that are due.
--- a/peers/gossip.go
+++ b/peers/gossip.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lovageweir/lovageweir/rpc/peerpb"
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // Bounds of gossip.
@@ -55,9 +56,15 @@
 // Dial returns a client for a peer's base URL.
 type Dial func(address string) peerpb.Peer
 
+// Bounds of the answers of peers, whose digests and snapshots of the configuration are as large as their messages.
+const (
+	maxHeaderBytes  = 16 << 10
+	maxMessageBytes = 16 << 20
+)
+
 // HTTPDial returns a Dial over HTTP whose calls share one connection pool.
 func HTTPDial() Dial {
-	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}}
+	hc := upstream.NewClient(&http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}, maxMessageBytes)
 	var clients sync.Map // address -> peerpb.Peer
 	return func(address string) peerpb.Peer {
 		if c, ok := clients.Load(address); ok {
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/lovageweir/lovageweir/upstream"
 )
 
 // Path is the URL path for rating requests (POST, Answer as JSON).
@@ -17,6 +19,12 @@
 // Timeout bounds one rating call.
 const Timeout = 500 * time.Millisecond
 
+// Bounds of the rater's answers.
+const (
+	maxHeaderBytes = 16 << 10
+	maxScoreBytes  = 16 << 10
+)
+
 // Answer is the request body: the answer to rate and the prompt it belongs to.
 type Answer struct {
 	RequestID string `json:"request_id"`
@@ -45,7 +53,7 @@
 // NewClient returns a client for the service at baseURL.
 func NewClient(baseURL string) *Client {
 	return &Client{base: strings.TrimSuffix(baseURL, "/"),
-		hc: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}}}
+		hc: upstream.NewClient(&http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeaderBytes}, maxScoreBytes)}
 }
 
 // Rate implements Rater.
