--- a/ingress/bounds.go
+++ b/ingress/bounds.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -13,7 +12,7 @@
 
 	"github.com/lovageweir/lovageweir/call"
 	"github.com/lovageweir/lovageweir/fleet"
-	"github.com/lovageweir/lovageweir/internal/membudget"
+	"github.com/lovageweir/lovageweir/internal/answerbuf"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/upstream"
 )
@@ -24,114 +23,27 @@
 	// maxCopyBytes bounds the discarded answer of a copy. Those of trials are streams of up to four
 	// seconds, of some hundred KB.
 	maxCopyBytes = 1 << 20
-	// shortAnswerBytes is the size up to which answers may use all of the memory for answers. Longer ones
-	// leave shortAnswerShare of it, so that answers without end do not keep out short ones.
-	shortAnswerBytes = 64 << 10
-	shortAnswerShare = 0.25
-	// firstAnswerBuffer is the first buffer of an answer of unknown length.
-	firstAnswerBuffer = 4 << 10
 )
 
-// reserveAnswer takes n bytes for an answer that has held bytes, which it is to give back, and reports whether there
-// was room.
-func reserveAnswer(m *membudget.Budget, n, held int64) bool {
-	if n > shortAnswerBytes {
-		return m.ReserveWithin(n, held, 1-shortAnswerShare)
-	}
-	return m.Reserve(n)
-}
-
-// answerBuffer holds a buffered answer. Its memory is reserved before it is allocated.
-type answerBuffer struct {
-	memory *membudget.Budget
-	bytes  []byte
-	held   int64
-}
-
-// grow makes room for more bytes.
-func (a *answerBuffer) grow(size int64) error {
-	if size > maxAnswerBytes {
-		return &upstream.BoundError{Bound: upstream.AnswerBytes}
-	}
-	if !reserveAnswer(a.memory, size, a.held) {
-		return &upstream.BoundError{Bound: upstream.AnswersMemory}
-	}
-	grown := make([]byte, len(a.bytes), size)
-	copy(grown, a.bytes)
-	a.memory.Release(a.held)
-	a.bytes, a.held = grown, size
-	return nil
-}
-
-// release gives the memory back; the bytes must not be used afterwards.
-func (a *answerBuffer) release() {
-	a.memory.Release(a.held)
-	a.bytes, a.held = nil, 0
-}
-
-// read reads a whole body of a length; negative: unknown.
-func (a *answerBuffer) read(r io.Reader, length int64) error {
-	if length >= 0 {
-		if err := a.grow(length); err != nil {
-			return err
-		}
-		n, err := io.ReadFull(r, a.bytes[:length])
-		a.bytes = a.bytes[:n]
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	for {
-		if len(a.bytes) == maxAnswerBytes {
-			return expectEnd(r)
-		}
-		if len(a.bytes) == cap(a.bytes) {
-			if err := a.grow(min(max(firstAnswerBuffer, 2*int64(cap(a.bytes))), maxAnswerBytes)); err != nil {
-				return err
-			}
-		}
-		n, err := r.Read(a.bytes[len(a.bytes):cap(a.bytes)])
-		a.bytes = a.bytes[:len(a.bytes)+n]
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// expectEnd returns nil if nothing follows in a body of maxAnswerBytes.
-func expectEnd(r io.Reader) error {
-	switch _, err := io.ReadFull(r, make([]byte, 1)); {
-	case err == nil:
-		return &upstream.BoundError{Bound: upstream.AnswerBytes}
-	case !errors.Is(err, io.EOF):
-		return err
-	}
-	return nil
-}
-
 // readAnswer reads the whole body. Its memory is held until releaseAnswer.
 func (x *exchange) readAnswer(c *upstreamCall) ([]byte, error) {
 	x.releaseAnswer() // of an earlier attempt
-	x.answer.memory = x.server.AnswerMemory
+	x.answer = answerbuf.New(x.server.AnswerMemory, maxAnswerBytes)
 	length := c.resp.Length
 	if c.resp.Body == http.NoBody {
 		length = 0 // the head of an answer to HEAD may tell another
 	}
-	if err := x.answer.read(c.resp.Body, length); err != nil {
+	if err := x.answer.Read(c.resp.Body, length); err != nil {
 		x.releaseAnswer()
 		return nil, err
 	}
-	return x.answer.bytes, x.checkEnd(c)
+	return x.answer.Bytes, x.checkEnd(c)
 }
 
 // releaseAnswer gives back the memory of a buffered answer once it is written or not used.
 func (x *exchange) releaseAnswer() {
-	if x.answer.held > 0 {
-		x.answer.release()
+	if x.answer.Held() > 0 {
+		x.answer.Release()
 	}
 }
 
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"github.com/lovageweir/lovageweir/internal/answerbuf"
 	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/upstream"
 )
@@ -30,7 +31,7 @@
 type eventReader struct {
 	r   *bufio.Reader
 	id  func(line []byte) ([]byte, bool)
-	buf answerBuffer
+	buf answerbuf.Buffer
 	// progress bounds the time in which bytes must form an event; nil: unbounded.
 	progress *progress
 	// idle counts the bytes since the last event that are none: comments and empty lines. pending: some of
@@ -40,17 +41,17 @@
 }
 
 func newEventReader(r io.Reader, id func(line []byte) ([]byte, bool)) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), id: id, buf: answerBuffer{memory: nil}}
+	return &eventReader{r: bufio.NewReaderSize(r, eventBufferBytes), id: id, buf: answerbuf.New(nil, maxAnswerBytes)}
 }
 
 // newBoundedEventReader returns a reader that fails with EventTime if bytes of an answer form no event
 // within limit; 0: unbounded. Its buffer counts against memory until release.
 func newBoundedEventReader(resp *upstream.Response, limit time.Duration, memory *membudget.Budget, id func(line []byte) ([]byte, bool)) *eventReader {
 	e := newEventReader(resp.Body, id)
-	e.buf.memory = memory
+	e.buf = answerbuf.New(memory, maxAnswerBytes)
 	if limit > 0 {
 		e.progress = &progress{body: resp.Body, setDeadline: resp.SetReadDeadline, limit: limit}
-		e.progress.partial = func() bool { return e.pending || len(e.buf.bytes) > 0 || e.r.Buffered() > 0 }
+		e.progress.partial = func() bool { return e.pending || len(e.buf.Bytes) > 0 || e.r.Buffered() > 0 }
 		e.r.Reset(e.progress)
 	}
 	return e
@@ -61,13 +62,13 @@
 // event. The event is valid until the next call. Comments are returned like events, further empty
 // lines with the event that follows.
 func (e *eventReader) next() (event, id []byte, err error) {
-	if e.buf.held > keptEventBytes {
-		e.buf.release()
+	if e.buf.Held() > keptEventBytes {
+		e.buf.Release()
 	}
-	e.buf.bytes = e.buf.bytes[:0]
+	e.buf.Bytes = e.buf.Bytes[:0]
 	hasField, isNewLine, isEmpty := false, true, true
 	for {
-		start := len(e.buf.bytes)
+		start := len(e.buf.Bytes)
 		line, err := e.r.ReadSlice('\n')
 		blank := err == nil && isNewLine && len(bytes.TrimRight(line, "\r\n")) == 0
 		isEmpty = isEmpty && (blank || len(line) == 0)
@@ -80,40 +81,40 @@
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.buf.bytes) > 0 && isEmpty {
-				return e.buf.bytes, nil, nil
+			if errors.Is(err, io.EOF) && len(e.buf.Bytes) > 0 && isEmpty {
+				return e.buf.Bytes, nil, nil
 			}
-			if errors.Is(err, io.EOF) && len(e.buf.bytes) > 0 {
+			if errors.Is(err, io.EOF) && len(e.buf.Bytes) > 0 {
 				return nil, nil, io.ErrUnexpectedEOF
 			}
 			return nil, nil, err
 		}
-		if lineID, ok := e.id(e.buf.bytes[start:]); ok {
+		if lineID, ok := e.id(e.buf.Bytes[start:]); ok {
 			id = bytes.Clone(lineID)
 		}
 		if blank && !isEmpty {
-			return e.buf.bytes, id, e.ended(hasField)
+			return e.buf.Bytes, id, e.ended(hasField)
 		}
 	}
 }
 
 // add appends bytes to the event, which may have empty lines only so far.
 func (e *eventReader) add(line []byte, isEmpty bool) error {
-	size := len(e.buf.bytes) + len(line)
+	size := len(e.buf.Bytes) + len(line)
 	if size > maxEventBytes || e.idle > maxIdleBytes || isEmpty && size > maxIdleBytes {
 		return &upstream.BoundError{Bound: upstream.EventBytes}
 	}
-	if size > cap(e.buf.bytes) {
-		if err := e.buf.grow(int64(max(firstEventBuffer, size, 2*cap(e.buf.bytes)))); err != nil {
+	if size > cap(e.buf.Bytes) {
+		if err := e.buf.Grow(int64(max(firstEventBuffer, size, 2*cap(e.buf.Bytes)))); err != nil {
 			return err
 		}
 	}
-	e.buf.bytes = append(e.buf.bytes, line...)
+	e.buf.Bytes = append(e.buf.Bytes, line...)
 	return nil
 }
 
 // release gives back the memory of the reader's buffer.
-func (e *eventReader) release() { e.buf.release() }
+func (e *eventReader) release() { e.buf.Release() }
 
 // isField reports whether a line, or its beginning, is a field of an event.
 func isField(line []byte) bool {
@@ -122,7 +123,7 @@
 
 // ended records what the bytes up to an empty line were: an event, a comment or nothing.
 func (e *eventReader) ended(isEvent bool) error {
-	e.idle += len(e.buf.bytes)
+	e.idle += len(e.buf.Bytes)
 	if isEvent {
 		e.idle = 0
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/lovageweir/lovageweir/drain"
 	"github.com/lovageweir/lovageweir/egress"
 	"github.com/lovageweir/lovageweir/fleet"
+	"github.com/lovageweir/lovageweir/internal/answerbuf"
 	"github.com/lovageweir/lovageweir/place"
 	"github.com/lovageweir/lovageweir/quarantine"
 	"github.com/lovageweir/lovageweir/retry"
@@ -86,8 +87,8 @@
 	copied        bool        // a copy was sent to an endpoint on trial
 	answered      atomic.Bool // completely, before the caller left
 
-	writeUntil time.Time    // when the caller's connection is closed
-	answer     answerBuffer // a buffered answer
+	writeUntil time.Time        // when the caller's connection is closed
+	answer     answerbuf.Buffer // a buffered answer
 }
 
 // attempt records one send for the log.
