gateway: answers without end do not fill the memory

What callers would see: a back end that sends without end made an entry of the OpenAI interface run out of memory, with all other requests on it. Whole bodies were bounded at 16 MB each, not together; events of a stream that is buffered for a caller or the rater were not bounded at all.

Change: what is buffered of answers counts against an eighth of the process's memory before it is allocated, as at edge: bodies, long lines, and events that are kept. Beyond that the answer is broken: another back end is tried where that is allowed, else the outcome is unknown. Such answers, and back ends that give none, are counted (gateway_broken_answers) and logged.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -165,19 +165,20 @@
 	// clientMemoryDivisor sets the part for connections, requests in progress, heads and bodies.
 	clientMemoryDivisor = 2
 	// headMemoryDivisor sets the part of it for heads, bodyMemoryDivisor that for bodies as decoded,
-	// messageMemoryDivisor that for messages of peers.
+	// messageMemoryDivisor that for messages of peers, answerMemoryDivisor that for buffered answers.
 	headMemoryDivisor    = 8
 	bodyMemoryDivisor    = 4
 	messageMemoryDivisor = 8
+	answerMemoryDivisor  = 8
 )
 
 // clientMemory is the budget of what clients take up.
-type clientMemory struct{ all, heads, bodies, messages *membudget.Budget }
+type clientMemory struct{ all, heads, bodies, answers, messages *membudget.Budget }
 
 func newClientMemory(s *settings.Entry) clientMemory {
 	total := int64(s.MemoryMB) << 20
 	all := membudget.New(total / clientMemoryDivisor)
-	return clientMemory{all: all, heads: all.Part(total / headMemoryDivisor), bodies: all.Part(total / bodyMemoryDivisor), messages: all.Part(total / messageMemoryDivisor)}
+	return clientMemory{all: all, heads: all.Part(total / headMemoryDivisor), bodies: all.Part(total / bodyMemoryDivisor), answers: all.Part(total / answerMemoryDivisor), messages: all.Part(total / messageMemoryDivisor)}
 }
 
 func newReport(log *slog.Logger, m *telemetry.Metrics) *listen.Report {
@@ -199,7 +200,7 @@
 	}
 	d := gateway.Deps{
 		Instance: s.Instance, Incarnation: int64(inc), Domain: s.Domain, Tables: w, Endpoints: t, Keys: keys, Bill: billing, Claims: claims,
-		Guard: gd, Quarantine: q, Limits: rl, Planner: planner, Gate: gate, BodyMemory: memory.bodies, Connections: pool, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
+		Guard: gd, Quarantine: q, Limits: rl, Planner: planner, Gate: gate, BodyMemory: memory.bodies, AnswerMemory: memory.answers, Connections: pool, Clock: clock, Log: log.With("part", "gateway"), Scope: m.Scope.SubScope("gateway"),
 		Timeouts: gateway.Timeouts{FirstToken: s.FirstTokenTimeout, Idle: s.IdleTimeout, Unary: s.AnswerTimeout},
 	}
 	if s.Rater != "" {
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -40,6 +40,16 @@
 	uses       []ledger.Use
 	pins       map[string]string // the session's versions, by model
 	release    func()            // releases its claim on the idempotency key
+	ends       []func()          // called once it has been answered
+}
+
+// atEnd calls f once the request has been answered.
+func (q *request) atEnd(f func()) { q.ends = append(q.ends, f) }
+
+func (q *request) end() {
+	for _, f := range q.ends {
+		f()
+	}
 }
 
 // noteRateLimited records that a candidate was skipped and has capacity after wait.
@@ -148,6 +158,7 @@
 // refusal it returns means that the request did not run; all other responses it
 // writes itself.
 func (g *Gateway) serveChat(q *request) *route.Refusal {
+	defer q.end()
 	steps := q.table.Steps(q.route.APIKey, q.name)
 	if len(steps) == 0 {
 		if _, ref := g.decide(q, q.name); ref != nil {
@@ -230,7 +241,7 @@
 // tryStep runs a step whose answer is rated before the caller gets any of it. It
 // returns nil if the step gave no complete answer.
 func (g *Gateway) tryStep(q *request, dec *route.Decision) *heldAnswer {
-	ans := newBufferedAnswer(q)
+	ans := g.newBufferedAnswer(q)
 	if res := g.dispatch(q, dec, ans); res.kind != completeAnswer {
 		return nil
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,8 @@
 	Limits *ratelimit.Limits
 	// BodyMemory bounds the memory of request bodies, as sent and as decoded; nil: unlimited.
 	BodyMemory *membudget.Budget
+	// AnswerMemory bounds the memory of buffered answers; nil: unlimited.
+	AnswerMemory *membudget.Budget
 	// Connections makes room for bodies; optional: without it, none is made.
 	Connections *listen.Pool
 	Timeouts    Timeouts
--- a/gateway/output.go
+++ b/gateway/output.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/lovageweir/lovageweir/config"
+	"github.com/lovageweir/lovageweir/internal/answerbuf"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
 )
@@ -16,12 +17,19 @@
 	rid       string
 	askStream bool // whether the back end is asked to stream
 
-	chunks  [][]byte // streamed: the data of each event
+	memory  answerbuf.Account // of chunks and content
+	chunks  [][]byte          // streamed: the data of each event
 	content strings.Builder
 	last    openai.Chunk
 	body    []byte // not streamed: the back end's body
 }
 
+// Memory of an event: its data, the text of it twice as the buffer for it grows, and what points to them.
+const (
+	eventCost     = 3
+	eventOverhead = 64
+)
+
 // unstreamableFields are the request fields whose answers have parts that cannot
 // be assembled from streamed text. If one is present and the caller did not ask
 // to stream, the back end is not asked to stream either.
@@ -30,8 +38,11 @@
 // newBufferedAnswer returns an empty answer to q. Engines are asked to stream even
 // if the caller did not ask to: a stream reveals a silent engine within the first-token
 // timeout, a non-streamed answer only after minutes.
-func newBufferedAnswer(q *request) *bufferedAnswer {
-	a := &bufferedAnswer{rid: q.rid, askStream: true}
+//
+// Its memory is held until the request ends.
+func (g *Gateway) newBufferedAnswer(q *request) *bufferedAnswer {
+	a := &bufferedAnswer{rid: q.rid, askStream: true, memory: answerbuf.NewAccount(g.AnswerMemory, maxAnswerBody)}
+	q.atEnd(a.memory.Release)
 	for _, f := range unstreamableFields {
 		if _, ok := q.fields[f]; ok && !q.stream {
 			a.askStream = false
@@ -42,7 +53,10 @@
 
 func (a *bufferedAnswer) streams() bool { return a.askStream }
 
-func (a *bufferedAnswer) event(data []byte, ch *openai.Chunk) bool {
+func (a *bufferedAnswer) event(data []byte, ch *openai.Chunk) (bool, error) {
+	if err := a.memory.Add(eventCost*int64(len(data)) + eventOverhead); err != nil {
+		return false, err
+	}
 	a.chunks = append(a.chunks, append([]byte(nil), data...))
 	for _, c := range ch.Choices {
 		a.content.WriteString(c.Delta.Content)
@@ -50,7 +64,7 @@
 	if ch.Usage != nil || len(ch.Choices) > 0 && ch.Choices[0].FinishReason != nil {
 		a.last = *ch
 	}
-	return false
+	return false, nil
 }
 
 func (a *bufferedAnswer) complete(_ *http.Response, body []byte, b route.BackendInfo) (int, error) {
@@ -71,6 +85,7 @@
 func (a *bufferedAnswer) reset() {
 	a.chunks, a.body, a.last = nil, nil, openai.Chunk{}
 	a.content.Reset()
+	a.memory.Release()
 }
 
 func (a *bufferedAnswer) text() string { return a.content.String() }
@@ -104,7 +119,7 @@
 }
 
 func (g *Gateway) newOutput(q *request, dec *route.Decision) *output {
-	o := &output{g: g, q: q, dec: dec, bufferedAnswer: newBufferedAnswer(q)}
+	o := &output{g: g, q: q, dec: dec, bufferedAnswer: g.newBufferedAnswer(q)}
 	if len(dec.Candidates) > 0 && dec.Candidates[0].Kind != config.KindEngine {
 		o.askStream = q.stream // plain services may not support streaming
 	}
@@ -113,7 +128,7 @@
 
 // event implements sink. For a streaming caller it writes the event at once and
 // keeps only as much text as the rater needs.
-func (o *output) event(data []byte, ch *openai.Chunk) bool {
+func (o *output) event(data []byte, ch *openai.Chunk) (bool, error) {
 	if !o.q.stream {
 		return o.bufferedAnswer.event(data, ch)
 	}
@@ -124,7 +139,7 @@
 			o.content.WriteString(c.Delta.Content)
 		}
 	}
-	return true
+	return true, nil
 }
 
 func (o *output) writeHeader() {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -9,12 +9,15 @@
 	"io"
 	"net/http"
 
+	"github.com/lovageweir/lovageweir/internal/answerbuf"
+	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/openai"
 	"github.com/lovageweir/lovageweir/route"
 )
 
-// sseInitialBuffer is the initial size of the line buffer, which may grow to
-// sseMaxLine. It is small since about 100 streams are in flight per entry.
+// sseInitialBuffer is the size of the buffer for lines; longer ones, of up to
+// sseMaxLine, take memory of their own. It is small since about 100 streams are
+// in flight per entry.
 const (
 	sseInitialBuffer = 4 << 10
 	sseMaxLine       = 1 << 20
@@ -33,11 +36,12 @@
 // relayStream passes the events of a back end to the sink, and checks that each
 // belongs to this request and version.
 func (g *Gateway) relayStream(resp *http.Response, q *request, b route.BackendInfo, wd *watchdog, s sink) attempt {
-	sc := bufio.NewScanner(resp.Body)
-	sc.Buffer(make([]byte, sseInitialBuffer), sseMaxLine)
+	lines := newLineReader(resp.Body, g.AnswerMemory)
+	defer lines.long.Release()
 	var a attempt
-	for sc.Scan() {
-		data, ok := bytes.CutPrefix(sc.Bytes(), dataPrefix)
+	var line []byte
+	for line, a.err = lines.next(); a.err == nil; line, a.err = lines.next() {
+		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue
 		}
@@ -54,33 +58,75 @@
 			return a
 		}
 		a.tokens++
-		a.relayed = s.event(data, &ch)
+		if a.relayed, a.err = s.event(data, &ch); a.err != nil {
+			break
+		}
+	}
+	a.code = "stream_cut"
+	if errors.Is(a.err, io.EOF) {
+		a.err = errors.New("stream ended before [DONE]")
 	}
-	a.code, a.err = "stream_cut", errors.New("stream ended before [DONE]")
 	if wd.fired.Load() {
 		a.code = "backend_silent"
 	}
 	return a
 }
 
+// lineReader reads lines, without their ends. The last one may lack it.
+type lineReader struct {
+	r    *bufio.Reader
+	long answerbuf.Buffer // of a line that exceeds the reader's buffer
+}
+
+func newLineReader(r io.Reader, memory *membudget.Budget) *lineReader {
+	return &lineReader{r: bufio.NewReaderSize(r, sseInitialBuffer), long: answerbuf.New(memory, sseMaxLine)}
+}
+
+// next returns the next line, which is valid until the next call.
+func (l *lineReader) next() ([]byte, error) {
+	l.long.Release()
+	for {
+		part, err := l.r.ReadSlice('\n')
+		line := part
+		if errors.Is(err, bufio.ErrBufferFull) || l.long.Held() > 0 {
+			size := int64(len(l.long.Bytes) + len(part))
+			if size > int64(cap(l.long.Bytes)) {
+				if err := l.long.Grow(max(size, min(2*size, sseMaxLine))); err != nil {
+					return nil, err
+				}
+			}
+			l.long.Bytes = append(l.long.Bytes, part...)
+			line = l.long.Bytes
+		}
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err == nil, errors.Is(err, io.EOF) && len(line) > 0:
+			return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r")), nil
+		}
+		return nil, err
+	}
+}
+
 // modelMatches checks the model name of an answer; plain services need not send one.
 func modelMatches(name string, b route.BackendInfo) bool {
 	return name == "" || name == b.Serves()
 }
 
-func (g *Gateway) relayBody(resp *http.Response, b route.BackendInfo, s sink) attempt {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBody+1))
-	if err == nil && len(body) > maxAnswerBody {
-		err = errors.New("answer is too large")
-	}
+// relayBody passes a whole answer to the sink. Its memory is held until the request ends.
+func (g *Gateway) relayBody(resp *http.Response, q *request, b route.BackendInfo, s sink) attempt {
+	buf := answerbuf.New(g.AnswerMemory, maxAnswerBody)
+	q.atEnd(buf.Release)
+	err := buf.Read(resp.Body, resp.ContentLength)
 	if framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0; err == nil && !framed && g.prober.Exited(b.Address) {
 		err = errors.New("answer without a length ended with its back end")
 	}
 	if err == nil {
 		var tokens int
-		if tokens, err = s.complete(resp, body, b); err == nil {
+		if tokens, err = s.complete(resp, buf.Bytes, b); err == nil {
 			return attempt{complete: true, tokens: tokens}
 		}
 	}
+	buf.Release()
 	return attempt{code: "bad_answer", err: fmt.Errorf("%s: %w", b.Name, err)}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -52,10 +54,10 @@
 }
 
 // sink receives an answer. event reports whether bytes of the answer have reached
-// the caller.
+// the caller; it fails if there is no memory to keep them.
 type sink interface {
 	streams() bool // whether the back end is asked to stream
-	event(data []byte, ch *openai.Chunk) (reached bool)
+	event(data []byte, ch *openai.Chunk) (reached bool, err error)
 	// complete receives an answer that was not streamed; err says why it is not a
 	// valid answer.
 	complete(resp *http.Response, body []byte, b route.BackendInfo) (tokens int, err error)
@@ -136,10 +138,15 @@
 // recordBroken logs and counts an answer that is not valid or not whole.
 func (g *Gateway) recordBroken(q *request, b route.BackendInfo, a attempt) {
 	reason := a.code
-	if defect := upstream.DefectOf(a.err); defect != "" {
+	var noAnswer *url.Error
+	switch defect, bound := upstream.DefectOf(a.err), upstream.BoundOf(a.err); {
+	case defect != "":
 		reason = string(defect)
-	}
-	if reason == "" { // an answer that says that the back end failed, or none
+	case bound != "":
+		reason = string(bound)
+	case a.code == "" && !a.notRun && errors.As(a.err, &noAnswer):
+		reason = "no_answer"
+	case a.code == "": // an answer that says that the back end failed
 		return
 	}
 	g.Scope.Tagged(map[string]string{"reason": reason}).Counter("broken_answers").Inc(1)
@@ -183,7 +190,7 @@
 		if s.streams() {
 			a = g.relayStream(resp, q, b, wd, s)
 		} else {
-			a = g.relayBody(resp, b, s)
+			a = g.relayBody(resp, q, b, s)
 		}
 	}
 	a.timedOut = wd.fired.Load()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -22,9 +22,9 @@
 	body        []byte
 }
 
-func (s *serviceAnswer) streams() bool                    { return false }
-func (s *serviceAnswer) event([]byte, *openai.Chunk) bool { return false }
-func (s *serviceAnswer) reset()                           { *s = serviceAnswer{} }
+func (s *serviceAnswer) streams() bool                             { return false }
+func (s *serviceAnswer) event([]byte, *openai.Chunk) (bool, error) { return false, nil }
+func (s *serviceAnswer) reset()                                    { *s = serviceAnswer{} }
 
 func (s *serviceAnswer) complete(resp *http.Response, body []byte, _ route.BackendInfo) (int, error) {
 	if resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
@@ -56,6 +56,7 @@
 	if ref := g.open(q, dec); ref != nil {
 		return ref
 	}
+	defer q.end()
 	ans := &serviceAnswer{}
 	if g.dispatch(q, dec, ans).kind != completeAnswer {
 		return g.conclude(q, nil, nil)
