ingress: a test of late requests that are handed to a stopping entry

Already handled: the entry refuses what may not end in time (drain.Gate.Admits), whoever sends it, and the other one refuses its caller as not run.

--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
 	"github.com/lovageweir/lovageweir/drain"
@@ -49,6 +50,29 @@
 	refused("/post/x", short...)
 }
 
+// Guards against a stopping entry taking requests from another one that may not end in time: the caller of the other
+// entry would get no answer, to a request that may have run.
+func TestAStoppingEntryRefusesLateRequestsHandedToIt(t *testing.T) {
+	for path := range answeredElsewhere {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			is := is.New(t)
+			f := newCluster(t, 2, clockwork.NewRealClock())
+			w, stopping := f.all[0], f.all[1]
+			w.addEngine(platformtest.EngineConfig{ID: "e1", Service: service, Domain: "d1", Version: "v1", RetryAfter: "60"})
+			w.faults(platformtest.Refuse)
+			f.sync()
+			stopping.gate.Begin(drain.Times{AcceptAllFor: 2 * time.Second, ServeAtLeast: 3 * time.Second, End: 8 * time.Second})
+			is.Equal(w.callRaw(path, "a1", "body").status, http.StatusOK) // handed over early in the stop
+			stopping.gateClock.Advance(7500 * time.Millisecond)
+			got := w.callRaw(path, "a2", "body")
+			is.NoErr(got.err)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.True(got.header.Get("Retry-After") != "")
+			is.Equal(w.runsOf("a2"), 0)
+		})
+	}
+}
+
 // Guards against the end of a stop closing connections without an answer while a call
 // and a stream are still at their endpoint. The call is answered with a status that says
 // that it may have run; the stream has begun and breaks off recognisably; the log names
