--- a/gateway/broken_test.go
+++ b/gateway/broken_test.go
@@ -31,21 +31,7 @@
 
 func (b rawBackend) start(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(conn)
-		}
-	}()
-	return ln.Addr().String()
+	return answertest.Listen(t, b.serve)
 }
 
 func (b rawBackend) serve(conn net.Conn) {
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -1,15 +1,9 @@
 package gateway
 
 import (
-	"bufio"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/config"
+	"github.com/lovageweir/lovageweir/internal/answertest"
 	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/openai"
 )
@@ -39,61 +34,9 @@
 // startEndless starts a back end that answers without end.
 func startEndless(t *testing.T, begin, repeated string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+begin)
-				piece := strings.Repeat(strings.ReplaceAll(repeated, "%s", req.Header.Get(openai.HeaderRequestID)), 1+16<<10/len(repeated))
-				for err == nil {
-					_, err = io.WriteString(conn, piece)
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// peakMemory calls f and returns how much more memory than before is in use at most meanwhile.
-func peakMemory(f func()) int64 {
-	inUse := func() int64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapInuse + m.StackInuse)
-	}
-	runtime.GC()
-	before := inUse()
-	var peak atomic.Int64
-	done, sampled := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(sampled)
-		for {
-			peak.Store(max(peak.Load(), inUse()))
-			select {
-			case <-done:
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	f()
-	close(done)
-	<-sampled
-	return peak.Load() - before
+	return answertest.StartEndless(t, "HTTP/1.1 200 OK\r\n"+begin, func(r *http.Request) string {
+		return strings.ReplaceAll(repeated, "%s", r.Header.Get(openai.HeaderRequestID))
+	})
 }
 
 // endlessCallers is how many requests await an answer that does not end at a time.
@@ -111,12 +54,12 @@
 			d.Scope = scope
 			d.AnswerMemory = membudget.New(16 << 20)
 			srv := serveGateway(t, d)
-			memory := peakMemory(func() {
+			memory := answertest.PeakMemory(func() {
 				var wg sync.WaitGroup
 				for range endlessCallers {
 					wg.Go(func() {
 						if got := tt.mode.send(t, srv, ""); tt.mode.whole(got) {
-							t.Errorf("whole answer: %s", fmt.Sprint(got.status))
+							t.Error("an answer without end is whole")
 						}
 					})
 				}
--- a/ingress/broken_test.go
+++ b/ingress/broken_test.go
@@ -193,19 +193,28 @@
 	}
 }
 
+// newEntryOfTwo returns one of two entries before three engines. If tunnel is set, it reaches them through the other one.
+func newEntryOfTwo(t *testing.T, tunnel bool) *testEnv {
+	t.Helper()
+	f := newCluster(t, 2, clockwork.NewRealClock())
+	w := f.all[0]
+	for n := range 3 {
+		w.addEngine(platformtest.EngineConfig{ID: fmt.Sprint("e", n), Service: service, Domain: "d1", Version: "v1"})
+	}
+	f.sync()
+	if tunnel {
+		w.link.set(linkRefuses)
+		w.do(http.MethodPost, "/get/x", "body") // finds the link lost
+	}
+	return w
+}
+
 // Guards against passing on answers that are not valid if they come through another entry.
 func TestInvalidAnswersThroughTunnelsAreNotPassedOn(t *testing.T) {
 	for path, again := range answeredElsewhere {
 		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
 			is := is.New(t)
-			f := newCluster(t, 2, clockwork.NewRealClock())
-			w := f.all[0]
-			for n := range 3 {
-				w.addEngine(platformtest.EngineConfig{ID: fmt.Sprint("e", n), Service: service, Domain: "d1", Version: "v1"})
-			}
-			f.sync()
-			w.link.set(linkRefuses)
-			w.do(http.MethodPost, "/get/x", "body") // finds the link lost
+			w := newEntryOfTwo(t, true)
 			for n, kind := range answertest.InvalidHeads {
 				id := fmt.Sprint("t", n)
 				w.faults(platformtest.Fault(kind))
@@ -214,6 +223,7 @@
 				w.assertBroken(is, path, id, got)
 				is.Equal(w.runsOf(id) > 1, again)
 			}
+			is.True(strings.Contains(w.logs.String(), " via="))
 		})
 	}
 }
@@ -247,18 +257,8 @@
 		for path, again := range answeredElsewhere {
 			t.Run(fmt.Sprintf("tunnel=%v%s", tunnel, path), func(t *testing.T) {
 				is := is.New(t)
-				f := newCluster(t, 2, clockwork.NewRealClock())
-				w := f.all[0]
-				for n := range 3 {
-					w.addEngine(platformtest.EngineConfig{ID: fmt.Sprint("e", n), Service: service, Domain: "d1", Version: "v1"})
-				}
-				f.sync()
+				w := newEntryOfTwo(t, tunnel)
 				w.allowLongBodies()
-				f.sync()
-				if tunnel {
-					w.link.set(linkRefuses)
-					w.do(http.MethodPost, "/get/x", "body") // finds the link lost
-				}
 				for _, e := range w.engines {
 					e.FaultOf = func(r *http.Request) platformtest.Fault {
 						if w.runsOf(r.Header.Get("X-Attempt-Id")) == 0 {
@@ -280,6 +280,7 @@
 				}
 				t.Logf("%d of %d answers were wrong", wrong, earlyResets)
 				is.Equal(wrong, 0)
+				is.Equal(strings.Contains(w.logs.String(), " via="), tunnel)
 			})
 		}
 	}
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -4,10 +4,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/lovageweir/lovageweir/ingress"
+	"github.com/lovageweir/lovageweir/internal/answertest"
 	"github.com/lovageweir/lovageweir/internal/membudget"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
@@ -52,34 +51,6 @@
 	return c.Value()
 }
 
-// peakMemory calls f and returns how much more memory than before is in use at most meanwhile.
-func peakMemory(f func()) int64 {
-	inUse := func() int64 {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return int64(m.HeapInuse + m.StackInuse)
-	}
-	runtime.GC()
-	before := inUse()
-	var peak atomic.Int64
-	done, sampled := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(sampled)
-		for {
-			peak.Store(max(peak.Load(), inUse()))
-			select {
-			case <-done:
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
-		}
-	}()
-	f()
-	close(done)
-	<-sampled
-	return peak.Load() - before
-}
-
 // Guards against endpoints that send without end holding requests until their deadlines, filling the
 // memory, and disturbing other requests.
 func TestAnswersWithoutEndAreCutOff(t *testing.T) {
@@ -92,7 +63,7 @@
 	var slowest, slowestOther time.Duration
 	served := 0
 	stop := make(chan struct{})
-	memory := peakMemory(func() {
+	memory := answertest.PeakMemory(func() {
 		for i := range 4 {
 			others.Go(func() {
 				for n := 0; ; n++ {
--- a/ingress/slow_test.go
+++ b/ingress/slow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lovageweir/lovageweir/internal/answertest"
 	"github.com/lovageweir/lovageweir/platform/platformtest"
 )
 
@@ -54,7 +55,7 @@
 		e.Config.Events, e.Config.EventBytes = 400, 64<<10
 	}
 	var resp *http.Response
-	memory := peakMemory(func() {
+	memory := answertest.PeakMemory(func() {
 		var err error
 		resp, err = http.DefaultClient.Do(w.request(http.MethodPost, "/resume/stream", "body", "X-Deadline-Remaining", "9000"))
 		is.NoErr(err)
--- a/internal/answertest/answertest.go
+++ b/internal/answertest/answertest.go
@@ -1,13 +1,10 @@
 package answertest
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
-	"testing"
 	"time"
 )
 
@@ -184,89 +181,3 @@
 		_, _ = io.Copy(io.Discard, request)
 	}
 }
-
-// Start returns the address of a server that answers each request on a connection of its own, with an answer of a kind.
-func Start(t testing.TB, kind Kind, fields, body string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					_ = conn.Close()
-					return
-				}
-				if !kind.Early() {
-					_, _ = io.Copy(io.Discard, req.Body)
-				}
-				Serve(conn, kind, Text(kind, fields, body, len(body)/2), req.Body, req.ContentLength)
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// StartEndless returns the address of a server that answers each request with a text and then repeats another one until
-// the client closes the connection.
-func StartEndless(t testing.TB, text, repeated string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	piece := strings.Repeat(repeated, 1+endlessWrite/len(repeated))
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					_, err = io.Copy(io.Discard, req.Body)
-				}
-				if err == nil {
-					_, err = io.WriteString(conn, text)
-				}
-				for err == nil {
-					_, err = io.WriteString(conn, piece)
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
-
-// endlessWrite is the size of each write of repeated text.
-const endlessWrite = 16 << 10
-
-// CheckReader checks what reads answers: it must fail for each answer that is not valid, and for none that is unusual.
-// read sends a request to an address; fields and body are those of an answer that it accepts.
-func CheckReader(t *testing.T, fields, body string, read func(address string) error) {
-	t.Helper()
-	for _, kind := range InvalidHeads {
-		if err := read(Start(t, kind, fields, body)); err == nil {
-			t.Errorf("%s: answer is used", kind)
-		}
-	}
-	for _, kind := range Odd {
-		if kind.Early() {
-			continue // these are for long bodies
-		}
-		if err := read(Start(t, kind, fields, body)); err != nil {
-			t.Errorf("%s: %v", kind, err)
-		}
-	}
-}
--- a/peers/answers_test.go
+++ b/peers/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -23,7 +24,7 @@
 // Guards against a faulty entry filling the memory with its answer, which was bounded in time only.
 func TestAnswersOfPeersAreBounded(t *testing.T) {
 	is := is.New(t)
-	address := answertest.StartEndless(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n", "a")
+	address := answertest.StartEndless(t, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n", func(*http.Request) string { return "a" })
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	_, err := HTTPDial()("http://"+address).Status(ctx, &peerpb.StatusRequest{})
--- a/rater/rater_test.go
+++ b/rater/rater_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 // Guards against a faulty rater filling the memory with its answer, which was bounded in time only.
 func TestAnswersOfTheRaterAreBounded(t *testing.T) {
 	is := is.New(t)
-	address := answertest.StartEndless(t, "HTTP/1.1 200 OK\r\n\r\n{\"score\": \"", "a")
+	address := answertest.StartEndless(t, "HTTP/1.1 200 OK\r\n\r\n{\"score\": \"", func(*http.Request) string { return "a" })
 	began := time.Now()
 	_, err := NewClient("http://"+address).Rate(context.Background(), Answer{})
 	is.Equal(upstream.BoundOf(err), upstream.BodyBytes)
