--- a/orders/answers_test.go
+++ b/orders/answers_test.go
@@ -13,7 +13,7 @@
 	"github.com/lovageweir/lovageweir/route"
 )
 
-// Guards against taking an answer that is not valid for an engine's confirmation of an order.
+// Guards against taking an answer that is not valid for an engine's acceptance of an order.
 func TestInvalidAnswersConfirmNoOrder(t *testing.T) {
 	for text, valid := range map[string]bool{
 		"HTTP/1.1 204 No Content\r\nX-Note: 1\r\n\r\n":  true,
