soak: an entry whose send was answered is not blamed for a refusal

An engine answers a send once: a send that was answered, and not with a refusal, is not the one that was refused. The sender is then the entry that the client called, or not known. Sends without an answer (the client left, the connection broke) and refusals that were passed on are blamed as before: TestARestIsNotThatOfTheEntryThatWasAnswered has both, and fails without the new line.

--- a/soak/notices.go
+++ b/soak/notices.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net/http"
 	"os"
 	"regexp"
 	"slices"
@@ -58,14 +59,18 @@
 	entry   string
 	at      time.Time
 	refused bool // the engine refused it, as one that rests does
+	// answered: the engine answered it, and not with a refusal.
+	answered bool
 }
 
 // sender returns the entry that sent a request as it arrived at an engine; empty: not known. A request that an
 // engine refused may reach it from the next entry within milliseconds: of the sends, those with another outcome
-// are left out if any has the right one.
+// are left out if any has the right one. A send that was answered is never the one that was refused: if there is
+// no other, the entry that was refused was killed before it wrote its line.
 func (c noticeContext) sender(r run) string {
 	entry, nearest := c.entryOf[r.id], time.Duration(math.MaxInt64)
-	sends := c.handedOff[sentTo{r.id, r.engine}]
+	sends := slices.Clone(c.handedOff[sentTo{r.id, r.engine}])
+	sends = slices.DeleteFunc(sends, func(s entrySend) bool { return r.rest > 0 && s.answered })
 	sameOutcome := func(s entrySend) bool { return s.refused == (r.rest > 0) }
 	anySame := slices.ContainsFunc(sends, sameOutcome)
 	for _, s := range sends {
@@ -117,7 +122,7 @@
 				}
 			}
 			if during > maxDuringRest {
-				findings = append(findings, fmt.Sprintf("%s asked %s for a rest of %v and got %d requests in it", p.engine, p.entry, notice.rest, during))
+				findings = append(findings, fmt.Sprintf("%s asked %s for a rest of %v as it refused %s, and got %d requests in it", p.engine, p.entry, notice.rest, notice.id, during))
 			}
 		}
 	}
@@ -135,12 +140,12 @@
 	several := map[string]bool{}   // requests that several entries sent
 	all := map[sentTo][]entrySend{}
 	for _, e := range s.c.entries {
-		err := readSends(s.c.logPath(e.name), c.handedOn, func(id, engine string, at time.Time, refused bool) {
-			if first, ok := handled[id]; ok && first != e.name {
-				several[id] = true
+		err := readSends(s.c.logPath(e.name), e.name, c.handedOn, func(to sentTo, send entrySend) {
+			if first, ok := handled[to.id]; ok && first != e.name {
+				several[to.id] = true
 			}
-			handled[id] = e.name
-			all[sentTo{id, engine}] = append(all[sentTo{id, engine}], entrySend{e.name, at, refused})
+			handled[to.id] = e.name
+			all[to] = append(all[to], send)
 		})
 		if err != nil {
 			s.addFinding("log of %s cannot be read: %v", e.name, err)
@@ -154,9 +159,9 @@
 	return c
 }
 
-// sendPattern matches one send in an entry's line on a request: the engine, ms since the request came, and what
-// came of it.
-var sendPattern = regexp.MustCompile(`(?:^|; )(\S+) .*?\bat=(\d+)ms([^;]*)`)
+// sendPattern matches one send in an entry's line on a request: the engine, ms since the request came, the status of
+// the answer (0: none), and what came of it.
+var sendPattern = regexp.MustCompile(`(?:^|; )(\S+) .*?\bat=(\d+)ms\b[^;]*?\bstatus=(\d+)([^;]*)`)
 
 // refusedSend is in a send that its engine refused.
 const refusedSend = " refused (endpoint refused)"
@@ -164,8 +169,8 @@
 // unansweredHandoff is logged for a request that was handed to an entry which did not answer.
 const unansweredHandoff = "ingress: entry does not answer a request that was handed to it."
 
-// readSends calls f for each send to an engine in an entry's log, and records the requests that it handed on.
-func readSends(log string, handedOn map[string]bool, f func(id, engine string, at time.Time, refused bool)) error {
+// readSends calls f for each send to an engine in the log of an entry, and records the requests that it handed on.
+func readSends(log, entry string, handedOn map[string]bool, f func(to sentTo, send entrySend)) error {
 	file, err := os.Open(log)
 	if err != nil {
 		return err
@@ -192,7 +197,9 @@
 		came := line.Time.Add(-time.Duration(line.MS) * time.Millisecond)
 		for _, m := range sendPattern.FindAllStringSubmatch(line.Sends, -1) {
 			ms, _ := strconv.Atoi(m[2]) // digits
-			f(line.ID, m[1], came.Add(time.Duration(ms)*time.Millisecond), strings.Contains(m[3], refusedSend))
+			send := entrySend{entry: entry, at: came.Add(time.Duration(ms) * time.Millisecond), refused: strings.Contains(m[4], refusedSend)}
+			send.answered = !send.refused && m[3] != "0" && m[3] != strconv.Itoa(http.StatusServiceUnavailable)
+			f(sentTo{line.ID, m[1]}, send)
 		}
 	}
 	return lines.Err()
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -45,9 +45,12 @@
 	is := is.New(t)
 	log := filepath.Join(t.TempDir(), "entry.log")
 	is.NoErr(os.WriteFile(log, []byte(`{"time":"2026-12-04T12:44:40.468Z","id":"a","ms":12,"sends":"e v1 at=5ms first=0ms status=503 refused (endpoint refused); f v1 at=7ms first=1ms status=200 load=1+0/8 served; g v1 at=8ms first=0ms status=0 unreached (not sent: connect: connection refused)"}`), 0o600))
-	refused := map[string]bool{}
-	is.NoErr(readSends(log, map[string]bool{}, func(_, engine string, _ time.Time, r bool) { refused[engine] = r }))
+	refused, answered := map[string]bool{}, map[string]bool{}
+	is.NoErr(readSends(log, "entry-0", map[string]bool{}, func(to sentTo, s entrySend) {
+		refused[to.engine], answered[to.engine] = s.refused, s.answered
+	}))
 	is.Equal(refused, map[string]bool{"e": true, "f": false, "g": false})
+	is.Equal(answered, map[string]bool{"e": false, "f": true, "g": false})
 
 	t0 := time.Unix(1000, 0)
 	at := func(d time.Duration, id string) run { return run{id: id, engine: "e", at: t0.Add(d)} }
@@ -66,3 +69,41 @@
 		is.Equal(len(findings) == 1, blamed == "entry-0")
 	}
 }
+
+// Guards against blaming an entry for a rest that another one was asked for, which handed the request on and was killed
+// before it wrote its line.
+func TestARestIsNotThatOfTheEntryThatWasAnswered(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1000, 0)
+	rests := run{id: "a", engine: "e", at: t0, rest: restTime}
+	later := []run{{id: "b", engine: "e"}, {id: "c", engine: "e"}, {id: "d", engine: "e"}}
+	for i := range later {
+		later[i].at = t0.Add(time.Second)
+	}
+	for _, tt := range []struct {
+		name     string
+		line     string // of entry-1, on the send to the engine
+		called   string // the entry that the client called; "": not known
+		blamed   string
+		findings int // on the three requests that entry-1 sent in the rest
+	}{
+		{"answered", "status=200 events=17 in 328ms pause=22ms load=16+0/8 abandoned (caller left)", "entry-0", "entry-0", 0},
+		{"answered, of a client that the soak does not record", "status=200 load=5+0/8 served", "", "", 0},
+		{"failed by the engine", "status=500 failed", "entry-0", "entry-0", 0},
+		{"refused", "status=503 refused (endpoint refused)", "entry-0", "entry-1", 1},
+		{"refusal passed on", "status=503 served", "entry-0", "entry-1", 1},
+		{"unread, as the client left", "status=0 abandoned (caller left)", "entry-0", "entry-1", 1},
+		{"unread, of a client that the soak does not record", "status=0 abandoned (caller left)", "", "entry-1", 1},
+	} {
+		log := filepath.Join(t.TempDir(), "entry.log")
+		is.NoErr(os.WriteFile(log, []byte(`{"time":"`+t0.UTC().Format(time.RFC3339Nano)+`","id":"a","ms":0,"sends":"e v1 at=0ms first=0ms `+tt.line+`"}`), 0o600))
+		c := noticeContext{entryOf: map[string]string{"b": "entry-1", "c": "entry-1", "d": "entry-1"}, handedOff: map[sentTo][]entrySend{}}
+		if tt.called != "" {
+			c.entryOf["a"] = tt.called
+		}
+		is.NoErr(readSends(log, "entry-1", map[string]bool{}, func(to sentTo, s entrySend) { c.handedOff[to] = append(c.handedOff[to], s) }))
+		t.Log(tt.name)
+		is.Equal(c.sender(rests), tt.blamed)
+		is.Equal(len((&runLog{runs: later, refused: []run{rests}}).checkNotices(c)), tt.findings)
+	}
+}
