upstream: what follows an answer on a kept connection is not the next answer

Cause: net/http offers a connection to the next request before it looks whether bytes are left over from the last answer. If that request gets it in between, the bytes are its answer. They had been read as part of the body before, so that their head was not checked either.

An answer whose first byte was read before its request had the connection is now a broken answer, "unrequested": the reader of the connection knows both moments, whatever net/http does in between. The connection is closed before the request can fail, so that a request whose head had not been written by then does not run. All that reads through net/http is covered: back ends, raters, the store, the KV service, other entries. edge keeps no connections to endpoints.

That such requests are not run twice held before too (TestARequestIsNotRepeatedAfterAnAnswerBeforeIt).

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -5,10 +5,10 @@
 	"strings"
 )
 
-// Defect names why the head of an answer is not valid HTTP/1.
+// Defect names why an answer is not valid HTTP/1.
 type Defect string
 
-// Defects of heads.
+// Defects of answers.
 const (
 	StatusLine Defect = "status_line"
 	// StatusCode: it is not one of 100 to 599, or switches protocols, which no request asks for.
@@ -19,6 +19,8 @@
 	FoldedLine Defect = "folded_line"
 	// OldChunks: HTTP/1.0 has no chunks.
 	OldChunks Defect = "chunks_in_http_1.0"
+	// Unrequested: it came before the request, or behind the answer to another one.
+	Unrequested Defect = "unrequested"
 )
 
 // InvalidError reports that an answer is not valid HTTP/1. Nothing of it may be used.
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -83,6 +85,59 @@
 	}
 }
 
+// Concurrent callers, and requests of each. Whether net/http takes bytes that are no answer to the request for one is a
+// race.
+const (
+	racingCallers  = 16
+	racingRequests = 50
+)
+
+// Guards against taking what follows an answer on a kept connection for the answer to the next request.
+func TestBytesBehindAnAnswerAreNotTheNextAnswer(t *testing.T) {
+	for _, kind := range []answertest.Kind{answertest.StatusZero, answertest.OddNames} {
+		t.Run(string(kind), func(t *testing.T) {
+			is := is.New(t)
+			text := answertest.Text(answertest.OddSameLength, "", "its own", 0) + answertest.Text(kind, "", "another", 0)
+			address := answertest.Listen(t, func(conn net.Conn) {
+				defer conn.Close()
+				br := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+				}
+			})
+			client := upstream.NewClient(&http.Transport{MaxIdleConnsPerHost: racingCallers}, 1<<10)
+			defer client.CloseIdleConnections()
+			var wrong, unrequested atomic.Int64
+			var callers sync.WaitGroup
+			for range racingCallers {
+				callers.Go(func() {
+					for range racingRequests {
+						resp, err := client.Get("http://" + address)
+						if err != nil {
+							if upstream.DefectOf(err) == upstream.Unrequested {
+								unrequested.Add(1)
+							}
+							continue
+						}
+						if body, _ := io.ReadAll(resp.Body); string(body) != "its own" {
+							wrong.Add(1)
+						}
+						resp.Body.Close()
+					}
+				})
+			}
+			callers.Wait()
+			t.Logf("%d of %d answers were not requested, %d of them were used", unrequested.Load()+wrong.Load(), racingCallers*racingRequests, wrong.Load())
+			is.Equal(wrong.Load(), int64(0))
+		})
+	}
+}
+
 // drawHead draws a text that is a head of an answer, or nearly one.
 func drawHead(t *rapid.T) string {
 	pieces := []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 204 \n", "HTTP/1.1 100\r\n", "HTTP/1.1 599 a:b\r\n", "A: b\r\n", "Content-Length: 2\r\n",
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -36,15 +36,27 @@
 // RoundTrip implements http.RoundTripper. Once the transport has got a connection, the answer before has been read.
 func (v validatingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[answersConn]
-	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
-		if conn, ok := got.Conn.(*answersConn); ok {
-			conn.expectHead()
-			used.Store(conn)
-		}
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(got httptrace.GotConnInfo) {
+			if conn, ok := got.Conn.(*answersConn); ok {
+				conn.expectHead()
+				used.Store(conn)
+			}
+		},
+		GotFirstResponseByte: func() {
+			if conn := used.Load(); conn != nil {
+				conn.beginAnswer()
+			}
+		},
+	}
 	resp, err := v.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if conn := used.Load(); err != nil && conn != nil {
-		err = conn.explain(err)
+	conn := used.Load()
+	if conn == nil {
+		return resp, err
+	}
+	if err = conn.explain(err); err != nil && resp != nil {
+		_ = resp.Body.Close()
+		resp = nil
 	}
 	return resp, err
 }
@@ -54,18 +66,30 @@
 	net.Conn
 	mu      sync.Mutex
 	head    headScanner // guarded by mu
-	invalid error       // why a head is not valid; guarded by mu
+	unread  bool        // nothing was read since a head is expected; guarded by mu
+	invalid error       // why an answer is not valid; guarded by mu
 }
 
 // expectHead makes the bytes that are read next be checked as a head.
 func (c *answersConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = headScanner{}
+	c.head, c.unread = headScanner{}, true
+}
+
+// beginAnswer is called once net/http has the first byte of an answer. If it had that byte before the request got the
+// connection, which net/http overlooks now and then, the answer is to no request, and was not checked. The connection is
+// closed before the answer is returned, so that a request whose head is not written by then does not run.
+func (c *answersConn) beginAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unread {
+		c.invalid = &InvalidError{Unrequested}
+		_ = c.Conn.Close()
+	}
 }
 
-// explain returns the defect of a head that made reading it fail, or else the error: net/http reports a line that breaks
-// off as malformed.
+// explain returns the defect of an answer, or else the error: net/http reports a line that breaks off as malformed.
 func (c *answersConn) explain(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,6 +107,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unread = c.unread && n == 0
 	begun := c.head.begun()
 	valid, invalid := c.head.scan(b[:n])
 	if invalid == nil {
