--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -33,7 +33,8 @@
 
 type validatingTransport struct{ *http.Transport }
 
-// RoundTrip implements http.RoundTripper. Once the transport has got a connection, the answer before has been read.
+// RoundTrip implements http.RoundTripper. Once the transport has got a connection, the answer before has been read, but for
+// bytes that follow it.
 func (v validatingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[answersConn]
 	trace := &httptrace.ClientTrace{
